--- /dev/null
+++ b/crates/caller/src/entry.rs
@@ -0,0 +1,248 @@
+//! The one place where every HTTP request comes in, from callers and from hosts.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderValue};
+use hyper::{Request, Response};
+use rand::Rng;
+use steering::error::ErrorKind;
+use upstream::{Body, REQUEST_ID_HEADER};
+
+use crate::answers::{Failure, failure};
+use crate::body::{BoundError, Bounded, Holding, hold};
+use crate::guarded::Suspect;
+use crate::local::{self, Admission, Miss};
+use crate::look_up::{self, LOOK_UP_PATH};
+use crate::relay::{
+    LOAD_HEADER, Purpose, RELAY_HEADER, RelayHead, STAGE_ADMISSION, STAGE_DISPATCH, STAGE_HEADER,
+};
+use crate::request::{TICKET_HEADER, WorkBody, WorkHead, parse, text, value};
+use crate::shared::Shared;
+use crate::steer::{self, owns};
+use crate::ticketed;
+
+/// Counts a request in flight on this host until its answer has ended.
+struct InFlight(Arc<Shared>);
+
+impl InFlight {
+    fn enter(shared: &Arc<Shared>) -> Result<InFlight, ErrorKind> {
+        let limit = shared.config.limits.requests_in_flight;
+        let guard = InFlight(Arc::clone(shared));
+        if shared.in_flight.fetch_add(1, Ordering::AcqRel) >= limit {
+            return Err(ErrorKind::HostBusy);
+        }
+        Ok(guard)
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Answers a request that came from a caller.
+pub async fn from_caller(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+    peer: SocketAddr,
+    suspect: Suspect,
+) -> Response<Body> {
+    let id = new_id();
+    let begun = Instant::now();
+    let unwatched = request.headers().contains_key(header::TRANSFER_ENCODING);
+    let suspect = suspect.load(Ordering::Acquire);
+    let path = request.uri().path().to_owned();
+    let answer = match suspect {
+        true => Err(ErrorKind::Malformed.into()),
+        false => answer_caller(&shared, request, peer.ip(), &id).await,
+    };
+    let mut answer = answer.unwrap_or_else(|failed: Failure| failure(failed.kind, &id));
+    if unwatched || suspect {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(header::CONNECTION, close);
+    }
+    answer.headers_mut().insert(REQUEST_ID_HEADER, value(&id));
+    log(&path, &id, &answer, begun.elapsed());
+    answer
+}
+
+async fn answer_caller(
+    shared: &Arc<Shared>,
+    request: Request<Incoming>,
+    caller: IpAddr,
+    id: &str,
+) -> Result<Response<Body>, Failure> {
+    if request.uri().path() == LOOK_UP_PATH {
+        return Ok(look_up::answer(shared, request.uri(), caller)?);
+    }
+    let in_flight = InFlight::enter(shared)?;
+    let view = shared.view.load_full();
+    let head = parse(&request, &view, caller, id.to_owned())?;
+    let ticket = text(request.headers(), TICKET_HEADER).map(str::to_owned);
+    let body = read_body(shared, &head, request.into_body()).await?;
+    let answer = run(shared, head, body, ticket.as_deref()).await?;
+    Ok(answer.map(|body| Holding::new(body, in_flight).boxed_unsync()))
+}
+
+async fn run(
+    shared: &Arc<Shared>,
+    head: WorkHead,
+    mut body: WorkBody,
+    ticket: Option<&str>,
+) -> Result<Response<Body>, Failure> {
+    if head.repeatable {
+        return steer::steer(shared, &head, &mut body).await;
+    }
+    ticketed::run(shared, head, body, ticket).await
+}
+
+/// Answers a request that another host passed on.
+pub async fn from_host(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+    let relay = text(request.headers(), RELAY_HEADER).unwrap_or("");
+    let Ok(relay) = RelayHead::verify(relay, &shared.config.peer_key) else {
+        tracing::warn!(event = "relay_refused", reason = "not under the shared key");
+        return staged(ErrorKind::Malformed, "", STAGE_ADMISSION);
+    };
+    let id = relay.id.clone();
+    match answer_host(&shared, request, relay).await {
+        Ok(answer) => answer,
+        Err(miss @ (Miss::Refused(_) | Miss::Unreachable)) => {
+            staged(miss.kind(), &id, STAGE_ADMISSION)
+        }
+        Err(miss) => staged(miss.kind(), &id, STAGE_DISPATCH),
+    }
+}
+
+async fn answer_host(
+    shared: &Arc<Shared>,
+    request: Request<Incoming>,
+    relay: RelayHead,
+) -> Result<Response<Body>, Miss> {
+    let in_flight = InFlight::enter(shared).map_err(Miss::Refused)?;
+    let view = shared.view.load_full();
+    let mut head = parse(&request, &view, relay.caller, relay.id).map_err(Miss::Refused)?;
+    head.deadline = Instant::now() + Duration::from_millis(relay.deadline_ms);
+    head.repeatable = relay.repeatable;
+    let ticket = text(request.headers(), TICKET_HEADER).map(str::to_owned);
+    let body = read_body(shared, &head, request.into_body()).await;
+    let mut body = body.map_err(|failed| Miss::Refused(failed.kind))?;
+    let answer = match relay.purpose {
+        Purpose::Ticketed => {
+            let answer = ticketed::run(shared, head, body, ticket.as_deref()).await;
+            answer.map_err(|failed| match failed.not_run {
+                steering::NotRun::True => Miss::NotRun(failed.kind),
+                _ => Miss::MayHaveRun(failed.kind),
+            })
+        }
+        purpose => admit(shared, &head, &mut body, purpose, relay.revision).await,
+    }?;
+    Ok(answer.map(|body| Holding::new(body, in_flight).boxed_unsync()))
+}
+
+/// Admits a relayed request here, or passes it on to the pool's owner.
+async fn admit(
+    shared: &Arc<Shared>,
+    head: &WorkHead,
+    body: &mut WorkBody,
+    purpose: Purpose,
+    revision: u64,
+) -> Result<Response<Body>, Miss> {
+    let Purpose::Admit {
+        pool,
+        limits,
+        priority,
+        owner_unreachable,
+        hops,
+    } = purpose
+    else {
+        return Err(Miss::Refused(ErrorKind::Internal));
+    };
+    let view = shared.view.load_full();
+    let owner = view
+        .owners(&view.me.zone, &pool)
+        .first()
+        .map(|owner| (*owner).clone());
+    if !owner_unreachable && !owns(&view, &pool) {
+        let Some(owner) = owner.filter(|_| hops > 0) else {
+            return Err(Miss::Refused(ErrorKind::NoUpstream));
+        };
+        let purpose = Purpose::Admit {
+            pool: pool.clone(),
+            limits: limits.clone(),
+            priority,
+            owner_unreachable,
+            hops: hops - 1,
+        };
+        let passed_on = steer::relay_on(shared, head, body, &owner, purpose).await;
+        if !matches!(passed_on, Err(Miss::Unreachable)) {
+            return passed_on;
+        }
+    }
+    if revision > view.revision && !limits.iter().all(|key| knows(shared, key)) {
+        // A cap that this host has not heard of yet can't be kept here.
+        return Err(Miss::Refused(ErrorKind::LimitReached));
+    }
+    let admission = Admission {
+        pool: &pool,
+        limits: &limits,
+        priority,
+    };
+    let mut answer = local::run(shared, head, body, &admission).await?;
+    if let Some(load) = shared.gate.load(&pool) {
+        let load = serde_json::to_string(&load).expect("loads are valid JSON");
+        answer.headers_mut().insert(LOAD_HEADER, value(&load));
+    }
+    Ok(answer)
+}
+
+fn knows(shared: &Shared, key: &steering::limiter::LimitKey) -> bool {
+    use steering::limiter::LimitKey;
+    match key {
+        LimitKey::RuleFlight(..) | LimitKey::RuleRate(..) => shared.ledger().has(key),
+        LimitKey::Zone | LimitKey::Region | LimitKey::Link(_) => true,
+    }
+}
+
+async fn read_body(shared: &Shared, head: &WorkHead, body: Incoming) -> Result<WorkBody, Failure> {
+    let limits = &shared.config.limits;
+    let view = shared.view.load();
+    let service = view.plan.services.get(&head.service);
+    let most = service.map_or(0, |service| service.service.body_limit_bytes);
+    let stall = Duration::from_millis(limits.stall_timeout_ms);
+    let body = Bounded::new(body, most, stall).boxed_unsync();
+    match hold(body, limits.hold_body_bytes).await {
+        Ok(held) => Ok(held.into()),
+        Err(error) => Err(match error.downcast_ref() {
+            Some(BoundError::TooLarge) => ErrorKind::TooLarge,
+            Some(BoundError::Stalled) => ErrorKind::SlowCaller,
+            None => ErrorKind::Malformed,
+        }
+        .into()),
+    }
+}
+
+fn staged(kind: ErrorKind, id: &str, stage: &'static str) -> Response<Body> {
+    let mut answer = failure(kind, id);
+    let stage = HeaderValue::from_static(stage);
+    answer.headers_mut().insert(STAGE_HEADER, stage);
+    answer
+}
+
+fn new_id() -> String {
+    format!("{:016x}", rand::rng().random::<u64>())
+}
+
+fn log(path: &str, id: &str, answer: &Response<Body>, took: Duration) {
+    let status = answer.status().as_u16();
+    let error = text(answer.headers(), crate::answers::ERROR_HEADER).unwrap_or("none");
+    let ms = took.as_secs_f64() * 1_000.0;
+    metrics::counter!("stagedeck_requests_total", "error" => error.to_owned()).increment(1);
+    metrics::histogram!("stagedeck_first_byte_seconds").record(took.as_secs_f64());
+    tracing::info!(event = "request", id, path, status, error, ms);
+}
--- /dev/null
+++ b/crates/caller/src/request.rs
@@ -0,0 +1,212 @@
+//! What a caller asks for, read from its HTTP request.
+
+use std::net::IpAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, Request};
+use steering::blocks::ClassId;
+use steering::document::{Operation, Service};
+use steering::error::ErrorKind;
+use steering::ids::{RequestId, ServiceName};
+use steering::view::View;
+use upstream::{Body, DEADLINE_HEADER, full};
+
+use crate::body::Held;
+
+/// Path below which services are found: `/services/NAME/…`.
+pub const SERVICES_PATH: &str = "/services/";
+/// Header with a ticket.
+pub const TICKET_HEADER: &str = "stagedeck-ticket";
+/// Header with a caller's own key for work that may not be repeated.
+pub const KEY_HEADER: &str = "idempotency-key";
+/// Start of the names of headers that are the system's own.
+const OWN_PREFIX: &str = "stagedeck-";
+
+/// Headers that hold for one connection only (RFC 9110, 7.6.1).
+const HOP_BY_HOP: &[&str] = &[
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// A request without its body.
+#[derive(Debug, Clone)]
+pub struct WorkHead {
+    /// Its identity, the same on every host.
+    pub id: RequestId,
+    /// The service.
+    pub service: ServiceName,
+    /// Its kind, by number in the service's operations.
+    pub operation: Option<usize>,
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query below the service.
+    pub path: String,
+    /// Headers without those for one connection only.
+    pub headers: HeaderMap,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Time by which its answer must begin.
+    pub deadline: Instant,
+    /// Address of the caller.
+    pub caller: IpAddr,
+    /// Class of the caller.
+    pub class: ClassId,
+}
+
+/// The body of a request, to be sent once or more.
+pub enum WorkBody {
+    /// Held whole.
+    Whole(Bytes),
+    /// Passed on as it comes; none once it has been sent.
+    Streaming(Option<Body>),
+}
+
+impl WorkBody {
+    /// A body to send; none where it can't be sent again.
+    pub fn take(&mut self) -> Option<Body> {
+        match self {
+            WorkBody::Whole(bytes) => Some(full(bytes.clone())),
+            WorkBody::Streaming(body) => body.take(),
+        }
+    }
+
+    /// A body that was not sent.
+    pub fn put_back(&mut self, unsent: Body) {
+        if let WorkBody::Streaming(body) = self {
+            *body = Some(unsent);
+        }
+    }
+
+    /// A copy, where it is held whole.
+    pub fn copy(&self) -> Option<WorkBody> {
+        match self {
+            WorkBody::Whole(bytes) => Some(WorkBody::Whole(bytes.clone())),
+            WorkBody::Streaming(_) => None,
+        }
+    }
+}
+
+impl From<Held> for WorkBody {
+    fn from(held: Held) -> Self {
+        match held {
+            Held::Whole(bytes) => WorkBody::Whole(bytes),
+            Held::Streaming(body) => WorkBody::Streaming(Some(body)),
+        }
+    }
+}
+
+/// Reads a request's head; `path` is what follows [`SERVICES_PATH`].
+pub fn parse<B>(
+    request: &Request<B>,
+    view: &View,
+    caller: IpAddr,
+    id: RequestId,
+) -> Result<WorkHead, ErrorKind> {
+    let path = request
+        .uri()
+        .path_and_query()
+        .map_or("/", |path| path.as_str());
+    let below = path
+        .strip_prefix(SERVICES_PATH)
+        .ok_or(ErrorKind::UnknownService)?;
+    let end = below.find(['/', '?']).unwrap_or(below.len());
+    let (name, rest) = below.split_at(end);
+    let service = view
+        .plan
+        .services
+        .get(name)
+        .ok_or(ErrorKind::UnknownService)?;
+    let service = &service.service;
+    let path = match rest.starts_with('/') {
+        true => rest.to_owned(),
+        false => format!("/{rest}"),
+    };
+    check_length(request, service)?;
+    let method = request.method().clone();
+    let operation = service
+        .operations
+        .iter()
+        .position(|operation| operation.matches(method.as_str(), &path));
+    let known = operation.map(|number| &service.operations[number]);
+    let deadline = deadline(request.headers(), service, known)?;
+    Ok(WorkHead {
+        id,
+        service: name.to_owned(),
+        operation,
+        repeatable: known.map_or(is_safe(&method), |operation| operation.repeatable),
+        method,
+        path,
+        headers: end_to_end(request.headers()),
+        deadline: Instant::now() + deadline,
+        caller,
+        class: view.plan.class_of(caller),
+    })
+}
+
+/// A request's headers that go on to the upstream.
+pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    let mut kept = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let own = name.as_str().starts_with(OWN_PREFIX);
+        if !own && !HOP_BY_HOP.contains(&name.as_str()) && !named.contains(name) {
+            kept.append(name, value.clone());
+        }
+    }
+    kept
+}
+
+/// A header's value as text.
+pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+/// A header value of text that the system made.
+pub fn value(text: &str) -> HeaderValue {
+    HeaderValue::from_str(text).unwrap_or(HeaderValue::from_static(""))
+}
+
+fn is_safe(method: &Method) -> bool {
+    matches!(*method, Method::GET | Method::HEAD | Method::OPTIONS)
+}
+
+fn check_length<B>(request: &Request<B>, service: &Service) -> Result<(), ErrorKind> {
+    let Some(length) = text(request.headers(), "content-length") else {
+        return Ok(());
+    };
+    match length.parse::<u64>() {
+        Ok(length) if length > service.body_limit_bytes => Err(ErrorKind::TooLarge),
+        Ok(_) => Ok(()),
+        Err(_) => Err(ErrorKind::Malformed),
+    }
+}
+
+fn deadline(
+    headers: &HeaderMap,
+    service: &Service,
+    operation: Option<&Operation>,
+) -> Result<Duration, ErrorKind> {
+    let most = operation.and_then(|operation| operation.deadline_ms);
+    let most = Duration::from_millis(most.unwrap_or(service.deadline_ms));
+    let Some(asked) = headers.get(DEADLINE_HEADER) else {
+        return Ok(most);
+    };
+    let asked = asked.to_str().ok().and_then(|text| text.parse().ok());
+    let asked = asked.ok_or(ErrorKind::Malformed)?;
+    Ok(most.min(Duration::from_millis(asked)))
+}
--- /dev/null
+++ b/crates/caller/src/ticketed.rs
@@ -0,0 +1,323 @@
+//! Work that may not be repeated: under a ticket of this host, under another
+//! host's ticket, or under a caller's own key.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hyper::{Response, header};
+use sha2::{Digest, Sha256};
+use steering::claim::{
+    CLAIM_DISPATCH_WINDOW, ClaimOutcome, Ending, Fingerprint, Receipt, Spend, fingerprint, judge,
+};
+use steering::document::TicketMode;
+use steering::error::{ErrorKind, NotRun};
+use steering::ids::ClaimId;
+use steering::ticket::{self, Ticket};
+use upstream::{Body, full};
+
+use crate::answers::{Failure, REPLAYED_HEADER};
+use crate::body::{Held, hold};
+use crate::local::Miss;
+use crate::request::{KEY_HEADER, WorkBody, WorkHead, value};
+use crate::shared::Shared;
+use crate::steer::{relay_home, steer};
+
+/// Time that a caller's own key is remembered here; its claim row lasts longer.
+const KEY_MEMORY: Duration = Duration::from_secs(60);
+const KEY_LIMIT_BYTES: usize = 256;
+
+/// One piece of work that runs at most once.
+struct Once {
+    id: ClaimId,
+    fingerprint: Fingerprint,
+    mode: TicketMode,
+    /// When its memory here may lapse.
+    lapse: Instant,
+}
+
+/// Answers a request that may not be repeated.
+pub async fn run(
+    shared: &Arc<Shared>,
+    head: WorkHead,
+    mut body: WorkBody,
+    ticket_text: Option<&str>,
+) -> Result<Response<Body>, Failure> {
+    let fingerprint = fingerprint_of(&head, &body)?;
+    let Some(ticket_text) = ticket_text else {
+        return run_keyed(shared, head, body, fingerprint).await;
+    };
+    let ticket = ticket::read(ticket_text).map_err(|_| ErrorKind::TicketInvalid)?;
+    if shared.issuer.issued(&ticket) {
+        let now = shared.started.elapsed();
+        let verified = shared.issuer.verify(ticket_text, &head.service, now);
+        let ticket = verified.map_err(|_| ErrorKind::TicketInvalid)?;
+        let once = Once {
+            lapse: shared.started + Duration::from_millis(ticket.lapse_ms),
+            id: ticket.id,
+            fingerprint,
+            mode: ticket.mode,
+        };
+        return run_once(shared, head, body, once).await;
+    }
+    if ticket.service != head.service {
+        return Err(ErrorKind::TicketInvalid.into());
+    }
+    match forward(shared, &head, &mut body, &ticket, ticket_text).await {
+        Ok(answer) => Ok(answer),
+        Err(Some(failure)) => Err(failure),
+        Err(None) => after_home(shared, head, body, &ticket, fingerprint).await,
+    }
+}
+
+/// Passes the request to the ticket's host; `Err(None)` where it can't be reached.
+async fn forward(
+    shared: &Shared,
+    head: &WorkHead,
+    body: &mut WorkBody,
+    ticket: &Ticket,
+    ticket_text: &str,
+) -> Result<Response<Body>, Option<Failure>> {
+    let view = shared.view.load_full();
+    let Some(home) = view
+        .host(&ticket.host)
+        .filter(|home| home.name != view.me.name)
+    else {
+        return Err(None);
+    };
+    let mut head = head.clone();
+    let name = crate::request::TICKET_HEADER;
+    head.headers.insert(name, value(ticket_text));
+    match relay_home(shared, &head, body, home).await {
+        Ok(answer) => Ok(answer),
+        // Nothing was sent: the host is not there.
+        Err(Miss::Unreachable) => Err(None),
+        // Another start answers at this address: the ticket's host is gone.
+        Err(Miss::Refused(ErrorKind::TicketInvalid) | Miss::NotRun(ErrorKind::TicketInvalid)) => {
+            Err(None)
+        }
+        Err(Miss::Refused(kind) | Miss::NotRun(kind)) => Err(Some(Failure {
+            kind,
+            not_run: NotRun::True,
+        })),
+        Err(Miss::MayHaveRun(kind)) => Err(Some(kind.into())),
+    }
+}
+
+/// The ticket's host is gone: what it left in the store decides.
+async fn after_home(
+    shared: &Arc<Shared>,
+    head: WorkHead,
+    body: WorkBody,
+    ticket: &Ticket,
+    fingerprint: Fingerprint,
+) -> Result<Response<Body>, Failure> {
+    if ticket.mode == TicketMode::Store {
+        let once = Once {
+            id: ticket.id.clone(),
+            fingerprint,
+            mode: TicketMode::Store,
+            lapse: Instant::now() + KEY_MEMORY,
+        };
+        return run_once(shared, head, body, once).await;
+    }
+    // In mode `home` nobody else ever runs it; without a receipt it may have run.
+    match shared.claims.find(ticket.id.clone()).await {
+        Ok(Some(row)) if row.fingerprint != fingerprint => Err(ErrorKind::TicketConflict.into()),
+        Ok(Some(row)) => replay(row.ending.unwrap_or(Ending::Unknown)),
+        Ok(None) | Err(_) => Err(ErrorKind::OutcomeUnknown.into()),
+    }
+}
+
+async fn run_keyed(
+    shared: &Arc<Shared>,
+    head: WorkHead,
+    body: WorkBody,
+    fingerprint: Fingerprint,
+) -> Result<Response<Body>, Failure> {
+    let key = head
+        .headers
+        .get(KEY_HEADER)
+        .ok_or(ErrorKind::TicketRequired)?;
+    if key.is_empty() || key.len() > KEY_LIMIT_BYTES {
+        return Err(ErrorKind::Malformed.into());
+    }
+    let mut digest = Sha256::new();
+    digest.update(head.service.as_bytes());
+    digest.update([0]);
+    digest.update(key.as_bytes());
+    let once = Once {
+        id: format!("key-{:x}", digest.finalize()),
+        fingerprint,
+        mode: TicketMode::Store,
+        lapse: Instant::now() + KEY_MEMORY,
+    };
+    run_once(shared, head, body, once).await
+}
+
+async fn run_once(
+    shared: &Arc<Shared>,
+    head: WorkHead,
+    body: WorkBody,
+    once: Once,
+) -> Result<Response<Body>, Failure> {
+    let spend = shared
+        .spent()
+        .spend(Instant::now(), &once.id, &once.fingerprint, once.lapse);
+    match spend {
+        Spend::Run => {}
+        Spend::InProgress => return Err(ErrorKind::InProgress.into()),
+        Spend::Conflict => return Err(ErrorKind::TicketConflict.into()),
+        Spend::Replay(ending) => return replay(ending),
+        Spend::Full => return Err(ErrorKind::HostBusy.into()),
+    }
+    let shared = Arc::clone(shared);
+    // A task of its own: it runs to its end even where the caller leaves.
+    let task = tokio::spawn(async move { claim_and_run(&shared, head, body, once).await });
+    match task.await {
+        Ok(answer) => answer,
+        Err(_) => Err(ErrorKind::OutcomeUnknown.into()),
+    }
+}
+
+async fn claim_and_run(
+    shared: &Arc<Shared>,
+    head: WorkHead,
+    mut body: WorkBody,
+    once: Once,
+) -> Result<Response<Body>, Failure> {
+    let begun = Instant::now();
+    if once.mode == TicketMode::Store
+        && let Err(answer) = claim(shared, &once).await
+    {
+        return match answer {
+            Ok(ending) => {
+                shared.spent().end(&once.id, ending.clone());
+                replay(ending)
+            }
+            Err(kind) => {
+                shared.spent().give_back(&once.id);
+                Err(kind.into())
+            }
+        };
+    }
+    // A host that was paused meanwhile must not act on what it held before.
+    let paused = begun.elapsed() > CLAIM_DISPATCH_WINDOW || Instant::now() >= once.lapse;
+    let answer = match paused {
+        true => Err(ErrorKind::DeadlineBeforeDispatch.into()),
+        false => steer(shared, &head, &mut body).await,
+    };
+    match answer {
+        Ok(answer) => keep(shared, &once, answer).await,
+        Err(failure) => {
+            let ending = match failure.not_run {
+                NotRun::True => None,
+                NotRun::False | NotRun::Unknown => Some(Ending::Unknown),
+            };
+            end(shared, &once, ending);
+            Err(failure)
+        }
+    }
+}
+
+/// Writes the claim; `Err` holds how it ended before, or why it can't run now.
+async fn claim(shared: &Shared, once: &Once) -> Result<(), Result<Ending, ErrorKind>> {
+    let outcome = shared
+        .claims
+        .claim(once.id.clone(), once.fingerprint.clone())
+        .await;
+    let row = match outcome {
+        ClaimOutcome::Held => return Ok(()),
+        ClaimOutcome::Taken(row) => row,
+        ClaimOutcome::Failed(reason) => {
+            tracing::info!(event = "claim_failed", claim = once.id, reason);
+            // If it was written after all, it is taken away; nobody ran it.
+            shared
+                .claims
+                .finish(once.id.clone(), once.fingerprint.clone(), None);
+            return Err(Err(ErrorKind::StoreUnavailable));
+        }
+    };
+    let view = shared.view.load();
+    let mine = row.host == view.me.name && row.incarnation == view.incarnation;
+    if mine && row.ending.is_none() && row.fingerprint == once.fingerprint {
+        // Left by an earlier try of this start, which did not run.
+        return Ok(());
+    }
+    let same_host = row.host == view.me.name;
+    let gone = same_host || view.host(&row.host).is_none();
+    match judge(&row, &once.fingerprint, gone) {
+        Spend::Replay(ending) => Err(Ok(ending)),
+        Spend::Conflict => Err(Err(ErrorKind::TicketConflict)),
+        _ => Err(Err(ErrorKind::InProgress)),
+    }
+}
+
+/// Keeps an answer so that it can be fetched again, and passes it on.
+async fn keep(
+    shared: &Shared,
+    once: &Once,
+    answer: Response<Body>,
+) -> Result<Response<Body>, Failure> {
+    let (parts, body) = answer.into_parts();
+    let content_type = parts.headers.get(header::CONTENT_TYPE);
+    let mut receipt = Receipt {
+        status: parts.status.as_u16(),
+        content_type: content_type
+            .and_then(|v| v.to_str().ok())
+            .map(str::to_owned),
+        body: None,
+    };
+    match hold(body, shared.config.limits.kept_answer_bytes).await {
+        Ok(Held::Whole(bytes)) => {
+            receipt.body = Some(bytes.clone());
+            end(shared, once, Some(Ending::Ran(receipt)));
+            Ok(Response::from_parts(parts, full(bytes)))
+        }
+        Ok(Held::Streaming(body)) => {
+            end(shared, once, Some(Ending::Ran(receipt)));
+            Ok(Response::from_parts(parts, body))
+        }
+        Err(_) => {
+            // It ran, and what it answered is lost.
+            end(shared, once, Some(Ending::Ran(receipt)));
+            Err(ErrorKind::AnswerNotKept.into())
+        }
+    }
+}
+
+fn end(shared: &Shared, once: &Once, ending: Option<Ending>) {
+    match &ending {
+        Some(ending) => shared.spent().end(&once.id, ending.clone()),
+        None => shared.spent().give_back(&once.id),
+    }
+    let written_before = once.mode == TicketMode::Store;
+    if ending.is_some() || written_before {
+        let id = once.id.clone();
+        shared.claims.finish(id, once.fingerprint.clone(), ending);
+    }
+}
+
+fn replay(ending: Ending) -> Result<Response<Body>, Failure> {
+    let Ending::Ran(receipt) = ending else {
+        return Err(ErrorKind::OutcomeUnknown.into());
+    };
+    let Some(body) = receipt.body else {
+        return Err(ErrorKind::AnswerNotKept.into());
+    };
+    let mut answer = Response::builder()
+        .status(receipt.status)
+        .header(REPLAYED_HEADER, "true");
+    if let Some(content_type) = receipt.content_type {
+        answer = answer.header(header::CONTENT_TYPE, content_type);
+    }
+    let answer = answer.body(full(body));
+    answer.map_err(|_| ErrorKind::AnswerNotKept.into())
+}
+
+/// Work that may not be repeated must be held whole, to be told apart from other work.
+fn fingerprint_of(head: &WorkHead, body: &WorkBody) -> Result<Fingerprint, Failure> {
+    match body {
+        WorkBody::Whole(bytes) => Ok(fingerprint(head.method.as_str(), &head.path, bytes)),
+        WorkBody::Streaming(_) => Err(ErrorKind::TooLarge.into()),
+    }
+}
--- /dev/null
+++ b/crates/peer/src/client.rs
@@ -0,0 +1,217 @@
+//! The side that calls another host.
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, twoparty};
+use derive_more::{Display, Error, From};
+use futures::AsyncReadExt;
+use hmac::Mac;
+use steering::history::{Entry, Position};
+use steering::ids::{HostName, Incarnation};
+use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
+use tokio::net::TcpStream;
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::timeout;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+use crate::codec::{
+    read_grant, read_json, read_position, read_summaries, write_beat, write_json, write_position,
+    write_request, write_summaries,
+};
+use crate::messages::{Beat, Exchange, ExchangeReply};
+use crate::peer_capnp::{PROTOCOL_VERSION, gate, session};
+use crate::{ENTRIES_LIMIT, reader_options, tag};
+
+/// Why a call brought nothing.
+#[derive(Debug, Display, Error, From)]
+pub enum PeerError {
+    /// The host can't be reached.
+    #[display("{_0}")]
+    Connect(std::io::Error),
+    /// The host answered with an error, or with nonsense.
+    #[display("{_0}")]
+    Call(capnp::Error),
+    /// No answer came in time.
+    #[display("no answer in time")]
+    #[from(skip)]
+    Late,
+}
+
+/// An open session; closed when dropped.
+struct Connection {
+    session: session::Client,
+    task: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Calls one other host. It connects when needed, and again after an error.
+pub struct PeerClient {
+    address: SocketAddr,
+    host: HostName,
+    incarnation: Incarnation,
+    key: Rc<[u8]>,
+    deadline: Duration,
+    connection: RefCell<Option<Rc<Connection>>>,
+}
+
+impl PeerClient {
+    /// A client of the host at `address`; every call ends within `deadline`.
+    pub fn new(
+        address: SocketAddr,
+        host: HostName,
+        incarnation: Incarnation,
+        key: Rc<[u8]>,
+        deadline: Duration,
+    ) -> Self {
+        PeerClient {
+            address,
+            host,
+            incarnation,
+            key,
+            deadline,
+            connection: RefCell::default(),
+        }
+    }
+
+    /// Sends a heartbeat.
+    pub async fn heartbeat(&self, beat: &Beat) -> Result<Position, PeerError> {
+        self.call(async |session| {
+            let mut request = session.heartbeat_request();
+            write_beat(request.get().init_beat(), beat);
+            let answer = request.send().promise.await?;
+            read_position(answer.get()?.get_position()?)
+        })
+        .await
+    }
+
+    /// Exchanges configuration and summaries.
+    pub async fn exchange(&self, exchange: &Exchange) -> Result<ExchangeReply, PeerError> {
+        self.call(async |session| {
+            let mut request = session.exchange_request();
+            write_position(request.get().init_position(), &exchange.position);
+            let count = exchange.summaries.len() as u32;
+            write_summaries(request.get().init_summaries(count), &exchange.summaries);
+            let answer = request.send().promise.await?;
+            let answer = answer.get()?;
+            let mut entries = Vec::new();
+            for entry in answer.get_entries()?.iter().take(ENTRIES_LIMIT) {
+                entries.push(read_json(entry?)?);
+            }
+            let snapshot = answer.get_snapshot()?;
+            Ok(ExchangeReply {
+                position: read_position(answer.get_position()?)?,
+                entries,
+                snapshot: match snapshot.is_empty() {
+                    true => None,
+                    false => Some(read_json(snapshot)?),
+                },
+                summaries: read_summaries(answer.get_summaries()?)?,
+            })
+        })
+        .await
+    }
+
+    /// Sends an accepted change.
+    pub async fn push(&self, entry: &Entry) -> Result<Position, PeerError> {
+        self.call(async |session| {
+            let mut request = session.push_request();
+            request.get().set_entry(&write_json(entry));
+            let answer = request.send().promise.await?;
+            read_position(answer.get()?.get_position()?)
+        })
+        .await
+    }
+
+    /// Asks for a part of a limit, or gives it back.
+    pub async fn borrow(
+        &self,
+        limit: &LimitKey,
+        loan: &LoanRequest,
+    ) -> Result<Option<LoanGrant>, PeerError> {
+        self.call(async |session| {
+            let mut request = session.borrow_request();
+            request.get().set_limit(&write_json(limit));
+            write_request(request.get().init_request(), loan);
+            let answer = request.send().promise.await?;
+            let answer = answer.get()?;
+            Ok(match answer.get_granted() {
+                true => Some(read_grant(answer.get_grant()?)),
+                false => None,
+            })
+        })
+        .await
+    }
+
+    async fn call<T, F>(&self, with: impl FnOnce(session::Client) -> F) -> Result<T, PeerError>
+    where
+        F: Future<Output = Result<T, capnp::Error>>,
+    {
+        let call = async {
+            let connection = self.connected().await?;
+            Ok(with(connection.session.clone()).await?)
+        };
+        let result = timeout(self.deadline, call).await;
+        let result = result.unwrap_or(Err(PeerError::Late));
+        if result.is_err() {
+            // The next call starts anew: what comes late is not heard any more.
+            self.connection.take();
+        }
+        result
+    }
+
+    async fn connected(&self) -> Result<Rc<Connection>, PeerError> {
+        if let Some(connection) = &*self.connection.borrow() {
+            return Ok(Rc::clone(connection));
+        }
+        let connection = Rc::new(self.connect().await?);
+        self.connection.replace(Some(Rc::clone(&connection)));
+        Ok(connection)
+    }
+
+    async fn connect(&self) -> Result<Connection, PeerError> {
+        let stream = TcpStream::connect(self.address).await?;
+        stream.set_nodelay(true)?;
+        let (reader, writer) = stream.compat().split();
+        let network = twoparty::VatNetwork::new(reader, writer, Side::Client, reader_options());
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let gate: gate::Client = system.bootstrap(Side::Server);
+        let task = spawn_local(async move {
+            // Its error reaches whoever waits for an answer.
+            let _ = system.await;
+        });
+        let mut task = AbortOnDrop(Some(task.abort_handle()));
+        let challenge = gate.challenge_request().send().promise.await?;
+        let nonce = challenge.get()?.get_nonce()?;
+        let tag = tag(&self.key, nonce, &self.host, self.incarnation);
+        let mut request = gate.open_request();
+        request.get().set_host(&self.host);
+        request.get().set_incarnation(self.incarnation);
+        request.get().set_tag(&tag.finalize().into_bytes());
+        request.get().set_version(PROTOCOL_VERSION);
+        let opened = request.send().promise.await?;
+        let session = opened.get()?.get_session()?;
+        let task = task.0.take().expect("it is taken only here");
+        Ok(Connection { session, task })
+    }
+}
+
+/// Ends a task where connecting is given up.
+struct AbortOnDrop(Option<AbortHandle>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        if let Some(task) = self.0.take() {
+            task.abort();
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/messages.rs
@@ -0,0 +1,38 @@
+//! What hosts tell each other.
+
+use steering::belief::{ServiceLoad, ZoneSummary};
+use steering::history::{Entry, Position, Snapshot};
+use steering::membership::Heartbeat;
+
+/// A heartbeat with what rides on it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Beat {
+    /// The heartbeat.
+    pub heartbeat: Heartbeat,
+    /// Where the sender stands in the configuration.
+    pub position: Position,
+    /// Load of the pools that the sender owns, summed by service.
+    pub loads: Vec<ServiceLoad>,
+}
+
+/// An exchange of configuration and summaries.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Exchange {
+    /// Where the sender stands.
+    pub position: Position,
+    /// What it knows of zones.
+    pub summaries: Vec<ZoneSummary>,
+}
+
+/// The answer to an exchange.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct ExchangeReply {
+    /// Where the answerer stands.
+    pub position: Position,
+    /// Entries that the sender lacks, in order.
+    pub entries: Vec<Entry>,
+    /// A whole document, where the entries are no longer held.
+    pub snapshot: Option<Snapshot>,
+    /// What the answerer knows of zones.
+    pub summaries: Vec<ZoneSummary>,
+}
--- /dev/null
+++ b/crates/peer/src/server.rs
@@ -0,0 +1,224 @@
+//! The side that other hosts call.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use capnp::Error;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, new_client, twoparty};
+use futures::AsyncReadExt;
+use hmac::Mac;
+use rand::RngCore;
+use steering::history::{Entry, Position};
+use steering::ids::HostName;
+use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+use crate::codec::{
+    read_beat, read_json, read_position, read_request, read_summaries, write_grant, write_json,
+    write_position, write_summaries,
+};
+use crate::messages::{Beat, Exchange, ExchangeReply};
+use crate::peer_capnp::{PROTOCOL_VERSION, gate, session};
+use crate::{NONCE_BYTES, reader_options, tag};
+
+const CONNECTIONS_LIMIT: usize = 512;
+
+/// What a host does with messages of other hosts; each call must be short.
+pub trait PeerHandler {
+    /// Takes a heartbeat.
+    fn heartbeat(&self, beat: Beat) -> Position;
+    /// Takes and gives configuration and summaries.
+    fn exchange(&self, exchange: Exchange) -> ExchangeReply;
+    /// Takes an accepted change from another host.
+    fn push(&self, from: &HostName, entry: Entry) -> Position;
+    /// Lends a part of a limit.
+    fn borrow(&self, limit: LimitKey, request: LoanRequest) -> Option<LoanGrant>;
+}
+
+/// Serves other hosts on a local task set.
+pub struct PeerServer {
+    key: Rc<[u8]>,
+    handler: Rc<dyn PeerHandler>,
+    open: Rc<Cell<usize>>,
+}
+
+impl PeerServer {
+    /// Serves hosts that hold the key.
+    pub fn new(key: &[u8], handler: Rc<dyn PeerHandler>) -> Self {
+        PeerServer {
+            key: key.into(),
+            handler,
+            open: Rc::default(),
+        }
+    }
+
+    /// Accepts connections until the task is dropped.
+    pub async fn run(self, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, peer)) if self.open.get() < CONNECTIONS_LIMIT => {
+                    self.serve(stream, peer);
+                }
+                Ok((_, peer)) => tracing::warn!(event = "peer_refused", %peer, reason = "full"),
+                Err(error) => {
+                    tracing::warn!(event = "peer_accept_failed", %error);
+                    tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+                }
+            }
+        }
+    }
+
+    fn serve(&self, stream: TcpStream, peer: SocketAddr) {
+        let _ = stream.set_nodelay(true);
+        let (reader, writer) = stream.compat().split();
+        let network = twoparty::VatNetwork::new(reader, writer, Side::Server, reader_options());
+        let gate = GateServer {
+            key: Rc::clone(&self.key),
+            handler: Rc::clone(&self.handler),
+            nonce: RefCell::default(),
+        };
+        let client: gate::Client = new_client(gate);
+        let system = RpcSystem::new(Box::new(network), Some(client.client));
+        let open = Rc::clone(&self.open);
+        open.set(open.get() + 1);
+        spawn_local(async move {
+            if let Err(error) = system.await {
+                tracing::debug!(event = "peer_connection_ended", %peer, %error);
+            }
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+struct GateServer {
+    key: Rc<[u8]>,
+    handler: Rc<dyn PeerHandler>,
+    /// Of the last challenge; used once.
+    nonce: RefCell<Option<[u8; NONCE_BYTES]>>,
+}
+
+impl gate::Server for GateServer {
+    async fn challenge(
+        self: Rc<Self>,
+        _: gate::ChallengeParams,
+        mut results: gate::ChallengeResults,
+    ) -> Result<(), Error> {
+        let mut nonce = [0; NONCE_BYTES];
+        rand::rng().fill_bytes(&mut nonce);
+        self.nonce.replace(Some(nonce));
+        let mut results = results.get();
+        results.set_nonce(&nonce);
+        results.set_version(PROTOCOL_VERSION);
+        Ok(())
+    }
+
+    async fn open(
+        self: Rc<Self>,
+        params: gate::OpenParams,
+        mut results: gate::OpenResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let host = params.get_host()?.to_str()?.to_owned();
+        let nonce = self.nonce.take();
+        let nonce = nonce.ok_or_else(|| Error::failed("no challenge was asked for".to_owned()))?;
+        tag(&self.key, &nonce, &host, params.get_incarnation())
+            .verify_slice(params.get_tag()?)
+            .map_err(|_| {
+                tracing::warn!(
+                    event = "peer_refused",
+                    host,
+                    reason = "not under the shared key"
+                );
+                Error::failed("the tag is not under the shared key".to_owned())
+            })?;
+        if params.get_version() == 0 {
+            return Err(Error::failed("protocol version 0 is not known".to_owned()));
+        }
+        let session = SessionServer {
+            host,
+            handler: Rc::clone(&self.handler),
+        };
+        results.get().set_session(new_client(session));
+        Ok(())
+    }
+}
+
+struct SessionServer {
+    host: HostName,
+    handler: Rc<dyn PeerHandler>,
+}
+
+impl session::Server for SessionServer {
+    async fn heartbeat(
+        self: Rc<Self>,
+        params: session::HeartbeatParams,
+        mut results: session::HeartbeatResults,
+    ) -> Result<(), Error> {
+        let beat = read_beat(params.get()?.get_beat()?)?;
+        if beat.heartbeat.host.name != self.host {
+            return Err(Error::failed("a heartbeat of another host".to_owned()));
+        }
+        let position = self.handler.heartbeat(beat);
+        write_position(results.get().init_position(), &position);
+        Ok(())
+    }
+
+    async fn exchange(
+        self: Rc<Self>,
+        params: session::ExchangeParams,
+        mut results: session::ExchangeResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let reply = self.handler.exchange(Exchange {
+            position: read_position(params.get_position()?)?,
+            summaries: read_summaries(params.get_summaries()?)?,
+        });
+        let mut results = results.get();
+        write_position(results.reborrow().init_position(), &reply.position);
+        let mut entries = results.reborrow().init_entries(reply.entries.len() as u32);
+        for (i, entry) in reply.entries.iter().enumerate() {
+            entries.set(i as u32, &write_json(entry));
+        }
+        if let Some(snapshot) = &reply.snapshot {
+            results.set_snapshot(&write_json(snapshot));
+        }
+        let summaries = results.init_summaries(reply.summaries.len() as u32);
+        write_summaries(summaries, &reply.summaries);
+        Ok(())
+    }
+
+    async fn push(
+        self: Rc<Self>,
+        params: session::PushParams,
+        mut results: session::PushResults,
+    ) -> Result<(), Error> {
+        let entry: Entry = read_json(params.get()?.get_entry()?)?;
+        let position = self.handler.push(&self.host, entry);
+        write_position(results.get().init_position(), &position);
+        Ok(())
+    }
+
+    async fn borrow(
+        self: Rc<Self>,
+        params: session::BorrowParams,
+        mut results: session::BorrowResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let limit: LimitKey = read_json(params.get_limit()?)?;
+        let request = read_request(params.get_request()?)?;
+        if request.borrower != self.host {
+            return Err(Error::failed("a loan for another host".to_owned()));
+        }
+        let grant = self.handler.borrow(limit, request);
+        let mut results = results.get();
+        results.set_granted(grant.is_some());
+        if let Some(grant) = grant {
+            write_grant(results.init_grant(), &grant);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/platform/src/claims.rs
@@ -0,0 +1,163 @@
+//! Claims and receipts for work that may not be repeated, in grouped commits.
+
+use std::collections::BTreeMap;
+
+use steering::claim::{ClaimOutcome, ClaimRow, Ending, Fingerprint};
+use steering::ids::{ClaimId, HostName, Incarnation};
+
+use crate::table::{
+    ABSENT, Commit, Condition, Platform, Row, StoreError, Transaction, Write, parse, read_one, text,
+};
+
+const CLAIMS: &str = "claim/";
+const TRIES: usize = 4;
+
+/// A claim to be written where the row is absent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClaimRequest {
+    /// The work.
+    pub id: ClaimId,
+    /// Digest of the request.
+    pub fingerprint: Fingerprint,
+}
+
+/// The end of some work, to be written for others to find.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReceiptWrite {
+    /// The work.
+    pub id: ClaimId,
+    /// Digest of the request.
+    pub fingerprint: Fingerprint,
+    /// How it ended; none takes the row away: it certainly did not run.
+    pub ending: Option<Ending>,
+}
+
+/// Claims of one start of a host.
+pub struct ClaimStore<'a> {
+    platform: &'a dyn Platform,
+    host: HostName,
+    incarnation: Incarnation,
+}
+
+impl<'a> ClaimStore<'a> {
+    /// Claims of this start in this platform.
+    pub fn new(platform: &'a dyn Platform, host: HostName, incarnation: Incarnation) -> Self {
+        ClaimStore {
+            platform,
+            host,
+            incarnation,
+        }
+    }
+
+    /// Writes claims in as few commits as their conflicts allow; answers in order.
+    ///
+    /// A lost answer is settled by the next try: a row that is there with this
+    /// start's name was written by the lost one, since ids are claimed once.
+    pub fn claim(&self, requests: &[ClaimRequest]) -> Vec<ClaimOutcome> {
+        let mut answers: BTreeMap<ClaimId, ClaimOutcome> = BTreeMap::new();
+        let mut open: BTreeMap<ClaimId, &ClaimRequest> = requests
+            .iter()
+            .map(|request| (request.id.clone(), request))
+            .collect();
+        let mut lost = false;
+        let mut last = StoreError::AnswerLost(format!("no answer in {TRIES} tries"));
+        for _ in 0..TRIES {
+            if open.is_empty() {
+                break;
+            }
+            match self.platform.commit(&self.insert(open.values().copied())) {
+                Ok(Commit::Done) => {
+                    let held = open.keys().map(|id| (id.clone(), ClaimOutcome::Held));
+                    answers.extend(held);
+                    open.clear();
+                }
+                Ok(Commit::Conflict(rows)) => {
+                    for row in rows {
+                        let id = row.key.trim_start_matches(CLAIMS).to_owned();
+                        open.remove(&id);
+                        answers.insert(id, self.judge(&row, lost));
+                    }
+                }
+                Err(StoreError::AnswerLost(reason)) => {
+                    lost = true;
+                    last = StoreError::AnswerLost(reason);
+                }
+                Err(error) => {
+                    last = error;
+                    break;
+                }
+            }
+        }
+        let answer = |request: &ClaimRequest| {
+            let known = answers.get(&request.id).cloned();
+            known.unwrap_or_else(|| ClaimOutcome::Failed(last.to_string()))
+        };
+        requests.iter().map(answer).collect()
+    }
+
+    /// Writes the ends of work; the rows' earlier state does not matter, since
+    /// only the host that ran it writes them.
+    pub fn finish(&self, receipts: &[ReceiptWrite]) -> Result<(), StoreError> {
+        let write = |receipt: &ReceiptWrite| Write {
+            key: key(&receipt.id),
+            value: receipt
+                .ending
+                .as_ref()
+                .map(|ending| text(&self.row(&receipt.fingerprint, Some(ending.clone())))),
+        };
+        let transaction = Transaction {
+            conditions: Vec::new(),
+            writes: receipts.iter().map(write).collect(),
+        };
+        self.platform.commit(&transaction).map(|_| ())
+    }
+
+    /// The row of some work; none where there is none.
+    pub fn find(&self, id: &str) -> Result<Option<ClaimRow>, StoreError> {
+        let row = read_one(self.platform, &key(id))?;
+        if row.version == ABSENT {
+            return Ok(None);
+        }
+        parse(&row).map(Some)
+    }
+
+    fn insert<'r>(&self, requests: impl Iterator<Item = &'r ClaimRequest>) -> Transaction {
+        let mut transaction = Transaction::default();
+        for request in requests {
+            transaction.conditions.push(Condition {
+                key: key(&request.id),
+                version: ABSENT,
+            });
+            transaction.writes.push(Write {
+                key: key(&request.id),
+                value: Some(text(&self.row(&request.fingerprint, None))),
+            });
+        }
+        transaction
+    }
+
+    fn judge(&self, row: &Row, lost: bool) -> ClaimOutcome {
+        match parse::<ClaimRow>(row) {
+            Ok(row) if lost && self.is_mine(&row) && row.ending.is_none() => ClaimOutcome::Held,
+            Ok(row) => ClaimOutcome::Taken(row),
+            Err(error) => ClaimOutcome::Failed(error.to_string()),
+        }
+    }
+
+    fn is_mine(&self, row: &ClaimRow) -> bool {
+        row.host == self.host && row.incarnation == self.incarnation
+    }
+
+    fn row(&self, fingerprint: &str, ending: Option<Ending>) -> ClaimRow {
+        ClaimRow {
+            host: self.host.clone(),
+            incarnation: self.incarnation,
+            fingerprint: fingerprint.to_owned(),
+            ending,
+        }
+    }
+}
+
+fn key(id: &str) -> String {
+    format!("{CLAIMS}{id}")
+}
--- /dev/null
+++ b/crates/standin/src/cli.rs
@@ -0,0 +1,118 @@
+//! The command line of the stand-ins.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::{Parser, Subcommand, ValueEnum};
+use tokio::runtime::Builder;
+
+use crate::measure;
+use crate::platform::StandInPlatform;
+use crate::trial;
+use crate::upstream::{Behaviour, StandInUpstream};
+
+/// Stand-ins for the platform and the upstreams, the trial run and the measurements.
+#[derive(Debug, Parser)]
+#[command(name = "standin", version)]
+pub struct Cli {
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// What to do.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Start hosts in two zones, send real requests through the whole path, and count.
+    Try {
+        /// What the hosts log.
+        #[arg(long, default_value = "error")]
+        log: String,
+    },
+    /// Measure one thing and print one JSON line.
+    Measure {
+        /// What to measure.
+        name: Measurement,
+        /// Directory for plots, where the measurement has any.
+        #[arg(long)]
+        plots: Option<PathBuf>,
+    },
+    /// Run a stand-in platform until the process is ended.
+    Platform {
+        /// IP number and port.
+        #[arg(long)]
+        address: SocketAddr,
+    },
+    /// Run a stand-in upstream until the process is ended.
+    Upstream {
+        /// Its name.
+        #[arg(long)]
+        name: String,
+        /// IP number and port.
+        #[arg(long)]
+        address: SocketAddr,
+        /// Requests at the same time.
+        #[arg(long, default_value_t = 9)]
+        slots: u32,
+        /// Time of a request, in milliseconds.
+        #[arg(long, default_value_t = 5)]
+        service_time_ms: u64,
+    },
+}
+
+/// What can be measured.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Measurement {
+    /// Latency through one host and two, beside direct requests; a large download.
+    Overhead,
+}
+
+/// Runs a command; false where what it checked was not good.
+pub fn run(cli: &Cli) -> io::Result<bool> {
+    match &cli.command {
+        Command::Try { log } => {
+            let report = trial::run(log, &mut |line| println!("{line}"))?;
+            println!("{report}");
+            Ok(report.is_good())
+        }
+        Command::Measure { name, plots: _ } => {
+            let figures = match name {
+                Measurement::Overhead => measure::overhead::run()?,
+            };
+            println!("{figures}");
+            Ok(true)
+        }
+        Command::Platform { address } => {
+            let platform = StandInPlatform::start(*address)?;
+            println!("platform at {}", platform.address());
+            wait_for_ever()
+        }
+        Command::Upstream {
+            name,
+            address,
+            slots,
+            service_time_ms,
+        } => {
+            let runtime = Builder::new_multi_thread()
+                .worker_threads(2)
+                .enable_all()
+                .build()?;
+            let behaviour = Behaviour {
+                slots: *slots,
+                service_time: Duration::from_millis(*service_time_ms),
+                ..Behaviour::default()
+            };
+            let upstream = StandInUpstream::start(name, *address, behaviour, runtime.handle())?;
+            println!("upstream at {}", upstream.address());
+            wait_for_ever()
+        }
+    }
+}
+
+fn wait_for_ever() -> io::Result<bool> {
+    loop {
+        std::thread::park();
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,18 @@
+//! Stand-ins for the platform and the upstreams, the trial run and the
+//! measurements. Not shipped.
+
+pub mod cli;
+mod deployment;
+mod fault;
+pub mod measure;
+mod platform;
+mod trial;
+mod trial_caller;
+mod upstream;
+
+pub use deployment::{Deployment, DeploymentPlan, HostPlan};
+pub use fault::Fault;
+pub use platform::{PlatformFaults, StandInPlatform};
+pub use trial::{TrialReport, run as run_trial};
+pub use trial_caller::{Reply, TrialCaller};
+pub use upstream::{Behaviour, StandInUpstream, UpstreamCounts};
--- /dev/null
+++ b/crates/steering/src/document/edit.rs
@@ -0,0 +1,305 @@
+//! Changes of a configuration, object by object.
+
+use std::collections::BTreeSet;
+
+use derive_more::{Display, Error, From};
+use serde::{Deserialize, Serialize};
+
+use super::{Block, Document, Link, Problems, Region, Rule, Service, Upstream, Zone};
+use crate::ids::ChangeId;
+use crate::labels::Labels;
+
+/// Kind of an object.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, Display)]
+#[serde(rename_all = "snake_case")]
+#[display(rename_all = "snake_case")]
+pub enum Kind {
+    /// A region.
+    Region,
+    /// An availability zone.
+    Zone,
+    /// A link between regions, named `from:to`.
+    Link,
+    /// A service.
+    Service,
+    /// An upstream.
+    Upstream,
+    /// A rule.
+    Rule,
+    /// A client block, named by its prefix.
+    Block,
+}
+
+impl Kind {
+    /// All kinds.
+    pub const ALL: &[Kind] = &[
+        Kind::Region,
+        Kind::Zone,
+        Kind::Link,
+        Kind::Service,
+        Kind::Upstream,
+        Kind::Rule,
+        Kind::Block,
+    ];
+
+    /// Finds a kind by its name.
+    pub fn find(name: &str) -> Option<Kind> {
+        Kind::ALL
+            .iter()
+            .copied()
+            .find(|kind| kind.to_string() == name)
+    }
+}
+
+/// Identity of an object.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, Display)]
+#[display("{kind}/{name}")]
+pub struct ObjectId {
+    /// Kind.
+    pub kind: Kind,
+    /// Name, unique in its kind.
+    pub name: String,
+}
+
+/// One step of a change.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+#[expect(
+    missing_docs,
+    reason = "each variant puts the object that it is named after"
+)]
+#[allow(clippy::large_enum_variant)]
+pub enum Edit {
+    Region(Region),
+    Zone(Zone),
+    Link(Link),
+    Service(Service),
+    Upstream(Upstream),
+    Rule(Rule),
+    Block(Block),
+    /// Takes an object away.
+    Remove(ObjectId),
+    /// Sets labels of an object; a value of none takes the label away.
+    Label {
+        object: ObjectId,
+        labels: std::collections::BTreeMap<String, Option<String>>,
+    },
+}
+
+/// What an operator asks for; it takes force whole or not at all.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    /// Identity, chosen by the operator's client, the same on every try.
+    pub id: ChangeId,
+    /// Steps, in order.
+    pub edits: Vec<Edit>,
+}
+
+/// Why a change can't be made.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error, From)]
+pub enum EditError {
+    /// The object is not there.
+    #[display("no {_0}")]
+    #[from(skip)]
+    Missing(#[error(not(source))] ObjectId),
+    /// Objects of this kind have no labels.
+    #[display("{_0} has no labels")]
+    #[from(skip)]
+    NoLabels(#[error(not(source))] ObjectId),
+    /// The result would be wrong.
+    #[display("{_0}")]
+    Problems(Problems),
+}
+
+impl Edit {
+    /// The object that the step touches.
+    pub fn object(&self) -> ObjectId {
+        let (kind, name) = match self {
+            Edit::Region(object) => (Kind::Region, object.name.clone()),
+            Edit::Zone(object) => (Kind::Zone, object.name.clone()),
+            Edit::Link(object) => (Kind::Link, object.id()),
+            Edit::Service(object) => (Kind::Service, object.name.clone()),
+            Edit::Upstream(object) => (Kind::Upstream, object.name.clone()),
+            Edit::Rule(object) => (Kind::Rule, object.name.clone()),
+            Edit::Block(object) => (Kind::Block, object.prefix.to_string()),
+            Edit::Remove(object) | Edit::Label { object, .. } => return object.clone(),
+        };
+        ObjectId { kind, name }
+    }
+}
+
+impl Change {
+    /// The objects that the change touches.
+    pub fn objects(&self) -> BTreeSet<ObjectId> {
+        self.edits.iter().map(Edit::object).collect()
+    }
+
+    /// The document after the change, checked.
+    pub fn apply(&self, document: &Document) -> Result<Document, EditError> {
+        let mut next = document.clone();
+        for edit in &self.edits {
+            next.edit(edit)?;
+        }
+        next.check()?;
+        Ok(next)
+    }
+}
+
+impl Link {
+    /// Name in an [`ObjectId`].
+    pub fn id(&self) -> String {
+        format!("{}:{}", self.from, self.to)
+    }
+}
+
+/// An object with a name in one of a document's lists.
+trait Named: Clone + PartialEq {
+    const KIND: Kind;
+    fn id(&self) -> String;
+    fn labels_mut(&mut self) -> Option<&mut Labels>;
+    fn list(document: &Document) -> &Vec<Self>;
+    fn list_mut(document: &mut Document) -> &mut Vec<Self>;
+}
+
+macro_rules! named {
+    ($type:ident, $list:ident, $this:ident => $name:expr, $labels:expr) => {
+        impl Named for $type {
+            const KIND: Kind = Kind::$type;
+            fn id(&self) -> String {
+                let $this = self;
+                $name
+            }
+            fn labels_mut(&mut self) -> Option<&mut Labels> {
+                let $this = self;
+                $labels
+            }
+            fn list(document: &Document) -> &Vec<Self> {
+                &document.$list
+            }
+            fn list_mut(document: &mut Document) -> &mut Vec<Self> {
+                &mut document.$list
+            }
+        }
+    };
+}
+
+named!(Region, regions, this => this.name.clone(), Some(&mut this.labels));
+named!(Zone, zones, this => this.name.clone(), Some(&mut this.labels));
+named!(Link, links, this => Link::id(this), { let _ = this; None });
+named!(Service, services, this => this.name.clone(), Some(&mut this.labels));
+named!(Upstream, upstreams, this => this.name.clone(), Some(&mut this.labels));
+named!(Rule, rules, this => this.name.clone(), Some(&mut this.labels));
+named!(Block, blocks, this => this.prefix.to_string(), Some(&mut this.labels));
+
+impl Document {
+    fn edit(&mut self, edit: &Edit) -> Result<(), EditError> {
+        match edit {
+            Edit::Region(object) => put(self, object),
+            Edit::Zone(object) => put(self, object),
+            Edit::Link(object) => put(self, object),
+            Edit::Service(object) => put(self, object),
+            Edit::Upstream(object) => put(self, object),
+            Edit::Rule(object) => put(self, object),
+            Edit::Block(object) => put(self, object),
+            Edit::Remove(object) => return self.with_kind(object, Remove),
+            Edit::Label { object, labels } => return self.with_kind(object, SetLabels(labels)),
+        }
+        Ok(())
+    }
+
+    fn with_kind(&mut self, object: &ObjectId, action: impl Action) -> Result<(), EditError> {
+        match object.kind {
+            Kind::Region => action.run::<Region>(self, object),
+            Kind::Zone => action.run::<Zone>(self, object),
+            Kind::Link => action.run::<Link>(self, object),
+            Kind::Service => action.run::<Service>(self, object),
+            Kind::Upstream => action.run::<Upstream>(self, object),
+            Kind::Rule => action.run::<Rule>(self, object),
+            Kind::Block => action.run::<Block>(self, object),
+        }
+    }
+
+    /// The change that turns this document into another, object by object.
+    pub fn difference(&self, target: &Document, id: ChangeId) -> Change {
+        let mut edits = Vec::new();
+        differ(self, target, Edit::Region, &mut edits);
+        differ(self, target, Edit::Zone, &mut edits);
+        differ(self, target, Edit::Link, &mut edits);
+        differ(self, target, Edit::Service, &mut edits);
+        differ(self, target, Edit::Upstream, &mut edits);
+        differ(self, target, Edit::Rule, &mut edits);
+        differ(self, target, Edit::Block, &mut edits);
+        Change { id, edits }
+    }
+}
+
+fn put<T: Named>(document: &mut Document, object: &T) {
+    let list = T::list_mut(document);
+    match list.iter_mut().find(|known| known.id() == object.id()) {
+        Some(known) => *known = object.clone(),
+        None => list.push(object.clone()),
+    }
+}
+
+fn differ<T: Named>(from: &Document, to: &Document, put: fn(T) -> Edit, edits: &mut Vec<Edit>) {
+    let index = |list: &[T]| -> std::collections::HashMap<String, T> {
+        list.iter()
+            .map(|object| (object.id(), object.clone()))
+            .collect()
+    };
+    let old = index(T::list(from));
+    let new = index(T::list(to));
+    for object in T::list(from) {
+        if !new.contains_key(&object.id()) {
+            edits.push(Edit::Remove(ObjectId {
+                kind: T::KIND,
+                name: object.id(),
+            }));
+        }
+    }
+    for object in T::list(to) {
+        if old.get(&object.id()) != Some(object) {
+            edits.push(put(object.clone()));
+        }
+    }
+}
+
+/// A step that is the same for every kind of object.
+trait Action {
+    fn run<T: Named>(&self, document: &mut Document, id: &ObjectId) -> Result<(), EditError>;
+}
+
+struct Remove;
+
+impl Action for Remove {
+    fn run<T: Named>(&self, document: &mut Document, id: &ObjectId) -> Result<(), EditError> {
+        let list = T::list_mut(document);
+        let before = list.len();
+        list.retain(|object| object.id() != id.name);
+        if list.len() == before {
+            return Err(EditError::Missing(id.clone()));
+        }
+        Ok(())
+    }
+}
+
+struct SetLabels<'a>(&'a std::collections::BTreeMap<String, Option<String>>);
+
+impl Action for SetLabels<'_> {
+    fn run<T: Named>(&self, document: &mut Document, id: &ObjectId) -> Result<(), EditError> {
+        let object = T::list_mut(document)
+            .iter_mut()
+            .find(|object| object.id() == id.name)
+            .ok_or_else(|| EditError::Missing(id.clone()))?;
+        let labels = object
+            .labels_mut()
+            .ok_or_else(|| EditError::NoLabels(id.clone()))?;
+        for (key, value) in self.0 {
+            match value {
+                Some(value) => labels.insert(key.clone(), value.clone()),
+                None => labels.remove(key),
+            };
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/steering/src/limiter/escrow.rs
@@ -0,0 +1,160 @@
+//! Parts of a limit that hosts lend each other.
+//!
+//! A lender subtracts before it answers, a borrower subtracts before it sends
+//! units back, and each pair of hosts numbers its requests, so that a lost, late
+//! or doubled message loses room for a while and never makes any.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::Units;
+use crate::ids::{HostName, Incarnation};
+
+/// A borrower's request; it also says what the borrower still holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoanRequest {
+    /// Who borrows.
+    pub borrower: HostName,
+    /// Its start.
+    pub incarnation: Incarnation,
+    /// Counts up with each request to this lender.
+    pub sequence: u64,
+    /// Units that the borrower goes on using meanwhile.
+    pub keep: Units,
+    /// Units that it would like besides.
+    pub want: Units,
+}
+
+/// A lender's answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoanGrant {
+    /// The request that it answers.
+    pub sequence: u64,
+    /// All that the borrower may use from now on.
+    pub total: Units,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Lent {
+    sequence: u64,
+    /// Never below what the borrower believes that it holds.
+    units: Units,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Borrowed {
+    sequence: u64,
+    units: Units,
+    waiting: bool,
+}
+
+/// One host's part of one limit.
+#[derive(Debug, Clone)]
+pub struct Escrow {
+    me: HostName,
+    incarnation: Incarnation,
+    /// Units of the limit that are this host's own, by the zone's roster.
+    floor: Units,
+    lent: BTreeMap<(HostName, Incarnation), Lent>,
+    borrowed: BTreeMap<HostName, Borrowed>,
+}
+
+impl Escrow {
+    /// A part of nothing.
+    pub fn new(me: HostName, incarnation: Incarnation) -> Self {
+        Escrow {
+            me,
+            incarnation,
+            floor: 0,
+            lent: BTreeMap::new(),
+            borrowed: BTreeMap::new(),
+        }
+    }
+
+    /// Sets what is this host's own.
+    pub fn set_floor(&mut self, floor: Units) {
+        self.floor = floor;
+    }
+
+    /// Units of its own, lent ones included.
+    pub fn floor(&self) -> Units {
+        self.floor
+    }
+
+    /// Units lent out.
+    pub fn lent(&self) -> Units {
+        self.lent.values().map(|lent| lent.units).sum()
+    }
+
+    /// Units borrowed.
+    pub fn borrowed(&self) -> Units {
+        self.borrowed.values().map(|borrowed| borrowed.units).sum()
+    }
+
+    /// Units that this host may use now.
+    pub fn available(&self) -> Units {
+        self.floor.saturating_sub(self.lent()) + self.borrowed()
+    }
+
+    /// Makes a request to a lender, giving back all but `keep`.
+    ///
+    /// From this moment the host holds no more than `keep` of that lender.
+    pub fn request(&mut self, lender: &str, keep: Units, want: Units) -> LoanRequest {
+        let borrowed = self.borrowed.entry(lender.to_owned()).or_default();
+        borrowed.sequence += 1;
+        borrowed.units = borrowed.units.min(keep);
+        borrowed.waiting = true;
+        LoanRequest {
+            borrower: self.me.clone(),
+            incarnation: self.incarnation,
+            sequence: borrowed.sequence,
+            keep: borrowed.units,
+            want,
+        }
+    }
+
+    /// Answers a request, lending at most `spare` more; none where it is late or doubled.
+    pub fn lend(&mut self, request: &LoanRequest, spare: Units) -> Option<LoanGrant> {
+        let key = (request.borrower.clone(), request.incarnation);
+        let last = self.lent.get(&key).copied().unwrap_or_default();
+        if request.sequence <= last.sequence {
+            return None;
+        }
+        let keep = request.keep.min(last.units);
+        let others = self.lent() - last.units;
+        let free = self.floor.saturating_sub(others + keep);
+        let units = keep + request.want.min(spare).min(free);
+        let lent = Lent {
+            sequence: request.sequence,
+            units,
+        };
+        self.lent.insert(key, lent);
+        Some(LoanGrant {
+            sequence: request.sequence,
+            total: units,
+        })
+    }
+
+    /// Takes an answer; false where it is not to the last request.
+    pub fn take(&mut self, lender: &str, grant: &LoanGrant) -> bool {
+        let Some(borrowed) = self.borrowed.get_mut(lender) else {
+            return false;
+        };
+        if !borrowed.waiting || borrowed.sequence != grant.sequence {
+            return false;
+        }
+        borrowed.waiting = false;
+        borrowed.units = grant.total;
+        true
+    }
+
+    /// A start of a host is certainly gone: what it borrowed is free again.
+    pub fn confirm_gone(&mut self, host: &str, incarnation: Incarnation) {
+        if let Some(lent) = self.lent.get_mut(&(host.to_owned(), incarnation)) {
+            lent.units = 0;
+            // Its late requests must find no room.
+            lent.sequence = u64::MAX;
+        }
+    }
+}
--- /dev/null
+++ b/crates/steering/src/limiter/ledger.rs
@@ -0,0 +1,297 @@
+//! All limits of a zone as one of its hosts keeps them.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use super::{Escrow, Flight, LoanGrant, LoanRequest, Rate, Roster, Units};
+use crate::ids::{HostName, Incarnation, RegionName, RuleName};
+
+/// Which limit of a zone.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Display)]
+#[serde(rename_all = "snake_case")]
+pub enum LimitKey {
+    /// Requests in flight in the zone.
+    #[display("zone")]
+    Zone,
+    /// The zone's part of its region's limit.
+    #[display("region")]
+    Region,
+    /// The zone's part of the limit on the link from this region.
+    #[display("link from {_0}")]
+    Link(RegionName),
+    /// The zone's part of the cap of a rule's place, in flight.
+    #[display("rule {_0} place {_1} in flight")]
+    RuleFlight(RuleName, usize),
+    /// The zone's part of the cap of a rule's place, in any second.
+    #[display("rule {_0} place {_1} per second")]
+    RuleRate(RuleName, usize),
+}
+
+/// What a limit counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LimitKind {
+    /// Requests in flight.
+    Flight,
+    /// Requests in any second.
+    Rate,
+}
+
+impl LimitKey {
+    /// What the limit counts.
+    pub fn kind(&self) -> LimitKind {
+        match self {
+            LimitKey::RuleRate(..) => LimitKind::Rate,
+            _ => LimitKind::Flight,
+        }
+    }
+}
+
+#[derive(Debug)]
+enum Count {
+    Flight(Flight),
+    Rate(Rate),
+}
+
+#[derive(Debug)]
+struct Limit {
+    units: Units,
+    escrow: Escrow,
+    count: Count,
+    /// Refusals since the last look, for deciding what to borrow.
+    refused: Units,
+}
+
+impl Limit {
+    fn settle(&mut self, now: Instant) {
+        let available = self.escrow.available().min(self.units);
+        match &mut self.count {
+            Count::Flight(flight) => flight.allow(available),
+            Count::Rate(rate) => rate.allow(now, available),
+        }
+    }
+
+    fn admit(&mut self, now: Instant) -> bool {
+        let admitted = match &mut self.count {
+            Count::Flight(flight) => flight.admit(),
+            Count::Rate(rate) => rate.admit(now),
+        };
+        if !admitted {
+            self.refused += 1;
+        }
+        admitted
+    }
+
+    fn used(&mut self, now: Instant) -> Units {
+        match &mut self.count {
+            Count::Flight(flight) => flight.in_flight(),
+            Count::Rate(rate) => rate.used(now),
+        }
+    }
+}
+
+/// One limit, for dumps.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct LedgerEntry {
+    /// Which limit.
+    pub limit: String,
+    /// Units of the whole zone.
+    pub units: Units,
+    /// Units that this host may use.
+    pub available: Units,
+    /// Units that it uses.
+    pub used: Units,
+    /// Units lent to other hosts.
+    pub lent: Units,
+    /// Units borrowed from other hosts.
+    pub borrowed: Units,
+}
+
+/// All limits of a zone as one of its hosts keeps them.
+#[derive(Debug)]
+pub struct Ledger {
+    me: HostName,
+    incarnation: Incarnation,
+    limits: BTreeMap<LimitKey, Limit>,
+}
+
+impl Ledger {
+    /// No limits.
+    pub fn new(me: HostName, incarnation: Incarnation) -> Self {
+        Ledger {
+            me,
+            incarnation,
+            limits: BTreeMap::new(),
+        }
+    }
+
+    /// Takes the zone's limits of a configuration and the parts of a roster.
+    pub fn configure(&mut self, now: Instant, units: &BTreeMap<LimitKey, Units>, roster: &Roster) {
+        self.limits.retain(|key, _| units.contains_key(key));
+        for (key, units) in units {
+            let floor = roster.floor(&self.me, self.incarnation, *units);
+            let limit = self.limits.entry(key.clone()).or_insert_with(|| Limit {
+                units: *units,
+                escrow: Escrow::new(self.me.clone(), self.incarnation),
+                count: match key.kind() {
+                    LimitKind::Flight => Count::Flight(Flight::default()),
+                    LimitKind::Rate => Count::Rate(Rate::new(now)),
+                },
+                refused: 0,
+            });
+            limit.units = *units;
+            limit.escrow.set_floor(floor);
+            limit.settle(now);
+        }
+    }
+
+    /// Whether the zone has this limit.
+    pub fn has(&self, key: &LimitKey) -> bool {
+        self.limits.contains_key(key)
+    }
+
+    /// Admits a request under all of `keys`, or names the limit that has no room.
+    pub fn admit(&mut self, now: Instant, keys: &[LimitKey]) -> Result<(), LimitKey> {
+        for (i, key) in keys.iter().enumerate() {
+            let Some(limit) = self.limits.get_mut(key) else {
+                continue;
+            };
+            if limit.admit(now) {
+                continue;
+            }
+            self.give_back(now, &keys[..i]);
+            return Err(key.clone());
+        }
+        Ok(())
+    }
+
+    /// A request that was admitted has ended.
+    pub fn release(&mut self, keys: &[LimitKey]) {
+        for key in keys {
+            if let Some(Limit {
+                count: Count::Flight(flight),
+                ..
+            }) = self.limits.get_mut(key)
+            {
+                flight.release();
+            }
+        }
+    }
+
+    /// A request that was admitted came to nothing.
+    pub fn give_back(&mut self, now: Instant, keys: &[LimitKey]) {
+        self.release(keys);
+        for key in keys {
+            if let Some(Limit {
+                count: Count::Rate(rate),
+                ..
+            }) = self.limits.get_mut(key)
+            {
+                rate.give_back(now);
+            }
+        }
+    }
+
+    /// Limits that refused requests since the last call, with how many.
+    pub fn short(&mut self) -> Vec<(LimitKey, Units)> {
+        let mut short = Vec::new();
+        for (key, limit) in &mut self.limits {
+            let refused = std::mem::take(&mut limit.refused);
+            if refused > 0 {
+                short.push((key.clone(), refused));
+            }
+        }
+        short
+    }
+
+    /// Limits on which something is borrowed that has not been used of late.
+    pub fn idle_loans(&mut self, now: Instant) -> Vec<LimitKey> {
+        let mut idle = Vec::new();
+        for (key, limit) in &mut self.limits {
+            let own = limit.escrow.available() - limit.escrow.borrowed();
+            if limit.escrow.borrowed() > 0 && limit.used(now) <= own / 2 {
+                idle.push(key.clone());
+            }
+        }
+        idle
+    }
+
+    /// Asks a lender for more, or gives back where `want` is 0.
+    pub fn request(
+        &mut self,
+        now: Instant,
+        key: &LimitKey,
+        lender: &str,
+        want: Units,
+    ) -> Option<LoanRequest> {
+        let limit = self.limits.get_mut(key)?;
+        let keep = if want == 0 {
+            0
+        } else {
+            limit.escrow.borrowed()
+        };
+        let in_use = limit.used(now);
+        let own = limit.escrow.available() - limit.escrow.borrowed();
+        let keep = keep.max(in_use.saturating_sub(own));
+        let request = limit.escrow.request(lender, keep, want);
+        limit.settle(now);
+        Some(request)
+    }
+
+    /// Answers another host's request with at most half of what is not in use.
+    pub fn lend(
+        &mut self,
+        now: Instant,
+        key: &LimitKey,
+        request: &LoanRequest,
+    ) -> Option<LoanGrant> {
+        let limit = self.limits.get_mut(key)?;
+        let available = limit.escrow.available();
+        let spare = available.saturating_sub(limit.used(now)) / 2;
+        let grant = limit.escrow.lend(request, spare);
+        limit.settle(now);
+        grant
+    }
+
+    /// Takes a lender's answer.
+    pub fn take(&mut self, now: Instant, key: &LimitKey, lender: &str, grant: &LoanGrant) -> bool {
+        let Some(limit) = self.limits.get_mut(key) else {
+            return false;
+        };
+        let taken = limit.escrow.take(lender, grant);
+        limit.settle(now);
+        taken
+    }
+
+    /// A start of a host is certainly gone.
+    pub fn confirm_gone(&mut self, now: Instant, host: &str, incarnation: Incarnation) {
+        for limit in self.limits.values_mut() {
+            limit.escrow.confirm_gone(host, incarnation);
+            limit.settle(now);
+        }
+    }
+
+    /// The largest part of any limit that is in use, in thousandths of the limit.
+    pub fn used_permille(&mut self, now: Instant) -> u32 {
+        let used = |limit: &mut Limit| {
+            let used = u64::from(limit.used(now) + limit.escrow.lent());
+            (used * 1_000).div_ceil(u64::from(limit.units.max(1))) as u32
+        };
+        self.limits.values_mut().map(used).max().unwrap_or(0)
+    }
+
+    /// All limits, for dumps.
+    pub fn entries(&mut self, now: Instant) -> Vec<LedgerEntry> {
+        let entry = |(key, limit): (&LimitKey, &mut Limit)| LedgerEntry {
+            limit: key.to_string(),
+            units: limit.units,
+            available: limit.escrow.available().min(limit.units),
+            used: limit.used(now),
+            lent: limit.escrow.lent(),
+            borrowed: limit.escrow.borrowed(),
+        };
+        self.limits.iter_mut().map(entry).collect()
+    }
+}
--- /dev/null
+++ b/crates/steering/src/pool/member.rs
@@ -0,0 +1,234 @@
+//! One upstream in a pool, as its owner sees it.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::choice::Candidate;
+use crate::document::Upstream;
+use crate::ids::UpstreamName;
+use crate::labels;
+
+const LATENCY_WEIGHT: f64 = 0.2;
+const LATENCY_HALF_LIFE: Duration = Duration::from_secs(5);
+const SLOW_FACTOR: f64 = 4.0;
+const WINDOW_CUT: f64 = 0.7;
+const WINDOW_START: f64 = 0.34;
+const WINDOW_IDLE: Duration = Duration::from_secs(60);
+const FAILURES_UNTIL_DOWN: u32 = 3;
+const SHED_PAUSE: Duration = Duration::from_millis(100);
+const DOWN_PAUSE: Duration = Duration::from_secs(2);
+
+/// How a request on an upstream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was answered; the time to the first byte.
+    Answered(Duration),
+    /// The upstream refused it without running it.
+    Shed,
+    /// The upstream could not be reached, or broke the connection.
+    Failed,
+    /// The caller left, or the deadline passed.
+    Cancelled,
+}
+
+/// What an upstream tells of its load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Requests that it runs, from whichever host.
+    pub in_flight: u32,
+    /// Whether it accepts work.
+    pub healthy: bool,
+}
+
+/// State of one upstream, for dumps and drains.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MemberStatus {
+    /// Its name.
+    pub name: UpstreamName,
+    /// Requests that this host has sent and that have not ended.
+    pub in_flight: u32,
+    /// Slots that may be taken by other hosts' requests.
+    pub unknown: u32,
+    /// Slots that may be used now.
+    pub allowed: u32,
+    /// Whether it takes new work.
+    pub usable: bool,
+    /// Smoothed time to first byte, in milliseconds.
+    pub latency_ms: f64,
+}
+
+/// An upstream and the owner's own counts of it.
+pub struct Member {
+    pub upstream: Arc<Upstream>,
+    /// At most `upstream.slots`, unless slots were lowered meanwhile.
+    pub in_flight: u32,
+    /// No longer configured; kept until `in_flight` is 0.
+    pub leaving: bool,
+    /// From 1 to `upstream.slots`; grows with good answers, cut by sheds and slow ones.
+    window: f64,
+    last_answer: Instant,
+    latency_ms: Option<f64>,
+    latency_at: Instant,
+    failures: u32,
+    paused_until: Instant,
+    /// In flight for other hosts, as far as it can't be ruled out.
+    unknown: u32,
+    unknown_until: Instant,
+}
+
+impl Member {
+    pub fn new(upstream: Arc<Upstream>, now: Instant, unknown_until: Instant) -> Self {
+        let unknown = if unknown_until > now {
+            upstream.slots
+        } else {
+            0
+        };
+        Member {
+            window: (f64::from(upstream.slots) * WINDOW_START).max(1.0),
+            upstream,
+            in_flight: 0,
+            leaving: false,
+            last_answer: now,
+            latency_ms: None,
+            latency_at: now,
+            failures: 0,
+            paused_until: now,
+            unknown,
+            unknown_until,
+        }
+    }
+
+    pub fn reconfigure(&mut self, upstream: Arc<Upstream>) {
+        self.leaving = false;
+        self.upstream = upstream;
+    }
+
+    /// Brings figures that change with time up to date.
+    pub fn refresh(&mut self, now: Instant, expected: Duration) {
+        if now >= self.unknown_until {
+            self.unknown = 0;
+        }
+        if now >= self.paused_until && self.failures >= FAILURES_UNTIL_DOWN {
+            self.failures = FAILURES_UNTIL_DOWN - 1;
+        }
+        let age = now.saturating_duration_since(self.latency_at);
+        let keep = 0.5_f64.powf(age.as_secs_f64() / LATENCY_HALF_LIFE.as_secs_f64());
+        let expected_ms = expected.as_secs_f64() * 1_000.0;
+        if let Some(latency_ms) = &mut self.latency_ms {
+            *latency_ms = expected_ms + (*latency_ms - expected_ms) * keep;
+        }
+        self.latency_at = now;
+        if now.saturating_duration_since(self.last_answer) > WINDOW_IDLE {
+            self.window = self.start_window();
+            self.last_answer = now;
+        }
+        if now < self.paused_until {
+            return;
+        }
+        self.paused_until = now;
+    }
+
+    pub fn usable(&self) -> bool {
+        !self.leaving
+            && self.failures < FAILURES_UNTIL_DOWN
+            && labels::takes_new_work(&self.upstream.labels)
+    }
+
+    /// Slots that may be used now.
+    pub fn allowed(&self) -> u32 {
+        let window = (self.window.floor() as u32).max(1);
+        window
+            .min(self.upstream.slots)
+            .min(self.upstream.connection_limit)
+    }
+
+    pub fn latency_ms(&self) -> f64 {
+        self.latency_ms.unwrap_or(0.0)
+    }
+
+    pub fn candidate(&self) -> Candidate {
+        let paused = self.paused_until > self.latency_at;
+        let allowed = if self.usable() && !paused {
+            self.allowed()
+        } else {
+            0
+        };
+        Candidate {
+            in_flight: self.in_flight + self.unknown,
+            allowed,
+            latency_ms: self.latency_ms(),
+        }
+    }
+
+    pub fn release(&mut self, now: Instant, outcome: Outcome, expected: Duration) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        match outcome {
+            Outcome::Answered(latency) => self.answered(now, latency, expected),
+            Outcome::Shed => {
+                self.cut_window();
+                self.paused_until = now + SHED_PAUSE;
+            }
+            Outcome::Failed => {
+                self.failures += 1;
+                self.paused_until = now + SHED_PAUSE;
+                if self.failures >= FAILURES_UNTIL_DOWN {
+                    self.paused_until = now + DOWN_PAUSE;
+                }
+            }
+            Outcome::Cancelled => {}
+        }
+    }
+
+    pub fn report(&mut self, measured: Instant, report: &LoadReport) {
+        if !report.healthy {
+            self.probe_failed();
+            return;
+        }
+        if self.failures >= FAILURES_UNTIL_DOWN {
+            self.failures = FAILURES_UNTIL_DOWN - 1;
+        }
+        if measured < self.unknown_until {
+            let foreign = report.in_flight.saturating_sub(self.in_flight);
+            self.unknown = self.unknown.min(foreign);
+        }
+    }
+
+    pub fn probe_failed(&mut self) {
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    pub fn status(&self) -> MemberStatus {
+        MemberStatus {
+            name: self.upstream.name.clone(),
+            in_flight: self.in_flight,
+            unknown: self.unknown,
+            allowed: self.allowed(),
+            usable: self.usable(),
+            latency_ms: self.latency_ms(),
+        }
+    }
+
+    fn start_window(&self) -> f64 {
+        (f64::from(self.upstream.slots) * WINDOW_START).max(1.0)
+    }
+
+    fn answered(&mut self, now: Instant, latency: Duration, expected: Duration) {
+        self.failures = 0;
+        self.last_answer = now;
+        let latency_ms = latency.as_secs_f64() * 1_000.0;
+        let before = self.latency_ms.unwrap_or(latency_ms);
+        self.latency_ms = Some(before + (latency_ms - before) * LATENCY_WEIGHT);
+        if latency > expected.mul_f64(SLOW_FACTOR) {
+            self.cut_window();
+        } else {
+            let slots = f64::from(self.upstream.slots);
+            self.window = (self.window + 1.0 / self.window).min(slots);
+        }
+    }
+
+    fn cut_window(&mut self) {
+        self.window = (self.window * WINDOW_CUT).max(1.0);
+    }
+}
--- /dev/null
+++ b/crates/upstream/src/connections.rs
@@ -0,0 +1,233 @@
+//! HTTP/1 connections by address, counted and reused.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use derive_more::{Display, Error};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::timeout_at;
+
+use crate::{Body, TrackedBody};
+
+const IDLE_LIMIT: Duration = Duration::from_secs(10);
+const RECENT: Duration = Duration::from_millis(500);
+const MAX_HEADERS: usize = 128;
+
+/// Which idle connections a request may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// Any: a request that is lost with a closing connection can be repeated.
+    Any,
+    /// Only one that was in use a moment ago, else a new one.
+    Recent,
+}
+
+/// Why a request got no answer.
+#[derive(Debug, Display, Error)]
+pub enum SendError {
+    /// Nothing of it was sent; it is returned where its body is still whole.
+    #[display("not sent: {reason}")]
+    NotSent {
+        /// Why.
+        reason: String,
+        /// The request.
+        #[error(not(source))]
+        request: Option<Box<Request<Body>>>,
+    },
+    /// It was sent, at least in part.
+    #[display("sent, no answer: {reason}")]
+    Lost {
+        /// Why.
+        reason: String,
+    },
+    /// The deadline passed after it was sent, at least in part.
+    #[display("sent, no answer before the deadline")]
+    Late,
+}
+
+impl SendError {
+    fn not_sent(reason: impl ToString, request: Request<Body>) -> Self {
+        SendError::NotSent {
+            reason: reason.to_string(),
+            request: Some(Box::new(request)),
+        }
+    }
+}
+
+/// An open connection that is not in use.
+struct Idle {
+    sender: SendRequest<Body>,
+    open: Open,
+    since: Instant,
+}
+
+/// Counts an open connection and closes it when dropped.
+pub(crate) struct Open {
+    count: Arc<AtomicU32>,
+    task: AbortHandle,
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.task.abort();
+        self.count.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+#[derive(Default)]
+struct Peer {
+    idle: Vec<Idle>,
+    /// Connections open or being opened, idle ones included.
+    open: Arc<AtomicU32>,
+}
+
+/// All connections of a process that leave it.
+#[derive(Clone, Default)]
+pub struct Connections {
+    peers: Arc<Mutex<HashMap<SocketAddr, Peer>>>,
+}
+
+/// A connection in use.
+pub(crate) struct Lease {
+    connections: Connections,
+    address: SocketAddr,
+    sender: SendRequest<Body>,
+    open: Open,
+}
+
+impl Lease {
+    /// Gives the connection back for the next request.
+    pub(crate) fn finish(self) {
+        let idle = Idle {
+            sender: self.sender,
+            open: self.open,
+            since: Instant::now(),
+        };
+        let mut peers = self.connections.lock();
+        peers.entry(self.address).or_default().idle.push(idle);
+    }
+}
+
+impl Connections {
+    /// Sends a request, at most once, and waits for the head of its answer.
+    ///
+    /// At most `limit` connections to the address are open at the same time.
+    /// Dropping the answer's body before its end closes the connection.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        limit: u32,
+        reuse: Reuse,
+        request: Request<Body>,
+        deadline: Instant,
+    ) -> Result<Response<TrackedBody>, SendError> {
+        let lease = timeout_at(deadline.into(), self.lease(address, limit, reuse)).await;
+        let mut lease = match lease {
+            Ok(Ok(lease)) => lease,
+            Ok(Err(reason)) => return Err(SendError::not_sent(reason, request)),
+            Err(_) => return Err(SendError::not_sent("connecting took too long", request)),
+        };
+        let answer = timeout_at(deadline.into(), lease.sender.try_send_request(request)).await;
+        match answer {
+            Ok(Ok(answer)) => Ok(answer.map(|body| TrackedBody::new(body, lease))),
+            Ok(Err(mut error)) => match error.take_message() {
+                Some(request) => Err(SendError::not_sent(error.error(), request)),
+                None => Err(SendError::Lost {
+                    reason: error.into_error().to_string(),
+                }),
+            },
+            Err(_) => Err(SendError::Late),
+        }
+    }
+
+    /// Connections open to an address.
+    pub fn open(&self, address: SocketAddr) -> u32 {
+        let peers = self.lock();
+        let open = peers
+            .get(&address)
+            .map(|peer| peer.open.load(Ordering::Acquire));
+        open.unwrap_or(0)
+    }
+
+    async fn lease(&self, address: SocketAddr, limit: u32, reuse: Reuse) -> std::io::Result<Lease> {
+        while let Some(mut idle) = self.take_idle(address, reuse) {
+            if idle.sender.ready().await.is_ok() {
+                return Ok(self.leased(address, idle.sender, idle.open));
+            }
+        }
+        let count = self.count_one(address, limit)?;
+        let connected = connect(address).await;
+        let (sender, task) = match connected {
+            Ok(connected) => connected,
+            Err(error) => {
+                count.fetch_sub(1, Ordering::AcqRel);
+                return Err(error);
+            }
+        };
+        Ok(self.leased(address, sender, Open { count, task }))
+    }
+
+    fn leased(&self, address: SocketAddr, sender: SendRequest<Body>, open: Open) -> Lease {
+        Lease {
+            connections: self.clone(),
+            address,
+            sender,
+            open,
+        }
+    }
+
+    fn take_idle(&self, address: SocketAddr, reuse: Reuse) -> Option<Idle> {
+        let oldest = match reuse {
+            Reuse::Any => IDLE_LIMIT,
+            Reuse::Recent => RECENT,
+        };
+        let mut peers = self.lock();
+        let peer = peers.get_mut(&address)?;
+        peer.idle
+            .retain(|idle| idle.since.elapsed() < IDLE_LIMIT && !idle.sender.is_closed());
+        let last = peer.idle.last()?;
+        if last.since.elapsed() >= oldest {
+            return None;
+        }
+        peer.idle.pop()
+    }
+
+    fn count_one(&self, address: SocketAddr, limit: u32) -> std::io::Result<Arc<AtomicU32>> {
+        let mut peers = self.lock();
+        let peer = peers.entry(address).or_default();
+        if peer.open.load(Ordering::Acquire) >= limit {
+            peer.idle.pop();
+        }
+        if peer.open.load(Ordering::Acquire) >= limit {
+            return Err(std::io::Error::other("all connections are in use"));
+        }
+        peer.open.fetch_add(1, Ordering::AcqRel);
+        Ok(Arc::clone(&peer.open))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Peer>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn connect(address: SocketAddr) -> std::io::Result<(SendRequest<Body>, AbortHandle)> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = http1::Builder::new()
+        .max_headers(MAX_HEADERS)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(std::io::Error::other)?;
+    let task = tokio::spawn(async move {
+        // Its error reaches whoever waits for the answer or reads its body.
+        let _ = connection.await;
+    });
+    Ok((sender, task.abort_handle()))
+}
--- /dev/null
+++ b/crates/upstream/src/lib.rs
@@ -0,0 +1,36 @@
+//! Dispatch to upstreams, their health and their load reports.
+//!
+//! The connections are also used between hosts, for relayed requests. Nothing
+//! in here repeats a request by itself.
+
+mod connections;
+mod probe;
+mod tracked;
+
+pub use connections::{Connections, Reuse, SendError};
+pub use probe::{LOAD_PATH, ProbeError, probe};
+pub use tracked::TrackedBody;
+
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+
+/// Any error of a body.
+pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
+
+/// The body of any request or answer.
+pub type Body = UnsyncBoxBody<Bytes, BodyError>;
+
+/// A body of these bytes.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// Header by which an upstream says that it refused a request without running it.
+pub const NOT_RUN_HEADER: &str = "upstream-not-run";
+/// Header with the identity of a request.
+pub const REQUEST_ID_HEADER: &str = "stagedeck-request-id";
+/// Header with the time that is left, in milliseconds.
+pub const DEADLINE_HEADER: &str = "stagedeck-deadline-ms";
--- /dev/null
+++ b/src/commands/mod.rs
@@ -0,0 +1,68 @@
+//! What each command does.
+
+mod change;
+mod check;
+mod drain;
+mod outcome;
+mod serve;
+mod show;
+
+pub use outcome::Outcome;
+
+use clap::CommandFactory;
+use steering::document::Kind;
+use steering::labels::{STATE, STATE_DRAINING, STATE_RETIRED};
+
+use crate::cli::{Cli, Command};
+
+/// Runs a command; `progress` is given lines while it waits.
+pub fn run_with(cli: &Cli, progress: &mut dyn FnMut(&str)) -> Outcome {
+    let output = cli.output;
+    match &cli.command {
+        Command::Serve { settings } => serve::run(settings),
+        Command::Check { file } => check::run(file, output),
+        Command::Apply { file, change } => change::apply(file, change, output),
+        Command::Label {
+            object,
+            labels,
+            change,
+        } => change::label(object, labels, change, output),
+        Command::Drain {
+            name,
+            wait,
+            wait_limit_s,
+            force,
+            change,
+        } => {
+            let wait = wait.then_some(std::time::Duration::from_secs(*wait_limit_s));
+            drain::run(name, wait, *force, change, output, progress)
+        }
+        Command::Retire { name, change } => {
+            change::set_state(Kind::Upstream, name, STATE_RETIRED, change, output)
+        }
+        Command::Status { host } => show::status(host, output),
+        Command::Lookup {
+            at,
+            service,
+            address,
+            tickets,
+        } => show::look_up(*at, service, *address, *tickets),
+        Command::Dump { host } => show::dump(host),
+        Command::Show { host } => show::document(host),
+        Command::Completions { shell } => completions(*shell),
+    }
+}
+
+/// Runs a command; progress goes to standard error.
+pub fn run(cli: &Cli) -> Outcome {
+    run_with(cli, &mut |line| eprintln!("{line}"))
+}
+
+fn completions(shell: clap_complete::Shell) -> Outcome {
+    let mut out = Vec::new();
+    clap_complete::generate(shell, &mut Cli::command(), "stagedeck", &mut out);
+    Outcome::done(String::from_utf8_lossy(&out))
+}
+
+/// State that `drain` sets.
+const DRAINING: (&str, &str) = (STATE, STATE_DRAINING);
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,223 @@
+//! The settings of a host.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use caller::Limits;
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+use steering::document::Problems;
+use steering::ids::{HostName, ZoneName};
+
+const PEER_KEY_LEAST: usize = 16;
+const HEAD_BYTES_LEAST: usize = 8_192;
+const NAME_LIMIT: usize = 64;
+
+/// The settings of a host, as in its JSON file.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Config {
+    /// Name of the host, unique in the deployment.
+    pub host: HostName,
+    /// Availability zone that it stands in.
+    pub zone: ZoneName,
+    /// IP number and port for callers.
+    pub caller_address: SocketAddr,
+    /// IP number and port for requests that other hosts relay.
+    pub relay_address: SocketAddr,
+    /// IP number and port for messages of other hosts.
+    pub peer_address: SocketAddr,
+    /// IP number and port for operators.
+    pub operator_address: SocketAddr,
+    /// IP number and port of the platform's service.
+    pub platform_address: SocketAddr,
+    /// Key that all hosts of the deployment share, at least 16 characters.
+    pub peer_key: String,
+    /// Peer addresses to ask at first, besides the platform's list.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Longest call to the platform, 10 to 60000 ms.
+    #[serde(default = "default_platform_timeout_ms")]
+    pub platform_timeout_ms: u64,
+    /// Time that callers may use a look-up's answer, 100 to 600000 ms.
+    #[serde(default = "default_look_up_ttl_ms")]
+    pub look_up_ttl_ms: u64,
+    /// Time that tickets are good for, 1000 to 3600000 ms.
+    #[serde(default = "default_ticket_ttl_ms")]
+    pub ticket_ttl_ms: u64,
+    /// Time for which the platform's host list may lag, in ms.
+    #[serde(default = "default_host_list_lag_ms")]
+    pub host_list_lag_ms: u64,
+    /// Threads for traffic, 1 to 64.
+    #[serde(default = "default_traffic_threads")]
+    pub traffic_threads: usize,
+    /// What is logged: `error`, `warn`, `info`, `debug`, or a `tracing` filter.
+    #[serde(default = "default_log")]
+    pub log: String,
+    /// Bounds on what callers can make the host hold.
+    #[serde(default)]
+    pub limits: Limits,
+}
+
+fn default_platform_timeout_ms() -> u64 {
+    2_000
+}
+
+fn default_look_up_ttl_ms() -> u64 {
+    5_000
+}
+
+fn default_ticket_ttl_ms() -> u64 {
+    20_000
+}
+
+fn default_host_list_lag_ms() -> u64 {
+    15_000
+}
+
+fn default_traffic_threads() -> usize {
+    2
+}
+
+fn default_log() -> String {
+    "info".to_owned()
+}
+
+/// Why settings are not taken.
+#[derive(Debug, Display, Error)]
+pub enum ConfigError {
+    /// The file can't be read.
+    #[display("{path}: {source}")]
+    Read {
+        /// The file.
+        path: String,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// It is not JSON of the right shape.
+    #[display("{_0}")]
+    Shape(serde_json::Error),
+    /// Fields have wrong values.
+    #[display("{_0}")]
+    Values(Problems),
+}
+
+impl Config {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Config, ConfigError> {
+        let text = std::fs::read_to_string(path).map_err(|source| ConfigError::Read {
+            path: path.display().to_string(),
+            source,
+        })?;
+        Config::parse(&text)
+    }
+
+    /// Reads and checks settings.
+    pub fn parse(text: &str) -> Result<Config, ConfigError> {
+        let config: Config = serde_json::from_str(text).map_err(ConfigError::Shape)?;
+        config.check().map_err(ConfigError::Values)?;
+        Ok(config)
+    }
+
+    /// Time that callers may use a look-up's answer.
+    pub fn look_up_ttl(&self) -> Duration {
+        Duration::from_millis(self.look_up_ttl_ms)
+    }
+
+    /// Time that tickets are good for.
+    pub fn ticket_ttl(&self) -> Duration {
+        Duration::from_millis(self.ticket_ttl_ms)
+    }
+
+    fn check(&self) -> Result<(), Problems> {
+        let mut problems = Problems::default();
+        for (path, name) in [("host", &self.host), ("zone", &self.zone)] {
+            let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+            if name.is_empty() || name.len() > NAME_LIMIT || !name.chars().all(plain) {
+                problems.push(path, "must be 1 to 64 letters, digits, `-`, `_` or `.`");
+            }
+        }
+        if self.peer_key.len() < PEER_KEY_LEAST {
+            let reason = format!("must have at least {PEER_KEY_LEAST} characters");
+            problems.push("peer_key", reason);
+        }
+        let ranges = [
+            ("platform_timeout_ms", self.platform_timeout_ms, 10, 60_000),
+            ("look_up_ttl_ms", self.look_up_ttl_ms, 100, 600_000),
+            ("ticket_ttl_ms", self.ticket_ttl_ms, 1_000, 3_600_000),
+            ("host_list_lag_ms", self.host_list_lag_ms, 0, 3_600_000),
+            ("traffic_threads", self.traffic_threads as u64, 1, 64),
+            (
+                "limits.head_bytes",
+                self.limits.head_bytes as u64,
+                HEAD_BYTES_LEAST as u64,
+                1 << 20,
+            ),
+            (
+                "limits.header_fields",
+                self.limits.header_fields as u64,
+                1,
+                256,
+            ),
+            (
+                "limits.connections",
+                self.limits.connections.into(),
+                1,
+                1 << 20,
+            ),
+            (
+                "limits.requests_in_flight",
+                self.limits.requests_in_flight.into(),
+                1,
+                1 << 20,
+            ),
+            (
+                "limits.head_timeout_ms",
+                self.limits.head_timeout_ms,
+                1,
+                3_600_000,
+            ),
+            (
+                "limits.stall_timeout_ms",
+                self.limits.stall_timeout_ms,
+                1,
+                3_600_000,
+            ),
+            (
+                "limits.spent_tickets",
+                self.limits.spent_tickets as u64,
+                2,
+                1 << 24,
+            ),
+        ];
+        for (path, value, least, most) in ranges {
+            if !(least..=most).contains(&value) {
+                problems.push(path, format!("must be from {least} to {most}, is {value}"));
+            }
+        }
+        self.check_addresses(&mut problems);
+        if self.log.parse::<tracing_subscriber::EnvFilter>().is_err() {
+            problems.push("log", format!("`{}` is no log filter", self.log));
+        }
+        problems.into_result()
+    }
+
+    fn check_addresses(&self, problems: &mut Problems) {
+        let own = [
+            ("caller_address", self.caller_address),
+            ("relay_address", self.relay_address),
+            ("peer_address", self.peer_address),
+            ("operator_address", self.operator_address),
+        ];
+        for (i, (path, address)) in own.iter().enumerate() {
+            if address.ip().is_unspecified() {
+                problems.push(*path, "must be an IP number that others can reach");
+            }
+            let twice = own[..i].iter().any(|(_, other)| other == address);
+            if address.port() != 0 && twice {
+                problems.push(*path, format!("`{address}` is used twice"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/host/handler.rs
@@ -0,0 +1,100 @@
+//! What the control thread does with messages of other hosts.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use peer::{Beat, Exchange, ExchangeReply, PeerHandler};
+use steering::history::{Entry, HistoryError, Position};
+use steering::ids::HostName;
+use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
+use tokio::task::spawn_local;
+
+use super::control::Control;
+
+/// The control thread as other hosts see it.
+pub struct Handler(pub Rc<Control>);
+
+impl PeerHandler for Handler {
+    fn heartbeat(&self, beat: Beat) -> Position {
+        let host = beat.heartbeat.host.clone();
+        let taken = self
+            .0
+            .state
+            .borrow_mut()
+            .membership
+            .heard(Instant::now(), beat.heartbeat);
+        let mine = self.0.state.borrow().history.position().clone();
+        if !taken {
+            return mine;
+        }
+        self.0.take_loads(&host.name, beat.loads);
+        if beat.position.revision > mine.revision {
+            let control = Rc::clone(&self.0);
+            spawn_local(async move { control.exchange_with(host.peer_address).await });
+        }
+        mine
+    }
+
+    fn exchange(&self, exchange: Exchange) -> ExchangeReply {
+        for summary in exchange.summaries {
+            self.0.take_summary(summary);
+        }
+        let summaries = self.0.some_summaries();
+        let state = self.0.state.borrow();
+        let theirs = exchange.position.revision;
+        let entries = state.history.entries_after(theirs);
+        let snapshot = match entries {
+            None => Some(state.history.snapshot()),
+            Some(_) => None,
+        };
+        let mut entries = entries.unwrap_or_default();
+        entries.truncate(peer::ENTRIES_LIMIT);
+        ExchangeReply {
+            position: state.history.position().clone(),
+            entries,
+            snapshot,
+            summaries,
+        }
+    }
+
+    fn push(&self, from: &HostName, entry: Entry) -> Position {
+        let accepted = self.0.state.borrow_mut().history.accept(&entry);
+        match accepted {
+            Ok(false) => {}
+            Ok(true) => {
+                self.0.in_force_now();
+                if !self.is_in_zone(from) {
+                    self.0.push_in_zone(&entry);
+                }
+            }
+            Err(HistoryError::Gap { .. }) => self.catch_up(from),
+            Err(error) => tracing::warn!(event = "push_refused", from, %error),
+        }
+        self.0.state.borrow().history.position().clone()
+    }
+
+    fn borrow(&self, limit: LimitKey, request: LoanRequest) -> Option<LoanGrant> {
+        self.0
+            .shared
+            .ledger()
+            .lend(Instant::now(), &limit, &request)
+    }
+}
+
+impl Handler {
+    fn is_in_zone(&self, host: &str) -> bool {
+        let state = self.0.state.borrow();
+        let present = state.membership.present(Instant::now());
+        present.iter().any(|known| known.name == host)
+    }
+
+    fn catch_up(&self, from: &HostName) {
+        let view = self.0.shared.view.load();
+        let Some(host) = view.host(from) else {
+            return;
+        };
+        let control = Rc::clone(&self.0);
+        let address = host.peer_address;
+        spawn_local(async move { control.exchange_with(address).await });
+    }
+}
--- /dev/null
+++ b/src/host/operator.rs
@@ -0,0 +1,49 @@
+//! Between the operators' endpoint and the control thread.
+
+use ::operator::{InForce, OperatorHandler, Status};
+use metrics_exporter_prometheus::PrometheusHandle;
+use steering::document::{Proposal, Verdict};
+use tokio::sync::{mpsc, oneshot};
+
+use super::state::Command;
+
+/// Passes operators' requests to the control thread.
+pub struct Handler {
+    /// To the control thread.
+    pub commands: mpsc::UnboundedSender<Command>,
+    /// The process's metrics.
+    pub metrics: PrometheusHandle,
+}
+
+impl Handler {
+    fn ask<T>(&self, command: impl FnOnce(oneshot::Sender<T>) -> Command) -> Option<T> {
+        let (answer, answered) = oneshot::channel();
+        self.commands.send(command(answer)).ok()?;
+        answered.blocking_recv().ok()
+    }
+}
+
+impl OperatorHandler for Handler {
+    fn status(&self) -> Option<Status> {
+        self.ask(Command::Status)
+    }
+
+    fn dump(&self) -> Option<serde_json::Value> {
+        self.ask(Command::Dump)
+    }
+
+    fn document(&self) -> Option<InForce> {
+        self.ask(Command::Document)
+    }
+
+    fn metrics(&self) -> String {
+        self.metrics.run_upkeep();
+        self.metrics.render()
+    }
+
+    fn propose(&self, proposal: Proposal) -> Verdict {
+        let ended = "the host ended before it was told";
+        self.ask(|answer| Command::Propose(Box::new(proposal), answer))
+            .unwrap_or_else(|| Verdict::Unknown(ended.to_owned()))
+    }
+}
--- /dev/null
+++ b/src/host/spread.rs
@@ -0,0 +1,181 @@
+//! Heartbeats in the zone, and exchanges with random hosts in it and beyond.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use peer::{Beat, Exchange, ExchangeReply};
+use rand::Rng;
+use rand::seq::{IndexedRandom, IteratorRandom};
+use steering::belief::ZoneSummary;
+use tokio::task::spawn_local;
+
+use super::control::{Control, timer};
+
+const BEAT_EVERY: Duration = Duration::from_millis(300);
+const EXCHANGE_EVERY: Duration = Duration::from_secs(1);
+/// One exchange in so many goes to another zone, where the own has other hosts.
+const ACROSS_ONE_IN: u32 = 3;
+/// Most summaries in one exchange, the own zone's first.
+const SUMMARIES: usize = 8;
+
+impl Control {
+    /// Sends heartbeats to the zone's hosts for ever.
+    pub async fn heartbeats(self: Rc<Self>) {
+        let mut timer = timer(BEAT_EVERY);
+        loop {
+            timer.tick().await;
+            self.beat_now();
+        }
+    }
+
+    /// Sends one heartbeat to each of the zone's hosts, and to seeds.
+    pub fn beat_now(self: &Rc<Self>) {
+        let now = Instant::now();
+        let mut targets = self.zone_peers();
+        let seeds = self.config.seeds.iter().copied();
+        targets.extend(seeds.filter(|seed| *seed != self.me.entry.peer_address));
+        targets.sort();
+        targets.dedup();
+        let loads = self.own_loads();
+        let beat = {
+            let mut state = self.state.borrow_mut();
+            Rc::new(Beat {
+                heartbeat: state.membership.heartbeat(now),
+                position: state.history.position().clone(),
+                loads,
+            })
+        };
+        for address in targets {
+            let client = self.client(address);
+            let busy = Rc::strong_count(&client) > MOST_CALLS;
+            if !busy {
+                spawn_local(Rc::clone(self).beat(address, Rc::clone(&beat)));
+            }
+        }
+    }
+
+    async fn beat(self: Rc<Self>, address: SocketAddr, beat: Rc<Beat>) {
+        let client = self.client(address);
+        match client.heartbeat(&beat).await {
+            Ok(position) => {
+                let mine = self.state.borrow().history.revision();
+                if position.revision > mine {
+                    self.exchange_with(address).await;
+                }
+            }
+            Err(error) => tracing::debug!(event = "heartbeat_failed", %address, %error),
+        }
+    }
+
+    /// Exchanges with random hosts for ever.
+    pub async fn exchanges(self: Rc<Self>) {
+        let mut timer = timer(EXCHANGE_EVERY);
+        loop {
+            timer.tick().await;
+            if let Some(address) = self.draw_partner() {
+                spawn_local(Rc::clone(&self).exchange_once(address));
+            }
+            let mut used = self.zone_peers();
+            used.extend(self.config.seeds.iter().copied());
+            self.drop_clients(&used);
+        }
+    }
+
+    async fn exchange_once(self: Rc<Self>, address: SocketAddr) {
+        self.exchange_with(address).await;
+    }
+
+    fn draw_partner(&self) -> Option<SocketAddr> {
+        let mut rng = rand::rng();
+        let in_zone = self.zone_peers();
+        let across: Vec<SocketAddr> = self
+            .other_zones()
+            .values()
+            .filter_map(|hosts| hosts.choose(&mut rng))
+            .map(|host| host.peer_address)
+            .collect();
+        let seeds = || self.config.seeds.iter().copied();
+        let go_across = in_zone.is_empty() || rng.random_ratio(1, ACROSS_ONE_IN);
+        let first = if go_across { &across } else { &in_zone };
+        first
+            .choose(&mut rng)
+            .or_else(|| in_zone.choose(&mut rng))
+            .copied()
+            .or_else(|| {
+                seeds()
+                    .filter(|seed| *seed != self.me.entry.peer_address)
+                    .choose(&mut rng)
+            })
+    }
+
+    /// Exchanges with one host until this one is no longer behind it.
+    pub async fn exchange_with(self: &Rc<Self>, address: SocketAddr) {
+        let client = self.client(address);
+        loop {
+            let exchange = Exchange {
+                position: self.state.borrow().history.position().clone(),
+                summaries: self.some_summaries(),
+            };
+            let reply = match client.exchange(&exchange).await {
+                Ok(reply) => reply,
+                Err(error) => {
+                    tracing::debug!(event = "exchange_failed", %address, %error);
+                    return;
+                }
+            };
+            let before = self.state.borrow().history.revision();
+            let theirs = reply.position.clone();
+            self.take_reply(reply);
+            let position = self.state.borrow().history.position().clone();
+            if theirs.revision == position.revision && theirs.digest != position.digest {
+                tracing::error!(event = "histories_differ", %address, revision = theirs.revision);
+            }
+            if position.revision == before || position.revision >= theirs.revision {
+                return;
+            }
+        }
+    }
+
+    fn take_reply(&self, reply: ExchangeReply) {
+        for summary in reply.summaries {
+            self.take_summary(summary);
+        }
+        let before = self.state.borrow().history.revision();
+        {
+            let history = &mut self.state.borrow_mut().history;
+            let mut taken = reply
+                .snapshot
+                .iter()
+                .try_for_each(|snapshot| history.install(snapshot).map(|_| ()));
+            for entry in &reply.entries {
+                taken = taken.and_then(|()| history.accept(entry).map(|_| ()));
+            }
+            if let Err(error) = taken {
+                tracing::warn!(event = "exchange_refused", %error);
+            }
+        }
+        if self.state.borrow().history.revision() > before {
+            self.in_force_now();
+        }
+    }
+
+    /// The own zone's summary and some others, drawn at random.
+    pub fn some_summaries(&self) -> Vec<ZoneSummary> {
+        let mut summaries = vec![self.own_summary()];
+        let now = Instant::now();
+        let state = self.state.borrow();
+        let others = state
+            .summaries
+            .values()
+            .choose_multiple(&mut rand::rng(), SUMMARIES - 1);
+        summaries.extend(others.into_iter().map(|held| ZoneSummary {
+            age: now.saturating_duration_since(held.measured),
+            ..held.summary.clone()
+        }));
+        summaries
+    }
+}
+
+/// Calls to one host at the same time, with the handles that are kept besides.
+const MOST_CALLS: usize = 6;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,20 @@
+//! stagedeck steers callers to upstreams that can answer, across regions and
+//! availability zones, on hosts that may vanish without notice.
+//!
+//! ```
+//! use stagedeck::Config;
+//!
+//! let problems = Config::parse("{}").unwrap_err();
+//! assert!(problems.to_string().contains("host"));
+//! ```
+
+pub mod cli;
+mod commands;
+mod config;
+mod host;
+mod logging;
+
+pub use cli::Cli;
+pub use commands::{Outcome, run};
+pub use config::{Config, ConfigError};
+pub use host::{Addresses, Host, HostError, Sockets};
