Test steering's decisions, whole answers and bad input

Cause: the path stood untested; two faults came up while its tests were written. A crashed lender's part could be given away while its loans were in use: loans now lapse for new work, and a gone part waits until nobody holds of it. Connections were counted in the order in which tasks first ran; now in the order of arrival.

--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -86,8 +86,9 @@
         };
         match accepted {
             Ok((stream, peer)) => {
-                let task = connection(Arc::clone(&shared), stream, peer, side, stop.clone());
-                connections.spawn(task);
+                // Counted in the order of arrival, before the task first runs.
+                let counted = Counted::new(&shared);
+                connections.spawn(connection(counted, stream, peer, side, stop.clone()));
             }
             Err(error) => {
                 tracing::warn!(event = "accept_failed", %error);
@@ -100,14 +101,14 @@
 }
 
 async fn connection(
-    shared: Arc<Shared>,
+    counted: Counted,
     mut stream: TcpStream,
     peer: SocketAddr,
     side: Side,
     mut stop: watch::Receiver<bool>,
 ) {
-    let _counted = Counted::new(&shared);
-    if shared.open_connections.load(Ordering::Acquire) > shared.config.limits.connections {
+    let shared = Arc::clone(&counted.shared);
+    if counted.number > shared.config.limits.connections {
         refuse(&mut stream).await;
         return;
     }
@@ -151,18 +152,24 @@
 }
 
 /// Counts an open connection.
-struct Counted(Arc<Shared>);
+struct Counted {
+    shared: Arc<Shared>,
+    /// Connections open when this one came, itself included.
+    number: u32,
+}
 
 impl Counted {
     fn new(shared: &Arc<Shared>) -> Self {
-        shared.open_connections.fetch_add(1, Ordering::AcqRel);
-        Counted(Arc::clone(shared))
+        Counted {
+            number: shared.open_connections.fetch_add(1, Ordering::AcqRel) + 1,
+            shared: Arc::clone(shared),
+        }
     }
 }
 
 impl Drop for Counted {
     fn drop(&mut self) {
-        self.0.open_connections.fetch_sub(1, Ordering::AcqRel);
+        self.shared.open_connections.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -38,6 +38,7 @@
   doubts @4 :List(Text);
   position @5 :Position;
   loads @6 :List(Load);
+  lenders @7 :List(Text);
 }
 
 struct Position {
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -105,6 +105,8 @@
     to.set_leaving(heartbeat.leaving);
     let doubts = to.reborrow().init_doubts(heartbeat.doubts.len() as u32);
     write_texts(doubts, heartbeat.doubts.iter());
+    let lenders = to.reborrow().init_lenders(heartbeat.lenders.len() as u32);
+    write_texts(lenders, heartbeat.lenders.iter());
     write_position(to.reborrow().init_position(), &beat.position);
     write_loads(to.init_loads(beat.loads.len() as u32), &beat.loads);
 }
@@ -115,20 +117,20 @@
     }
 }
 
+fn read_texts(from: text_list::Reader<'_>) -> Result<BTreeSet<String>, Error> {
+    bounded(from.len(), "names")?;
+    from.iter().map(|name| text(name?)).collect()
+}
+
 pub fn read_beat(from: wire::heartbeat::Reader<'_>) -> Result<Beat, Error> {
-    let listed = from.get_doubts()?;
-    bounded(listed.len(), "doubts")?;
-    let mut doubts = BTreeSet::new();
-    for doubt in listed.iter() {
-        doubts.insert(text(doubt?)?);
-    }
     Ok(Beat {
         heartbeat: Heartbeat {
             host: read_host(from.get_host()?)?,
             incarnation: from.get_incarnation(),
             sequence: from.get_sequence(),
             leaving: from.get_leaving(),
-            doubts,
+            doubts: read_texts(from.get_doubts()?)?,
+            lenders: read_texts(from.get_lenders()?)?,
         },
         position: read_position(from.get_position()?)?,
         loads: read_loads(from.get_loads()?)?,
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -7,10 +7,13 @@
 
 use operator::OperatorClient;
 use platform::{ConfigStore, HttpPlatform};
+use rand::Rng;
+use serde_json::json;
 use stagedeck::{Addresses, Config, Host, Sockets};
 use steering::Document;
-use steering::document::{Proposal, Verdict};
+use steering::document::{Change, Edit, Proposal, Verdict};
 use steering::history::History;
+use steering::ids::Revision;
 use tokio::runtime::{Builder, Runtime};
 
 use crate::platform::StandInPlatform;
@@ -49,6 +52,60 @@
     pub tune: fn(&mut Config),
 }
 
+impl DeploymentPlan {
+    /// Two zones in two regions with one host each, two services (`surcos` with
+    /// tickets of mode `home`, `manifiestos` of mode `store`), two upstreams of
+    /// each in each zone.
+    pub fn small() -> Self {
+        DeploymentPlan {
+            hosts: vec![HostPlan::new("n1", "norte"), HostPlan::new("p1", "puerto")],
+            document: small_document(),
+            behaviour: Behaviour::default(),
+            log: "error".to_owned(),
+            tune: |_| {},
+        }
+    }
+}
+
+impl HostPlan {
+    /// A host in a zone.
+    pub fn new(name: &str, zone: &str) -> Self {
+        HostPlan {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+        }
+    }
+}
+
+fn small_document() -> Document {
+    let mut upstreams = Vec::new();
+    for (service, slots) in [("surcos", 9), ("manifiestos", 3)] {
+        for zone in ["norte", "puerto"] {
+            for number in 1..=2 {
+                upstreams.push(json!({
+                    "name": format!("{service}-{zone}-{number}"),
+                    "service": service,
+                    "zone": zone,
+                    "address": format!("127.0.0.1:{}", upstreams.len() + 1),
+                    "slots": slots,
+                }));
+            }
+        }
+    }
+    let service = |name: &str, mode: &str| {
+        json!({"name": name, "ticket_mode": mode, "expected_ms": 8.0, "deadline_ms": 5000,
+               "body_limit_bytes": 300_000})
+    };
+    serde_json::from_value(json!({
+        "regions": [{"name": "sierra"}, {"name": "costa"}],
+        "zones": [{"name": "norte", "region": "sierra"}, {"name": "puerto", "region": "costa"}],
+        "links": [{"from": "sierra", "to": "costa", "one_way_ms": 35.0}],
+        "services": [service("surcos", "home"), service("manifiestos", "store")],
+        "upstreams": upstreams,
+    }))
+    .expect("the document is valid")
+}
+
 /// A running deployment.
 pub struct Deployment {
     /// The platform.
@@ -171,6 +228,39 @@
         OperatorClient::new(self.addresses(host).operator, Duration::from_secs(5))
     }
 
+    /// Proposes one edit at a host, against what is in force there.
+    pub fn propose(&self, host: &str, edit: Edit) -> io::Result<Verdict> {
+        let operator = self.operator(host);
+        let base = operator.document().map_err(io::Error::other)?.revision;
+        let change = Change {
+            id: format!("{host}-{base}-{:x}", rand::rng().random::<u64>()),
+            edits: vec![edit],
+        };
+        let proposal = Proposal { change, base };
+        operator.propose(&proposal).map_err(io::Error::other)
+    }
+
+    /// Proposes one edit, and waits until it is in force on every host.
+    pub fn put_in_force(&self, host: &str, edit: Edit) -> io::Result<Duration> {
+        let begun = Instant::now();
+        let Verdict::Accepted(revision) = self.propose(host, edit)? else {
+            return Err(io::Error::other("the change was not accepted"));
+        };
+        eventually("the change is in force on every host", || {
+            self.hosts
+                .keys()
+                .all(|name| self.revision(name) >= revision)
+        })?;
+        Ok(begun.elapsed())
+    }
+
+    /// The revision in force on a host; 0 where it can't be asked.
+    pub fn revision(&self, host: &str) -> Revision {
+        self.operator(host)
+            .status()
+            .map_or(0, |status| status.revision)
+    }
+
     /// Callers' addresses of all hosts.
     pub fn entries(&self) -> Vec<SocketAddr> {
         self.hosts
@@ -223,3 +313,15 @@
         other => Err(io::Error::other(format!("{other:?}"))),
     }
 }
+
+/// Asks again and again until `holds`, and says so if it never does.
+pub fn eventually(what: &str, mut holds: impl FnMut() -> bool) -> io::Result<()> {
+    let begun = Instant::now();
+    while !holds() {
+        if begun.elapsed() > START_LIMIT {
+            return Err(io::Error::other(format!("never: {what}")));
+        }
+        std::thread::sleep(ASK_EVERY);
+    }
+    Ok(())
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,9 +10,9 @@
 mod trial_caller;
 mod upstream;
 
-pub use deployment::{Deployment, DeploymentPlan, HostPlan};
+pub use deployment::{Deployment, DeploymentPlan, HostPlan, any_port, eventually};
 pub use fault::Fault;
 pub use platform::{PlatformFaults, StandInPlatform};
 pub use trial::{TrialReport, run as run_trial};
 pub use trial_caller::{Reply, TrialCaller};
-pub use upstream::{Behaviour, StandInUpstream, UpstreamCounts};
+pub use upstream::{Behaviour, Health, OPERATION_HEADER, StandInUpstream, UpstreamCounts};
--- a/crates/standin/src/trial.rs
+++ b/crates/standin/src/trial.rs
@@ -10,7 +10,7 @@
 use derive_more::Display;
 use serde_json::json;
 use steering::Document;
-use steering::document::{Change, Edit, Kind, ObjectId, Proposal, Rule, Verdict};
+use steering::document::{Edit, Kind, ObjectId, Rule};
 
 use crate::deployment::{Deployment, DeploymentPlan, HostPlan};
 use crate::trial_caller::{Reply, TrialCaller};
@@ -18,6 +18,8 @@
 
 const ARCHIVE_BYTES: u64 = 200 << 20;
 const LOAD_THREADS: usize = 4;
+/// Requests between two steps.
+const SOME: u64 = 300;
 const PAUSE: Duration = Duration::from_millis(2);
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
@@ -159,7 +161,9 @@
 
     look_up(&deployment, say);
     reserve(&deployment, &counts, say);
+    serve_some(&counts);
     shift(&deployment, say)?;
+    serve_some(&counts);
     let drain_ms = drain(&deployment, &counts, say)?;
     lose_host(&mut deployment, &counts, say);
 
@@ -253,37 +257,8 @@
     }
 }
 
-fn propose(deployment: &Deployment, edit: Edit) -> io::Result<Duration> {
-    let begun = Instant::now();
-    let operator = deployment.operator("norte-1");
-    let in_force = operator.document().map_err(io::Error::other)?;
-    let change = Change {
-        id: format!("trial-{}", in_force.revision),
-        edits: vec![edit],
-    };
-    let proposal = Proposal {
-        change,
-        base: in_force.revision,
-    };
-    let verdict = operator.propose(&proposal).map_err(io::Error::other)?;
-    let Verdict::Accepted(revision) = verdict else {
-        return Err(io::Error::other(format!("{verdict:?}")));
-    };
-    let in_force = |name: &String| {
-        let status = deployment.operator(name).status();
-        status.is_ok_and(|status| status.revision >= revision)
-    };
-    while !deployment.hosts.keys().all(in_force) {
-        if begun.elapsed() > WAIT_LIMIT {
-            return Err(io::Error::other("a change did not come into force"));
-        }
-        thread::sleep(PAUSE);
-    }
-    Ok(begun.elapsed())
-}
-
 fn shift(deployment: &Deployment, say: &mut dyn FnMut(&str)) -> io::Result<()> {
-    let took = propose(deployment, Edit::Rule(rule(60.0)))?;
+    let took = deployment.put_in_force("norte-1", Edit::Rule(rule(60.0)))?;
     say(&format!(
         "share of costa moved to 40 percent: in force on every host after {} ms",
         took.as_millis()
@@ -320,7 +295,7 @@
         name: busy.clone(),
     };
     let labels = [("state".to_owned(), Some("draining".to_owned()))].into();
-    let took = propose(deployment, Edit::Label { object, labels })?;
+    let took = deployment.put_in_force("norte-1", Edit::Label { object, labels })?;
     let downloaded = download
         .join()
         .unwrap_or_else(|_| Err("the caller panicked".to_owned()));
@@ -344,16 +319,22 @@
     Ok(drain_ms)
 }
 
-fn lose_host(deployment: &mut Deployment, counts: &Counts, say: &mut dyn FnMut(&str)) {
-    counts.host_lost.store(true, Ordering::Release);
-    deployment.kill("norte-1");
+/// Waits until some more requests have been answered.
+fn serve_some(counts: &Counts) {
     let before = counts.answered.load(Ordering::Acquire);
     let begun = Instant::now();
-    while counts.answered.load(Ordering::Acquire) < before + 100 && begun.elapsed() < WAIT_LIMIT {
+    while counts.answered.load(Ordering::Acquire) < before + SOME && begun.elapsed() < WAIT_LIMIT {
         thread::sleep(PAUSE);
     }
+}
+
+fn lose_host(deployment: &mut Deployment, counts: &Counts, say: &mut dyn FnMut(&str)) {
+    counts.host_lost.store(true, Ordering::Release);
+    deployment.kill("norte-1");
+    let begun = Instant::now();
+    serve_some(counts);
     say(&format!(
-        "host norte-1 lost: 100 more requests answered after {} ms",
+        "host norte-1 lost: {SOME} more requests answered after {} ms",
         begun.elapsed().as_millis()
     ));
 }
--- a/crates/steering/src/limiter/escrow.rs
+++ b/crates/steering/src/limiter/escrow.rs
@@ -2,15 +2,21 @@
 //!
 //! A lender subtracts before it answers, a borrower subtracts before it sends
 //! units back, and each pair of hosts numbers its requests, so that a lost, late
-//! or doubled message loses room for a while and never makes any.
+//! or doubled message loses room for a while and never makes any. A loan is good
+//! for new work only for a while after it was asked for; a lender that is gone
+//! renews none, so its part can be given to others once nobody holds of it.
 
 use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
 use super::Units;
 use crate::ids::{HostName, Incarnation};
 
+/// Time that a loan is good for new work, from when it was asked for.
+pub const LOAN_LAPSE: Duration = Duration::from_secs(4);
+
 /// A borrower's request; it also says what the borrower still holds.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoanRequest {
@@ -42,11 +48,14 @@
     units: Units,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 struct Borrowed {
     sequence: u64,
+    /// Held, though for new work only until `good_until`.
     units: Units,
-    waiting: bool,
+    good_until: Instant,
+    /// When the request was made whose answer is waited for.
+    asked: Option<Instant>,
 }
 
 /// One host's part of one limit.
@@ -77,9 +86,9 @@
         self.floor = floor;
     }
 
-    /// Units of its own, lent ones included.
-    pub fn floor(&self) -> Units {
-        self.floor
+    /// Units of its own that are not lent.
+    pub fn own(&self) -> Units {
+        self.floor.saturating_sub(self.lent())
     }
 
     /// Units lent out.
@@ -87,24 +96,61 @@
         self.lent.values().map(|lent| lent.units).sum()
     }
 
-    /// Units borrowed.
+    /// Units borrowed, lapsed ones included.
     pub fn borrowed(&self) -> Units {
         self.borrowed.values().map(|borrowed| borrowed.units).sum()
     }
 
-    /// Units that this host may use now.
-    pub fn available(&self) -> Units {
-        self.floor.saturating_sub(self.lent()) + self.borrowed()
+    /// Units borrowed of one lender, lapsed ones included.
+    pub fn borrowed_of(&self, lender: &str) -> Units {
+        self.borrowed
+            .get(lender)
+            .map_or(0, |borrowed| borrowed.units)
+    }
+
+    /// Hosts of which something is borrowed, lapsed loans included.
+    pub fn lenders(&self) -> impl Iterator<Item = &HostName> {
+        let held = self
+            .borrowed
+            .iter()
+            .filter(|(_, borrowed)| borrowed.units > 0);
+        held.map(|(lender, _)| lender)
+    }
+
+    /// Units that this host may use for new work now.
+    pub fn available(&self, now: Instant) -> Units {
+        let good = self
+            .borrowed
+            .values()
+            .filter(|borrowed| now < borrowed.good_until);
+        self.own() + good.map(|borrowed| borrowed.units).sum::<Units>()
+    }
+
+    /// Lets go of lapsed loans once `in_use` fits into what is the host's own.
+    pub fn settle(&mut self, now: Instant, in_use: Units) {
+        if in_use > self.own() {
+            return;
+        }
+        for borrowed in self.borrowed.values_mut() {
+            if now >= borrowed.good_until {
+                borrowed.units = 0;
+            }
+        }
     }
 
     /// Makes a request to a lender, giving back all but `keep`.
     ///
     /// From this moment the host holds no more than `keep` of that lender.
-    pub fn request(&mut self, lender: &str, keep: Units, want: Units) -> LoanRequest {
-        let borrowed = self.borrowed.entry(lender.to_owned()).or_default();
+    pub fn request(&mut self, now: Instant, lender: &str, keep: Units, want: Units) -> LoanRequest {
+        let borrowed = self.borrowed.entry(lender.to_owned()).or_insert(Borrowed {
+            sequence: 0,
+            units: 0,
+            good_until: now,
+            asked: None,
+        });
         borrowed.sequence += 1;
         borrowed.units = borrowed.units.min(keep);
-        borrowed.waiting = true;
+        borrowed.asked = Some(now);
         LoanRequest {
             borrower: self.me.clone(),
             incarnation: self.incarnation,
@@ -137,24 +183,32 @@
     }
 
     /// Takes an answer; false where it is not to the last request.
+    ///
+    /// What was kept stays held even where a later start of the lender knows
+    /// nothing of it: the earlier start's part may not be given away meanwhile.
     pub fn take(&mut self, lender: &str, grant: &LoanGrant) -> bool {
         let Some(borrowed) = self.borrowed.get_mut(lender) else {
             return false;
         };
-        if !borrowed.waiting || borrowed.sequence != grant.sequence {
+        let Some(asked) = borrowed.asked else {
             return false;
+        };
+        if borrowed.sequence != grant.sequence {
+            return false;
+        }
+        borrowed.asked = None;
+        if grant.total >= borrowed.units {
+            borrowed.units = grant.total;
+            borrowed.good_until = asked + LOAN_LAPSE;
         }
-        borrowed.waiting = false;
-        borrowed.units = grant.total;
         true
     }
 
     /// A start of a host is certainly gone: what it borrowed is free again.
     pub fn confirm_gone(&mut self, host: &str, incarnation: Incarnation) {
-        if let Some(lent) = self.lent.get_mut(&(host.to_owned(), incarnation)) {
-            lent.units = 0;
-            // Its late requests must find no room.
-            lent.sequence = u64::MAX;
-        }
+        let lent = self.lent.entry((host.to_owned(), incarnation)).or_default();
+        lent.units = 0;
+        // Its late requests must find no room.
+        lent.sequence = u64::MAX;
     }
 }
--- a/crates/steering/src/limiter/ledger.rs
+++ b/crates/steering/src/limiter/ledger.rs
@@ -1,6 +1,6 @@
 //! All limits of a zone as one of its hosts keeps them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
 use derive_more::Display;
@@ -66,7 +66,9 @@
 
 impl Limit {
     fn settle(&mut self, now: Instant) {
-        let available = self.escrow.available().min(self.units);
+        let used = self.used(now);
+        self.escrow.settle(now, used);
+        let available = self.escrow.available(now).min(self.units);
         match &mut self.count {
             Count::Flight(flight) => flight.allow(available),
             Count::Rate(rate) => rate.allow(now, available),
@@ -74,6 +76,8 @@
     }
 
     fn admit(&mut self, now: Instant) -> bool {
+        // A loan may have lapsed since the last look.
+        self.settle(now);
         let admitted = match &mut self.count {
             Count::Flight(flight) => flight.admit(),
             Count::Rate(rate) => rate.admit(now),
@@ -92,6 +96,28 @@
     }
 }
 
+/// What is asked of a lender.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Want {
+    /// So many units more.
+    More(Units),
+    /// The same as before, for longer.
+    Same,
+    /// Only what is in use.
+    Less,
+}
+
+/// A loan that a host holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldLoan {
+    /// Which limit.
+    pub limit: LimitKey,
+    /// Who lent it.
+    pub lender: HostName,
+    /// Whether the limit is used enough to go on with it.
+    pub needed: bool,
+}
+
 /// One limit, for dumps.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct LedgerEntry {
@@ -206,36 +232,47 @@
         short
     }
 
-    /// Limits on which something is borrowed that has not been used of late.
-    pub fn idle_loans(&mut self, now: Instant) -> Vec<LimitKey> {
-        let mut idle = Vec::new();
+    /// Loans that are held, each with whether it is still of use.
+    pub fn loans(&mut self, now: Instant) -> Vec<HeldLoan> {
+        let mut loans = Vec::new();
         for (key, limit) in &mut self.limits {
-            let own = limit.escrow.available() - limit.escrow.borrowed();
-            if limit.escrow.borrowed() > 0 && limit.used(now) <= own / 2 {
-                idle.push(key.clone());
-            }
+            limit.settle(now);
+            let needed = limit.used(now) > limit.escrow.own() / 2;
+            loans.extend(limit.escrow.lenders().map(|lender| HeldLoan {
+                limit: key.clone(),
+                lender: lender.clone(),
+                needed,
+            }));
         }
-        idle
+        loans
     }
 
-    /// Asks a lender for more, or gives back where `want` is 0.
+    /// Hosts of which something is borrowed.
+    pub fn lenders(&mut self, now: Instant) -> BTreeSet<HostName> {
+        self.loans(now)
+            .into_iter()
+            .map(|loan| loan.lender)
+            .collect()
+    }
+
+    /// Makes a request to a lender.
     pub fn request(
         &mut self,
         now: Instant,
         key: &LimitKey,
         lender: &str,
-        want: Units,
+        want: Want,
     ) -> Option<LoanRequest> {
         let limit = self.limits.get_mut(key)?;
-        let keep = if want == 0 {
-            0
-        } else {
-            limit.escrow.borrowed()
+        let keep = match want {
+            Want::Less => limit.used(now).saturating_sub(limit.escrow.own()),
+            Want::Same | Want::More(_) => limit.escrow.borrowed_of(lender),
+        };
+        let want = match want {
+            Want::More(units) => units,
+            Want::Same | Want::Less => 0,
         };
-        let in_use = limit.used(now);
-        let own = limit.escrow.available() - limit.escrow.borrowed();
-        let keep = keep.max(in_use.saturating_sub(own));
-        let request = limit.escrow.request(lender, keep, want);
+        let request = limit.escrow.request(now, lender, keep, want);
         limit.settle(now);
         Some(request)
     }
@@ -248,7 +285,7 @@
         request: &LoanRequest,
     ) -> Option<LoanGrant> {
         let limit = self.limits.get_mut(key)?;
-        let available = limit.escrow.available();
+        let available = limit.escrow.available(now);
         let spare = available.saturating_sub(limit.used(now)) / 2;
         let grant = limit.escrow.lend(request, spare);
         limit.settle(now);
@@ -287,7 +324,7 @@
         let entry = |(key, limit): (&LimitKey, &mut Limit)| LedgerEntry {
             limit: key.to_string(),
             units: limit.units,
-            available: limit.escrow.available().min(limit.units),
+            available: limit.escrow.available(now).min(limit.units),
             used: limit.used(now),
             lent: limit.escrow.lent(),
             borrowed: limit.escrow.borrowed(),
--- a/crates/steering/src/limiter/mod.rs
+++ b/crates/steering/src/limiter/mod.rs
@@ -9,9 +9,9 @@
 mod rate;
 mod roster;
 
-pub use escrow::{Escrow, LoanGrant, LoanRequest};
+pub use escrow::{Escrow, LOAN_LAPSE, LoanGrant, LoanRequest};
 pub use flight::Flight;
-pub use ledger::{Ledger, LedgerEntry, LimitKey, LimitKind};
+pub use ledger::{HeldLoan, Ledger, LedgerEntry, LimitKey, LimitKind, Want};
 pub use rate::Rate;
 pub use roster::{Part, Roster, RosterError};
 
--- a/crates/steering/src/membership.rs
+++ b/crates/steering/src/membership.rs
@@ -41,6 +41,8 @@
     pub leaving: bool,
     /// Hosts that it has not heard for too long.
     pub doubts: BTreeSet<HostName>,
+    /// Hosts of whose part of the zone's limits it holds something.
+    pub lenders: BTreeSet<HostName>,
 }
 
 /// Times that decide.
@@ -72,6 +74,7 @@
     leaving: bool,
     heard: Instant,
     doubts: BTreeSet<HostName>,
+    lenders: BTreeSet<HostName>,
 }
 
 /// The hosts of a zone, as one of them sees it; it counts itself in.
@@ -149,7 +152,7 @@
     }
 
     /// The next heartbeat to send.
-    pub fn heartbeat(&mut self, now: Instant) -> Heartbeat {
+    pub fn heartbeat(&mut self, now: Instant, lenders: BTreeSet<HostName>) -> Heartbeat {
         self.sequence += 1;
         Heartbeat {
             host: self.me.clone(),
@@ -157,6 +160,7 @@
             sequence: self.sequence,
             leaving: self.leaving,
             doubts: self.doubted(now),
+            lenders,
         }
     }
 
@@ -184,6 +188,7 @@
             leaving: beat.leaving,
             heard: now,
             doubts: beat.doubts,
+            lenders: beat.lenders,
             entry: beat.host,
         };
         self.members.insert(member.entry.name.clone(), member);
@@ -213,6 +218,13 @@
         if staying.is_empty() { present } else { staying }
     }
 
+    /// Whether a host was heard of late and held nothing of `lender`'s part then.
+    pub fn holds_nothing_of(&self, now: Instant, host: &str, lender: &str) -> bool {
+        let member = self.members.get(host);
+        member
+            .is_some_and(|member| !self.is_silent(member, now) && !member.lenders.contains(lender))
+    }
+
     /// Whether another incarnation of the host has been heard since.
     pub fn is_replaced(&self, host: &str, incarnation: Incarnation) -> bool {
         let known = self.members.get(host);
--- /dev/null
+++ b/crates/steering/tests/error.rs
@@ -0,0 +1,25 @@
+//! The table from error kind to answer.
+
+use steering::error::{ANSWERS, ErrorKind, NotRun};
+
+#[test]
+fn each_kind_has_its_own_row() {
+    for (i, row) in ANSWERS.iter().enumerate() {
+        assert_eq!(row.kind as usize, i);
+        assert_eq!(row.kind.answer(), row);
+        assert_eq!(ErrorKind::find(&row.kind.to_string()), Some(row.kind));
+    }
+    assert_eq!(ErrorKind::Internal as usize + 1, ANSWERS.len());
+}
+
+#[test]
+fn what_came_after_dispatch_is_never_called_not_run() {
+    for kind in [
+        ErrorKind::OutcomeUnknown,
+        ErrorKind::DeadlineAfterDispatch,
+        ErrorKind::AnswerNotKept,
+        ErrorKind::InProgress,
+    ] {
+        assert_ne!(kind.answer().not_run, NotRun::True, "{kind}");
+    }
+}
--- a/src/host/control.rs
+++ b/src/host/control.rs
@@ -16,6 +16,7 @@
 use steering::document::{Proposal, Verdict};
 use steering::history::{Entry, History};
 use steering::ids::{HostName, Incarnation};
+use steering::limiter::LOAN_LAPSE;
 use steering::membership::{HostEntry, Membership, Timing};
 use steering::plan::Plan;
 use steering::pool::{PoolLimits, PoolLoad};
@@ -336,7 +337,7 @@
 
     /// Starts that the list has not shown for longer than it lags are gone.
     fn confirm_gone(&self, now: Instant) {
-        let lag = Duration::from_millis(self.config.host_list_lag_ms);
+        let lag = Duration::from_millis(self.config.host_list_lag_ms).max(LOAN_LAPSE * 2);
         let mut gone = Vec::new();
         self.state
             .borrow_mut()
--- a/src/host/loans.rs
+++ b/src/host/loans.rs
@@ -4,21 +4,23 @@
 use std::time::{Duration, Instant};
 
 use rand::seq::IndexedRandom;
-use steering::limiter::{LimitKey, Roster, Units};
+use steering::ids::{HostName, Incarnation};
+use steering::limiter::{LOAN_LAPSE, LimitKey, Roster, Units, Want};
 use steering::membership::HostEntry;
 use tokio::task::spawn_local;
 
 use super::control::{Control, timer, with_roster};
 
 const LOANS_EVERY: Duration = Duration::from_millis(100);
-const RETURNS_EVERY: u32 = 50;
+/// Well within the time in which a loan lapses.
+const RENEW_EVERY_TICKS: u32 = 10;
 const ROSTER_EVERY: Duration = Duration::from_secs(1);
 /// Thousandths that a host may have over its fair part before it gives them back.
 const SLACK_PERMILLE: u32 = 10;
 const LEAST_WANTED: Units = 4;
 
 impl Control {
-    /// Borrows where requests are refused, gives back what is idle.
+    /// Borrows where requests are refused, renews what is needed, gives back the rest.
     pub async fn loans(self: Rc<Self>) {
         let mut timer = timer(LOANS_EVERY);
         let mut tick: u32 = 0;
@@ -27,32 +29,35 @@
             tick = tick.wrapping_add(1);
             let short = self.shared.ledger().short();
             for (key, refused) in short {
-                spawn_local(Rc::clone(&self).borrow(key, refused.max(LEAST_WANTED)));
-            }
-            if tick.is_multiple_of(RETURNS_EVERY) {
-                let idle = self.shared.ledger().idle_loans(Instant::now());
-                for key in idle {
-                    spawn_local(Rc::clone(&self).give_back(key));
+                let others = self.zone_others();
+                if let Some(lender) = others.choose(&mut rand::rng()) {
+                    let want = Want::More(refused.max(LEAST_WANTED));
+                    self.spawn_ask(key, &lender.name, want);
                 }
             }
+            if tick.is_multiple_of(RENEW_EVERY_TICKS) {
+                self.renew();
+            }
         }
     }
 
-    async fn borrow(self: Rc<Self>, key: LimitKey, want: Units) {
-        let others = self.zone_others();
-        let lender = others.choose(&mut rand::rng()).cloned();
-        if let Some(lender) = lender {
-            self.ask(&key, &lender, want).await;
+    fn renew(self: &Rc<Self>) {
+        let loans = self.shared.ledger().loans(Instant::now());
+        for loan in loans {
+            let want = if loan.needed { Want::Same } else { Want::Less };
+            self.spawn_ask(loan.limit, &loan.lender, want);
         }
     }
 
-    async fn give_back(self: Rc<Self>, key: LimitKey) {
-        for lender in self.zone_others() {
-            self.ask(&key, &lender, 0).await;
+    fn spawn_ask(self: &Rc<Self>, key: LimitKey, lender: &str, want: Want) {
+        let others = self.zone_others();
+        if let Some(lender) = others.into_iter().find(|host| host.name == lender) {
+            let control = Rc::clone(self);
+            spawn_local(async move { control.ask(&key, &lender, want).await });
         }
     }
 
-    async fn ask(&self, key: &LimitKey, lender: &HostEntry, want: Units) {
+    async fn ask(&self, key: &LimitKey, lender: &HostEntry, want: Want) {
         let now = Instant::now();
         let request = self.shared.ledger().request(now, key, &lender.name, want);
         let Some(request) = request else {
@@ -148,31 +153,43 @@
         ledger.configure(Instant::now(), &limits, &state.roster);
     }
 
-    /// Parts of starts that the platform's list has not shown for longer than it lags.
-    fn gone_parts(&self) -> Vec<(String, u64)> {
-        let lag = Duration::from_millis(self.config.host_list_lag_ms);
+    /// Parts of starts that are certainly gone, and of which nobody holds anything.
+    ///
+    /// Gone: the platform's list has not shown the start for longer than it lags,
+    /// and for longer than its loans are good for new work.
+    fn gone_parts(&self) -> Vec<(HostName, Incarnation)> {
+        let lag = Duration::from_millis(self.config.host_list_lag_ms).max(LOAN_LAPSE * 2);
         let now = Instant::now();
-        // What this start has not watched for long enough can't be judged.
-        if self.shared.started.elapsed() <= lag {
-            return Vec::new();
-        }
         let state = self.state.borrow();
-        let fresh = state
+        let list_age = state
             .store_answered
-            .is_some_and(|at| now.saturating_duration_since(at) < lag);
-        if !fresh {
+            .map(|at| now.saturating_duration_since(at));
+        // What this start has not watched for long enough can't be judged.
+        let watched = self.shared.started.elapsed() > lag;
+        if !watched || list_age.is_none_or(|age| age > lag) {
             return Vec::new();
         }
-        let is_gone = |host: &String, incarnation: u64| {
-            !state.last_listed.contains_key(&(host.clone(), incarnation))
-                && *host != self.me.entry.name
-                || (*host == self.me.entry.name && incarnation != self.incarnation)
-                    && !state.last_listed.contains_key(&(host.clone(), incarnation))
+        let is_listed = |host: &HostName, incarnation: Incarnation| {
+            let seen = state.last_listed.get(&(host.clone(), incarnation));
+            seen.is_some_and(|seen| now.saturating_duration_since(*seen) <= lag)
+        };
+        let starts = state
+            .roster
+            .parts
+            .iter()
+            .map(|(host, part)| (host, part.incarnation));
+        let (here, gone): (Vec<_>, Vec<_>) =
+            starts.partition(|(host, incarnation)| is_listed(host, *incarnation));
+        let mine = self.shared.ledger().lenders(now);
+        let nobody_holds = |lender: &HostName| {
+            let others = here.iter().filter(|(host, _)| **host != self.me.entry.name);
+            let mut others = others.map(|(host, _)| host);
+            !mine.contains(lender)
+                && others.all(|host| state.membership.holds_nothing_of(now, host, lender))
         };
-        let parts = state.roster.parts.iter();
-        parts
-            .filter(|(host, part)| is_gone(host, part.incarnation))
-            .map(|(host, part)| (host.clone(), part.incarnation))
+        gone.into_iter()
+            .filter(|(host, _)| nobody_holds(host))
+            .map(|(host, incarnation)| (host.clone(), incarnation))
             .collect()
     }
 }
--- a/src/host/spread.rs
+++ b/src/host/spread.rs
@@ -38,10 +38,11 @@
         targets.sort();
         targets.dedup();
         let loads = self.own_loads();
+        let lenders = self.shared.ledger().lenders(now);
         let beat = {
             let mut state = self.state.borrow_mut();
             Rc::new(Beat {
-                heartbeat: state.membership.heartbeat(now),
+                heartbeat: state.membership.heartbeat(now, lenders),
                 position: state.history.position().clone(),
                 loads,
             })
