Prove at-most-once and configuration under failures

Two faults found: a claim whose answers were all lost was refused though its row was written (now settled by reading back), and a store ticket whose home was silent stayed unknown (now decided by the claim row).

--- a/crates/caller/src/local.rs
+++ b/crates/caller/src/local.rs
@@ -32,6 +32,8 @@
     MayHaveRun(ErrorKind),
     /// The host that it was to go to can't be reached; nothing was sent.
     Unreachable,
+    /// The host that it was sent to gave no answer; it may have run.
+    Silent,
 }
 
 impl Miss {
@@ -40,6 +42,7 @@
         match self {
             Miss::Refused(kind) | Miss::NotRun(kind) | Miss::MayHaveRun(kind) => kind,
             Miss::Unreachable => ErrorKind::NoUpstream,
+            Miss::Silent => ErrorKind::OutcomeUnknown,
         }
     }
 }
--- a/crates/caller/src/steer.rs
+++ b/crates/caller/src/steer.rs
@@ -92,7 +92,9 @@
                 (miss.kind(), spills <= SPILLS && spills < places.len())
             }
             Miss::NotRun(kind) => (kind, may_retry(shared, head, Attempt::NotRun)),
-            Miss::MayHaveRun(kind) => (kind, may_retry(shared, head, Attempt::MayHaveRun)),
+            Miss::MayHaveRun(_) | Miss::Silent => {
+                (miss.kind(), may_retry(shared, head, Attempt::MayHaveRun))
+            }
         };
         let in_time = Instant::now() < head.deadline;
         if !again || !in_time || attempts >= ATTEMPTS {
@@ -109,7 +111,7 @@
 fn failure(miss: Miss, kind: ErrorKind) -> Failure {
     let not_run = match miss {
         Miss::Refused(_) | Miss::NotRun(_) | Miss::Unreachable => NotRun::True,
-        Miss::MayHaveRun(_) => NotRun::Unknown,
+        Miss::MayHaveRun(_) | Miss::Silent => NotRun::Unknown,
     };
     if kind.answer().not_run == not_run {
         return Failure { kind, not_run };
@@ -295,7 +297,7 @@
         }
         Err(SendError::Lost { reason }) => {
             tracing::info!(event = "relay_lost", id = head.id, host = to.name, reason);
-            Err(Miss::MayHaveRun(ErrorKind::OutcomeUnknown))
+            Err(Miss::Silent)
         }
         Err(SendError::Late) => Err(Miss::MayHaveRun(ErrorKind::DeadlineAfterDispatch)),
     }
--- a/crates/caller/src/ticketed.rs
+++ b/crates/caller/src/ticketed.rs
@@ -89,8 +89,8 @@
     head.headers.insert(name, value(ticket_text));
     match relay_home(shared, &head, body, home).await {
         Ok(answer) => Ok(answer),
-        // Nothing was sent: the host is not there.
-        Err(Miss::Unreachable) => Err(None),
+        // What the store holds may say more.
+        Err(Miss::Unreachable | Miss::Silent) => Err(None),
         // Another start answers at this address: the ticket's host is gone.
         Err(Miss::Refused(ErrorKind::TicketInvalid) | Miss::NotRun(ErrorKind::TicketInvalid)) => {
             Err(None)
@@ -103,7 +103,7 @@
     }
 }
 
-/// The ticket's host is gone: what it left in the store decides.
+/// The ticket's host does not answer: what it left in the store decides.
 async fn after_home(
     shared: &Arc<Shared>,
     head: WorkHead,
--- a/crates/platform/src/claims.rs
+++ b/crates/platform/src/claims.rs
@@ -71,16 +71,14 @@
                     answers.extend(held);
                     open.clear();
                 }
-                Ok(Commit::Conflict(rows)) => {
-                    for row in rows {
-                        let id = row.key.trim_start_matches(CLAIMS).to_owned();
-                        open.remove(&id);
-                        answers.insert(id, self.judge(&row, lost));
-                    }
-                }
+                Ok(Commit::Conflict(rows)) => self.settle(&rows, lost, &mut open, &mut answers),
                 Err(StoreError::AnswerLost(reason)) => {
                     lost = true;
                     last = StoreError::AnswerLost(reason);
+                    let keys: Vec<String> = open.keys().map(|id| key(id)).collect();
+                    if let Ok(rows) = self.platform.read(&keys) {
+                        self.settle(&rows, lost, &mut open, &mut answers);
+                    }
                 }
                 Err(error) => {
                     last = error;
@@ -95,6 +93,21 @@
         requests.iter().map(answer).collect()
     }
 
+    /// Takes rows that are there out of `open`, with what they mean.
+    fn settle(
+        &self,
+        rows: &[Row],
+        lost: bool,
+        open: &mut BTreeMap<ClaimId, &ClaimRequest>,
+        answers: &mut BTreeMap<ClaimId, ClaimOutcome>,
+    ) {
+        for row in rows.iter().filter(|row| row.version != ABSENT) {
+            let id = row.key.trim_start_matches(CLAIMS).to_owned();
+            open.remove(&id);
+            answers.insert(id, self.judge(row, lost));
+        }
+    }
+
     /// Writes the ends of work; the rows' earlier state does not matter, since
     /// only the host that ran it writes them.
     pub fn finish(&self, receipts: &[ReceiptWrite]) -> Result<(), StoreError> {
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -14,8 +14,9 @@
 use steering::document::{Change, Edit, Proposal, Verdict};
 use steering::history::History;
 use steering::ids::Revision;
-use tokio::runtime::{Builder, Runtime};
+use tokio::runtime::{Builder, Handle, Runtime};
 
+use crate::link::{Link, LinkState};
 use crate::platform::StandInPlatform;
 use crate::upstream::{Behaviour, StandInUpstream};
 
@@ -37,6 +38,33 @@
     pub zone: String,
 }
 
+/// The links of a host: to the platform, and from other hosts to it.
+pub struct HostLinks {
+    /// To the platform.
+    pub platform: Link,
+    /// From other hosts, for relayed requests; none until it is known where to.
+    pub relays: Option<Link>,
+    /// From other hosts, for messages.
+    pub peers: Option<Link>,
+}
+
+impl HostLinks {
+    fn towards(self, addresses: &Addresses, runtime: &Handle) -> io::Result<HostLinks> {
+        Ok(HostLinks {
+            relays: Some(Link::start(addresses.relay, runtime)?),
+            peers: Some(Link::start(addresses.peer, runtime)?),
+            ..self
+        })
+    }
+
+    /// Sets the links from other hosts.
+    pub fn set_hosts(&self, state: LinkState) {
+        for link in self.relays.iter().chain(&self.peers) {
+            link.set(state);
+        }
+    }
+}
+
 /// A deployment to start.
 #[derive(Debug, Clone)]
 pub struct DeploymentPlan {
@@ -114,6 +142,8 @@
     pub upstreams: BTreeMap<String, StandInUpstream>,
     /// The hosts, by name.
     pub hosts: BTreeMap<String, Host>,
+    /// The links of each host, by its name.
+    pub links: BTreeMap<String, HostLinks>,
     plan: DeploymentPlan,
     runtime: Runtime,
 }
@@ -143,6 +173,7 @@
             platform,
             upstreams,
             hosts: BTreeMap::new(),
+            links: BTreeMap::new(),
             plan,
             runtime,
         };
@@ -155,6 +186,20 @@
 
     /// Starts a host, or another start of one that is gone.
     pub fn start_host(&mut self, host: &HostPlan) -> io::Result<()> {
+        self.start_host_with(host, |_| {})
+    }
+
+    /// Starts a host with a change to its settings.
+    pub fn start_host_with(
+        &mut self,
+        host: &HostPlan,
+        tune: impl FnOnce(&mut Config),
+    ) -> io::Result<()> {
+        let links = HostLinks {
+            platform: Link::start(self.platform.address(), self.runtime.handle())?,
+            relays: None,
+            peers: None,
+        };
         let mut config = Config {
             host: host.name.clone(),
             zone: host.zone.clone(),
@@ -162,7 +207,8 @@
             relay_address: any_port(),
             peer_address: any_port(),
             operator_address: any_port(),
-            platform_address: self.platform.address(),
+            platform_address: links.platform.address(),
+            advertised: Default::default(),
             peer_key: PEER_KEY.to_owned(),
             seeds: Vec::new(),
             platform_timeout_ms: 1_000,
@@ -174,7 +220,12 @@
             limits: Default::default(),
         };
         (self.plan.tune)(&mut config);
+        tune(&mut config);
         let sockets = Sockets::bind(&config).map_err(io::Error::other)?;
+        let links = links.towards(&sockets.addresses()?, self.runtime.handle())?;
+        config.advertised.relay_address = links.relays.as_ref().map(Link::address);
+        config.advertised.peer_address = links.peers.as_ref().map(Link::address);
+        self.links.insert(host.name.clone(), links);
         let started = Host::start(config, sockets).map_err(io::Error::other)?;
         self.hosts.insert(host.name.clone(), started);
         Ok(())
@@ -271,6 +322,7 @@
 
     /// Ends a host as a crash would.
     pub fn kill(&mut self, host: &str) {
+        self.links.remove(host);
         if let Some(host) = self.hosts.remove(host) {
             host.kill();
         }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,14 +4,16 @@
 pub mod cli;
 mod deployment;
 mod fault;
+mod link;
 pub mod measure;
 mod platform;
 mod trial;
 mod trial_caller;
 mod upstream;
 
-pub use deployment::{Deployment, DeploymentPlan, HostPlan, any_port, eventually};
+pub use deployment::{Deployment, DeploymentPlan, HostLinks, HostPlan, any_port, eventually};
 pub use fault::Fault;
+pub use link::{Link, LinkState};
 pub use platform::{PlatformFaults, StandInPlatform};
 pub use trial::{TrialReport, run as run_trial};
 pub use trial_caller::{Reply, TrialCaller};
--- a/src/config.rs
+++ b/src/config.rs
@@ -34,6 +34,9 @@
     pub platform_address: SocketAddr,
     /// Key that all hosts of the deployment share, at least 16 characters.
     pub peer_key: String,
+    /// Addresses that others reach the host at, where they differ from its own.
+    #[serde(default)]
+    pub advertised: Advertised,
     /// Peer addresses to ask at first, besides the platform's list.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
@@ -60,6 +63,20 @@
     pub limits: Limits,
 }
 
+/// Addresses that others reach a host at; none is the host's own.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Advertised {
+    /// IP number and port for callers.
+    pub caller_address: Option<SocketAddr>,
+    /// IP number and port for requests that other hosts relay.
+    pub relay_address: Option<SocketAddr>,
+    /// IP number and port for messages of other hosts.
+    pub peer_address: Option<SocketAddr>,
+    /// IP number and port for operators.
+    pub operator_address: Option<SocketAddr>,
+}
+
 fn default_platform_timeout_ms() -> u64 {
     2_000
 }
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -123,10 +123,13 @@
         let me = HostEntry {
             name: config.host.clone(),
             zone: config.zone.clone(),
-            caller_address: addresses.caller,
-            relay_address: addresses.relay,
-            peer_address: addresses.peer,
-            operator_address: addresses.operator,
+            caller_address: config.advertised.caller_address.unwrap_or(addresses.caller),
+            relay_address: config.advertised.relay_address.unwrap_or(addresses.relay),
+            peer_address: config.advertised.peer_address.unwrap_or(addresses.peer),
+            operator_address: config
+                .advertised
+                .operator_address
+                .unwrap_or(addresses.operator),
         };
         let platform = HttpPlatform::new(
             config.platform_address,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,5 +16,5 @@
 
 pub use cli::Cli;
 pub use commands::{Outcome, run};
-pub use config::{Config, ConfigError};
+pub use config::{Advertised, Config, ConfigError};
 pub use host::{Addresses, Host, HostError, Sockets};
