Kill, freeze, stop and replace hosts as separate processes

Cause: planned stops, crashes and pauses were untested outside one process. Change: tests that start the shipped binary, with SIGKILL, SIGSTOP and SIGCONT, SIGTERM under a download, and all hosts replaced one by one under load; tests of the command line.

--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -103,6 +103,11 @@
         lock(&self.inner.state).remove_host(name);
     }
 
+    /// The list without its lag.
+    pub fn listed(&self) -> Vec<ListedHost> {
+        lock(&self.inner.state).hosts(Instant::now(), Duration::ZERO)
+    }
+
     /// Overwrites an object, as damage would.
     pub fn damage_objects(&self) {
         lock(&self.inner.state).damage_objects();
--- a/crates/standin/src/trial_caller.rs
+++ b/crates/standin/src/trial_caller.rs
@@ -10,6 +10,7 @@
 use crate::upstream::OPERATION_HEADER;
 
 const ANSWER_LIMIT_BYTES: u64 = 16 << 20;
+const PINNED: Duration = Duration::from_secs(3_600);
 
 /// What a caller got.
 #[derive(Debug, Clone, PartialEq)]
@@ -60,6 +61,12 @@
         }
     }
 
+    /// Uses one host from now on, without look-ups.
+    pub fn pin(&mut self, host: SocketAddr) {
+        self.found = vec![host];
+        self.found_until = Some(Instant::now() + PINNED);
+    }
+
     /// Looks up where the cache has lapsed; the hosts to use, best first.
     pub fn hosts(&mut self) -> Vec<SocketAddr> {
         let fresh = self.found_until.is_some_and(|until| Instant::now() < until);
--- /dev/null
+++ b/tests/command_line.rs
@@ -0,0 +1,170 @@
+//! The operators' command line, against a small deployment.
+
+use std::path::PathBuf;
+use std::sync::LazyLock;
+
+use clap::Parser;
+use rstest::rstest;
+use stagedeck::{Cli, Config, Outcome};
+use standin::{Deployment, DeploymentPlan};
+
+fn run(words: &[&str]) -> Outcome {
+    let words = ["stagedeck"].iter().chain(words);
+    stagedeck::run(&Cli::parse_from(words))
+}
+
+fn at(host: &str, words: &[&str]) -> Outcome {
+    let mut words = words.to_vec();
+    words.extend(["--host", host]);
+    run(&words)
+}
+
+fn example(name: &str) -> String {
+    let path: PathBuf = [env!("CARGO_MANIFEST_DIR"), "examples", name]
+        .iter()
+        .collect();
+    path.display().to_string()
+}
+
+fn start() -> (Deployment, String) {
+    let deployment = Deployment::start(DeploymentPlan::small()).unwrap();
+    let host = deployment.addresses("n1").operator.to_string();
+    (deployment, host)
+}
+
+#[rstest]
+#[case("railway.json", "6 zones, 2 services, 36 upstreams")]
+#[case("tax.json", "6 zones, 2 services, 36 upstreams")]
+#[case("settings.json", "good settings")]
+fn examples_are_good(#[case] file: &str, #[case] says: &str) {
+    let outcome = run(&["check", &example(file)]);
+    assert_eq!(outcome.code, 0, "{}", outcome.err);
+    assert!(outcome.out.contains(says), "{}", outcome.out);
+}
+
+static SETTINGS: LazyLock<serde_json::Value> = LazyLock::new(|| {
+    serde_json::from_str(&std::fs::read_to_string(example("settings.json")).unwrap()).unwrap()
+});
+
+#[rstest]
+#[case("host", serde_json::json!(""), "host: must be")]
+#[case("zone", serde_json::json!("a b"), "zone: must be")]
+#[case("peer_key", serde_json::json!("short"), "peer_key: must have at least 16")]
+#[case("look_up_ttl_ms", serde_json::json!(1), "look_up_ttl_ms: must be from 100")]
+#[case("caller_address", serde_json::json!("0.0.0.0:1"), "caller_address: must be an IP number that others")]
+#[case("peer_address", serde_json::json!("127.0.0.1:8080"), "peer_address: `127.0.0.1:8080` is used twice")]
+#[case("log", serde_json::json!("loud=yes=no"), "log: ")]
+#[case("limits", serde_json::json!({"head_bytes": 10}), "limits.head_bytes: must be from 8192")]
+#[case("caller_address", serde_json::json!("localhost:80"), "invalid socket address")]
+#[case("look_up_ttl_s", serde_json::json!(5), "unknown field `look_up_ttl_s`")]
+fn wrong_settings_are_named(
+    #[case] field: &str,
+    #[case] value: serde_json::Value,
+    #[case] says: &str,
+) {
+    let mut settings = SETTINGS.clone();
+    settings[field] = value;
+    let error = Config::parse(&settings.to_string())
+        .unwrap_err()
+        .to_string();
+    assert!(error.contains(says), "{error}");
+}
+
+#[test]
+fn all_wrong_settings_come_at_once() {
+    let mut settings = SETTINGS.clone();
+    settings["host"] = "".into();
+    settings["peer_key"] = "".into();
+    let error = Config::parse(&settings.to_string())
+        .unwrap_err()
+        .to_string();
+    assert_eq!(error.lines().count(), 2, "{error}");
+}
+
+#[test]
+fn changes_go_into_force_and_conflicts_and_errors_have_their_codes() {
+    let (deployment, host) = start();
+    let labelled = at(&host, &["label", "upstream/surcos-norte-1", "tier=gold"]);
+    assert_eq!((labelled.code, labelled.err.as_str()), (0, ""));
+    assert!(at(&host, &["show"]).out.contains("gold"));
+    assert_eq!(at(&host, &["label", "upstream/none", "tier=gold"]).code, 2);
+    assert_eq!(at(&host, &["label", "house/x", "tier=gold"]).code, 2);
+    assert_eq!(at(&host, &["label", "zone/norte", "tier"]).code, 2);
+    let wrong = at(&host, &["label", "zone/norte", "state=asleep"]);
+    assert_eq!(wrong.code, 2);
+    assert!(wrong.err.contains("zones[0].labels.state"), "{}", wrong.err);
+    let asked_again = ["label", "zone/norte", "a=b", "--change-id", "same"];
+    let first = at(&host, &asked_again);
+    assert_eq!(first, at(&host, &asked_again));
+    deployment.platform.set_down(true);
+    assert_eq!(at(&host, &["label", "zone/norte", "a=c"]).code, 5);
+    assert_eq!(at("127.0.0.1:1", &["status"]).code, 5);
+}
+
+#[test]
+fn a_configuration_is_shown_as_it_can_be_applied() {
+    let (_deployment, host) = start();
+    let shown = at(&host, &["show"]).out;
+    let file = std::env::temp_dir().join(format!("stagedeck-{}.json", std::process::id()));
+    std::fs::write(
+        &file,
+        shown.replace("\"queue_limit\": 64", "\"queue_limit\": 65"),
+    )
+    .unwrap();
+    let applied = at(&host, &["apply", &file.display().to_string()]);
+    assert_eq!(
+        (applied.code, applied.out.as_str()),
+        (0, "in force from revision 2 on")
+    );
+    let again = at(&host, &["apply", &file.display().to_string()]);
+    assert!(again.out.contains("nothing to change"), "{again:?}");
+    std::fs::remove_file(&file).unwrap();
+}
+
+#[test]
+fn a_drain_waits_until_the_upstream_is_quiet() {
+    let (_deployment, host) = start();
+    let outcome = at(&host, &["drain", "surcos-norte-1", "--wait"]);
+    assert_eq!(outcome.code, 0, "{}", outcome.err);
+    assert!(outcome.out.contains("is quiet"), "{}", outcome.out);
+    let status = at(&host, &["status"]).out;
+    assert!(status.contains("surcos-norte-1: 0 of"), "{status}");
+    assert_eq!(at(&host, &["retire", "surcos-norte-1"]).code, 0);
+    assert_eq!(at(&host, &["drain", "service/surcos"]).code, 2);
+}
+
+#[test]
+fn status_dump_look_up_and_completions_print() {
+    let (deployment, host) = start();
+    let status = at(&host, &["--output", "json", "status"]);
+    let status: serde_json::Value = serde_json::from_str(&status.out).unwrap();
+    assert_eq!(status["revision"], 1);
+    let dump: serde_json::Value = serde_json::from_str(&at(&host, &["dump"]).out).unwrap();
+    assert_eq!(dump["status"]["host"], "n1");
+    let callers = deployment.addresses("n1").caller.to_string();
+    let found = run(&[
+        "lookup",
+        "--at",
+        &callers,
+        "--service",
+        "surcos",
+        "--tickets",
+        "2",
+    ]);
+    let found: serde_json::Value = serde_json::from_str(&found.out).unwrap();
+    assert_eq!(found["tickets"].as_array().unwrap().len(), 2);
+    assert_eq!(
+        run(&["lookup", "--at", &callers, "--service", "none"]).code,
+        2
+    );
+    assert!(run(&["completions", "bash"]).out.contains("stagedeck"));
+}
+
+#[test]
+fn metrics_are_prometheus_text() {
+    let (deployment, _) = start();
+    let mut caller = standin::TrialCaller::new("surcos", deployment.entries());
+    caller.get("/x");
+    let metrics = deployment.operator("n1").metrics().unwrap();
+    assert!(metrics.contains("stagedeck_requests_total"), "{metrics}");
+}
--- /dev/null
+++ b/tests/processes.rs
@@ -0,0 +1,389 @@
+//! Hosts as separate processes: killed, frozen and stopped.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use operator::OperatorClient;
+use stagedeck::Config;
+use standin::{
+    Behaviour, DeploymentPlan, Reply, StandInPlatform, StandInUpstream, TrialCaller, any_port,
+    eventually,
+};
+use tokio::runtime::{Builder, Runtime};
+
+/// A host process; killed when dropped.
+struct Process {
+    child: Child,
+    config: Config,
+    settings: PathBuf,
+}
+
+impl Process {
+    /// Starts a host on free ports, and waits until the platform lists it.
+    fn start(name: &str, zone: &str, platform: &StandInPlatform) -> Process {
+        let any = any_port();
+        let text = serde_json::json!({
+            "host": name, "zone": zone,
+            "caller_address": any, "relay_address": any, "peer_address": any, "operator_address": any,
+            "platform_address": platform.address(), "peer_key": "a key for tests on loopback",
+            "look_up_ttl_ms": 300, "ticket_ttl_ms": 1000, "host_list_lag_ms": 2000,
+            "log": "error"
+        })
+        .to_string();
+        let settings = std::env::temp_dir().join(format!(
+            "stagedeck-{}-{name}-{}.json",
+            std::process::id(),
+            platform.address().port()
+        ));
+        std::fs::write(&settings, &text).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_stagedeck"))
+            .args(["serve", "--settings"])
+            .arg(&settings)
+            .stdin(Stdio::null())
+            .spawn()
+            .unwrap();
+        let mut process = Process {
+            child,
+            config: Config::parse(&text).unwrap(),
+            settings,
+        };
+        eventually("the platform lists it", || {
+            let listed = platform
+                .listed()
+                .into_iter()
+                .find(|host| host.entry.name == name);
+            let Some(listed) = listed else { return false };
+            process.config.caller_address = listed.entry.caller_address;
+            process.config.operator_address = listed.entry.operator_address;
+            true
+        })
+        .unwrap();
+        process
+    }
+
+    fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.child.id() as i32), signal).unwrap();
+    }
+
+    fn operator(&self) -> OperatorClient {
+        OperatorClient::new(self.config.operator_address, Duration::from_secs(5))
+    }
+
+    fn knows(&self, hosts: usize) -> bool {
+        let status = self.operator().status();
+        status.is_ok_and(|status| status.revision >= 1 && status.hosts.len() == hosts)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+struct Bench {
+    platform: StandInPlatform,
+    upstreams: BTreeMap<String, StandInUpstream>,
+    processes: Vec<Process>,
+    loads: AtomicU64,
+    _runtime: Runtime,
+}
+
+impl Bench {
+    fn start() -> Bench {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .unwrap();
+        let platform = StandInPlatform::start(any_port()).unwrap();
+        let mut document = DeploymentPlan::small().document;
+        let mut upstreams = BTreeMap::new();
+        for upstream in &mut document.upstreams {
+            let behaviour = Behaviour {
+                slots: upstream.slots,
+                ..Behaviour::default()
+            };
+            let started =
+                StandInUpstream::start(&upstream.name, any_port(), behaviour, runtime.handle())
+                    .unwrap();
+            upstream.address = started.address();
+            upstreams.insert(upstream.name.clone(), started);
+        }
+        let processes = vec![
+            Process::start("n1", "norte", &platform),
+            Process::start("n2", "norte", &platform),
+            Process::start("p1", "puerto", &platform),
+        ];
+        let bench = Bench {
+            platform,
+            upstreams,
+            processes,
+            loads: AtomicU64::new(0),
+            _runtime: runtime,
+        };
+        let first = &bench.processes[0];
+        eventually("the first host answers", || {
+            first.operator().status().is_ok()
+        })
+        .unwrap();
+        let change = steering::Document::default().difference(&document, "first".to_owned());
+        let proposal = steering::document::Proposal { change, base: 0 };
+        first.operator().propose(&proposal).unwrap();
+        eventually("all know all", || {
+            bench.processes.iter().all(|process| process.knows(3))
+        })
+        .unwrap();
+        bench
+    }
+
+    fn entries(&self) -> Vec<SocketAddr> {
+        self.processes
+            .iter()
+            .map(|process| process.config.caller_address)
+            .collect()
+    }
+
+    fn most_runs(&self) -> u32 {
+        let counts = self
+            .upstreams
+            .values()
+            .map(|upstream| upstream.counts().operations);
+        let mut all: BTreeMap<String, u32> = BTreeMap::new();
+        for (operation, times) in counts.flatten() {
+            *all.entry(operation).or_default() += times;
+        }
+        all.values().copied().max().unwrap_or(0)
+    }
+
+    /// Consultations and reservations while `meanwhile` runs; what callers saw.
+    fn under_load(&self, meanwhile: impl FnOnce(&AtomicU64)) -> Seen {
+        let over = AtomicBool::new(false);
+        let answered = AtomicU64::new(0);
+        // Operations of one load are not those of another.
+        let tag = self.loads.fetch_add(1, Ordering::AcqRel);
+        std::thread::scope(|scope| {
+            let callers: Vec<_> = (0..3)
+                .map(|number| {
+                    let (over, answered) = (&over, &answered);
+                    scope.spawn(move || call(self.entries(), tag, number, over, answered))
+                })
+                .collect();
+            meanwhile(&answered);
+            over.store(true, Ordering::Release);
+            let seen = callers.into_iter().map(|caller| caller.join().unwrap());
+            seen.fold(Seen::default(), Seen::add)
+        })
+    }
+}
+
+#[derive(Debug, Default)]
+struct Seen {
+    wrong: u64,
+    cut: u64,
+    told_not_run: Vec<String>,
+}
+
+impl Seen {
+    fn add(mut self, other: Seen) -> Seen {
+        self.wrong += other.wrong;
+        self.cut += other.cut;
+        self.told_not_run.extend(other.told_not_run);
+        self
+    }
+
+    fn take(&mut self, reply: &Reply, path: &str, operation: Option<&str>) -> u64 {
+        match reply {
+            Reply::Answered(echo) => {
+                self.wrong += u64::from(echo["path"] != path);
+                return 1;
+            }
+            Reply::Refused { not_run, .. } => {
+                let told = operation.filter(|_| not_run == "true");
+                self.told_not_run.extend(told.map(str::to_owned));
+            }
+            Reply::Cut(_) => self.cut += 1,
+        }
+        0
+    }
+}
+
+fn call(
+    entries: Vec<SocketAddr>,
+    tag: u64,
+    number: usize,
+    over: &AtomicBool,
+    answered: &AtomicU64,
+) -> Seen {
+    let mut caller = TrialCaller::new("surcos", entries);
+    let mut seen = Seen::default();
+    let mut round = 0;
+    while !over.load(Ordering::Acquire) {
+        round += 1;
+        let path = format!("/p/{number}/{round}");
+        let mut got = seen.take(&caller.get(&path), &path, None);
+        let operation = format!("o-{tag}-{number}-{round}");
+        if let Some((ticket, host)) = caller.ticket() {
+            let reply = caller.post_at(host, "/r", &operation, &ticket);
+            got += seen.take(&reply, "/r", Some(&operation));
+        }
+        answered.fetch_add(got, Ordering::AcqRel);
+    }
+    seen
+}
+
+fn wait_for_more(answered: &AtomicU64, more: u64) {
+    let before = answered.load(Ordering::Acquire);
+    eventually("more is answered", || {
+        answered.load(Ordering::Acquire) >= before + more
+    })
+    .unwrap();
+}
+
+fn check(bench: &Bench, seen: &Seen) {
+    assert_eq!(seen.wrong, 0);
+    assert!(
+        bench.most_runs() <= 1,
+        "an operation ran {} times",
+        bench.most_runs()
+    );
+    let ran = |id: &String| {
+        let mut counts = bench
+            .upstreams
+            .values()
+            .map(|upstream| upstream.counts().operations);
+        counts.any(|operations| operations.contains_key(id))
+    };
+    let lied: Vec<&String> = seen.told_not_run.iter().filter(|id| ran(id)).collect();
+    assert!(lied.is_empty(), "told not run, but ran: {lied:?}");
+}
+
+#[test]
+fn a_killed_host_leaves_the_others_serving() {
+    let mut bench = Bench::start();
+    let victim = bench.processes.remove(0);
+    let seen = bench.under_load(|answered| {
+        wait_for_more(answered, 50);
+        victim.signal(Signal::SIGKILL);
+        bench.platform.remove_host("n1");
+        wait_for_more(answered, 200);
+        eventually("the others count it out", || {
+            bench.processes.iter().all(|p| p.knows(2))
+        })
+        .unwrap();
+    });
+    check(&bench, &seen);
+}
+
+#[test]
+fn a_frozen_host_that_resumes_does_no_harm() {
+    let bench = Bench::start();
+    let seen = bench.under_load(|answered| {
+        wait_for_more(answered, 50);
+        bench.processes[1].signal(Signal::SIGSTOP);
+        let others = [&bench.processes[0], &bench.processes[2]];
+        eventually("the others count it out", || {
+            others.iter().all(|process| {
+                let status = process.operator().status();
+                let zone =
+                    status.map(|status| status.hosts.iter().filter(|h| h.zone == "norte").count());
+                zone.is_ok_and(|count| count == 1)
+            })
+        })
+        .unwrap();
+        bench.processes[1].signal(Signal::SIGCONT);
+        eventually("it is back", || {
+            bench.processes.iter().all(|process| process.knows(3))
+        })
+        .unwrap();
+        wait_for_more(answered, 100);
+    });
+    check(&bench, &seen);
+}
+
+#[test]
+fn a_planned_stop_cuts_nothing_and_exits_with_0() {
+    let mut bench = Bench::start();
+    let mut leaving = bench.processes.remove(1);
+    // A download that runs over the leaving host while it stops.
+    let download = {
+        let mut caller = TrialCaller::new("surcos", vec![leaving.config.caller_address]);
+        caller.pin(leaving.config.caller_address);
+        std::thread::spawn(move || caller.download("/archive?300000000"))
+    };
+    let busy = || {
+        bench
+            .upstreams
+            .values()
+            .any(|upstream| upstream.in_flight() > 0)
+    };
+    eventually("the download runs", busy).unwrap();
+    let mut status = None;
+    let seen = bench.under_load(|answered| {
+        wait_for_more(answered, 50);
+        leaving.signal(Signal::SIGTERM);
+        eventually("it exits", || {
+            status = leaving.child.try_wait().unwrap();
+            status.is_some()
+        })
+        .unwrap();
+        wait_for_more(answered, 100);
+    });
+    assert_eq!(status.unwrap().code(), Some(0));
+    assert_eq!(download.join().unwrap(), Ok(300_000_000));
+    assert_eq!(seen.cut, 0);
+    assert!(seen.told_not_run.is_empty(), "{:?}", seen.told_not_run);
+    check(&bench, &seen);
+}
+
+#[test]
+fn all_hosts_replaced_one_by_one_lose_nothing() {
+    let mut bench = Bench::start();
+    for (name, zone) in [("n1", "norte"), ("n2", "norte"), ("p1", "puerto")] {
+        let next = format!("{name}-next");
+        let new = Process::start(&next, zone, &bench.platform);
+        eventually("the new host is known", || new.knows(4)).unwrap();
+        bench.processes.push(new);
+        let mut old = bench.processes.remove(0);
+        let seen = bench.under_load(|answered| {
+            wait_for_more(answered, 20);
+            old.signal(Signal::SIGTERM);
+            eventually("it exits", || old.child.try_wait().unwrap().is_some()).unwrap();
+            bench.platform.remove_host(name);
+            wait_for_more(answered, 20);
+        });
+        assert_eq!(seen.cut, 0);
+        check(&bench, &seen);
+        eventually("three are left", || {
+            bench.processes.iter().all(|p| p.knows(3))
+        })
+        .unwrap();
+    }
+}
+
+#[test]
+fn a_host_that_cannot_start_says_why() {
+    let taken = TcpListener::bind(any_port()).unwrap();
+    let platform = StandInPlatform::start(any_port()).unwrap();
+    let process = Process::start("n1", "norte", &platform);
+    let mut config = process.config.clone();
+    config.caller_address = taken.local_addr().unwrap();
+    config.operator_address = any_port();
+    std::fs::write(&process.settings, serde_json::to_string(&config).unwrap()).unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_stagedeck"))
+        .args(["serve", "--settings"])
+        .arg(&process.settings)
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(5));
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(said.contains("caller_address"), "{said}");
+}
