Measure balance in a model, and stop chasing noise between zones

Cause: at 85 % load and all well the product's p99 was 102.7 ms against round robin's 70.3: a place counted as costly as soon as its slots were taken, and a noisy latency moved requests to other zones. Ruled out: the relay to the owner (0.2 ms of it). Change: a model of zones and upstreams in virtual time with round robin, random and power of two choices beside the product; the wait at a place is what queues over its slots; latency is smoothed over 20 answers; windows narrow where they are not used.

--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -67,6 +67,8 @@
 pub enum Measurement {
     /// Latency through one host and two, beside direct requests; a large download.
     Overhead,
+    /// Latency and headroom by load and upstream fault, beside baselines.
+    Balance,
 }
 
 /// Runs a command; false where what it checked was not good.
@@ -77,9 +79,10 @@
             println!("{report}");
             Ok(report.is_good())
         }
-        Command::Measure { name, plots: _ } => {
+        Command::Measure { name, plots } => {
             let figures = match name {
                 Measurement::Overhead => measure::overhead::run()?,
+                Measurement::Balance => measure::balance::run(plots.as_deref())?,
             };
             println!("{figures}");
             Ok(true)
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -1,6 +1,33 @@
 //! The measurements; each prints one JSON line, baseline and product in one run.
 
+pub mod balance;
 mod figures;
 pub mod overhead;
+mod plot;
 
 pub use figures::Spread;
+
+/// Runs jobs on all cores; results in the order of the jobs.
+fn parallel<J: Sync, R: Send>(jobs: &[J], run: impl Fn(&J) -> R + Sync) -> Vec<R> {
+    let next = std::sync::atomic::AtomicUsize::new(0);
+    let threads = std::thread::available_parallelism().map_or(1, usize::from);
+    let work = || {
+        let mut done = Vec::new();
+        loop {
+            let number = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+            let Some(job) = jobs.get(number) else {
+                return done;
+            };
+            done.push((number, run(job)));
+        }
+    };
+    let mut results: Vec<(usize, R)> = std::thread::scope(|scope| {
+        let workers: Vec<_> = (0..threads).map(|_| scope.spawn(work)).collect();
+        let joined = workers
+            .into_iter()
+            .map(|worker| worker.join().expect("a job panicked"));
+        joined.flatten().collect()
+    });
+    results.sort_by_key(|(number, _)| *number);
+    results.into_iter().map(|(_, result)| result).collect()
+}
--- /dev/null
+++ b/crates/standin/src/model/steerers.rs
@@ -0,0 +1,510 @@
+//! The product's decisions in the model, and the baselines.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use rand::Rng;
+use steering::belief::{Beliefs, Report};
+use steering::choice::{LeastExpected, PlaceView, choose_places};
+use steering::document::Upstream;
+use steering::limiter::{Ledger, LimitKey, Roster, WHOLE_PERMILLE};
+use steering::pool::{Decision, Grant, LoadReport, Outcome, Pool, PoolLimits, Step, WaitId};
+
+use super::engine::{Engine, Event, Fate, Steerer};
+
+const SERVICE: &str = "s";
+const SPILLS: usize = 2;
+/// Ticks of the engine between two reports of a zone's load to the others.
+const SUMMARY_TICKS: u64 = 20;
+/// One way between two hosts of a zone, in milliseconds: the relay to the owner.
+const RELAY_MS: f64 = 0.1;
+
+/// One zone's owner.
+struct Owner {
+    pool: Pool,
+    waiting: HashMap<WaitId, usize>,
+    ledger: Ledger,
+    limits: Vec<LimitKey>,
+}
+
+/// A roster that gives one host the whole of each limit.
+fn whole_roster() -> Roster {
+    let mut roster = Roster::default();
+    let taken = roster.take("owner", 1, WHOLE_PERMILLE);
+    debug_assert!(taken.is_ok());
+    roster
+}
+
+/// The decisions that ship.
+pub struct Product {
+    owners: Vec<Owner>,
+    /// What each zone's hosts believe of the others.
+    beliefs: Vec<Beliefs>,
+    own: Vec<Vec<AtomicU32>>,
+    ticks: u64,
+    /// While true no report reaches anybody.
+    pub reports_stopped: bool,
+    /// Most in flight under a rule's cap, over the cap.
+    pub peak_over_cap: f64,
+    /// Whether answers tell the load of the place that they come from.
+    pub piggyback: bool,
+}
+
+impl Product {
+    /// Owners of every zone, warm where `warm` is set.
+    pub fn new(engine: &Engine) -> Self {
+        let zones = engine.world.zones.len();
+        let now = engine.now();
+        let plan = &engine.world.plan;
+        let service = &plan.services[SERVICE];
+        let owner = |zone: &String| {
+            let mut pool = Pool::new(PoolLimits::from(&service.service), Box::new(LeastExpected));
+            let upstreams: Vec<Arc<Upstream>> = service
+                .zone(zone)
+                .map(|zone| {
+                    zone.pools
+                        .iter()
+                        .flat_map(|pool| pool.upstreams.clone())
+                        .collect()
+                })
+                .unwrap_or_default();
+            pool.configure(
+                now,
+                PoolLimits::from(&service.service),
+                &upstreams,
+                Duration::ZERO,
+            );
+            let mut ledger = Ledger::new("owner".to_owned(), 1);
+            let limits = plan.zone_limits(zone);
+            ledger.configure(now, &limits, &whole_roster());
+            Owner {
+                pool,
+                waiting: HashMap::new(),
+                ledger,
+                limits: limits.into_keys().collect(),
+            }
+        };
+        Product {
+            owners: engine.world.zones.iter().map(owner).collect(),
+            beliefs: vec![Beliefs::default(); zones],
+            own: (0..zones)
+                .map(|_| (0..zones).map(|_| AtomicU32::new(0)).collect())
+                .collect(),
+            ticks: 0,
+            reports_stopped: false,
+            peak_over_cap: 0.0,
+            piggyback: true,
+        }
+    }
+
+    /// Opens every window, as after a long time of full use.
+    pub fn warm(&mut self, engine: &mut Engine, zones: &[usize]) {
+        let now = engine.now();
+        for zone in zones {
+            let mean = Duration::from_millis(1);
+            let pool = &mut self.owners[*zone].pool;
+            for _ in 0..2_000 {
+                let deadline = now + Duration::from_secs(60);
+                if let Decision::Granted(grant) = pool.offer(now, deadline, 5, &mut engine.rng) {
+                    let outcome = Outcome::Answered(mean);
+                    pool.release(now, &grant.upstream.name, outcome, &mut engine.rng);
+                }
+            }
+        }
+    }
+
+    /// Takes another configuration: rules, caps.
+    pub fn reconfigure(&mut self, engine: &Engine) {
+        let now = engine.now();
+        for (zone, owner) in engine.world.zones.iter().zip(&mut self.owners) {
+            let limits = engine.world.plan.zone_limits(zone);
+            owner.ledger.configure(now, &limits, &whole_roster());
+            owner.limits = limits.into_keys().collect();
+        }
+    }
+
+    /// Slots that zone's owner may use now, for plots.
+    pub fn allowed(&self, zone: usize) -> u32 {
+        self.owners[zone].pool.load().capacity
+    }
+
+    fn views(&self, engine: &Engine, entry: usize) -> Vec<(usize, PlaceView)> {
+        let plan = &engine.world.plan;
+        let service = &plan.services[SERVICE];
+        let rule = plan.rule(&service.service, None, &Default::default());
+        let shares = self.shares(engine);
+        let now = engine.now();
+        let mut views = Vec::new();
+        for (number, zone) in service.zones.iter().enumerate() {
+            let zone_number = engine
+                .world
+                .zones
+                .iter()
+                .position(|name| *name == zone.zone);
+            let zone_number = zone_number.unwrap_or(number);
+            if engine.world.lost[zone_number] {
+                continue;
+            }
+            let own = self.own[entry][zone_number].load(Ordering::Relaxed);
+            let believed = self.beliefs[entry].believe(now, &zone.zone, SERVICE, zone.slots, own);
+            views.push((
+                zone_number,
+                PlaceView {
+                    zone: zone.zone.clone(),
+                    share: rule.map(|_| shares[zone_number]),
+                    one_way_ms: engine.world.one_way_ms[entry][zone_number],
+                    capacity: believed.capacity,
+                    in_flight: believed.in_flight,
+                    latency_ms: match believed.latency_ms {
+                        known if known > 0.0 => known,
+                        _ => service.service.expected_ms,
+                    },
+                },
+            ));
+        }
+        views
+    }
+
+    fn shares(&self, engine: &Engine) -> Vec<f64> {
+        let plan = &engine.world.plan;
+        let Some(rule) = plan.document.rules.first() else {
+            return vec![0.0; engine.world.zones.len()];
+        };
+        let of_zone = |zone: &String| {
+            let labels = plan.zone_labels(zone);
+            let place =
+                labels.and_then(|labels| rule.places.iter().find(|p| p.zones.matches(labels)));
+            let Some(place) = place else { return 0.0 };
+            let matching = engine.world.zones.iter().filter(|other| {
+                plan.zone_labels(other)
+                    .is_some_and(|labels| place.zones.matches(labels))
+            });
+            place.share_percent / matching.count().max(1) as f64
+        };
+        engine.world.zones.iter().map(of_zone).collect()
+    }
+
+    fn send_on(&mut self, engine: &mut Engine, request: usize) {
+        let entry = engine.requests[request].entry;
+        let now_ms = engine.now_ms();
+        let over = now_ms - engine.requests[request].arrived_ms > engine.world.deadline_ms;
+        if engine.requests[request].places.is_empty() || over {
+            engine.fail(request, Fate::Refused);
+            return;
+        }
+        let zone = engine.requests[request].places.remove(0);
+        self.own[entry][zone].fetch_add(1, Ordering::Relaxed);
+        let way_ms = engine.world.one_way_ms[entry][zone] + RELAY_MS;
+        engine.after(way_ms, Event::Reach { request, zone });
+    }
+
+    fn go(&mut self, engine: &mut Engine, zone: usize, request: usize, grant: &Grant) {
+        let upstreams = engine.world.of_zone(zone);
+        let name = &grant.upstream.name;
+        let document = &engine.world.plan.document;
+        let found = upstreams
+            .iter()
+            .find(|u| document.upstreams[**u].name == *name);
+        engine.requests[request].upstream = *found.expect("a pool has its zone's upstreams");
+        let in_cap = f64::from(self.owners[zone].pool.load().in_flight);
+        let cap = engine.world.plan.zone_limits(&engine.world.zones[zone]);
+        for (key, units) in cap {
+            if matches!(key, LimitKey::RuleFlight(..)) {
+                self.peak_over_cap = self.peak_over_cap.max(in_cap / f64::from(units));
+            }
+        }
+        engine.after(0.0, Event::Take { request });
+    }
+
+    fn refuse(&mut self, engine: &mut Engine, zone: usize, request: usize) {
+        let entry = engine.requests[request].entry;
+        let way_ms = engine.world.one_way_ms[entry][zone] + RELAY_MS;
+        let answered = false;
+        engine.requests[request].upstream = engine.world.of_zone(zone)[0];
+        engine.after(way_ms, Event::Back { request, answered });
+    }
+
+    fn settle(&mut self, engine: &mut Engine, zone: usize, steps: Vec<Step>) {
+        for step in steps {
+            match step {
+                Step::Granted(grant) => {
+                    if let Some(request) = self.owners[zone].waiting.remove(&grant.wait) {
+                        self.go(engine, zone, request, &grant);
+                    }
+                }
+                Step::Refused(wait, _) => {
+                    if let Some(request) = self.owners[zone].waiting.remove(&wait) {
+                        let owner = &mut self.owners[zone];
+                        owner.ledger.release(&owner.limits);
+                        self.refuse(engine, zone, request);
+                    }
+                }
+            }
+        }
+    }
+
+    fn tell(&mut self, engine: &Engine, to: usize, about: usize, delay_ms: f64) {
+        if self.reports_stopped || engine.world.lost[about] {
+            return;
+        }
+        let report = Report {
+            load: self.owners[about].pool.load(),
+            measured: engine.at((engine.now_ms() - delay_ms).max(0.0)),
+        };
+        self.beliefs[to].update(&engine.world.zones[about], SERVICE, report);
+    }
+}
+
+impl Steerer for Product {
+    fn arrive(&mut self, engine: &mut Engine, request: usize) {
+        let entry = engine.requests[request].entry;
+        let views = self.views(engine, entry);
+        let places: Vec<PlaceView> = views.iter().map(|(_, view)| view.clone()).collect();
+        let order = choose_places(&places, &mut engine.rng);
+        let zones = order.into_iter().map(|i| views[i].0).take(SPILLS + 1);
+        engine.requests[request].places = zones.collect();
+        self.send_on(engine, request);
+    }
+
+    fn reach(&mut self, engine: &mut Engine, request: usize, zone: usize) {
+        if engine.world.lost[zone] {
+            engine.fail(request, Fate::Lost);
+            return;
+        }
+        let now = engine.now();
+        let entry = engine.requests[request].entry;
+        // The answer must be back at the entry host in time.
+        let back_ms = engine.world.one_way_ms[entry][zone] + RELAY_MS;
+        let deadline_ms = engine.requests[request].arrived_ms + engine.world.deadline_ms - back_ms;
+        let deadline = engine.at(deadline_ms);
+        let owner = &mut self.owners[zone];
+        if owner.ledger.admit(now, &owner.limits).is_err() {
+            self.refuse(engine, zone, request);
+            return;
+        }
+        match owner.pool.offer(now, deadline, 5, &mut engine.rng) {
+            Decision::Granted(grant) => self.go(engine, zone, request, &grant),
+            Decision::Queued(wait) => {
+                owner.waiting.insert(wait, request);
+            }
+            Decision::Refused(_) => {
+                owner.ledger.release(&owner.limits);
+                self.refuse(engine, zone, request);
+            }
+        }
+    }
+
+    fn served(&mut self, engine: &mut Engine, request: usize, shed: bool) {
+        let upstream = engine.requests[request].upstream;
+        let zone = engine.world.zone_of[upstream];
+        let name = engine.world.plan.document.upstreams[upstream].name.clone();
+        let took_ms = engine.now_ms() - engine.requests[request].sent_ms;
+        let outcome = match shed {
+            true => Outcome::Shed,
+            false => Outcome::Answered(Duration::from_secs_f64(took_ms / 1_000.0)),
+        };
+        let now = engine.now();
+        let owner = &mut self.owners[zone];
+        owner.ledger.release(&owner.limits);
+        let steps = owner.pool.release(now, &name, outcome, &mut engine.rng);
+        self.settle(engine, zone, steps);
+        let entry = engine.requests[request].entry;
+        let way_ms = engine.world.one_way_ms[entry][zone] + RELAY_MS;
+        engine.after(
+            way_ms,
+            Event::Back {
+                request,
+                answered: !shed,
+            },
+        );
+    }
+
+    fn back(&mut self, engine: &mut Engine, request: usize, answered: bool) {
+        let entry = engine.requests[request].entry;
+        let zone = engine.world.zone_of[engine.requests[request].upstream];
+        self.own[entry][zone].fetch_sub(1, Ordering::Relaxed);
+        if engine.world.lost[entry] {
+            engine.fail(request, Fate::Lost);
+            return;
+        }
+        if self.piggyback && (answered || entry == zone) {
+            let delay_ms = engine.world.one_way_ms[entry][zone];
+            self.tell(engine, entry, zone, delay_ms);
+        }
+        if answered {
+            engine.answer(request);
+            return;
+        }
+        engine.requests[request].refusals += 1;
+        self.send_on(engine, request);
+    }
+
+    fn tick(&mut self, engine: &mut Engine) {
+        self.ticks += 1;
+        let now = engine.now();
+        for zone in engine.present() {
+            for upstream in engine.world.of_zone(zone) {
+                let name = engine.world.plan.document.upstreams[upstream].name.clone();
+                let report = LoadReport {
+                    in_flight: engine.world.reported(upstream),
+                    healthy: true,
+                };
+                if !self.reports_stopped {
+                    self.owners[zone].pool.report(now, &name, &report);
+                }
+            }
+            let steps = self.owners[zone].pool.advance(now, &mut engine.rng);
+            self.settle(engine, zone, steps);
+            self.tell(engine, zone, zone, 0.0);
+            if self.ticks.is_multiple_of(SUMMARY_TICKS) {
+                for other in engine.present() {
+                    let delay_ms = engine.world.one_way_ms[zone][other];
+                    self.tell(engine, other, zone, delay_ms);
+                }
+            }
+        }
+    }
+}
+
+/// Which baseline.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BaselineKind {
+    /// Each upstream in turn.
+    RoundRobin,
+    /// Any upstream.
+    Random,
+    /// The less loaded of two, by lagging reports and the host's own counts.
+    PowerOfTwo,
+}
+
+/// Hosts that send straight to upstreams, without owners or admission.
+pub struct Baseline {
+    kind: BaselineKind,
+    /// Whether upstreams of all zones are used, or those of the entry's only.
+    all_zones: bool,
+    next: Vec<usize>,
+    /// Each entry's own requests in flight on each upstream.
+    own: Vec<Vec<u32>>,
+    reports: Vec<u32>,
+    /// While true no report reaches anybody.
+    pub reports_stopped: bool,
+    /// Share of each zone; none spreads evenly.
+    pub shares: Option<Vec<f64>>,
+    ticks: u64,
+}
+
+/// Ticks of the engine between two load reports to the baselines.
+const REPORT_TICKS: u64 = 10;
+
+impl Baseline {
+    /// Empty.
+    pub fn new(engine: &Engine, kind: BaselineKind, all_zones: bool) -> Self {
+        let (zones, upstreams) = (engine.world.zones.len(), engine.world.upstreams.len());
+        Baseline {
+            kind,
+            all_zones,
+            next: vec![0; zones],
+            own: vec![vec![0; upstreams]; zones],
+            reports: vec![0; upstreams],
+            reports_stopped: false,
+            shares: None,
+            ticks: 0,
+        }
+    }
+
+    fn choose(&mut self, engine: &mut Engine, entry: usize) -> usize {
+        let candidates = self.candidates(engine, entry);
+        let draw = |engine: &mut Engine| candidates[engine.rng.random_range(0..candidates.len())];
+        match self.kind {
+            BaselineKind::RoundRobin => {
+                self.next[entry] += 1;
+                candidates[self.next[entry] % candidates.len()]
+            }
+            BaselineKind::Random => draw(engine),
+            BaselineKind::PowerOfTwo => {
+                let (a, b) = (draw(engine), draw(engine));
+                let load = |u: usize| self.reports[u].max(self.own[entry][u]);
+                if load(b) < load(a) { b } else { a }
+            }
+        }
+    }
+
+    fn candidates(&self, engine: &mut Engine, entry: usize) -> Vec<usize> {
+        let zone = match &self.shares {
+            Some(shares) => Some(draw_zone(shares, engine.rng.random())),
+            None if self.all_zones => None,
+            None => Some(entry),
+        };
+        match zone {
+            Some(zone) => engine.world.of_zone(zone),
+            None => {
+                let present = engine.present();
+                let zone_of = &engine.world.zone_of;
+                (0..zone_of.len())
+                    .filter(|u| present.contains(&zone_of[*u]))
+                    .collect()
+            }
+        }
+    }
+}
+
+fn draw_zone(shares: &[f64], point: f64) -> usize {
+    let mut point = point * shares.iter().sum::<f64>();
+    for (zone, share) in shares.iter().enumerate() {
+        point -= share;
+        if point < 0.0 {
+            return zone;
+        }
+    }
+    0
+}
+
+impl Steerer for Baseline {
+    fn arrive(&mut self, engine: &mut Engine, request: usize) {
+        let entry = engine.requests[request].entry;
+        let upstream = self.choose(engine, entry);
+        engine.requests[request].upstream = upstream;
+        self.own[entry][upstream] += 1;
+        let zone = engine.world.zone_of[upstream];
+        let way_ms = engine.world.one_way_ms[entry][zone];
+        engine.after(way_ms, Event::Take { request });
+    }
+
+    fn reach(&mut self, _: &mut Engine, _: usize, _: usize) {}
+
+    fn served(&mut self, engine: &mut Engine, request: usize, shed: bool) {
+        let entry = engine.requests[request].entry;
+        let zone = engine.world.zone_of[engine.requests[request].upstream];
+        let way_ms = engine.world.one_way_ms[entry][zone];
+        engine.after(
+            way_ms,
+            Event::Back {
+                request,
+                answered: !shed,
+            },
+        );
+    }
+
+    fn back(&mut self, engine: &mut Engine, request: usize, answered: bool) {
+        let entry = engine.requests[request].entry;
+        let upstream = engine.requests[request].upstream;
+        self.own[entry][upstream] = self.own[entry][upstream].saturating_sub(1);
+        match answered {
+            true if !engine.world.lost[entry] => engine.answer(request),
+            true => engine.fail(request, Fate::Lost),
+            false => engine.fail(request, Fate::Refused),
+        }
+    }
+
+    fn tick(&mut self, engine: &mut Engine) {
+        self.ticks += 1;
+        if self.reports_stopped || !self.ticks.is_multiple_of(REPORT_TICKS) {
+            return;
+        }
+        for upstream in 0..self.reports.len() {
+            self.reports[upstream] = engine.world.reported(upstream);
+        }
+    }
+}
--- a/crates/steering/src/choice/place.rs
+++ b/crates/steering/src/choice/place.rs
@@ -4,7 +4,8 @@
 
 use crate::ids::ZoneName;
 
-const FULL: f64 = 0.98;
+/// Load over slots from which a place is left out when shares are drawn.
+const FULL: f64 = 1.25;
 
 /// A zone as a place for a service, as believed now.
 #[derive(Debug, Clone, PartialEq)]
@@ -24,18 +25,23 @@
 }
 
 impl PlaceView {
+    /// Whether more wait than a place should be given by a share.
     fn is_full(&self) -> bool {
         self.in_flight >= self.capacity * FULL
     }
 
+    /// Expected wait for a slot: those over the slots go one after another, each
+    /// a slot's part of a request's time; a busy place has some wait by chance.
+    fn wait_ms(&self) -> f64 {
+        let slots = self.capacity.max(1.0);
+        let over = (self.in_flight + 1.0 - slots).max(0.0);
+        let busy = (self.in_flight / slots).min(1.0);
+        self.latency_ms / slots * (over + busy.powf(slots.sqrt()))
+    }
+
     /// Expected time to the first byte: both ways, the wait and the request.
     fn cost_ms(&self) -> f64 {
-        let use_share = self.in_flight / self.capacity.max(1.0);
-        let wait_ms = match use_share {
-            u if u >= FULL => self.latency_ms * (1.0 + u) * 4.0,
-            u => self.latency_ms * u.powi(4) / (1.0 - u) / self.capacity.max(1.0),
-        };
-        2.0 * self.one_way_ms + self.latency_ms + wait_ms
+        2.0 * self.one_way_ms + self.latency_ms + self.wait_ms()
     }
 }
 
--- a/crates/steering/src/limiter/mod.rs
+++ b/crates/steering/src/limiter/mod.rs
@@ -13,7 +13,7 @@
 pub use flight::Flight;
 pub use ledger::{HeldLoan, Ledger, LedgerEntry, LimitKey, LimitKind, Want};
 pub use rate::Rate;
-pub use roster::{Part, Roster, RosterError};
+pub use roster::{Part, Roster, RosterError, WHOLE_PERMILLE};
 
 /// Units of a limit: requests in flight, or requests in any second.
 pub type Units = u32;
--- a/crates/steering/src/pool/member.rs
+++ b/crates/steering/src/pool/member.rs
@@ -10,12 +10,16 @@
 use crate::ids::UpstreamName;
 use crate::labels;
 
-const LATENCY_WEIGHT: f64 = 0.2;
+/// Small: places are compared by it, and chasing noise costs ways between zones.
+const LATENCY_WEIGHT: f64 = 0.05;
 const LATENCY_HALF_LIFE: Duration = Duration::from_secs(5);
 const SLOW_FACTOR: f64 = 4.0;
 const WINDOW_CUT: f64 = 0.7;
 const WINDOW_START: f64 = 0.34;
-const WINDOW_IDLE: Duration = Duration::from_secs(60);
+/// Time over which a window must be used to stay as wide as it is (RFC 7661's
+/// idea): caches are warm for what was served, not for what could have been.
+const WINDOW_CHECK: Duration = Duration::from_secs(10);
+const WINDOW_OVER_USE: f64 = 2.0;
 const FAILURES_UNTIL_DOWN: u32 = 3;
 const SHED_PAUSE: Duration = Duration::from_millis(100);
 const DOWN_PAUSE: Duration = Duration::from_secs(2);
@@ -68,7 +72,9 @@
     pub leaving: bool,
     /// From 1 to `upstream.slots`; grows with good answers, cut by sheds and slow ones.
     window: f64,
-    last_answer: Instant,
+    /// Most in flight since `window_checked`.
+    window_peak: u32,
+    window_checked: Instant,
     latency_ms: Option<f64>,
     latency_at: Instant,
     failures: u32,
@@ -86,11 +92,12 @@
             0
         };
         Member {
-            window: (f64::from(upstream.slots) * WINDOW_START).max(1.0),
+            window: start_window(upstream.slots),
             upstream,
             in_flight: 0,
             leaving: false,
-            last_answer: now,
+            window_peak: 0,
+            window_checked: now,
             latency_ms: None,
             latency_at: now,
             failures: 0,
@@ -120,9 +127,8 @@
             *latency_ms = expected_ms + (*latency_ms - expected_ms) * keep;
         }
         self.latency_at = now;
-        if now.saturating_duration_since(self.last_answer) > WINDOW_IDLE {
-            self.window = self.start_window();
-            self.last_answer = now;
+        if now.saturating_duration_since(self.window_checked) > WINDOW_CHECK {
+            self.narrow_window(now);
         }
         if now < self.paused_until {
             return;
@@ -165,7 +171,7 @@
     pub fn release(&mut self, now: Instant, outcome: Outcome, expected: Duration) {
         self.in_flight = self.in_flight.saturating_sub(1);
         match outcome {
-            Outcome::Answered(latency) => self.answered(now, latency, expected),
+            Outcome::Answered(latency) => self.answered(latency, expected),
             Outcome::Shed => {
                 self.cut_window();
                 self.paused_until = now + SHED_PAUSE;
@@ -210,13 +216,23 @@
         }
     }
 
-    fn start_window(&self) -> f64 {
-        (f64::from(self.upstream.slots) * WINDOW_START).max(1.0)
+    /// Counts a request that is sent now.
+    pub fn enter(&mut self) {
+        self.in_flight += 1;
+        self.window_peak = self.window_peak.max(self.in_flight);
     }
 
-    fn answered(&mut self, now: Instant, latency: Duration, expected: Duration) {
+    /// Closes a window that was not used as far as it is open.
+    fn narrow_window(&mut self, now: Instant) {
+        let used = f64::from(self.window_peak) * WINDOW_OVER_USE;
+        let start = start_window(self.upstream.slots);
+        self.window = self.window.min(used.max(start));
+        self.window_peak = self.in_flight;
+        self.window_checked = now;
+    }
+
+    fn answered(&mut self, latency: Duration, expected: Duration) {
         self.failures = 0;
-        self.last_answer = now;
         let latency_ms = latency.as_secs_f64() * 1_000.0;
         let before = self.latency_ms.unwrap_or(latency_ms);
         self.latency_ms = Some(before + (latency_ms - before) * LATENCY_WEIGHT);
@@ -232,3 +248,7 @@
         self.window = (self.window * WINDOW_CUT).max(1.0);
     }
 }
+
+fn start_window(slots: u32) -> f64 {
+    (f64::from(slots) * WINDOW_START).max(1.0)
+}
--- a/crates/steering/src/pool/mod.rs
+++ b/crates/steering/src/pool/mod.rs
@@ -255,7 +255,7 @@
         let candidates: Vec<Candidate> = self.members.iter().map(Member::candidate).collect();
         let chosen = self.policy.choose(&candidates, self.queue.len(), rng)?;
         let member = &mut self.members[chosen];
-        member.in_flight += 1;
+        member.enter();
         Some(Grant {
             wait,
             upstream: Arc::clone(&member.upstream),
