Measure retries, drains, claims through real hosts; one load for trial, tests and measures

Change: one Load with its report; measures of retry, drain, claims, outage, config, partition, restart.

--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -77,6 +77,20 @@
     Loss,
     /// Look-up decisions on one core with 1.7 million client blocks.
     Lookup,
+    /// Extra load while every upstream sheds.
+    Retry,
+    /// Drains: new work after the change, cuts, time to quiet.
+    Drain,
+    /// The platform is down under load.
+    Outage,
+    /// Ticketed work by mode, and its table writes.
+    Claims,
+    /// From acceptance to force on every host.
+    Config,
+    /// Zones cut off and healed.
+    Partition,
+    /// All hosts replaced one by one.
+    Restart,
 }
 
 /// Runs a command; false where what it checked was not good.
@@ -95,6 +109,13 @@
                 Measurement::Stale => measure::stale::run()?,
                 Measurement::Loss => measure::loss::run()?,
                 Measurement::Lookup => measure::look_up::run()?,
+                Measurement::Retry => measure::retry::run()?,
+                Measurement::Drain => measure::drain::run()?,
+                Measurement::Outage => measure::outage::run()?,
+                Measurement::Claims => measure::claims::run()?,
+                Measurement::Config => measure::config::run()?,
+                Measurement::Partition => measure::partition::run()?,
+                Measurement::Restart => measure::restart::run()?,
             };
             println!("{figures}");
             Ok(true)
--- /dev/null
+++ b/crates/standin/src/measure/config.rs
@@ -0,0 +1,124 @@
+//! From acceptance to force on every host, with a few hosts and with many.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::time::{Duration, Instant};
+
+use operator::OperatorClient;
+use serde_json::{Value, json};
+use stagedeck::Config;
+use steering::document::{Edit, Kind, ObjectId};
+
+use super::Spread;
+use super::overhead::rss_mb;
+use crate::deployment::{Deployment, DeploymentPlan, HostPlan};
+
+const SMALL: usize = 9;
+const LARGE: usize = 120;
+const ZONES: &[&str] = &["norte", "puerto"];
+const CHANGES: usize = 30;
+const IDLE: Duration = Duration::from_secs(5);
+const ASK_EVERY: Duration = Duration::from_millis(2);
+
+struct Measured {
+    p50_ms: f64,
+    p99_ms: f64,
+    polls_per_s: f64,
+    cpu_of_a_core_each: f64,
+    rss_mb_each: f64,
+}
+
+fn label(value: usize) -> Edit {
+    let object = ObjectId {
+        kind: Kind::Zone,
+        name: ZONES[0].to_owned(),
+    };
+    let labels = BTreeMap::from([("measured".to_owned(), Some(value.to_string()))]);
+    Edit::Label { object, labels }
+}
+
+fn lean(config: &mut Config) {
+    config.traffic_threads = 1;
+}
+
+fn measure(hosts: usize) -> io::Result<Measured> {
+    let mut plan = DeploymentPlan::small();
+    plan.hosts = (0..hosts)
+        .map(|number| HostPlan::new(&format!("h{number}"), ZONES[number % ZONES.len()]))
+        .collect();
+    plan.tune = lean;
+    let before_mb = rss_mb();
+    let deployment = Deployment::start(plan)?;
+    let rss_mb_each = (rss_mb() - before_mb) / hosts as f64;
+    let clients: Vec<OperatorClient> = deployment
+        .hosts
+        .keys()
+        .map(|name| deployment.operator(name))
+        .collect();
+    let polls = deployment.platform.counts().reads;
+    let cpu_s = cpu_seconds();
+    std::thread::sleep(IDLE);
+    let polls_per_s = (deployment.platform.counts().reads - polls) as f64 / IDLE.as_secs_f64();
+    let cpu_of_a_core_each = (cpu_seconds() - cpu_s) / IDLE.as_secs_f64() / hosts as f64;
+    let mut times = Spread::default();
+    for change in 0..CHANGES {
+        let name = format!("h{}", change % hosts);
+        let base = deployment
+            .operator(&name)
+            .document()
+            .map_err(io::Error::other)?
+            .revision;
+        deployment.propose(&name, label(change))?;
+        let accepted = Instant::now();
+        for client in &clients {
+            while client.status().map_or(0, |status| status.revision) <= base {
+                std::thread::sleep(ASK_EVERY);
+            }
+        }
+        times.add(accepted.elapsed());
+    }
+    Ok(Measured {
+        p50_ms: times.quantile_ms(0.5),
+        p99_ms: times.quantile_ms(0.99),
+        polls_per_s,
+        cpu_of_a_core_each,
+        rss_mb_each,
+    })
+}
+
+/// Processor time of this process, in seconds.
+pub fn cpu_seconds() -> f64 {
+    const TICKS_PER_S: f64 = 100.0;
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let after_name = stat.rsplit(") ").next().unwrap_or("");
+    let field = |n: usize| {
+        after_name
+            .split(' ')
+            .nth(n)
+            .and_then(|t| t.parse::<f64>().ok())
+    };
+    (field(11).unwrap_or(0.0) + field(12).unwrap_or(0.0)) / TICKS_PER_S
+}
+
+/// Measures; one JSON object.
+pub fn run() -> io::Result<Value> {
+    let small = measure(SMALL)?;
+    let large = measure(LARGE)?;
+    let figures = |hosts: usize, measured: &Measured| {
+        json!({
+            "hosts": hosts,
+            "zones": ZONES.len(),
+            "in_force_p50_ms": measured.p50_ms,
+            "in_force_p99_ms": measured.p99_ms,
+            "store_polls_per_s": measured.polls_per_s,
+            "idle_cpu_percent_of_a_core_each": (measured.cpu_of_a_core_each * 1e4).round() / 100.0,
+            "rss_mb_each": super::balance::round(measured.rss_mb_each),
+        })
+    };
+    Ok(json!({
+        "measure": "config",
+        "small": figures(SMALL, &small),
+        "large": figures(LARGE, &large),
+        "ratio_p99": super::balance::round(large.p99_ms / small.p99_ms),
+    }))
+}
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -1,11 +1,18 @@
 //! The measurements; each prints one JSON line, baseline and product in one run.
 
 pub mod balance;
+pub mod claims;
+pub mod config;
+pub mod drain;
 mod figures;
 pub mod look_up;
 pub mod loss;
+pub mod outage;
 pub mod overhead;
+pub mod partition;
 mod plot;
+pub mod restart;
+pub mod retry;
 pub mod shift;
 pub mod stale;
 
--- a/crates/standin/src/trial.rs
+++ b/crates/standin/src/trial.rs
@@ -1,10 +1,8 @@
 //! The trial run: a small deployment, the whole path, and a count at its end.
 
+use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::thread::{self, JoinHandle};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
@@ -13,11 +11,12 @@
 use steering::document::{Edit, Kind, ObjectId, Rule};
 
 use crate::deployment::{Deployment, DeploymentPlan, HostPlan};
+use crate::load::{Load, LoadPlan, LoadReport, run_twice};
 use crate::trial_caller::{Reply, TrialCaller};
 use crate::upstream::Behaviour;
 
 const ARCHIVE_BYTES: u64 = 200 << 20;
-const LOAD_THREADS: usize = 4;
+const LOAD_CALLERS: usize = 4;
 /// Requests between two steps.
 const SOME: u64 = 300;
 const PAUSE: Duration = Duration::from_millis(2);
@@ -48,49 +47,6 @@
     }
 }
 
-#[derive(Default)]
-struct Counts {
-    answered: AtomicU64,
-    refused: AtomicU64,
-    wrong: AtomicU64,
-    cut: AtomicU64,
-    /// While true, broken connections are the lost host's doing.
-    host_lost: AtomicBool,
-    /// Operations of which a caller was told that they did not run.
-    told_not_run: Mutex<Vec<String>>,
-}
-
-impl Counts {
-    fn take(&self, reply: &Reply, path: &str, operation: Option<&str>) {
-        match reply {
-            Reply::Answered(echo) => {
-                let same_path = echo["path"] == path;
-                let same_operation = operation.is_none_or(|id| echo["operation"] == id);
-                let counter = if same_path && same_operation {
-                    &self.answered
-                } else {
-                    &self.wrong
-                };
-                counter.fetch_add(1, Ordering::Relaxed);
-            }
-            Reply::Refused { not_run, .. } => {
-                self.refused.fetch_add(1, Ordering::Relaxed);
-                if let Some(operation) = operation.filter(|_| not_run == "true") {
-                    let mut told = self
-                        .told_not_run
-                        .lock()
-                        .unwrap_or_else(PoisonError::into_inner);
-                    told.push(operation.to_owned());
-                }
-            }
-            Reply::Cut(_) if self.host_lost.load(Ordering::Acquire) => {}
-            Reply::Cut(_) => {
-                self.cut.fetch_add(1, Ordering::Relaxed);
-            }
-        }
-    }
-}
-
 /// The trial's configuration.
 pub fn document() -> Document {
     let mut upstreams = Vec::new();
@@ -155,78 +111,89 @@
         tune: |_| {},
     })?;
     say("3 hosts in 2 zones, 8 upstreams, a platform");
-    let counts = Arc::new(Counts::default());
-    let over = Arc::new(AtomicBool::new(false));
-    let load = start_load(&deployment.entries(), &counts, &over);
-
+    let load = |tag: &str| {
+        let plan = LoadPlan {
+            callers: LOAD_CALLERS,
+            consultations: 9,
+            pause: PAUSE,
+            tag: tag.to_owned(),
+            ..LoadPlan::default()
+        };
+        Load::start(deployment.entries(), &plan)
+    };
+    let mut total = Total::default();
     look_up(&deployment, say);
-    reserve(&deployment, &counts, say);
-    serve_some(&counts);
+    let callers = load("whole");
+    reserve(&deployment, &mut total, say);
+    callers.wait_for(SOME)?;
     shift(&deployment, say)?;
-    serve_some(&counts);
-    let drain_ms = drain(&deployment, &counts, say)?;
-    lose_host(&mut deployment, &counts, say);
+    callers.wait_for(SOME)?;
+    let drain_ms = drain(&deployment, &mut total, say)?;
+    callers.wait_for(SOME)?;
+    total.add(callers.stop());
+
+    let callers = load("lost");
+    callers.wait_for(SOME)?;
+    let begun = Instant::now();
+    deployment.kill("norte-1");
+    callers.wait_for(SOME)?;
+    say(&format!(
+        "host norte-1 lost: {SOME} more requests answered after {} ms",
+        begun.elapsed().as_millis()
+    ));
+    // Connections to the lost host break with it: that is no fault.
+    let mut lost = callers.stop();
+    say(&format!(
+        "{} requests broke off with the host",
+        lost.consulted.cut + lost.reserved.cut
+    ));
+    lost.consulted.cut = 0;
+    lost.reserved.cut = 0;
+    total.add(lost);
 
-    over.store(true, Ordering::Release);
-    for thread in load {
-        let _ = thread.join();
-    }
     let operations = deployment.operations();
-    let twice = operations.values().filter(|times| **times > 1).count() as u64;
-    let told = counts
-        .told_not_run
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner);
-    let lied = told
-        .iter()
-        .filter(|id| operations.contains_key(*id))
-        .count() as u64;
-    let refused = counts.refused.load(Ordering::Acquire);
+    let lied = total.report_lies(&operations);
     say(&format!(
-        "{refused} refused, {} operations ran",
+        "{} refused, {} operations ran",
+        total.refused,
         operations.len()
     ));
     Ok(TrialReport {
-        answered: counts.answered.load(Ordering::Acquire),
-        wrong: counts.wrong.load(Ordering::Acquire) + lied,
-        twice,
-        cut: counts.cut.load(Ordering::Acquire),
+        answered: total.answered,
+        wrong: total.wrong + lied,
+        twice: run_twice(&operations) as u64,
+        cut: total.cut,
         drain_ms,
     })
 }
 
-/// Consultations and reservations from several callers until `over`.
-fn start_load(
-    entries: &[SocketAddr],
-    counts: &Arc<Counts>,
-    over: &Arc<AtomicBool>,
-) -> Vec<JoinHandle<()>> {
-    let start = |number: usize| {
-        let (counts, over) = (Arc::clone(counts), Arc::clone(over));
-        let mut caller = TrialCaller::new("surcos", entries.to_vec());
-        thread::spawn(move || {
-            let mut round = 0;
-            while !over.load(Ordering::Acquire) {
-                round += 1;
-                let path = format!("/paths/{number}/{round}");
-                counts.take(&caller.get(&path), &path, None);
-                if round % 10 == 0 {
-                    let operation = format!("load-{number}-{round}");
-                    reserve_once(&mut caller, &counts, &operation);
-                }
-                thread::sleep(PAUSE);
-            }
-        })
-    };
-    (0..LOAD_THREADS).map(start).collect()
+/// Sums over all of the trial's requests.
+#[derive(Default)]
+struct Total {
+    answered: u64,
+    refused: u64,
+    wrong: u64,
+    cut: u64,
+    reports: Vec<LoadReport>,
 }
 
-fn reserve_once(caller: &mut TrialCaller, counts: &Counts, operation: &str) -> Option<Reply> {
-    let (ticket, host) = caller.ticket()?;
-    let path = "/reservations";
-    let reply = caller.post_at(host, path, operation, &ticket);
-    counts.take(&reply, path, Some(operation));
-    Some(reply)
+impl Total {
+    fn add(&mut self, report: LoadReport) {
+        for fates in [report.consulted, report.reserved] {
+            self.answered += fates.answered;
+            self.refused += fates.refused;
+            self.cut += fates.cut;
+        }
+        self.wrong += report.wrong;
+        self.reports.push(report);
+    }
+
+    fn report_lies(&self, operations: &BTreeMap<String, u32>) -> u64 {
+        self.reports
+            .iter()
+            .map(|report| report.lies(operations).len() as u64)
+            .sum()
+    }
 }
 
 fn look_up(deployment: &Deployment, say: &mut dyn FnMut(&str)) {
@@ -234,26 +201,23 @@
     say(&format!("look-up: {:?}", caller.hosts()));
 }
 
-fn reserve(deployment: &Deployment, counts: &Counts, say: &mut dyn FnMut(&str)) {
+fn reserve(deployment: &Deployment, total: &mut Total, say: &mut dyn FnMut(&str)) {
     for service in ["surcos", "manifiestos"] {
         let mut caller = TrialCaller::new(service, deployment.entries());
         let Some((ticket, host)) = caller.ticket() else {
             say(&format!("{service}: no ticket"));
-            counts.wrong.fetch_add(1, Ordering::Relaxed);
+            total.wrong += 1;
             continue;
         };
         let operation = format!("once-{service}");
         let first = caller.post_at(host, "/reservations", &operation, &ticket);
         let again = caller.post_at(host, "/reservations", &operation, &ticket);
-        counts.take(&first, "/reservations", Some(&operation));
-        counts.take(&again, "/reservations", Some(&operation));
-        let same = first == again;
+        let same = first == again && matches!(first, Reply::Answered(_));
         say(&format!(
             "{service}: reserved with a ticket, sent again: same answer {same}"
         ));
-        if !same {
-            counts.wrong.fetch_add(1, Ordering::Relaxed);
-        }
+        total.answered += 2 * u64::from(same);
+        total.wrong += u64::from(!same);
     }
 }
 
@@ -267,11 +231,7 @@
 }
 
 /// Drains an upstream while a download runs on it.
-fn drain(
-    deployment: &Deployment,
-    counts: &Arc<Counts>,
-    say: &mut dyn FnMut(&str),
-) -> io::Result<u64> {
+fn drain(deployment: &Deployment, total: &mut Total, say: &mut dyn FnMut(&str)) -> io::Result<u64> {
     let mut caller = TrialCaller::new("manifiestos", deployment.entries());
     let path = format!("/archive?{ARCHIVE_BYTES}");
     let download = thread::spawn(move || caller.download(&path));
@@ -304,12 +264,8 @@
     }
     let drain_ms = begun.elapsed().as_millis() as u64;
     match &downloaded {
-        Ok(ARCHIVE_BYTES) => {
-            counts.answered.fetch_add(1, Ordering::Relaxed);
-        }
-        _ => {
-            counts.cut.fetch_add(1, Ordering::Relaxed);
-        }
+        Ok(ARCHIVE_BYTES) => total.answered += 1,
+        _ => total.cut += 1,
     }
     say(&format!(
         "{busy} drained under a download of {} MB: in force after {} ms, quiet after {drain_ms} ms, {downloaded:?} bytes came",
@@ -318,23 +274,3 @@
     ));
     Ok(drain_ms)
 }
-
-/// Waits until some more requests have been answered.
-fn serve_some(counts: &Counts) {
-    let before = counts.answered.load(Ordering::Acquire);
-    let begun = Instant::now();
-    while counts.answered.load(Ordering::Acquire) < before + SOME && begun.elapsed() < WAIT_LIMIT {
-        thread::sleep(PAUSE);
-    }
-}
-
-fn lose_host(deployment: &mut Deployment, counts: &Counts, say: &mut dyn FnMut(&str)) {
-    counts.host_lost.store(true, Ordering::Release);
-    deployment.kill("norte-1");
-    let begun = Instant::now();
-    serve_some(counts);
-    say(&format!(
-        "host norte-1 lost: {SOME} more requests answered after {} ms",
-        begun.elapsed().as_millis()
-    ));
-}
--- a/crates/standin/src/trial_caller.rs
+++ b/crates/standin/src/trial_caller.rs
@@ -40,6 +40,7 @@
     tickets: Vec<String>,
     ticket_host: Option<SocketAddr>,
     tickets_until: Option<Instant>,
+    asked: u64,
 }
 
 impl TrialCaller {
@@ -58,6 +59,7 @@
             tickets: Vec::new(),
             ticket_host: None,
             tickets_until: None,
+            asked: 0,
         }
     }
 
@@ -129,6 +131,7 @@
     pub fn get(&mut self, path: &str) -> Reply {
         let mut last = Reply::Cut("no host is known".to_owned());
         for host in self.hosts() {
+            self.asked += 1;
             last = self.get_at(host, path);
             let unreachable = matches!(last, Reply::Cut(_));
             let refused = matches!(&last, Reply::Refused { not_run, .. } if not_run == "true");
@@ -140,6 +143,11 @@
         last
     }
 
+    /// Requests that [`TrialCaller::get`] has sent to hosts.
+    pub fn asked(&self) -> u64 {
+        self.asked
+    }
+
     /// A repeatable request to one host.
     pub fn get_at(&self, host: SocketAddr, path: &str) -> Reply {
         let url = format!("http://{host}/services/{}{path}", self.service);
--- a/crates/standin/src/upstream/answer.rs
+++ b/crates/standin/src/upstream/answer.rs
@@ -22,11 +22,25 @@
 const CHUNK_BYTES: u64 = 65_536;
 
 /// Counts a request in flight until its answer has ended.
-struct InFlight(Arc<Inner>);
+struct InFlight {
+    inner: Arc<Inner>,
+    download: bool,
+}
+
+impl InFlight {
+    /// Counts it among the downloads as well.
+    fn download(&mut self) {
+        self.download = true;
+        self.inner.downloads.fetch_add(1, Ordering::AcqRel);
+    }
+}
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::AcqRel);
+        self.inner.in_flight.fetch_sub(1, Ordering::AcqRel);
+        if self.download {
+            self.inner.downloads.fetch_sub(1, Ordering::AcqRel);
+        }
     }
 }
 
@@ -107,7 +121,10 @@
     }
     *lock(&inner.last_arrival) = Some(Instant::now());
     let in_flight = inner.in_flight.fetch_add(1, Ordering::AcqRel) + 1;
-    let guard = InFlight(Arc::clone(&inner));
+    let guard = InFlight {
+        inner: Arc::clone(&inner),
+        download: false,
+    };
     if behaviour.shed_all || in_flight > behaviour.slots {
         lock(&inner.counts).shed += 1;
         let mut shed = Response::new(fixed("busy".to_owned()));
@@ -124,7 +141,7 @@
     request: Request<Incoming>,
     behaviour: Behaviour,
     in_flight: u32,
-    guard: InFlight,
+    mut guard: InFlight,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let (head, body) = request.into_parts();
     let path = head
@@ -150,6 +167,9 @@
         return Err(Refusal::Closed);
     }
     let archive = head.uri.path() == ARCHIVE_PATH || head.uri.path() == ARCHIVE_CHUNKED_PATH;
+    if archive {
+        guard.download();
+    }
     let mut answer = match archive {
         true => AnswerBody {
             fixed: Bytes::new(),
--- a/crates/standin/src/upstream/mod.rs
+++ b/crates/standin/src/upstream/mod.rs
@@ -96,6 +96,7 @@
     behaviour: Mutex<Behaviour>,
     counts: Mutex<UpstreamCounts>,
     in_flight: AtomicU32,
+    downloads: AtomicU32,
     connections: AtomicU32,
     served: AtomicU64,
     last_arrival: Mutex<Option<Instant>>,
@@ -125,6 +126,7 @@
             behaviour: Mutex::new(behaviour),
             counts: Mutex::default(),
             in_flight: AtomicU32::new(0),
+            downloads: AtomicU32::new(0),
             connections: AtomicU32::new(0),
             served: AtomicU64::new(0),
             last_arrival: Mutex::default(),
@@ -158,6 +160,11 @@
         self.inner.in_flight.load(Ordering::Acquire)
     }
 
+    /// Archives that are being sent.
+    pub fn downloads(&self) -> u32 {
+        self.inner.downloads.load(Ordering::Acquire)
+    }
+
     /// When the last request came.
     pub fn last_arrival(&self) -> Option<Instant> {
         *lock(&self.inner.last_arrival)
--- a/crates/steering/src/retry.rs
+++ b/crates/steering/src/retry.rs
@@ -20,7 +20,7 @@
 
 impl RetryBudget {
     /// Share of first attempts that may be repeated.
-    pub const SHARE: f64 = 0.1;
+    pub const SHARE: f64 = 0.08;
     /// Attempts that can be saved up.
     pub const MOST: f64 = 10.0;
 
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -4,7 +4,6 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use nix::sys::signal::{Signal, kill};
@@ -12,8 +11,8 @@
 use operator::OperatorClient;
 use stagedeck::Config;
 use standin::{
-    Behaviour, DeploymentPlan, Reply, StandInPlatform, StandInUpstream, TrialCaller, any_port,
-    eventually,
+    Behaviour, DeploymentPlan, Load, LoadPlan, LoadReport, StandInPlatform, StandInUpstream,
+    TrialCaller, any_port, eventually, run_twice,
 };
 use tokio::runtime::{Builder, Runtime};
 
@@ -93,7 +92,6 @@
     platform: StandInPlatform,
     upstreams: BTreeMap<String, StandInUpstream>,
     processes: Vec<Process>,
-    loads: AtomicU64,
     _runtime: Runtime,
 }
 
@@ -127,7 +125,6 @@
             platform,
             upstreams,
             processes,
-            loads: AtomicU64::new(0),
             _runtime: runtime,
         };
         let first = &bench.processes[0];
@@ -152,160 +149,80 @@
             .collect()
     }
 
-    fn most_runs(&self) -> u32 {
-        let counts = self
-            .upstreams
-            .values()
-            .map(|upstream| upstream.counts().operations);
-        let mut all: BTreeMap<String, u32> = BTreeMap::new();
-        for (operation, times) in counts.flatten() {
-            *all.entry(operation).or_default() += times;
-        }
-        all.values().copied().max().unwrap_or(0)
-    }
-
-    /// Consultations and reservations while `meanwhile` runs; what callers saw.
-    fn under_load(&self, meanwhile: impl FnOnce(&AtomicU64)) -> Seen {
-        let over = AtomicBool::new(false);
-        let answered = AtomicU64::new(0);
-        // Operations of one load are not those of another.
-        let tag = self.loads.fetch_add(1, Ordering::AcqRel);
-        std::thread::scope(|scope| {
-            let callers: Vec<_> = (0..3)
-                .map(|number| {
-                    let (over, answered) = (&over, &answered);
-                    scope.spawn(move || call(self.entries(), tag, number, over, answered))
-                })
-                .collect();
-            meanwhile(&answered);
-            over.store(true, Ordering::Release);
-            let seen = callers.into_iter().map(|caller| caller.join().unwrap());
-            seen.fold(Seen::default(), Seen::add)
-        })
-    }
-}
-
-#[derive(Debug, Default)]
-struct Seen {
-    wrong: u64,
-    cut: u64,
-    told_not_run: Vec<String>,
-}
-
-impl Seen {
-    fn add(mut self, other: Seen) -> Seen {
-        self.wrong += other.wrong;
-        self.cut += other.cut;
-        self.told_not_run.extend(other.told_not_run);
-        self
-    }
-
-    fn take(&mut self, reply: &Reply, path: &str, operation: Option<&str>) -> u64 {
-        match reply {
-            Reply::Answered(echo) => {
-                self.wrong += u64::from(echo["path"] != path);
-                return 1;
-            }
-            Reply::Refused { not_run, .. } => {
-                let told = operation.filter(|_| not_run == "true");
-                self.told_not_run.extend(told.map(str::to_owned));
+    fn operations(&self) -> BTreeMap<String, u32> {
+        let mut all = BTreeMap::new();
+        for upstream in self.upstreams.values() {
+            for (operation, times) in upstream.counts().operations {
+                *all.entry(operation).or_default() += times;
             }
-            Reply::Cut(_) => self.cut += 1,
         }
-        0
+        all
     }
-}
 
-fn call(
-    entries: Vec<SocketAddr>,
-    tag: u64,
-    number: usize,
-    over: &AtomicBool,
-    answered: &AtomicU64,
-) -> Seen {
-    let mut caller = TrialCaller::new("surcos", entries);
-    let mut seen = Seen::default();
-    let mut round = 0;
-    while !over.load(Ordering::Acquire) {
-        round += 1;
-        let path = format!("/p/{number}/{round}");
-        let mut got = seen.take(&caller.get(&path), &path, None);
-        let operation = format!("o-{tag}-{number}-{round}");
-        if let Some((ticket, host)) = caller.ticket() {
-            let reply = caller.post_at(host, "/r", &operation, &ticket);
-            got += seen.take(&reply, "/r", Some(&operation));
-        }
-        answered.fetch_add(got, Ordering::AcqRel);
+    /// Callers that consult and reserve; their operations are not those of another load.
+    fn load(&self, tag: &str) -> Load {
+        let plan = LoadPlan {
+            tag: tag.to_owned(),
+            ..LoadPlan::default()
+        };
+        Load::start(self.entries(), &plan)
     }
-    seen
 }
 
-fn wait_for_more(answered: &AtomicU64, more: u64) {
-    let before = answered.load(Ordering::Acquire);
-    eventually("more is answered", || {
-        answered.load(Ordering::Acquire) >= before + more
-    })
-    .unwrap();
-}
-
-fn check(bench: &Bench, seen: &Seen) {
+fn check(bench: &Bench, seen: &LoadReport) {
+    let operations = bench.operations();
     assert_eq!(seen.wrong, 0);
-    assert!(
-        bench.most_runs() <= 1,
-        "an operation ran {} times",
-        bench.most_runs()
+    assert_eq!(run_twice(&operations), 0);
+    assert_eq!(
+        seen.lies(&operations),
+        Vec::<String>::new(),
+        "told not run, but ran"
     );
-    let ran = |id: &String| {
-        let mut counts = bench
-            .upstreams
-            .values()
-            .map(|upstream| upstream.counts().operations);
-        counts.any(|operations| operations.contains_key(id))
-    };
-    let lied: Vec<&String> = seen.told_not_run.iter().filter(|id| ran(id)).collect();
-    assert!(lied.is_empty(), "told not run, but ran: {lied:?}");
+}
+
+fn cut(seen: &LoadReport) -> u64 {
+    seen.consulted.cut + seen.reserved.cut
 }
 
 #[test]
 fn a_killed_host_leaves_the_others_serving() {
     let mut bench = Bench::start();
     let victim = bench.processes.remove(0);
-    let seen = bench.under_load(|answered| {
-        wait_for_more(answered, 50);
-        victim.signal(Signal::SIGKILL);
-        bench.platform.remove_host("n1");
-        wait_for_more(answered, 200);
-        eventually("the others count it out", || {
-            bench.processes.iter().all(|p| p.knows(2))
-        })
-        .unwrap();
-    });
-    check(&bench, &seen);
+    let load = bench.load("killed");
+    load.wait_for(50).unwrap();
+    victim.signal(Signal::SIGKILL);
+    bench.platform.remove_host("n1");
+    load.wait_for(200).unwrap();
+    eventually("the others count it out", || {
+        bench.processes.iter().all(|p| p.knows(2))
+    })
+    .unwrap();
+    check(&bench, &load.stop());
 }
 
 #[test]
 fn a_frozen_host_that_resumes_does_no_harm() {
     let bench = Bench::start();
-    let seen = bench.under_load(|answered| {
-        wait_for_more(answered, 50);
-        bench.processes[1].signal(Signal::SIGSTOP);
-        let others = [&bench.processes[0], &bench.processes[2]];
-        eventually("the others count it out", || {
-            others.iter().all(|process| {
-                let status = process.operator().status();
-                let zone =
-                    status.map(|status| status.hosts.iter().filter(|h| h.zone == "norte").count());
-                zone.is_ok_and(|count| count == 1)
-            })
+    let load = bench.load("frozen");
+    load.wait_for(50).unwrap();
+    bench.processes[1].signal(Signal::SIGSTOP);
+    let others = [&bench.processes[0], &bench.processes[2]];
+    eventually("the others count it out", || {
+        others.iter().all(|process| {
+            let status = process.operator().status();
+            let zone =
+                status.map(|status| status.hosts.iter().filter(|h| h.zone == "norte").count());
+            zone.is_ok_and(|count| count == 1)
         })
-        .unwrap();
-        bench.processes[1].signal(Signal::SIGCONT);
-        eventually("it is back", || {
-            bench.processes.iter().all(|process| process.knows(3))
-        })
-        .unwrap();
-        wait_for_more(answered, 100);
-    });
+    })
+    .unwrap();
+    bench.processes[1].signal(Signal::SIGCONT);
+    eventually("it is back", || {
+        bench.processes.iter().all(|process| process.knows(3))
+    })
+    .unwrap();
+    load.wait_for(100).unwrap();
+    let seen = load.stop();
     check(&bench, &seen);
 }
 
@@ -327,19 +244,19 @@
     };
     eventually("the download runs", busy).unwrap();
     let mut status = None;
-    let seen = bench.under_load(|answered| {
-        wait_for_more(answered, 50);
-        leaving.signal(Signal::SIGTERM);
-        eventually("it exits", || {
-            status = leaving.child.try_wait().unwrap();
-            status.is_some()
-        })
-        .unwrap();
-        wait_for_more(answered, 100);
-    });
+    let load = bench.load("stopped");
+    load.wait_for(50).unwrap();
+    leaving.signal(Signal::SIGTERM);
+    eventually("it exits", || {
+        status = leaving.child.try_wait().unwrap();
+        status.is_some()
+    })
+    .unwrap();
+    load.wait_for(100).unwrap();
+    let seen = load.stop();
     assert_eq!(status.unwrap().code(), Some(0));
     assert_eq!(download.join().unwrap(), Ok(300_000_000));
-    assert_eq!(seen.cut, 0);
+    assert_eq!(cut(&seen), 0);
     assert!(seen.told_not_run.is_empty(), "{:?}", seen.told_not_run);
     check(&bench, &seen);
 }
@@ -353,14 +270,14 @@
         eventually("the new host is known", || new.knows(4)).unwrap();
         bench.processes.push(new);
         let mut old = bench.processes.remove(0);
-        let seen = bench.under_load(|answered| {
-            wait_for_more(answered, 20);
-            old.signal(Signal::SIGTERM);
-            eventually("it exits", || old.child.try_wait().unwrap().is_some()).unwrap();
-            bench.platform.remove_host(name);
-            wait_for_more(answered, 20);
-        });
-        assert_eq!(seen.cut, 0);
+        let load = bench.load(name);
+        load.wait_for(20).unwrap();
+        old.signal(Signal::SIGTERM);
+        eventually("it exits", || old.child.try_wait().unwrap().is_some()).unwrap();
+        bench.platform.remove_host(name);
+        load.wait_for(20).unwrap();
+        let seen = load.stop();
+        assert_eq!(cut(&seen), 0);
         check(&bench, &seen);
         eventually("three are left", || {
             bench.processes.iter().all(|p| p.knows(3))
