Vouch for doubted hosts only by those that hear them

Cause: 'measure restart' did not settle: a host that came after another had crashed had never heard it, did not doubt it, and so kept it in the others' view for a minute; pools stayed with the dead owner. Ruled out: the platform's list (the crashed host was taken from it at once). Change: a host that is silent to one observer stays only while another says in its heartbeat that it hears it; only doubted hosts are named. The process raises its limit of open files at its start, and says where it is too low: tiny_http's accept thread panics when files run out.

--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -39,6 +39,7 @@
   position @5 :Position;
   loads @6 :List(Load);
   lenders @7 :List(Text);
+  vouches @8 :List(Text);
 }
 
 struct Position {
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -105,6 +105,8 @@
     to.set_leaving(heartbeat.leaving);
     let doubts = to.reborrow().init_doubts(heartbeat.doubts.len() as u32);
     write_texts(doubts, heartbeat.doubts.iter());
+    let vouches = to.reborrow().init_vouches(heartbeat.vouches.len() as u32);
+    write_texts(vouches, heartbeat.vouches.iter());
     let lenders = to.reborrow().init_lenders(heartbeat.lenders.len() as u32);
     write_texts(lenders, heartbeat.lenders.iter());
     write_position(to.reborrow().init_position(), &beat.position);
@@ -130,6 +132,7 @@
             sequence: from.get_sequence(),
             leaving: from.get_leaving(),
             doubts: read_texts(from.get_doubts()?)?,
+            vouches: read_texts(from.get_vouches()?)?,
             lenders: read_texts(from.get_lenders()?)?,
         },
         position: read_position(from.get_position()?)?,
--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -95,6 +95,8 @@
 
 /// Runs a command; false where what it checked was not good.
 pub fn run(cli: &Cli) -> io::Result<bool> {
+    // Hundreds of hosts in one process open many connections.
+    rlimit::increase_nofile_limit(u64::MAX)?;
     match &cli.command {
         Command::Try { log } => {
             let report = trial::run(log, &mut |line| println!("{line}"))?;
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -237,7 +237,10 @@
         let begun = Instant::now();
         while !self.is_settled() {
             if begun.elapsed() > START_LIMIT {
-                return Err(io::Error::other("the hosts did not settle"));
+                return Err(io::Error::other(format!(
+                    "not settled: {}",
+                    self.describe()
+                )));
             }
             std::thread::sleep(ASK_EVERY);
         }
@@ -269,6 +272,26 @@
                 .all(|status| status.revision == revision && status.hosts.len() >= self.hosts.len())
     }
 
+    /// What each host knows, in a line.
+    fn describe(&self) -> String {
+        let describe = |name: &String| match self.operator(name).status() {
+            Ok(status) => {
+                let hosts: Vec<&str> = status.hosts.iter().map(|h| h.name.as_str()).collect();
+                let pools: usize = status.pools.iter().map(|pool| pool.upstreams.len()).sum();
+                format!(
+                    "{name} at {} knows {hosts:?}, owns {pools}",
+                    status.revision
+                )
+            }
+            Err(error) => format!("{name}: {error}"),
+        };
+        self.hosts
+            .keys()
+            .map(describe)
+            .collect::<Vec<_>>()
+            .join("; ")
+    }
+
     /// Where a host listens.
     pub fn addresses(&self, host: &str) -> Addresses {
         *self.hosts[host].addresses()
--- a/crates/steering/src/membership.rs
+++ b/crates/steering/src/membership.rs
@@ -1,7 +1,9 @@
 //! Which hosts of a zone are there, from their heartbeats.
 //!
 //! The platform's list and the settings are hints of whom to call. Direct
-//! heartbeats decide, and one observer's doubt is not enough.
+//! heartbeats decide, and one observer's doubt is not enough: a host that some
+//! observer doubts is vouched for by every other that hears it. Only doubted
+//! hosts are named in heartbeats, so that these stay small.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -41,6 +43,8 @@
     pub leaving: bool,
     /// Hosts that it has not heard for too long.
     pub doubts: BTreeSet<HostName>,
+    /// Hosts that others doubt and that it hears.
+    pub vouches: BTreeSet<HostName>,
     /// Hosts of whose part of the zone's limits it holds something.
     pub lenders: BTreeSet<HostName>,
 }
@@ -50,6 +54,8 @@
 pub struct Timing {
     /// Silence after which a host is doubted.
     pub doubt_after: Duration,
+    /// Time after that in which others may vouch for it.
+    pub vouch_within: Duration,
     /// Silence after which it is gone where no other observer is there to ask.
     pub alone_after: Duration,
     /// Silence after which its entry is dropped.
@@ -59,8 +65,9 @@
 impl Default for Timing {
     fn default() -> Self {
         Timing {
-            doubt_after: Duration::from_millis(1_000),
-            alone_after: Duration::from_millis(3_000),
+            doubt_after: Duration::from_millis(800),
+            vouch_within: Duration::from_millis(700),
+            alone_after: Duration::from_millis(2_000),
             forget_after: Duration::from_secs(60),
         }
     }
@@ -74,6 +81,7 @@
     leaving: bool,
     heard: Instant,
     doubts: BTreeSet<HostName>,
+    vouches: BTreeSet<HostName>,
     lenders: BTreeSet<HostName>,
 }
 
@@ -160,6 +168,7 @@
             sequence: self.sequence,
             leaving: self.leaving,
             doubts: self.doubted(now),
+            vouches: self.vouched(now),
             lenders,
         }
     }
@@ -188,6 +197,7 @@
             leaving: beat.leaving,
             heard: now,
             doubts: beat.doubts,
+            vouches: beat.vouches,
             lenders: beat.lenders,
             entry: beat.host,
         };
@@ -259,12 +269,24 @@
             .collect()
     }
 
+    fn vouched(&self, now: Instant) -> BTreeSet<HostName> {
+        let doubts = self.members.values().flat_map(|member| &member.doubts);
+        doubts
+            .filter(|host| {
+                let member = self.members.get(*host);
+                member.is_some_and(|member| !self.is_silent(member, now))
+            })
+            .cloned()
+            .collect()
+    }
+
     fn is_silent(&self, member: &Member, now: Instant) -> bool {
         now.saturating_duration_since(member.heard) >= self.timing.doubt_after
     }
 
     fn is_present(&self, member: &Member, now: Instant) -> bool {
-        if !self.is_silent(member, now) {
+        let silent = now.saturating_duration_since(member.heard);
+        if silent < self.timing.doubt_after {
             return true;
         }
         let name = &member.entry.name;
@@ -274,9 +296,9 @@
             .filter(|other| other.entry.name != *name && !self.is_silent(other, now))
             .peekable();
         if observers.peek().is_none() {
-            let silent = now.saturating_duration_since(member.heard);
             return silent < self.timing.alone_after;
         }
-        !observers.any(|other| other.doubts.contains(name))
+        let in_grace = silent < self.timing.doubt_after + self.timing.vouch_within;
+        in_grace || observers.any(|other| other.vouches.contains(name))
     }
 }
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -16,6 +16,7 @@
         Err(error) => return Outcome::failed(BAD_INPUT, error),
     };
     logging::start(&config.log);
+    raise_open_files(&config);
     let started = Sockets::bind(&config).and_then(|sockets| Host::start(config, sockets));
     let host = match started {
         Ok(host) => host,
@@ -28,6 +29,21 @@
     Outcome::done("")
 }
 
+/// Connections that a host opens besides those of callers and hosts.
+const OWN_CONNECTIONS: u64 = 1_024;
+
+/// Lets the process open as many files as it may, and says where that is too few.
+fn raise_open_files(config: &Config) {
+    let wanted = u64::from(config.limits.connections) + OWN_CONNECTIONS;
+    match rlimit::increase_nofile_limit(u64::MAX) {
+        Ok(open_files) if open_files < wanted => {
+            tracing::warn!(event = "few_open_files", open_files, wanted);
+        }
+        Ok(_) => {}
+        Err(error) => tracing::warn!(event = "few_open_files", %error, wanted),
+    }
+}
+
 /// Waits for the first signal; a second one ends the process at once.
 fn wait_for_signal() -> std::io::Result<()> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
