--- a/crates/caller/src/admission.rs
+++ b/crates/caller/src/admission.rs
@@ -175,7 +175,8 @@
 
     /// Lets waiting requests go on where a pause or a deadline has passed.
     pub fn advance(&self) {
-        for handle in self.handles() {
+        let waiting = |handle: &Handle| lock(&handle.owned).pool.load().queued > 0;
+        for handle in self.handles().into_iter().filter(waiting) {
             let now = Instant::now();
             let owned = &mut *lock(&handle.owned);
             let steps = owned.pool.advance(now, &mut owned.rng);
--- a/crates/peer/src/messages.rs
+++ b/crates/peer/src/messages.rs
@@ -15,6 +15,15 @@
     pub loads: Vec<ServiceLoad>,
 }
 
+impl Beat {
+    /// Size of the message that carries it, in bytes.
+    pub fn wire_bytes(&self) -> usize {
+        let mut message = capnp::message::Builder::new_default();
+        crate::codec::write_beat(message.init_root(), self);
+        capnp::serialize::compute_serialized_size_in_words(&message) * 8
+    }
+}
+
 /// An exchange of configuration and summaries.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Exchange {
--- a/crates/platform/src/claims.rs
+++ b/crates/platform/src/claims.rs
@@ -108,21 +108,55 @@
         }
     }
 
-    /// Writes the ends of work; the rows' earlier state does not matter, since
-    /// only the host that ran it writes them.
+    /// Writes the ends of work that this host ran, and takes away the claims of
+    /// work that it did not run.
+    ///
+    /// Only the host that ran it writes an end, so those rows' earlier state does
+    /// not matter. A claim is taken away only where it is this start's own: after
+    /// a claim that failed, the row may be another host's.
     pub fn finish(&self, receipts: &[ReceiptWrite]) -> Result<(), StoreError> {
-        let write = |receipt: &ReceiptWrite| Write {
-            key: key(&receipt.id),
-            value: receipt
-                .ending
-                .as_ref()
-                .map(|ending| text(&self.row(&receipt.fingerprint, Some(ending.clone())))),
-        };
-        let transaction = Transaction {
-            conditions: Vec::new(),
-            writes: receipts.iter().map(write).collect(),
-        };
-        self.platform.commit(&transaction).map(|_| ())
+        let mut transaction = Transaction::default();
+        let unused: Vec<String> = receipts
+            .iter()
+            .filter(|receipt| receipt.ending.is_none())
+            .map(|receipt| key(&receipt.id))
+            .collect();
+        if !unused.is_empty() {
+            let rows = self.platform.read(&unused)?;
+            for row in rows.into_iter().filter(|row| self.is_unused(row)) {
+                transaction.conditions.push(Condition {
+                    key: row.key.clone(),
+                    version: row.version,
+                });
+                transaction.writes.push(Write {
+                    key: row.key,
+                    value: None,
+                });
+            }
+        }
+        for receipt in receipts {
+            if let Some(ending) = &receipt.ending {
+                transaction.writes.push(Write {
+                    key: key(&receipt.id),
+                    value: Some(text(&self.row(&receipt.fingerprint, Some(ending.clone())))),
+                });
+            }
+        }
+        if transaction.writes.is_empty() {
+            return Ok(());
+        }
+        match self.platform.commit(&transaction)? {
+            Commit::Done => Ok(()),
+            Commit::Conflict(_) => {
+                Err(StoreError::Unavailable("rows changed meanwhile".to_owned()))
+            }
+        }
+    }
+
+    /// Whether a row is this start's claim on work that has not ended.
+    fn is_unused(&self, row: &Row) -> bool {
+        let claim = parse::<ClaimRow>(row);
+        row.version != ABSENT && claim.is_ok_and(|row| self.is_mine(&row) && row.ending.is_none())
     }
 
     /// The row of some work; none where there is none.
--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -91,6 +91,8 @@
     Partition,
     /// All hosts replaced one by one.
     Restart,
+    /// What each role costs, at several sizes, fitted.
+    Capacity,
 }
 
 /// Runs a command; false where what it checked was not good.
@@ -118,6 +120,7 @@
                 Measurement::Config => measure::config::run()?,
                 Measurement::Partition => measure::partition::run()?,
                 Measurement::Restart => measure::restart::run()?,
+                Measurement::Capacity => measure::capacity::run()?,
             };
             println!("{figures}");
             Ok(true)
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -78,6 +78,8 @@
     pub log: String,
     /// Changes to each host's settings.
     pub tune: fn(&mut Config),
+    /// Whether hosts are reached over links that can be cut; each costs sockets.
+    pub links: bool,
 }
 
 impl DeploymentPlan {
@@ -91,6 +93,7 @@
             behaviour: Behaviour::default(),
             log: "error".to_owned(),
             tune: |_| {},
+            links: true,
         }
     }
 }
@@ -222,10 +225,14 @@
         (self.plan.tune)(&mut config);
         tune(&mut config);
         let sockets = Sockets::bind(&config).map_err(io::Error::other)?;
-        let links = links.towards(&sockets.addresses()?, self.runtime.handle())?;
-        config.advertised.relay_address = links.relays.as_ref().map(Link::address);
-        config.advertised.peer_address = links.peers.as_ref().map(Link::address);
-        self.links.insert(host.name.clone(), links);
+        if self.plan.links {
+            let links = links.towards(&sockets.addresses()?, self.runtime.handle())?;
+            config.advertised.relay_address = links.relays.as_ref().map(Link::address);
+            config.advertised.peer_address = links.peers.as_ref().map(Link::address);
+            self.links.insert(host.name.clone(), links);
+        } else {
+            config.platform_address = self.platform.address();
+        }
         let started = Host::start(config, sockets).map_err(io::Error::other)?;
         self.hosts.insert(host.name.clone(), started);
         Ok(())
@@ -265,11 +272,17 @@
             .sum();
         let upstreams = self.plan.document.upstreams.iter();
         let expected = upstreams.filter(|upstream| active(&upstream.zone)).count();
+        let of_zone = |zone: &str| zones.iter().filter(|other| **other == zone).count();
+        let knows_enough = |status: &operator::Status| {
+            let known = |zone: &str| status.hosts.iter().filter(|h| h.zone == zone).count();
+            let all_zones = zones.iter().all(|zone| known(zone) > 0);
+            all_zones && known(&status.zone) >= of_zone(&status.zone)
+        };
         statuses.len() == self.hosts.len()
             && owned >= expected
             && statuses
                 .iter()
-                .all(|status| status.revision == revision && status.hosts.len() >= self.hosts.len())
+                .all(|status| status.revision == revision && knows_enough(status))
     }
 
     /// What each host knows, in a line.
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -1,6 +1,7 @@
 //! The measurements; each prints one JSON line, baseline and product in one run.
 
 pub mod balance;
+pub mod capacity;
 pub mod claims;
 pub mod config;
 pub mod drain;
--- a/crates/standin/src/measure/outage.rs
+++ b/crates/standin/src/measure/outage.rs
@@ -48,7 +48,7 @@
         "home_reservations": home.reserved.answered,
         "home_reservations_answered": share(&home.reserved),
         "store_reservations_answered": share(&store.reserved),
-        "store_reservations_refused_as_not_run": store.told_not_run.len(),
+        "store_reservations_refused": store.reserved.refused,
         "after_store_reservations_answered": share(&after.reserved),
         "run_twice": run_twice(&operations),
         "told_not_run_but_run": home.lies(&operations).len() + store.lies(&operations).len(),
--- a/crates/standin/src/measure/overhead.rs
+++ b/crates/standin/src/measure/overhead.rs
@@ -51,6 +51,7 @@
         },
         log: "warn".to_owned(),
         tune: |config| config.traffic_threads = 2,
+        links: false,
     })?;
     let entry = deployment.addresses("h1").caller;
     let upstream = deployment.upstreams["c1"].address();
--- a/crates/standin/src/trial.rs
+++ b/crates/standin/src/trial.rs
@@ -109,6 +109,7 @@
         behaviour: Behaviour::default(),
         log: log.to_owned(),
         tune: |_| {},
+        links: true,
     })?;
     say("3 hosts in 2 zones, 8 upstreams, a platform");
     let load = |tag: &str| {
--- a/crates/steering/src/error.rs
+++ b/crates/steering/src/error.rs
@@ -64,7 +64,8 @@
     /// No upstream of the service can be reached.
     #[display("no_upstream")]
     NoUpstream,
-    /// The platform's store is needed and can't be reached.
+    /// The platform's store is needed and can't be reached; this try did not run,
+    /// an earlier one through another host may have.
     #[display("store_unavailable")]
     StoreUnavailable,
     /// The deadline passed before anything was sent to an upstream.
@@ -188,9 +189,9 @@
         row(
             K::StoreUnavailable,
             503,
-            True,
+            Unknown,
             Some(2),
-            "the store can't be reached",
+            "the store can't be reached; send it again with the same ticket or key",
         ),
         row(
             K::DeadlineBeforeDispatch,
--- a/crates/steering/src/membership.rs
+++ b/crates/steering/src/membership.rs
@@ -49,9 +49,11 @@
     pub lenders: BTreeSet<HostName>,
 }
 
-/// Times that decide.
+/// Times that decide; all grow with the zone, so that heartbeats stay cheap.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Timing {
+    /// Time between two heartbeats to each host.
+    pub beat_every: Duration,
     /// Silence after which a host is doubted.
     pub doubt_after: Duration,
     /// Time after that in which others may vouch for it.
@@ -62,17 +64,32 @@
     pub forget_after: Duration,
 }
 
-impl Default for Timing {
-    fn default() -> Self {
+/// Heartbeats that a host sends in a second, at most, to all others together.
+const BEATS_PER_S: u32 = 30;
+const BEAT_AT_MOST_EVERY: Duration = Duration::from_millis(300);
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+
+impl Timing {
+    /// Times for a zone of so many hosts.
+    pub fn of(hosts: usize) -> Self {
+        let others = hosts.saturating_sub(1) as u32;
+        let beat_every = (Duration::from_secs(1) / BEATS_PER_S * others).max(BEAT_AT_MOST_EVERY);
         Timing {
-            doubt_after: Duration::from_millis(800),
-            vouch_within: Duration::from_millis(700),
-            alone_after: Duration::from_millis(2_000),
-            forget_after: Duration::from_secs(60),
+            beat_every,
+            doubt_after: beat_every.mul_f64(2.7),
+            vouch_within: beat_every.mul_f64(2.3),
+            alone_after: beat_every.mul_f64(6.7),
+            forget_after: FORGET_AFTER.max(beat_every * 20),
         }
     }
 }
 
+impl Default for Timing {
+    fn default() -> Self {
+        Timing::of(1)
+    }
+}
+
 #[derive(Debug, Clone)]
 struct Member {
     entry: HostEntry,
@@ -117,19 +134,24 @@
 
 impl Membership {
     /// A view that holds only this host.
-    pub fn new(me: HostEntry, incarnation: Incarnation, timing: Timing, now: Instant) -> Self {
+    pub fn new(me: HostEntry, incarnation: Incarnation, now: Instant) -> Self {
         Membership {
             me,
             incarnation,
             sequence: 0,
             leaving: false,
-            timing,
+            timing: Timing::default(),
             last_tick: now,
             members: BTreeMap::new(),
             replaced: BTreeSet::new(),
         }
     }
 
+    /// The times in force.
+    pub fn timing(&self) -> &Timing {
+        &self.timing
+    }
+
     /// This host's own entry.
     pub fn me(&self) -> &HostEntry {
         &self.me
@@ -147,6 +169,7 @@
     pub fn tick(&mut self, now: Instant) -> Option<Duration> {
         let gap = now.saturating_duration_since(self.last_tick);
         self.last_tick = now;
+        self.timing = Timing::of(self.members.len() + 1);
         let forget_after = self.timing.forget_after;
         self.members
             .retain(|_, member| now.saturating_duration_since(member.heard) < forget_after);
--- a/src/host/control.rs
+++ b/src/host/control.rs
@@ -17,7 +17,7 @@
 use steering::history::{Entry, History};
 use steering::ids::{HostName, Incarnation};
 use steering::limiter::LOAN_LAPSE;
-use steering::membership::{HostEntry, Membership, Timing};
+use steering::membership::{HostEntry, Membership};
 use steering::plan::Plan;
 use steering::pool::{PoolLimits, PoolLoad};
 use steering::rendezvous;
@@ -32,6 +32,8 @@
 use crate::config::Config;
 
 const PUBLISH_EVERY: Duration = Duration::from_millis(50);
+/// Ticks between two views while no request is in flight.
+const IDLE_TICKS: u32 = 5;
 const POLL_EVERY: Duration = Duration::from_secs(1);
 const LIST_EVERY: Duration = Duration::from_secs(2);
 const LIST_EVERY_OTHERS: Duration = Duration::from_secs(15);
@@ -84,12 +86,7 @@
     async fn main(parts: ControlParts, peers: TcpListener) {
         let mut commands = parts.commands;
         let now = Instant::now();
-        let membership = Membership::new(
-            parts.me.entry.clone(),
-            parts.incarnation,
-            Timing::default(),
-            now,
-        );
+        let membership = Membership::new(parts.me.entry.clone(), parts.incarnation, now);
         let control = Rc::new(Control {
             key: parts.config.peer_key.as_bytes().into(),
             config: parts.config,
@@ -360,6 +357,7 @@
 
     async fn publishes(self: Rc<Self>) {
         let mut timer = timer(PUBLISH_EVERY);
+        let mut idle_ticks = 0;
         loop {
             timer.tick().await;
             let paused = self.state.borrow_mut().membership.tick(Instant::now());
@@ -367,7 +365,17 @@
                 let ms = paused.as_millis() as u64;
                 tracing::warn!(event = "was_paused", host = self.me.entry.name, ms);
             }
-            self.publish();
+            idle_ticks += 1;
+            let busy = self
+                .shared
+                .in_flight
+                .load(std::sync::atomic::Ordering::Relaxed)
+                > 0;
+            self.shared.tick();
+            if busy || idle_ticks >= IDLE_TICKS {
+                idle_ticks = 0;
+                self.publish();
+            }
         }
     }
 
--- a/src/host/spread.rs
+++ b/src/host/spread.rs
@@ -9,10 +9,10 @@
 use rand::seq::{IndexedRandom, IteratorRandom};
 use steering::belief::ZoneSummary;
 use tokio::task::spawn_local;
+use tokio::time::sleep;
 
 use super::control::{Control, timer};
 
-const BEAT_EVERY: Duration = Duration::from_millis(300);
 const EXCHANGE_EVERY: Duration = Duration::from_secs(1);
 /// One exchange in so many goes to another zone, where the own has other hosts.
 const ACROSS_ONE_IN: u32 = 3;
@@ -22,10 +22,10 @@
 impl Control {
     /// Sends heartbeats to the zone's hosts for ever.
     pub async fn heartbeats(self: Rc<Self>) {
-        let mut timer = timer(BEAT_EVERY);
         loop {
-            timer.tick().await;
             self.beat_now();
+            let every = self.state.borrow().membership.timing().beat_every;
+            sleep(every).await;
         }
     }
 
