Tell the tries at one piece of work apart in its claim

Cause: fuzzing with 5000 histories ran work twice: a try that was shed queues the removal of its claim; the same host tries again, finds its own claim and goes on; the queued removal then takes the claim away, and another host claims the work afresh. Ruled out: the store's conditions (the removal was conditional on the host and its start, not on the try). Change: each try has a number in its claim; only the try that wrote a claim may hold or remove it, and a claim left by an earlier try answers in_progress until it is gone. Client blocks are shared between revisions and their table is taken over.

--- a/crates/caller/src/ticketed.rs
+++ b/crates/caller/src/ticketed.rs
@@ -7,7 +7,8 @@
 use hyper::{Response, header};
 use sha2::{Digest, Sha256};
 use steering::claim::{
-    CLAIM_DISPATCH_WINDOW, ClaimOutcome, Ending, Fingerprint, Receipt, Spend, fingerprint, judge,
+    AttemptId, CLAIM_DISPATCH_WINDOW, ClaimOutcome, Ending, Fingerprint, Receipt, Spend,
+    fingerprint, judge,
 };
 use steering::document::TicketMode;
 use steering::error::{ErrorKind, NotRun};
@@ -29,6 +30,8 @@
 /// One piece of work that runs at most once.
 struct Once {
     id: ClaimId,
+    /// This try; its claim is told apart from those of others by it.
+    attempt: AttemptId,
     fingerprint: Fingerprint,
     mode: TicketMode,
     /// When its memory here may lapse.
@@ -54,6 +57,7 @@
         let once = Once {
             lapse: shared.started + Duration::from_millis(ticket.lapse_ms),
             id: ticket.id,
+            attempt: rand::random(),
             fingerprint,
             mode: ticket.mode,
         };
@@ -114,6 +118,7 @@
     if ticket.mode == TicketMode::Store {
         let once = Once {
             id: ticket.id.clone(),
+            attempt: rand::random(),
             fingerprint,
             mode: TicketMode::Store,
             lapse: Instant::now() + KEY_MEMORY,
@@ -147,6 +152,7 @@
     digest.update(key.as_bytes());
     let once = Once {
         id: format!("key-{:x}", digest.finalize()),
+        attempt: rand::random(),
         fingerprint,
         mode: TicketMode::Store,
         lapse: Instant::now() + KEY_MEMORY,
@@ -223,7 +229,7 @@
 async fn claim(shared: &Shared, once: &Once) -> Result<(), Result<Ending, ErrorKind>> {
     let outcome = shared
         .claims
-        .claim(once.id.clone(), once.fingerprint.clone())
+        .claim(once.id.clone(), once.attempt, once.fingerprint.clone())
         .await;
     let row = match outcome {
         ClaimOutcome::Held => return Ok(()),
@@ -231,17 +237,17 @@
         ClaimOutcome::Failed(reason) => {
             tracing::info!(event = "claim_failed", claim = once.id, reason);
             // If it was written after all, it is taken away; nobody ran it.
-            shared
-                .claims
-                .finish(once.id.clone(), once.fingerprint.clone(), None);
+            forget_claim(shared, once, once.attempt);
             return Err(Err(ErrorKind::StoreUnavailable));
         }
     };
     let view = shared.view.load();
     let mine = row.host == view.me.name && row.incarnation == view.incarnation;
     if mine && row.ending.is_none() && row.fingerprint == once.fingerprint {
-        // Left by an earlier try of this start, which did not run.
-        return Ok(());
+        // Left by an earlier try of this start, which did not run. It is on its way
+        // out; until then a claim of this try can't be told from no claim at all.
+        forget_claim(shared, once, row.attempt);
+        return Err(Err(ErrorKind::InProgress));
     }
     let same_host = row.host == view.me.name;
     let gone = same_host || view.host(&row.host).is_none();
@@ -252,6 +258,12 @@
     }
 }
 
+/// Takes the claim of a try that did not run away, where it was written.
+fn forget_claim(shared: &Shared, once: &Once, attempt: AttemptId) {
+    let (id, fingerprint) = (once.id.clone(), once.fingerprint.clone());
+    shared.claims.finish(id, attempt, fingerprint, None);
+}
+
 /// Keeps an answer so that it can be fetched again, and passes it on.
 async fn keep(
     shared: &Shared,
@@ -293,7 +305,9 @@
     let written_before = once.mode == TicketMode::Store;
     if ending.is_some() || written_before {
         let id = once.id.clone();
-        shared.claims.finish(id, once.fingerprint.clone(), ending);
+        shared
+            .claims
+            .finish(id, once.attempt, once.fingerprint.clone(), ending);
     }
 }
 
--- a/crates/platform/src/claims.rs
+++ b/crates/platform/src/claims.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use steering::claim::{ClaimOutcome, ClaimRow, Ending, Fingerprint};
+use steering::claim::{AttemptId, ClaimOutcome, ClaimRow, Ending, Fingerprint};
 use steering::ids::{ClaimId, HostName, Incarnation};
 
 use crate::table::{
@@ -17,6 +17,8 @@
 pub struct ClaimRequest {
     /// The work.
     pub id: ClaimId,
+    /// The try at it.
+    pub attempt: AttemptId,
     /// Digest of the request.
     pub fingerprint: Fingerprint,
 }
@@ -26,6 +28,8 @@
 pub struct ReceiptWrite {
     /// The work.
     pub id: ClaimId,
+    /// The try at it.
+    pub attempt: AttemptId,
     /// Digest of the request.
     pub fingerprint: Fingerprint,
     /// How it ended; none takes the row away: it certainly did not run.
@@ -51,8 +55,8 @@
 
     /// Writes claims in as few commits as their conflicts allow; answers in order.
     ///
-    /// A lost answer is settled by the next try: a row that is there with this
-    /// start's name was written by the lost one, since ids are claimed once.
+    /// A lost answer is settled by reading back: a row that is there with this
+    /// try's number was written by the lost one.
     pub fn claim(&self, requests: &[ClaimRequest]) -> Vec<ClaimOutcome> {
         let mut answers: BTreeMap<ClaimId, ClaimOutcome> = BTreeMap::new();
         let mut open: BTreeMap<ClaimId, &ClaimRequest> = requests
@@ -103,8 +107,9 @@
     ) {
         for row in rows.iter().filter(|row| row.version != ABSENT) {
             let id = row.key.trim_start_matches(CLAIMS).to_owned();
-            open.remove(&id);
-            answers.insert(id, self.judge(row, lost));
+            if let Some(request) = open.remove(&id) {
+                answers.insert(id, self.judge(row, request, lost));
+            }
         }
     }
 
@@ -112,33 +117,42 @@
     /// work that it did not run.
     ///
     /// Only the host that ran it writes an end, so those rows' earlier state does
-    /// not matter. A claim is taken away only where it is this start's own: after
-    /// a claim that failed, the row may be another host's.
+    /// not matter. A claim is taken away only where this very try wrote it: the row
+    /// may be another host's, or that of a later try which is running.
     pub fn finish(&self, receipts: &[ReceiptWrite]) -> Result<(), StoreError> {
         let mut transaction = Transaction::default();
-        let unused: Vec<String> = receipts
+        let unused: Vec<&ReceiptWrite> = receipts
             .iter()
             .filter(|receipt| receipt.ending.is_none())
-            .map(|receipt| key(&receipt.id))
             .collect();
         if !unused.is_empty() {
-            let rows = self.platform.read(&unused)?;
-            for row in rows.into_iter().filter(|row| self.is_unused(row)) {
-                transaction.conditions.push(Condition {
-                    key: row.key.clone(),
-                    version: row.version,
-                });
-                transaction.writes.push(Write {
-                    key: row.key,
-                    value: None,
-                });
+            let keys: Vec<String> = unused.iter().map(|receipt| key(&receipt.id)).collect();
+            let rows = self.platform.read(&keys)?;
+            for (row, receipt) in rows.into_iter().zip(unused) {
+                let claim = parse::<ClaimRow>(&row);
+                if row.version != ABSENT
+                    && claim.is_ok_and(|claim| self.wrote(&claim, receipt.attempt))
+                {
+                    transaction.conditions.push(Condition {
+                        key: row.key.clone(),
+                        version: row.version,
+                    });
+                    transaction.writes.push(Write {
+                        key: row.key,
+                        value: None,
+                    });
+                }
             }
         }
         for receipt in receipts {
             if let Some(ending) = &receipt.ending {
                 transaction.writes.push(Write {
                     key: key(&receipt.id),
-                    value: Some(text(&self.row(&receipt.fingerprint, Some(ending.clone())))),
+                    value: Some(text(&self.row(
+                        receipt.attempt,
+                        &receipt.fingerprint,
+                        Some(ending.clone()),
+                    ))),
                 });
             }
         }
@@ -153,12 +167,6 @@
         }
     }
 
-    /// Whether a row is this start's claim on work that has not ended.
-    fn is_unused(&self, row: &Row) -> bool {
-        let claim = parse::<ClaimRow>(row);
-        row.version != ABSENT && claim.is_ok_and(|row| self.is_mine(&row) && row.ending.is_none())
-    }
-
     /// The row of some work; none where there is none.
     pub fn find(&self, id: &str) -> Result<Option<ClaimRow>, StoreError> {
         let row = read_one(self.platform, &key(id))?;
@@ -177,28 +185,32 @@
             });
             transaction.writes.push(Write {
                 key: key(&request.id),
-                value: Some(text(&self.row(&request.fingerprint, None))),
+                value: Some(text(&self.row(request.attempt, &request.fingerprint, None))),
             });
         }
         transaction
     }
 
-    fn judge(&self, row: &Row, lost: bool) -> ClaimOutcome {
+    /// What a row that is there means: after a lost answer it may be this try's own.
+    fn judge(&self, row: &Row, request: &ClaimRequest, lost: bool) -> ClaimOutcome {
         match parse::<ClaimRow>(row) {
-            Ok(row) if lost && self.is_mine(&row) && row.ending.is_none() => ClaimOutcome::Held,
+            Ok(row) if lost && self.wrote(&row, request.attempt) => ClaimOutcome::Held,
             Ok(row) => ClaimOutcome::Taken(row),
             Err(error) => ClaimOutcome::Failed(error.to_string()),
         }
     }
 
-    fn is_mine(&self, row: &ClaimRow) -> bool {
-        row.host == self.host && row.incarnation == self.incarnation
+    /// Whether this start wrote the row in this try, and the work has not ended.
+    fn wrote(&self, row: &ClaimRow, attempt: AttemptId) -> bool {
+        let mine = row.host == self.host && row.incarnation == self.incarnation;
+        mine && row.attempt == attempt && row.ending.is_none()
     }
 
-    fn row(&self, fingerprint: &str, ending: Option<Ending>) -> ClaimRow {
+    fn row(&self, attempt: AttemptId, fingerprint: &str, ending: Option<Ending>) -> ClaimRow {
         ClaimRow {
             host: self.host.clone(),
             incarnation: self.incarnation,
+            attempt,
             fingerprint: fingerprint.to_owned(),
             ending,
         }
--- a/crates/platform/tests/stateful.rs
+++ b/crates/platform/tests/stateful.rs
@@ -4,7 +4,7 @@
 
 mod fake;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use fake::{FakePlatform, StoreFault};
@@ -15,9 +15,11 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use steering::Document;
-use steering::claim::{ClaimOutcome, Ending, Receipt, Spend, SpentLimits, SpentTickets, judge};
+use steering::claim::{
+    AttemptId, ClaimOutcome, Ending, Receipt, Spend, SpentLimits, SpentTickets, judge,
+};
 use steering::document::{Change, Edit, Proposal, Region, TicketMode, Verdict};
-use steering::history::History;
+use steering::history::{History, Snapshot};
 use steering::ticket::Issuer;
 
 const HOSTS: usize = 3;
@@ -59,6 +61,15 @@
         from: usize,
         to: usize,
     },
+    /// Receipts that wait for the store are written.
+    Flush(usize),
+    /// A host keeps its document in a message that will come late.
+    SendSnapshot(usize),
+    /// A late message comes.
+    TakeSnapshot {
+        message: usize,
+        to: usize,
+    },
 }
 
 /// Nothing decides which steps are possible: every one is, at any time.
@@ -90,7 +101,10 @@
             2 => host.clone().prop_map(Step::Restart),
             3 => (host.clone(), 0..3_usize).prop_map(|(host, region)| Step::Propose { host, region }),
             3 => host.clone().prop_map(Step::Poll),
-            3 => (host.clone(), host).prop_map(|(from, to)| Step::Exchange { from, to }),
+            3 => (host.clone(), host.clone()).prop_map(|(from, to)| Step::Exchange { from, to }),
+            4 => host.clone().prop_map(Step::Flush),
+            1 => host.clone().prop_map(Step::SendSnapshot),
+            2 => (0..20_usize, host).prop_map(|(message, to)| Step::TakeSnapshot { message, to }),
         ]
         .boxed()
     }
@@ -104,9 +118,11 @@
     incarnation: u64,
     issuer: Issuer,
     spent: SpentTickets,
-    /// Operations that it has claimed and not yet sent.
-    held: BTreeSet<usize>,
+    /// Operations that it has claimed and not yet sent, with the try that did.
+    held: BTreeMap<usize, AttemptId>,
     history: History,
+    /// Receipts that the store has not taken yet.
+    unwritten: Vec<ReceiptWrite>,
 }
 
 impl Host {
@@ -121,8 +137,9 @@
                 count: 100,
                 bytes: 1_000,
             }),
-            held: BTreeSet::new(),
+            held: BTreeMap::new(),
             history: History::default(),
+            unwritten: Vec::new(),
         }
     }
 
@@ -143,6 +160,9 @@
     /// Tickets that were issued, by home and operation, with the home's start.
     tickets: BTreeMap<(usize, usize), String>,
     changes: u64,
+    attempts: AttemptId,
+    /// Snapshots on their way.
+    snapshots: Vec<Snapshot>,
 }
 
 fn id(operation: usize) -> String {
@@ -173,8 +193,11 @@
         if spend != Spend::Run {
             return;
         }
+        self.attempts += 1;
+        let attempt = self.attempts;
         let request = ClaimRequest {
             id: id(operation),
+            attempt,
             fingerprint: "f".to_owned(),
         };
         let outcome = self.hosts[host]
@@ -184,16 +207,17 @@
         let this = &mut self.hosts[host];
         match outcome {
             ClaimOutcome::Held => {
-                this.held.insert(operation);
+                this.held.insert(operation, attempt);
             }
             ClaimOutcome::Failed(_) => {
                 this.spent.give_back(&id(operation));
-                self.finish(host, operation, None);
+                self.finish(host, operation, attempt, None);
             }
             ClaimOutcome::Taken(row) => {
                 let mine = row.host == this.name && row.incarnation == this.incarnation;
                 if mine && row.ending.is_none() {
-                    this.held.insert(operation);
+                    this.spent.give_back(&id(operation));
+                    self.finish(host, operation, row.attempt, None);
                     return;
                 }
                 // A start of this host that is gone, or another host that may be there.
@@ -206,14 +230,31 @@
         }
     }
 
-    fn finish(&mut self, host: usize, operation: usize, ending: Option<Ending>) {
-        let write = ReceiptWrite {
+    /// Notes how an operation ended; the store is told now or by a later flush.
+    fn finish(
+        &mut self,
+        host: usize,
+        operation: usize,
+        attempt: AttemptId,
+        ending: Option<Ending>,
+    ) {
+        self.hosts[host].unwritten.push(ReceiptWrite {
             id: id(operation),
+            attempt,
             fingerprint: "f".to_owned(),
             ending,
-        };
-        // A store that is down is tried again later; here the receipt is lost, which is worse.
-        let _ = self.hosts[host].claims(&self.platform).finish(&[write]);
+        });
+    }
+
+    fn flush(&mut self, host: usize) {
+        let unwritten = self.hosts[host].unwritten.clone();
+        if self.hosts[host]
+            .claims(&self.platform)
+            .finish(&unwritten)
+            .is_ok()
+        {
+            self.hosts[host].unwritten.clear();
+        }
     }
 
     /// As `caller` does for a home ticket: only the start that issued it runs it.
@@ -339,6 +380,8 @@
             accepted: BTreeMap::new(),
             tickets: BTreeMap::new(),
             changes: 0,
+            attempts: 0,
+            snapshots: Vec::new(),
         }
     }
 
@@ -352,18 +395,18 @@
             Step::Fault(fault) => world.platform.set(fault),
             Step::Claim { host, operation } => world.claim(host, operation),
             Step::Dispatch { host, operation } => {
-                if world.hosts[host].held.remove(&operation) {
+                if let Some(attempt) = world.hosts[host].held.remove(&operation) {
                     world.run(id(operation));
                     if let Some(ending) = receipt() {
                         world.hosts[host].spent.end(&id(operation), ending.clone());
-                        world.finish(host, operation, Some(ending));
+                        world.finish(host, operation, attempt, Some(ending));
                     }
                 }
             }
             Step::Shed { host, operation } => {
-                if world.hosts[host].held.remove(&operation) {
+                if let Some(attempt) = world.hosts[host].held.remove(&operation) {
                     world.hosts[host].spent.give_back(&id(operation));
-                    world.finish(host, operation, None);
+                    world.finish(host, operation, attempt, None);
                 }
             }
             Step::Ticket {
@@ -382,6 +425,20 @@
                 let _ = ConfigStore::new(&world.platform).poll(history);
             }
             Step::Exchange { from, to } => world.exchange(from, to),
+            Step::Flush(host) => world.flush(host),
+            Step::SendSnapshot(host) => {
+                let snapshot = world.hosts[host].history.snapshot();
+                world.snapshots.push(snapshot);
+            }
+            Step::TakeSnapshot { message, to } if !world.snapshots.is_empty() => {
+                let message = message % world.snapshots.len();
+                let snapshot = world.snapshots[message].clone();
+                world.hosts[to]
+                    .history
+                    .install(&snapshot)
+                    .expect("it is whole");
+            }
+            Step::TakeSnapshot { .. } => {}
         }
         world.check(&before);
         world
--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -39,6 +39,8 @@
         #[arg(long)]
         plots: Option<PathBuf>,
     },
+    /// Measure what each role costs and print the tables of docs/CAPACITY.md.
+    CapacityTable,
     /// Run a stand-in platform until the process is ended.
     Platform {
         /// IP number and port.
@@ -125,6 +127,10 @@
             println!("{figures}");
             Ok(true)
         }
+        Command::CapacityTable => {
+            println!("{}", measure::capacity::table(&measure::capacity::run()?));
+            Ok(true)
+        }
         Command::Platform { address } => {
             let platform = StandInPlatform::start(*address)?;
             println!("platform at {}", platform.address());
--- a/crates/standin/src/measure/capacity.rs
+++ b/crates/standin/src/measure/capacity.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::overhead::rss_mb;
 use peer::Beat;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -13,7 +14,7 @@
 use steering::Document;
 use steering::belief::ServiceLoad;
 use steering::blocks::BlockTable;
-use steering::document::{Change, Edit, Kind, ObjectId};
+use steering::document::{Block, Change, Edit, Kind, ObjectId};
 use steering::history::{History, Position};
 use steering::lookup::Directory;
 use steering::membership::{HostEntry, Membership, Timing};
@@ -73,6 +74,18 @@
     begun.elapsed().as_secs_f64() * 1e6 / f64::from(calls)
 }
 
+/// Sites with so many client blocks.
+fn with_blocks(count: usize) -> Document {
+    let mut document = document(88, 2_200);
+    let blocks = blocks(count, 1).into_iter().map(|(prefix, class)| Block {
+        prefix,
+        zone: format!("zone-{}", class % 88),
+        labels: Default::default(),
+    });
+    document.blocks = Arc::new(blocks.collect());
+    document
+}
+
 /// Size of a heartbeat that tells the load of one pool, in bytes.
 fn beat_bytes() -> f64 {
     let mut membership = Membership::new(host(0, 0), 1, Instant::now());
@@ -156,6 +169,7 @@
 }
 
 fn block_points(measure: impl Fn(usize) -> f64) -> Vec<(f64, f64)> {
+    // The largest last: memory that was freed may be used again unseen.
     let sizes = [10_000, 100_000, 500_000, 1_000_000, 1_700_000];
     sizes
         .iter()
@@ -400,5 +414,65 @@
             }),
         ),
     ];
+    let mut slopes = slopes;
+    slopes.push(slope(
+        "configuration",
+        "blocks",
+        "MB of blocks held as objects",
+        1.7e6,
+        block_points(|size| {
+            let before_mb = rss_mb();
+            let document = black_box(with_blocks(size));
+            let held_mb = rss_mb() - before_mb;
+            drop(document);
+            held_mb
+        }),
+    ));
+    slopes.push(slope(
+        "configuration",
+        "blocks",
+        "ms to accept a change of another object",
+        1.7e6,
+        block_points(|size| {
+            let mut history = History::default();
+            let first = Document::default().difference(&with_blocks(size), "f".into());
+            let entry = history.propose(first);
+            history.accept(&entry).expect("the first change is valid");
+            let mut plan = Plan::new(Arc::clone(history.document()));
+            let mut number = 0;
+            time_us(|| {
+                number += 1;
+                let entry = history.propose(change(number));
+                history.accept(&entry).expect("the change is valid");
+                plan = plan.next(Arc::clone(history.document()));
+            }) / 1e3
+        }),
+    ));
     Ok(json!({"measure": "capacity", "heartbeat_bytes": beat_bytes, "slopes": slopes}))
 }
+
+/// The slopes as a table for docs/CAPACITY.md.
+pub fn table(measured: &Value) -> String {
+    let mut lines = vec![
+        "| role | cost | over | sizes measured | at the target's size | fit error |".to_owned(),
+        "| --- | --- | --- | --- | --- | --- |".to_owned(),
+    ];
+    for slope in measured["slopes"].as_array().into_iter().flatten() {
+        let points = slope["points"].as_array().into_iter().flatten();
+        let points: Vec<String> = points
+            .map(|point| format!("{}: {}", point[0], point[1]))
+            .collect();
+        let text = |field: &str| slope[field].as_str().unwrap_or("").to_owned();
+        lines.push(format!(
+            "| {} | {} | {} | {} | {} at {} | {} |",
+            text("role"),
+            text("unit"),
+            text("over"),
+            points.join(", "),
+            slope["at_target"],
+            slope["target_size"],
+            slope["fit_error"]
+        ));
+    }
+    lines.join("\n")
+}
--- a/crates/standin/src/measure/claims.rs
+++ b/crates/standin/src/measure/claims.rs
@@ -61,12 +61,14 @@
         };
         store.claim(&[ClaimRequest {
             id: id.clone(),
+            attempt: number as u64,
             fingerprint: fingerprint.clone(),
         }]);
         let ending = Some(Ending::Ran(receipt));
         store
             .finish(&[ReceiptWrite {
                 id,
+                attempt: number as u64,
                 fingerprint,
                 ending,
             }])
--- a/crates/standin/src/measure/overhead.rs
+++ b/crates/standin/src/measure/overhead.rs
@@ -63,6 +63,7 @@
     let [direct, via, via_two] = in_turn(&paths)?;
     let requests_per_s = throughput(entry, "/services/close/paths");
     let direct_requests_per_s = throughput(upstream, "/paths");
+    let look_ups_per_s = throughput(entry, "/v1/hosts?service=close");
     let rss_before_mb = rss_mb();
     let (bytes, rss_peak_mb, download_s) = download(entry)?;
     let ratio = |a: u64, b: u64| a as f64 / b.max(1) as f64;
@@ -79,6 +80,7 @@
         "ratio_two_p50": ratio(via_two.quantile_us(0.5), direct.quantile_us(0.5)),
         "requests_per_s": requests_per_s,
         "direct_requests_per_s": direct_requests_per_s,
+        "look_ups_per_s": look_ups_per_s,
         "host_rss_mb": rss_before_mb,
         "download_bytes": bytes,
         "download_s": download_s,
--- a/crates/standin/src/upstream/answer.rs
+++ b/crates/standin/src/upstream/answer.rs
@@ -162,7 +162,10 @@
     let served = inner.served.fetch_add(1, Ordering::AcqRel);
     let cold = served < u64::from(behaviour.cold_requests);
     let factor = if cold { behaviour.cold_factor } else { 1.0 };
-    tokio::time::sleep(behaviour.service_time.mul_f64(factor)).await;
+    let service_time = behaviour.service_time.mul_f64(factor);
+    if !service_time.is_zero() {
+        tokio::time::sleep(service_time).await;
+    }
     if behaviour.drop_after_run {
         return Err(Refusal::Closed);
     }
--- a/crates/standin/tests/once.rs
+++ b/crates/standin/tests/once.rs
@@ -341,6 +341,7 @@
     let loser = ClaimStore::new(&client, "loser".to_owned(), 1);
     let request = ClaimRequest {
         id: "work".to_owned(),
+        attempt: 1,
         fingerprint: "f".to_owned(),
     };
     platform.set_down(true);
@@ -356,6 +357,7 @@
     );
     let unused = ReceiptWrite {
         id: "work".to_owned(),
+        attempt: 1,
         fingerprint: "f".to_owned(),
         ending: None,
     };
--- a/crates/steering/src/claim.rs
+++ b/crates/steering/src/claim.rs
@@ -47,6 +47,9 @@
     Full,
 }
 
+/// Number of one try at some work, drawn at random.
+pub type AttemptId = u64;
+
 /// Digest of a request's method, path and body.
 pub type Fingerprint = String;
 
@@ -191,6 +194,8 @@
     pub host: HostName,
     /// Start of that host.
     pub incarnation: Incarnation,
+    /// Number of the try that wrote it, drawn anew for each.
+    pub attempt: AttemptId,
     /// Digest of the request.
     pub fingerprint: Fingerprint,
     /// None while it may run.
--- a/crates/steering/src/document/check.rs
+++ b/crates/steering/src/document/check.rs
@@ -1,6 +1,7 @@
 //! Checks of a configuration that the types alone can't make.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
@@ -57,13 +58,32 @@
 impl Document {
     /// Reports everything that is wrong, all at once.
     pub fn check(&self) -> Result<(), Problems> {
+        let mut problems = self.check_all_but_blocks();
+        self.check_blocks(&mut problems);
+        problems.into_result()
+    }
+
+    /// As [`Document::check`], where `before` is good already: client blocks that
+    /// both share are not looked at again.
+    pub fn check_after(&self, before: &Document) -> Result<(), Problems> {
+        let same_zones = self
+            .zones
+            .iter()
+            .map(|z| &z.name)
+            .eq(before.zones.iter().map(|z| &z.name));
+        if same_zones && Arc::ptr_eq(&self.blocks, &before.blocks) {
+            return self.check_all_but_blocks().into_result();
+        }
+        self.check()
+    }
+
+    fn check_all_but_blocks(&self) -> Problems {
         let mut problems = Problems::default();
         self.check_places(&mut problems);
         self.check_services(&mut problems);
         self.check_upstreams(&mut problems);
         self.check_rules(&mut problems);
-        self.check_blocks(&mut problems);
-        problems.into_result()
+        problems
     }
 
     fn check_places(&self, problems: &mut Problems) {
--- a/crates/steering/src/document/edit.rs
+++ b/crates/steering/src/document/edit.rs
@@ -1,6 +1,7 @@
 //! Changes of a configuration, object by object.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use derive_more::{Display, Error, From};
 use serde::{Deserialize, Serialize};
@@ -140,7 +141,7 @@
         for edit in &self.edits {
             next.edit(edit)?;
         }
-        next.check()?;
+        next.check_after(document)?;
         Ok(next)
     }
 }
@@ -161,6 +162,23 @@
     fn list_mut(document: &mut Document) -> &mut Vec<Self>;
 }
 
+/// A list that a document owns, or shares with other revisions until it changes.
+trait SharedOrOwned<T> {
+    fn list(&mut self) -> &mut Vec<T>;
+}
+
+impl<T> SharedOrOwned<T> for Vec<T> {
+    fn list(&mut self) -> &mut Vec<T> {
+        self
+    }
+}
+
+impl<T: Clone> SharedOrOwned<T> for Arc<Vec<T>> {
+    fn list(&mut self) -> &mut Vec<T> {
+        Arc::make_mut(self)
+    }
+}
+
 macro_rules! named {
     ($type:ident, $list:ident, $this:ident => $name:expr, $labels:expr) => {
         impl Named for $type {
@@ -177,7 +195,7 @@
                 &document.$list
             }
             fn list_mut(document: &mut Document) -> &mut Vec<Self> {
-                &mut document.$list
+                SharedOrOwned::list(&mut document.$list)
             }
         }
     };
@@ -242,6 +260,9 @@
 }
 
 fn differ<T: Named>(from: &Document, to: &Document, put: fn(T) -> Edit, edits: &mut Vec<Edit>) {
+    if T::list(from) == T::list(to) {
+        return;
+    }
     let index = |list: &[T]| -> std::collections::HashMap<String, T> {
         list.iter()
             .map(|object| (object.id(), object.clone()))
--- a/crates/steering/src/document/mod.rs
+++ b/crates/steering/src/document/mod.rs
@@ -13,6 +13,8 @@
 
 pub use proposal::{Proposal, Verdict};
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 /// A whole configuration, as operators write it.
@@ -32,7 +34,9 @@
     /// Rules; the first whose traffic matches decides.
     pub rules: Vec<Rule>,
     /// Client blocks and the zone nearest to each.
-    pub blocks: Vec<Block>,
+    ///
+    /// Shared between revisions, since most changes leave them as they are.
+    pub blocks: Arc<Vec<Block>>,
 }
 
 impl Document {
--- a/crates/steering/src/plan.rs
+++ b/crates/steering/src/plan.rs
@@ -78,6 +78,13 @@
     }
 }
 
+/// Client blocks made ready; `classes` holds every class that `blocks` names.
+#[derive(Debug, Default)]
+struct Callers {
+    classes: Vec<CallerClass>,
+    blocks: BlockTable,
+}
+
 /// A configuration made ready for deciding.
 #[derive(Debug, Clone, Default)]
 pub struct Plan {
@@ -86,15 +93,27 @@
     /// Services by name.
     pub services: HashMap<ServiceName, ServicePlan>,
     zone_labels: HashMap<ZoneName, Labels>,
-    classes: Vec<CallerClass>,
-    blocks: BlockTable,
+    callers: Arc<Callers>,
     everybody: CallerClass,
 }
 
 impl Plan {
     /// Makes a configuration ready.
     pub fn new(document: Arc<Document>) -> Self {
-        let (classes, blocks) = classify(&document);
+        let callers = Arc::new(classify(&document));
+        Plan::with(document, callers)
+    }
+
+    /// Makes the next configuration ready; client blocks that it shares with this
+    /// one are taken over as they are.
+    pub fn next(&self, document: Arc<Document>) -> Self {
+        if Arc::ptr_eq(&document.blocks, &self.document.blocks) {
+            return Plan::with(document, Arc::clone(&self.callers));
+        }
+        Plan::new(document)
+    }
+
+    fn with(document: Arc<Document>, callers: Arc<Callers>) -> Self {
         let services = document
             .services
             .iter()
@@ -108,8 +127,7 @@
         Plan {
             services,
             zone_labels,
-            classes,
-            blocks,
+            callers,
             everybody: CallerClass::default(),
             document,
         }
@@ -117,7 +135,7 @@
 
     /// The class of a caller's address.
     pub fn class_of(&self, address: IpAddr) -> ClassId {
-        self.blocks.find(address)
+        self.callers.blocks.find(address)
     }
 
     /// A class by its number.
@@ -125,7 +143,10 @@
         if id == NO_CLASS {
             return &self.everybody;
         }
-        self.classes.get(id as usize).unwrap_or(&self.everybody)
+        self.callers
+            .classes
+            .get(id as usize)
+            .unwrap_or(&self.everybody)
     }
 
     /// Labels of a zone, with `zone` and `region` set.
@@ -282,15 +303,15 @@
 
     /// Memory of the table of client blocks, in bytes.
     pub fn block_bytes(&self) -> usize {
-        self.blocks.bytes()
+        self.callers.blocks.bytes()
     }
 }
 
-fn classify(document: &Document) -> (Vec<CallerClass>, BlockTable) {
+fn classify(document: &Document) -> Callers {
     let mut numbers: HashMap<CallerClass, ClassId> = HashMap::new();
     let mut classes = Vec::new();
     let mut rows = Vec::with_capacity(document.blocks.len());
-    for block in &document.blocks {
+    for block in document.blocks.iter() {
         let mut labels = block.labels.clone();
         labels.insert("zone".to_owned(), block.zone.clone());
         let class = CallerClass {
@@ -304,7 +325,10 @@
         });
         rows.push((block.prefix, id));
     }
-    (classes, BlockTable::build(rows))
+    Callers {
+        classes,
+        blocks: BlockTable::build(rows),
+    }
 }
 
 fn plan_service(document: &Document, service: &Service) -> ServicePlan {
--- a/src/host/claims.rs
+++ b/src/host/claims.rs
@@ -5,7 +5,7 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use platform::{ClaimRequest, ClaimStore, ReceiptWrite, Worker, WorkerError};
-use steering::claim::{ClaimOutcome, ClaimRow, Ending, Fingerprint};
+use steering::claim::{AttemptId, ClaimOutcome, ClaimRow, Ending, Fingerprint};
 use steering::ids::{ClaimId, HostName, Incarnation};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep;
@@ -49,9 +49,18 @@
 }
 
 impl ::caller::Claims for GroupedClaims {
-    fn claim(&self, id: ClaimId, fingerprint: Fingerprint) -> BoxFuture<'static, ClaimOutcome> {
+    fn claim(
+        &self,
+        id: ClaimId,
+        attempt: AttemptId,
+        fingerprint: Fingerprint,
+    ) -> BoxFuture<'static, ClaimOutcome> {
         let (answer, answered) = oneshot::channel();
-        let request = ClaimRequest { id, fingerprint };
+        let request = ClaimRequest {
+            id,
+            attempt,
+            fingerprint,
+        };
         let queued = self.claims.try_send(Waiting { request, answer });
         async move {
             if queued.is_err() {
@@ -63,9 +72,16 @@
         .boxed()
     }
 
-    fn finish(&self, id: ClaimId, fingerprint: Fingerprint, ending: Option<Ending>) {
+    fn finish(
+        &self,
+        id: ClaimId,
+        attempt: AttemptId,
+        fingerprint: Fingerprint,
+        ending: Option<Ending>,
+    ) {
         let receipt = ReceiptWrite {
             id,
+            attempt,
             fingerprint,
             ending,
         };
--- a/src/host/control.rs
+++ b/src/host/control.rs
@@ -18,7 +18,6 @@
 use steering::ids::{HostName, Incarnation};
 use steering::limiter::LOAN_LAPSE;
 use steering::membership::{HostEntry, Membership};
-use steering::plan::Plan;
 use steering::pool::{PoolLimits, PoolLoad};
 use steering::rendezvous;
 use steering::view::View;
@@ -393,7 +392,7 @@
         }
         let replan = state.planned != state.history.revision();
         if replan {
-            state.plan = Arc::new(Plan::new(Arc::clone(state.history.document())));
+            state.plan = Arc::new(state.plan.next(Arc::clone(state.history.document())));
             state.planned = state.history.revision();
             self.keep_counts(state);
         }
