--- a/crates/steering/src/document/edit.rs
+++ b/crates/steering/src/document/edit.rs
@@ -1,6 +1,6 @@
 //! Changes of a configuration, object by object.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 use derive_more::{Display, Error, From};
@@ -83,7 +83,7 @@
     /// Sets labels of an object; a value of none takes the label away.
     Label {
         object: ObjectId,
-        labels: std::collections::BTreeMap<String, Option<String>>,
+        labels: BTreeMap<String, Option<String>>,
     },
 }
 
@@ -138,8 +138,9 @@
     /// The document after the change, checked.
     pub fn apply(&self, document: &Document) -> Result<Document, EditError> {
         let mut next = document.clone();
+        let mut positions = Positions::new(self.edits.len());
         for edit in &self.edits {
-            next.edit(edit)?;
+            next.edit(edit, &mut positions)?;
         }
         next.check_after(document)?;
         Ok(next)
@@ -209,17 +210,58 @@
 named!(Rule, rules, this => this.name.clone(), Some(&mut this.labels));
 named!(Block, blocks, this => this.prefix.to_string(), Some(&mut this.labels));
 
+/// Where objects stand in their lists, by kind and name; only in large changes,
+/// where looking through the list for each object would take too long.
+struct Positions {
+    of: Option<BTreeMap<Kind, HashMap<String, usize>>>,
+}
+
+/// Edits from which positions are kept.
+const LARGE_CHANGE: usize = 16;
+
+impl Positions {
+    fn new(edits: usize) -> Self {
+        Positions {
+            of: (edits >= LARGE_CHANGE).then(BTreeMap::new),
+        }
+    }
+
+    fn find<T: Named>(&mut self, list: &[T], id: &str) -> Option<usize> {
+        let Some(of) = &mut self.of else {
+            return list.iter().position(|known| known.id() == id);
+        };
+        let numbered = || list.iter().enumerate().map(|(at, known)| (known.id(), at));
+        let positions = of.entry(T::KIND).or_insert_with(|| numbered().collect());
+        positions.get(id).copied()
+    }
+
+    fn added<T: Named>(&mut self, id: String, at: usize) {
+        if let Some(positions) = self.of.as_mut().and_then(|of| of.get_mut(&T::KIND)) {
+            positions.insert(id, at);
+        }
+    }
+
+    fn forget(&mut self, kind: Kind) {
+        if let Some(of) = &mut self.of {
+            of.remove(&kind);
+        }
+    }
+}
+
 impl Document {
-    fn edit(&mut self, edit: &Edit) -> Result<(), EditError> {
+    fn edit(&mut self, edit: &Edit, positions: &mut Positions) -> Result<(), EditError> {
         match edit {
-            Edit::Region(object) => put(self, object),
-            Edit::Zone(object) => put(self, object),
-            Edit::Link(object) => put(self, object),
-            Edit::Service(object) => put(self, object),
-            Edit::Upstream(object) => put(self, object),
-            Edit::Rule(object) => put(self, object),
-            Edit::Block(object) => put(self, object),
-            Edit::Remove(object) => return self.with_kind(object, Remove),
+            Edit::Region(object) => put(self, object, positions),
+            Edit::Zone(object) => put(self, object, positions),
+            Edit::Link(object) => put(self, object, positions),
+            Edit::Service(object) => put(self, object, positions),
+            Edit::Upstream(object) => put(self, object, positions),
+            Edit::Rule(object) => put(self, object, positions),
+            Edit::Block(object) => put(self, object, positions),
+            Edit::Remove(object) => {
+                positions.forget(object.kind);
+                return self.with_kind(object, Remove);
+            }
             Edit::Label { object, labels } => return self.with_kind(object, SetLabels(labels)),
         }
         Ok(())
@@ -251,11 +293,15 @@
     }
 }
 
-fn put<T: Named>(document: &mut Document, object: &T) {
+fn put<T: Named>(document: &mut Document, object: &T, positions: &mut Positions) {
     let list = T::list_mut(document);
-    match list.iter_mut().find(|known| known.id() == object.id()) {
-        Some(known) => *known = object.clone(),
-        None => list.push(object.clone()),
+    let id = object.id();
+    match positions.find(list, &id) {
+        Some(at) => list[at] = object.clone(),
+        None => {
+            positions.added::<T>(id, list.len());
+            list.push(object.clone());
+        }
     }
 }
 
@@ -263,7 +309,7 @@
     if T::list(from) == T::list(to) {
         return;
     }
-    let index = |list: &[T]| -> std::collections::HashMap<String, T> {
+    let index = |list: &[T]| -> HashMap<String, T> {
         list.iter()
             .map(|object| (object.id(), object.clone()))
             .collect()
@@ -304,7 +350,7 @@
     }
 }
 
-struct SetLabels<'a>(&'a std::collections::BTreeMap<String, Option<String>>);
+struct SetLabels<'a>(&'a BTreeMap<String, Option<String>>);
 
 impl Action for SetLabels<'_> {
     fn run<T: Named>(&self, document: &mut Document, id: &ObjectId) -> Result<(), EditError> {
--- a/crates/steering/src/membership.rs
+++ b/crates/steering/src/membership.rs
@@ -65,7 +65,7 @@
 }
 
 /// Heartbeats that a host sends in a second, at most, to all others together.
-const BEATS_PER_S: u32 = 30;
+const BEATS_PER_S: u32 = 15;
 const BEAT_AT_MOST_EVERY: Duration = Duration::from_millis(300);
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
--- a/crates/steering/tests/document.rs
+++ b/crates/steering/tests/document.rs
@@ -158,3 +158,22 @@
     };
     assert_eq!(change.apply(&before), Err(EditError::Missing(missing)));
 }
+
+#[test]
+fn a_large_change_puts_replaces_and_removes_as_a_small_one() {
+    let mut before = good();
+    let blocks: Vec<Value> = (0..200)
+        .map(|n| json!({"prefix": format!("10.{n}.0.0/16"), "zone": "norte"}))
+        .collect();
+    before["blocks"] = json!(blocks);
+    let mut after = before.clone();
+    after["blocks"][7]["zone"] = json!("puerto");
+    let more = (0..60).map(|n| json!({"prefix": format!("11.{n}.0.0/16"), "zone": "puerto"}));
+    after["blocks"].as_array_mut().unwrap().extend(more);
+    after["blocks"].as_array_mut().unwrap().remove(100);
+    let before: Document = serde_json::from_value(before).unwrap();
+    let after: Document = serde_json::from_value(after).unwrap();
+    let change = before.difference(&after, "c".to_owned());
+    assert_eq!(change.edits.len(), 62);
+    assert_eq!(change.apply(&before), Ok(after));
+}
--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -12,10 +12,12 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::timeout_at;
+use tokio::time::{timeout, timeout_at};
 
 use crate::{Body, TrackedBody};
 
+/// A host that has vanished answers nothing at all; others are asked instead.
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 const IDLE_LIMIT: Duration = Duration::from_secs(10);
 const RECENT: Duration = Duration::from_millis(500);
 const MAX_HEADERS: usize = 128;
@@ -163,8 +165,9 @@
             }
         }
         let count = self.count_one(address, limit)?;
-        let connected = connect(address).await;
-        let (sender, task) = match connected {
+        let connected = timeout(CONNECT_LIMIT, connect(address)).await;
+        let late = || Err(std::io::ErrorKind::TimedOut.into());
+        let (sender, task) = match connected.unwrap_or_else(|_| late()) {
             Ok(connected) => connected,
             Err(error) => {
                 count.fetch_sub(1, Ordering::AcqRel);
