--- /dev/null
+++ b/src/host/configuration.rs
@@ -0,0 +1,124 @@
+//! Configurations: polled, proposed, taken from and given to other hosts.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use platform::ConfigStore;
+use steering::document::{Proposal, Verdict};
+use steering::history::{Entry, History};
+use steering::rendezvous;
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+
+use super::control::{Control, POLLERS, timer};
+
+const POLL_EVERY: Duration = Duration::from_secs(1);
+
+impl Control {
+    pub async fn polls(self: Rc<Self>) {
+        let mut timer = timer(POLL_EVERY);
+        loop {
+            timer.tick().await;
+            if self.is_among("poll", POLLERS) {
+                self.poll().await;
+            }
+        }
+    }
+
+    pub async fn poll(self: &Rc<Self>) {
+        let mut history = self.state.borrow().history.clone();
+        let polled = self.worker.run(move |platform| {
+            let result = ConfigStore::new(platform).poll(&mut history);
+            (history, result)
+        });
+        let Ok((history, result)) = polled.await else {
+            return;
+        };
+        match result {
+            Ok(()) => self.state.borrow_mut().store_answered = Some(Instant::now()),
+            Err(error) => tracing::debug!(event = "poll_failed", %error),
+        }
+        self.adopt(history);
+    }
+
+    /// Takes a history that is ahead, and tells the hosts of the zone.
+    pub fn adopt(self: &Rc<Self>, history: History) {
+        let before = self.state.borrow().history.revision();
+        if history.revision() <= before {
+            return;
+        }
+        let entries = history.entries_after(before);
+        self.state.borrow_mut().history = history;
+        self.in_force_now();
+        for entry in entries.unwrap_or_default() {
+            self.push(&entry);
+        }
+    }
+
+    /// The configuration has changed: views follow at once.
+    pub fn in_force_now(&self) {
+        self.publish();
+        let position = self.state.borrow().history.position().clone();
+        tracing::info!(
+            event = "in_force",
+            host = self.me.entry.name,
+            revision = position.revision,
+            digest = position.digest
+        );
+    }
+
+    pub async fn propose(self: Rc<Self>, proposal: Proposal, answer: oneshot::Sender<Verdict>) {
+        let mut history = self.state.borrow().history.clone();
+        let id = proposal.change.id.clone();
+        let proposed = self.worker.run(move |platform| {
+            let verdict = ConfigStore::new(platform).propose(&mut history, &proposal);
+            (history, verdict)
+        });
+        let verdict = match proposed.await {
+            Ok((history, verdict)) => {
+                self.adopt(history);
+                verdict
+            }
+            Err(error) => Verdict::Unavailable(error.to_string()),
+        };
+        tracing::info!(event = "proposal", change = id, verdict = ?verdict);
+        // The operator may have given up; asking again with the same id tells.
+        drop(answer.send(verdict));
+    }
+
+    /// Sends an accepted change to the zone's hosts, and to one host of each other zone.
+    pub fn push(self: &Rc<Self>, entry: &Entry) {
+        for address in self.push_targets() {
+            let client = self.client(address);
+            let entry = entry.clone();
+            spawn_local(async move {
+                if let Err(error) = client.push(&entry).await {
+                    tracing::debug!(event = "push_failed", %address, %error);
+                }
+            });
+        }
+    }
+
+    /// Sends a change that came from another zone to the zone's hosts.
+    pub fn push_in_zone(self: &Rc<Self>, entry: &Entry) {
+        for address in self.zone_peers() {
+            let client = self.client(address);
+            let entry = entry.clone();
+            spawn_local(async move { drop(client.push(&entry).await) });
+        }
+    }
+
+    pub fn push_targets(&self) -> Vec<SocketAddr> {
+        let others = self.other_zones();
+        let key = format!("push/{}", self.me.entry.name);
+        let one_each = others.values().filter_map(|hosts| {
+            let names = hosts.iter().map(|host| host.name.as_str());
+            let chosen = rendezvous::owner(&key, names)?;
+            hosts.iter().find(|host| host.name == chosen)
+        });
+        let mut targets = self.zone_peers();
+        targets.extend(one_each.map(|host| host.peer_address));
+        targets
+    }
+}
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -1,13 +1,16 @@
 //! A running host: its threads and how they are wired.
 
 mod claims;
+mod configuration;
 mod control;
 mod handler;
 mod loans;
 mod operator;
 mod probes;
+mod report;
 mod spread;
 mod state;
+mod views;
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
