Take out what stood twice and what nobody reads

Cause: a read of the whole change: three measures paired the product with its baseline by the same code, the entry computed a pool's owner twice for each relayed request, an upstream's refresh ended in steps without effect, and the load kept a time for each request that no one read. Change: one Sides for shift, stale and loss; one way back in the model; the owner once; the rest removed. Behaviour and assertions are as before.

--- a/crates/caller/src/entry.rs
+++ b/crates/caller/src/entry.rs
@@ -23,7 +23,7 @@
 };
 use crate::request::{TICKET_HEADER, WorkBody, WorkHead, parse, text, value};
 use crate::shared::Shared;
-use crate::steer::{self, owns};
+use crate::steer;
 use crate::ticketed;
 
 /// Counts a request in flight on this host until its answer has ended.
@@ -168,7 +168,10 @@
         .owners(&view.me.zone, &pool)
         .first()
         .map(|owner| (*owner).clone());
-    if !owner_unreachable && !owns(&view, &pool) {
+    let owns = owner
+        .as_ref()
+        .is_some_and(|owner| owner.name == view.me.name);
+    if !owner_unreachable && !owns {
         let Some(owner) = owner.filter(|_| hops > 0) else {
             return Err(Miss::Refused(ErrorKind::NoUpstream));
         };
--- a/crates/caller/src/steer.rs
+++ b/crates/caller/src/steer.rs
@@ -13,7 +13,7 @@
 use steering::membership::HostEntry;
 use steering::pool::PoolLoad;
 use steering::retry::Attempt;
-use steering::view::{Target, View};
+use steering::view::Target;
 use tokio::time::sleep;
 use upstream::{Body, Reuse, SendError};
 
@@ -376,12 +376,3 @@
         (false, _) => Miss::MayHaveRun(kind),
     })
 }
-
-/// Whether this host should admit to the pool itself.
-pub fn owns(view: &View, pool: &str) -> bool {
-    let owner = view
-        .owners(&view.me.zone, pool)
-        .first()
-        .map(|owner| &owner.name);
-    owner == Some(&view.me.name)
-}
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -369,16 +369,6 @@
         self.hosts.remove(host)
     }
 
-    /// The configuration as it was started with.
-    pub fn document(&self) -> &Document {
-        &self.plan.document
-    }
-
-    /// The runtime of the upstreams.
-    pub fn runtime(&self) -> &Runtime {
-        &self.runtime
-    }
-
     /// Times that each operation ran, over all upstreams.
     pub fn operations(&self) -> BTreeMap<String, u32> {
         let mut all = BTreeMap::new();
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::deployment::eventually;
 use crate::trial_caller::{Reply, TrialCaller};
@@ -86,8 +86,6 @@
     pub wrong: u64,
     /// Operations of which a caller was told that they did not run.
     pub told_not_run: Vec<String>,
-    /// Time of each answered consultation.
-    pub times: Vec<Duration>,
     /// Requests sent to hosts, those after a refusal included.
     pub asked: u64,
 }
@@ -107,7 +105,6 @@
         self.reserved.add(other.reserved);
         self.wrong += other.wrong;
         self.told_not_run.extend(other.told_not_run);
-        self.times.extend(other.times);
         self.asked += other.asked;
         self
     }
@@ -139,7 +136,6 @@
 struct Progress {
     over: AtomicBool,
     answered: AtomicU64,
-    entries: Mutex<Vec<SocketAddr>>,
 }
 
 /// Callers at work.
@@ -151,13 +147,11 @@
 impl Load {
     /// Starts callers that know these hosts at first.
     pub fn start(entries: Vec<SocketAddr>, plan: &LoadPlan) -> Load {
-        let progress = Arc::new(Progress {
-            entries: Mutex::new(entries),
-            ..Progress::default()
-        });
+        let progress = Arc::new(Progress::default());
         let start = |number| {
+            let caller = TrialCaller::new(&plan.service, entries.clone());
             let (progress, plan) = (Arc::clone(&progress), plan.clone());
-            thread::spawn(move || call(&progress, &plan, number))
+            thread::spawn(move || call(caller, &progress, &plan, number))
         };
         let callers = (0..plan.callers).map(start).collect();
         Load { progress, callers }
@@ -185,13 +179,12 @@
     }
 }
 
-fn call(progress: &Progress, plan: &LoadPlan, number: usize) -> LoadReport {
-    let entries = progress
-        .entries
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner)
-        .clone();
-    let mut caller = TrialCaller::new(&plan.service, entries);
+fn call(
+    mut caller: TrialCaller,
+    progress: &Progress,
+    plan: &LoadPlan,
+    number: usize,
+) -> LoadReport {
     let mut report = LoadReport::default();
     let mut round = 0_u64;
     let over = || progress.over.load(Ordering::Acquire);
@@ -199,10 +192,8 @@
         round += 1;
         for part in 0..plan.consultations {
             let path = format!("/paths/{number}/{round}/{part}");
-            let begun = Instant::now();
             let reply = caller.get(&path);
             if matches!(reply, Reply::Answered(_)) {
-                report.times.push(begun.elapsed());
                 progress.answered.fetch_add(1, Ordering::AcqRel);
             }
             report.take(&reply, &path, None);
--- a/crates/standin/src/measure/loss.rs
+++ b/crates/standin/src/measure/loss.rs
@@ -4,8 +4,8 @@
 
 use serde_json::{Value, json};
 
+use super::Sides;
 use super::balance::round;
-use super::parallel;
 use crate::model::{Baseline, BaselineKind, Engine, Product, World, WorldPlan};
 
 const LOAD: f64 = 0.70;
@@ -75,32 +75,20 @@
 
 /// Measures; one JSON object.
 pub fn run() -> io::Result<Value> {
-    let jobs: Vec<(bool, u64)> = (1..=SEEDS)
-        .flat_map(|seed| [(true, seed), (false, seed)])
-        .collect();
-    let runs = parallel(&jobs, |(product, seed)| run_one(*product, *seed));
-    let of = |product: bool| {
-        jobs.iter()
-            .zip(&runs)
-            .filter(move |(job, _)| job.0 == product)
-            .map(|(_, run)| run)
-    };
-    let mean =
-        |product: bool, value: fn(&Run) -> f64| of(product).map(value).sum::<f64>() / SEEDS as f64;
-    let most = |product: bool, value: fn(&Run) -> f64| of(product).map(value).fold(0.0, f64::max);
+    let sides = Sides::run(SEEDS, run_one);
     Ok(json!({
         "measure": "loss",
         "load_on_the_rest": round(LOAD * 6.0 / 4.0),
-        "over_limit": round(most(true, |run| run.worst_over_slots)),
-        "power_of_two_over_limit": round(most(false, |run| run.worst_over_slots)),
-        "answered_after": round(mean(true, |run| run.answered_after)),
-        "power_of_two_answered_after": round(mean(false, |run| run.answered_after)),
-        "refused": round(mean(true, |run| run.refused)),
-        "lost_with_the_region": round(mean(true, |run| run.lost)),
-        "settle_s": most(true, |run| run.settle_s),
-        "power_of_two_settle_s": most(false, |run| run.settle_s),
-        "p99_after_ms": round(mean(true, |run| run.p99_after_ms)),
-        "power_of_two_p99_after_ms": round(mean(false, |run| run.p99_after_ms)),
-        "ratio_p99_after": round(mean(true, |run| run.p99_after_ms) / mean(false, |run| run.p99_after_ms)),
+        "over_limit": round(sides.most(true, |run| run.worst_over_slots)),
+        "power_of_two_over_limit": round(sides.most(false, |run| run.worst_over_slots)),
+        "answered_after": round(sides.mean(true, |run| run.answered_after)),
+        "power_of_two_answered_after": round(sides.mean(false, |run| run.answered_after)),
+        "refused": round(sides.mean(true, |run| run.refused)),
+        "lost_with_the_region": round(sides.mean(true, |run| run.lost)),
+        "settle_s": sides.most(true, |run| run.settle_s),
+        "power_of_two_settle_s": sides.most(false, |run| run.settle_s),
+        "p99_after_ms": round(sides.mean(true, |run| run.p99_after_ms)),
+        "power_of_two_p99_after_ms": round(sides.mean(false, |run| run.p99_after_ms)),
+        "ratio_p99_after": round(sides.mean(true, |run| run.p99_after_ms) / sides.mean(false, |run| run.p99_after_ms)),
     }))
 }
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -43,3 +43,32 @@
     results.sort_by_key(|(number, _)| *number);
     results.into_iter().map(|(_, result)| result).collect()
 }
+
+/// Runs of the product and of its baseline over the same seeds.
+struct Sides<R>(Vec<(bool, R)>);
+
+impl<R: Send> Sides<R> {
+    /// Runs both for seeds 1 to `seeds`; `run` is told whether it is the product's.
+    fn run(seeds: u64, run: impl Fn(bool, u64) -> R + Sync) -> Self {
+        let jobs: Vec<(bool, u64)> = (1..=seeds)
+            .flat_map(|seed| [(true, seed), (false, seed)])
+            .collect();
+        let runs = parallel(&jobs, |(product, seed)| run(*product, *seed));
+        let sides = jobs.iter().map(|(product, _)| *product);
+        Sides(sides.zip(runs).collect())
+    }
+
+    fn of(&self, product: bool) -> impl Iterator<Item = &R> {
+        let own = self.0.iter().filter(move |(side, _)| *side == product);
+        own.map(|(_, run)| run)
+    }
+
+    fn mean(&self, product: bool, value: fn(&R) -> f64) -> f64 {
+        let sum: f64 = self.of(product).map(value).sum();
+        sum / self.of(product).count() as f64
+    }
+
+    fn most(&self, product: bool, value: fn(&R) -> f64) -> f64 {
+        self.of(product).map(value).fold(0.0, f64::max)
+    }
+}
--- a/crates/standin/src/measure/shift.rs
+++ b/crates/standin/src/measure/shift.rs
@@ -8,8 +8,8 @@
 use steering::Document;
 use steering::plan::Plan;
 
+use super::Sides;
 use super::balance::round;
-use super::parallel;
 use super::plot::{Lines, lines};
 use crate::model::{Baseline, BaselineKind, Cache, Engine, Product, World, WorldPlan};
 
@@ -156,21 +156,9 @@
 
 /// Measures; one JSON object.
 pub fn run(plots: Option<&Path>) -> io::Result<Value> {
-    let jobs: Vec<(bool, u64)> = (1..=SEEDS)
-        .flat_map(|seed| [(true, seed), (false, seed)])
-        .collect();
-    let runs = parallel(&jobs, |(ramped, seed)| run_one(*ramped, *seed));
-    let of = |ramped: bool| {
-        jobs.iter()
-            .zip(&runs)
-            .filter(move |(job, _)| job.0 == ramped)
-            .map(|(_, run)| run)
-    };
-    let mean =
-        |ramped: bool, value: fn(&Run) -> f64| of(ramped).map(value).sum::<f64>() / SEEDS as f64;
-    let most = |ramped: bool, value: fn(&Run) -> f64| of(ramped).map(value).fold(0.0, f64::max);
+    let sides = Sides::run(SEEDS, run_one);
     if let Some(directory) = plots {
-        let first = |ramped: bool| of(ramped).next().expect("every way has a run");
+        let first = |ramped: bool| sides.of(ramped).next().expect("every way has a run");
         lines(
             &directory.join("shift-share.svg"),
             &Lines {
@@ -196,16 +184,16 @@
     }
     Ok(json!({
         "measure": "shift",
-        "peak_over_cap": round(most(true, |run| run.peak_over_cap)),
-        "unramped_peak_over_cap": round(most(false, |run| run.peak_over_cap)),
-        "p99_ms": round(mean(true, |run| run.p99_ms)),
-        "unramped_p99_ms": round(mean(false, |run| run.p99_ms)),
-        "ratio_p99": round(mean(true, |run| run.p99_ms) / mean(false, |run| run.p99_ms)),
-        "worst_second_p99_ms": round(most(true, |run| run.worst_second_p99_ms)),
-        "unramped_worst_second_p99_ms": round(most(false, |run| run.worst_second_p99_ms)),
-        "failed": mean(true, |run| run.failed as f64),
-        "unramped_failed": mean(false, |run| run.failed as f64),
-        "finish_s": mean(true, |run| run.finish_s),
-        "unramped_finish_s": mean(false, |run| run.finish_s),
+        "peak_over_cap": round(sides.most(true, |run| run.peak_over_cap)),
+        "unramped_peak_over_cap": round(sides.most(false, |run| run.peak_over_cap)),
+        "p99_ms": round(sides.mean(true, |run| run.p99_ms)),
+        "unramped_p99_ms": round(sides.mean(false, |run| run.p99_ms)),
+        "ratio_p99": round(sides.mean(true, |run| run.p99_ms) / sides.mean(false, |run| run.p99_ms)),
+        "worst_second_p99_ms": round(sides.most(true, |run| run.worst_second_p99_ms)),
+        "unramped_worst_second_p99_ms": round(sides.most(false, |run| run.worst_second_p99_ms)),
+        "failed": sides.mean(true, |run| run.failed as f64),
+        "unramped_failed": sides.mean(false, |run| run.failed as f64),
+        "finish_s": sides.mean(true, |run| run.finish_s),
+        "unramped_finish_s": sides.mean(false, |run| run.finish_s),
     }))
 }
--- a/crates/standin/src/measure/stale.rs
+++ b/crates/standin/src/measure/stale.rs
@@ -4,8 +4,8 @@
 
 use serde_json::{Value, json};
 
+use super::Sides;
 use super::balance::round;
-use super::parallel;
 use crate::model::{Baseline, BaselineKind, Engine, Product, World, WorldPlan};
 
 const LOAD: f64 = 0.85;
@@ -69,28 +69,16 @@
 
 /// Measures; one JSON object.
 pub fn run() -> io::Result<Value> {
-    let jobs: Vec<(bool, u64)> = (1..=SEEDS)
-        .flat_map(|seed| [(true, seed), (false, seed)])
-        .collect();
-    let runs = parallel(&jobs, |(product, seed)| run_one(*product, *seed));
-    let of = |product: bool| {
-        jobs.iter()
-            .zip(&runs)
-            .filter(move |(job, _)| job.0 == product)
-            .map(|(_, run)| run)
-    };
-    let mean =
-        |product: bool, value: fn(&Run) -> f64| of(product).map(value).sum::<f64>() / SEEDS as f64;
-    let most = |product: bool, value: fn(&Run) -> f64| of(product).map(value).fold(0.0, f64::max);
-    let ratio = most(true, |run| run.worst_zone) / most(false, |run| run.worst_zone);
+    let sides = Sides::run(SEEDS, run_one);
+    let ratio = sides.most(true, |run| run.worst_zone) / sides.most(false, |run| run.worst_zone);
     Ok(json!({
         "measure": "stale",
-        "worst_place_over_limit": round(most(true, |run| run.worst_zone)),
-        "power_of_two_worst_place_over_limit": round(most(false, |run| run.worst_zone)),
+        "worst_place_over_limit": round(sides.most(true, |run| run.worst_zone)),
+        "power_of_two_worst_place_over_limit": round(sides.most(false, |run| run.worst_zone)),
         "ratio_worst_place": round(ratio),
-        "p99_ms": round(mean(true, |run| run.p99_ms)),
-        "power_of_two_p99_ms": round(mean(false, |run| run.p99_ms)),
-        "answered": round(mean(true, |run| run.answered)),
-        "power_of_two_answered": round(mean(false, |run| run.answered)),
+        "p99_ms": round(sides.mean(true, |run| run.p99_ms)),
+        "power_of_two_p99_ms": round(sides.mean(false, |run| run.p99_ms)),
+        "answered": round(sides.mean(true, |run| run.answered)),
+        "power_of_two_answered": round(sides.mean(false, |run| run.answered)),
     }))
 }
--- a/crates/standin/src/model/engine.rs
+++ b/crates/standin/src/model/engine.rs
@@ -148,6 +148,11 @@
         self.events.push(event);
     }
 
+    /// Sends an answer or a refusal back to the entry host.
+    pub fn send_back(&mut self, request: usize, way_ms: f64, answered: bool) {
+        self.after(way_ms, Event::Back { request, answered });
+    }
+
     /// Runs until `until_ms`; `watch` is called each tick.
     pub fn run(
         &mut self,
--- a/crates/standin/src/model/steerers.rs
+++ b/crates/standin/src/model/steerers.rs
@@ -216,9 +216,8 @@
     fn refuse(&mut self, engine: &mut Engine, zone: usize, request: usize) {
         let entry = engine.requests[request].entry;
         let way_ms = engine.world.one_way_ms[entry][zone] + RELAY_MS;
-        let answered = false;
         engine.requests[request].upstream = engine.world.of_zone(zone)[0];
-        engine.after(way_ms, Event::Back { request, answered });
+        engine.send_back(request, way_ms, false);
     }
 
     fn settle(&mut self, engine: &mut Engine, zone: usize, steps: Vec<Step>) {
@@ -307,13 +306,7 @@
         self.settle(engine, zone, steps);
         let entry = engine.requests[request].entry;
         let way_ms = engine.world.one_way_ms[entry][zone] + RELAY_MS;
-        engine.after(
-            way_ms,
-            Event::Back {
-                request,
-                answered: !shed,
-            },
-        );
+        engine.send_back(request, way_ms, !shed);
     }
 
     fn back(&mut self, engine: &mut Engine, request: usize, answered: bool) {
@@ -473,13 +466,7 @@
         let entry = engine.requests[request].entry;
         let zone = engine.world.zone_of[engine.requests[request].upstream];
         let way_ms = engine.world.one_way_ms[entry][zone];
-        engine.after(
-            way_ms,
-            Event::Back {
-                request,
-                answered: !shed,
-            },
-        );
+        engine.send_back(request, way_ms, !shed);
     }
 
     fn back(&mut self, engine: &mut Engine, request: usize, answered: bool) {
--- a/crates/steering/src/pool/member.rs
+++ b/crates/steering/src/pool/member.rs
@@ -130,10 +130,6 @@
         if now.saturating_duration_since(self.window_checked) > WINDOW_CHECK {
             self.narrow_window(now);
         }
-        if now < self.paused_until {
-            return;
-        }
-        self.paused_until = now;
     }
 
     pub fn usable(&self) -> bool {
