Take no stranger's answer for a host's: the address of a lost host may be another's

A product's answer names the path below the service, so the caller had reached an upstream directly. All tests of a binary share 127.0.0.1: the killed host's port had gone to the upstream of a test beside it. Ruled out: steering (the path would be shorter), a pool of the wrong service (the same). The same can befall the product itself: hosts are borrowed, and whoever gets a vanished host's address is sent relayed requests. Its answer was passed to the caller as its own.

Change: an answer to a relayed request carries an HMAC over the request's id under the shared key; without it the answer is dropped and the request counts as sent, without an answer. Stand-ins and test hosts each listen on a loopback address of their own, so that no port of one test can be another's.

After: refused, `not_run: unknown`.

--- a/crates/caller/src/entry.rs
+++ b/crates/caller/src/entry.rs
@@ -19,7 +19,8 @@
 use crate::local::{self, Admission, Miss};
 use crate::look_up::{self, LOOK_UP_PATH};
 use crate::relay::{
-    LOAD_HEADER, Purpose, RELAY_HEADER, RelayHead, STAGE_ADMISSION, STAGE_DISPATCH, STAGE_HEADER,
+    LOAD_HEADER, PROOF_HEADER, Purpose, RELAY_HEADER, RelayHead, STAGE_ADMISSION, STAGE_DISPATCH,
+    STAGE_HEADER, prove,
 };
 use crate::request::{TICKET_HEADER, WorkBody, WorkHead, parse, text, value};
 use crate::shared::Shared;
@@ -110,13 +111,16 @@
         return staged(ErrorKind::Malformed, "", STAGE_ADMISSION);
     };
     let id = relay.id.clone();
-    match answer_host(&shared, request, relay).await {
+    let mut answer = match answer_host(&shared, request, relay).await {
         Ok(answer) => answer,
         Err(miss @ (Miss::Refused(_) | Miss::Unreachable)) => {
             staged(miss.kind(), &id, STAGE_ADMISSION)
         }
         Err(miss) => staged(miss.kind(), &id, STAGE_DISPATCH),
-    }
+    };
+    let proof = prove(&shared.config.peer_key, &id);
+    answer.headers_mut().insert(PROOF_HEADER, value(&proof));
+    answer
 }
 
 async fn answer_host(
--- a/crates/caller/src/relay.rs
+++ b/crates/caller/src/relay.rs
@@ -22,6 +22,8 @@
 pub const STAGE_ADMISSION: &str = "admission";
 /// Value of [`STAGE_HEADER`]: after admission to a pool.
 pub const STAGE_DISPATCH: &str = "dispatch";
+/// Header of an answer to a relayed request that proves who gave it.
+pub const PROOF_HEADER: &str = "stagedeck-relay-proof";
 /// Connections to one other host.
 pub const RELAY_CONNECTIONS: u32 = 1_024;
 
@@ -104,6 +106,26 @@
     }
 }
 
+/// What a host of this deployment answers a relayed request with, in [`PROOF_HEADER`].
+///
+/// The address of a host that vanished may be another's by now; whoever listens
+/// there does not know the key.
+pub fn prove(key: &[u8], id: &str) -> String {
+    URL_SAFE_NO_PAD.encode(answer_mac(key, id).finalize().into_bytes())
+}
+
+/// Whether a proof is that of this request.
+pub fn is_proven(key: &[u8], id: &str, proof: &str) -> bool {
+    let proof = URL_SAFE_NO_PAD.decode(proof).unwrap_or_default();
+    answer_mac(key, id).verify_slice(&proof).is_ok()
+}
+
+fn answer_mac(key: &[u8], id: &str) -> Hmac<Sha256> {
+    let mut mac = mac(key, b"answer\0");
+    mac.update(id.as_bytes());
+    mac
+}
+
 fn mac(key: &[u8], body: &[u8]) -> Hmac<Sha256> {
     let mut mac = Hmac::<Sha256>::new_from_slice(key).expect("any key length is taken");
     mac.update(body);
--- a/crates/caller/src/steer.rs
+++ b/crates/caller/src/steer.rs
@@ -20,7 +20,8 @@
 use crate::answers::{ERROR_HEADER, Failure, NOT_RUN_HEADER};
 use crate::local::{self, Admission, Miss, pass_back};
 use crate::relay::{
-    LOAD_HEADER, Purpose, RELAY_CONNECTIONS, RELAY_HEADER, RelayHead, STAGE_ADMISSION, STAGE_HEADER,
+    LOAD_HEADER, PROOF_HEADER, Purpose, RELAY_CONNECTIONS, RELAY_HEADER, RelayHead,
+    STAGE_ADMISSION, STAGE_HEADER, is_proven,
 };
 use crate::request::{SERVICES_PATH, WorkBody, WorkHead, text, value};
 use crate::shared::{LoadNote, Shared};
@@ -285,6 +286,11 @@
         .await;
     match answer {
         Ok(answer) => {
+            let proof = text(answer.headers(), PROOF_HEADER).unwrap_or("");
+            if !is_proven(&shared.config.peer_key, &head.id, proof) {
+                tracing::warn!(event = "relay_stranger", id = head.id, host = to.name);
+                return Err(Miss::Silent);
+            }
             note_load(shared, head, place, &answer);
             accept(answer)
         }
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use operator::OperatorClient;
@@ -20,13 +21,27 @@
 use crate::platform::StandInPlatform;
 use crate::upstream::{Behaviour, StandInUpstream};
 
+/// 127.128.0.0: the upper half of the loopback range.
+const OWN_LOOPBACK: u32 = 0x7f80_0000;
+/// Addresses that one process takes before it begins again.
+const ADDRESSES_A_PROCESS: u32 = 1 << 14;
+/// Processes at the same time that have addresses of their own; the last part,
+/// which holds the broadcast address, is left out.
+const PROCESSES: u32 = (1 << 9) - 1;
 const PEER_KEY: &str = "a key for trials on loopback";
 const START_LIMIT: Duration = Duration::from_secs(20);
 const ASK_EVERY: Duration = Duration::from_millis(20);
 
-/// Loopback, any port.
+/// A loopback address that nothing else in this process has, any port.
+///
+/// The port of a host that was killed goes to whoever listens next. Were all on
+/// one address, a request to the lost host could reach a stranger's stand-in.
 pub fn any_port() -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed) % ADDRESSES_A_PROCESS;
+    let process = std::process::id() % PROCESSES;
+    let own = OWN_LOOPBACK | (process * ADDRESSES_A_PROCESS + number);
+    SocketAddr::from((Ipv4Addr::from_bits(own), 0))
 }
 
 /// A host to start.
--- a/crates/standin/tests/answers.rs
+++ b/crates/standin/tests/answers.rs
@@ -4,7 +4,9 @@
 use std::net::{SocketAddr, TcpStream};
 
 use rstest::rstest;
-use standin::{Deployment, DeploymentPlan, Reply, TrialCaller};
+use standin::{
+    Behaviour, Deployment, DeploymentPlan, HostPlan, Reply, StandInUpstream, TrialCaller, any_port,
+};
 
 /// What a raw HTTP/1.1 exchange showed.
 #[derive(Debug)]
@@ -169,3 +171,38 @@
         .count();
     assert!(answered >= 28, "{answered} of 30");
 }
+
+#[test]
+fn a_stranger_at_a_vanished_hosts_address_answers_no_caller() {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let stranger = StandInUpstream::start(
+        "stranger",
+        any_port(),
+        Behaviour::default(),
+        runtime.handle(),
+    )
+    .unwrap();
+    let mut plan = DeploymentPlan::small();
+    plan.links = false;
+    plan.hosts.retain(|host| host.name == "n1");
+    plan.document
+        .upstreams
+        .retain(|upstream| upstream.zone == "puerto");
+    let mut deployment = Deployment::start(plan).unwrap();
+    let address = stranger.address();
+    let moved = |config: &mut stagedeck::Config| config.advertised.relay_address = Some(address);
+    let host = HostPlan::new("p1", "puerto");
+    deployment.start_host_with(&host, moved).unwrap();
+    deployment.settle().unwrap();
+    let caller = TrialCaller::new("surcos", Vec::new());
+    let reply = caller.get_at(entry(&deployment), "/paths/1");
+    let refused = |not_run: &str| not_run == "unknown";
+    assert!(
+        matches!(&reply, Reply::Refused { not_run, .. } if refused(not_run)),
+        "{reply:?}"
+    );
+    assert!(
+        stranger.counts().ran > 0,
+        "the stranger was not asked: the test shows nothing"
+    );
+}
