Shrink what hosts tell each other, and measure its bytes

A heartbeat named its host and four addresses as text and a digest each time (368 bytes); each exchange carried eight whole zones both ways, services by name, also to hosts of the same zone.

Change: a session is opened with the host's entry, so heartbeats carry only what changes; loads name their service by hash, addresses travel as numbers; a summary names hosts only now and then, with an age of their own; the own zone is told to other zones only; summaries in an exchange and exchanges a second go down with the number of zones (6 zones: as before). Protocol version 2, older ones are refused. Each host counts its bytes to and from others (dump: peer_sent_bytes, peer_received_bytes). A new host waits with its first callers until it has heard of other hosts or read the list, 5 s at most: without them it refused what others could answer (`a_host_without_any_configuration_does_not_serve` failed in 2 of 4 runs once the first exchange came later; the race was there before).

--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -1,20 +1,21 @@
 @0xc1f6a3b5d2e48790;
 
-# Messages between the hosts of a deployment. Fields are only ever added, and
-# `protocolVersion` goes up when a change is not understood by older hosts.
+# Messages between the hosts of a deployment. `protocolVersion` goes up when a
+# change is not understood by older hosts. Version 1, in which each heartbeat
+# named its host and each load its service, was never released.
 
-const protocolVersion :UInt16 = 1;
+const protocolVersion :UInt16 = 2;
 
 interface Gate {
   # What a host offers before it knows who calls.
   challenge @0 () -> (nonce :Data, version :UInt16);
   # Proves the shared key: the tag is an HMAC over the nonce and the name.
-  open @1 (host :Text, incarnation :UInt64, tag :Data, version :UInt16) -> (session :Session);
+  open @1 (host :Host, incarnation :UInt64, tag :Data, version :UInt16) -> (session :Session);
 }
 
 interface Session {
   # What a host offers to another host of its deployment.
-  heartbeat @0 (beat :Heartbeat) -> (position :Position);
+  heartbeat @0 (beat :Heartbeat) -> (revision :UInt64);
   exchange @1 (position :Position, summaries :List(Summary))
       -> (position :Position, entries :List(Data), snapshot :Data, summaries :List(Summary));
   push @2 (entry :Data) -> (position :Position);
@@ -24,22 +25,28 @@
 struct Host {
   name @0 :Text;
   zone @1 :Text;
-  callerAddress @2 :Text;
-  relayAddress @3 :Text;
-  peerAddress @4 :Text;
-  operatorAddress @5 :Text;
+  # Empty where the message says the zone of all its hosts.
+  callerV4 @2 :UInt32;
+  callerPort @3 :UInt16;
+  relayV4 @4 :UInt32;
+  relayPort @5 :UInt16;
+  peerV4 @6 :UInt32;
+  peerPort @7 :UInt16;
+  operatorV4 @8 :UInt32;
+  operatorPort @9 :UInt16;
+  v6 @10 :List(Data);
+  # Four of sixteen bytes, in the order above, where any address is IPv6; else empty.
 }
 
 struct Heartbeat {
-  host @0 :Host;
-  incarnation @1 :UInt64;
-  sequence @2 :UInt64;
-  leaving @3 :Bool;
-  doubts @4 :List(Text);
-  position @5 :Position;
+  # Of the host and the start that the session was opened for.
+  sequence @0 :UInt64;
+  revision @1 :UInt64;
+  leaving @2 :Bool;
+  doubts @3 :List(Text);
+  vouches @4 :List(Text);
+  lenders @5 :List(Text);
   loads @6 :List(Load);
-  lenders @7 :List(Text);
-  vouches @8 :List(Text);
 }
 
 struct Position {
@@ -48,11 +55,12 @@
 }
 
 struct Load {
-  service @0 :Text;
+  # Hash of the service's name; whoever does not know it yet drops the load.
+  service @0 :UInt64;
   inFlight @1 :UInt32;
   capacity @2 :UInt32;
   queued @3 :UInt32;
-  latencyMs @4 :Float64;
+  latencyMs @4 :Float32;
 }
 
 struct Summary {
@@ -60,7 +68,9 @@
   zone @0 :Text;
   ageMs @1 :UInt32;
   loads @2 :List(Load);
+  # Empty where the sender leaves them out this time.
   hosts @3 :List(Host);
+  hostsAgeMs @4 :UInt32;
 }
 
 struct LoanRequest {
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -12,7 +12,7 @@
 use futures::AsyncReadExt;
 use hmac::Mac;
 use steering::history::{Entry, Position};
-use steering::ids::{HostName, Incarnation};
+use steering::ids::Revision;
 use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
@@ -20,11 +20,12 @@
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
 use crate::codec::{
-    read_grant, read_json, read_position, read_summaries, write_beat, write_json, write_position,
-    write_request, write_summaries,
+    read_grant, read_json, read_position, read_summaries, write_beat, write_host, write_json,
+    write_position, write_request, write_summaries,
 };
-use crate::messages::{Beat, Exchange, ExchangeReply};
+use crate::messages::{Beat, Exchange, ExchangeReply, Local};
 use crate::peer_capnp::{PROTOCOL_VERSION, gate, session};
+use crate::traffic::Counted;
 use crate::{ENTRIES_LIMIT, reader_options, tag};
 
 /// Why a call brought nothing.
@@ -57,39 +58,29 @@
 /// Calls one other host. It connects when needed, and again after an error.
 pub struct PeerClient {
     address: SocketAddr,
-    host: HostName,
-    incarnation: Incarnation,
-    key: Rc<[u8]>,
+    local: Local,
     deadline: Duration,
     connection: RefCell<Option<Rc<Connection>>>,
 }
 
 impl PeerClient {
     /// A client of the host at `address`; every call ends within `deadline`.
-    pub fn new(
-        address: SocketAddr,
-        host: HostName,
-        incarnation: Incarnation,
-        key: Rc<[u8]>,
-        deadline: Duration,
-    ) -> Self {
+    pub fn new(address: SocketAddr, local: Local, deadline: Duration) -> Self {
         PeerClient {
             address,
-            host,
-            incarnation,
-            key,
+            local,
             deadline,
             connection: RefCell::default(),
         }
     }
 
-    /// Sends a heartbeat.
-    pub async fn heartbeat(&self, beat: &Beat) -> Result<Position, PeerError> {
+    /// Sends a heartbeat; the revision in force at the other host.
+    pub async fn heartbeat(&self, beat: &Beat) -> Result<Revision, PeerError> {
         self.call(async |session| {
             let mut request = session.heartbeat_request();
             write_beat(request.get().init_beat(), beat);
             let answer = request.send().promise.await?;
-            read_position(answer.get()?.get_position()?)
+            Ok(answer.get()?.get_revision())
         })
         .await
     }
@@ -115,7 +106,7 @@
                     true => None,
                     false => Some(read_json(snapshot)?),
                 },
-                summaries: read_summaries(answer.get_summaries()?)?,
+                summaries: read_summaries(answer.get_summaries()?, &self.local.names)?,
             })
         })
         .await
@@ -182,6 +173,8 @@
         let stream = TcpStream::connect(self.address).await?;
         stream.set_nodelay(true)?;
         let (reader, writer) = stream.compat().split();
+        let reader = Counted::new(reader, &self.local.traffic);
+        let writer = Counted::new(writer, &self.local.traffic);
         let network = twoparty::VatNetwork::new(reader, writer, Side::Client, reader_options());
         let mut system = RpcSystem::new(Box::new(network), None);
         let gate: gate::Client = system.bootstrap(Side::Server);
@@ -192,10 +185,16 @@
         let mut task = AbortOnDrop(Some(task.abort_handle()));
         let challenge = gate.challenge_request().send().promise.await?;
         let nonce = challenge.get()?.get_nonce()?;
-        let tag = tag(&self.key, nonce, &self.host, self.incarnation);
+        let Local {
+            host,
+            incarnation,
+            key,
+            ..
+        } = &self.local;
+        let tag = tag(key, nonce, &host.name, *incarnation);
         let mut request = gate.open_request();
-        request.get().set_host(&self.host);
-        request.get().set_incarnation(self.incarnation);
+        write_host(request.get().init_host(), host, true);
+        request.get().set_incarnation(*incarnation);
         request.get().set_tag(&tag.finalize().into_bytes());
         request.get().set_version(PROTOCOL_VERSION);
         let opened = request.send().promise.await?;
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -1,18 +1,24 @@
 //! Between capnp messages and the types of `steering`.
 
 use std::collections::BTreeSet;
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
 use std::time::Duration;
 
 use capnp::{Error, text_list};
 use steering::belief::{SUMMARY_HOSTS, ServiceLoad, ZoneSummary};
 use steering::history::Position;
+use steering::ids::Incarnation;
 use steering::limiter::{LoanGrant, LoanRequest};
 use steering::membership::{Heartbeat, HostEntry};
 use steering::pool::PoolLoad;
 
 use crate::messages::Beat;
+use crate::names::{ServiceNames, service_id};
 use crate::{LIST_LIMIT, peer_capnp as wire};
 
+/// Addresses that a host has.
+const ADDRESSES: usize = 4;
+
 /// Refuses a list that is longer than any host sends.
 fn bounded(length: u32, what: &str) -> Result<(), Error> {
     match length > LIST_LIMIT {
@@ -25,29 +31,76 @@
     Ok(reader.to_str()?.to_owned())
 }
 
-fn address(reader: capnp::text::Reader<'_>) -> Result<std::net::SocketAddr, Error> {
-    let text = reader.to_str()?;
-    text.parse()
-        .map_err(|_| Error::failed(format!("`{text}` is no address")))
+/// Addresses of a host, in the schema's order.
+fn addresses(host: &HostEntry) -> [SocketAddr; ADDRESSES] {
+    [
+        host.caller_address,
+        host.relay_address,
+        host.peer_address,
+        host.operator_address,
+    ]
 }
 
-pub fn write_host(mut to: wire::host::Builder<'_>, host: &HostEntry) {
+/// Writes a host; its zone only where the message does not say it elsewhere.
+pub fn write_host(mut to: wire::host::Builder<'_>, host: &HostEntry, with_zone: bool) {
+    let addresses = addresses(host);
+    let v4 = |address: SocketAddr| match address.ip() {
+        IpAddr::V4(ip) => ip.to_bits(),
+        IpAddr::V6(_) => 0,
+    };
+    let [caller, relay, peer, operator] = addresses;
     to.set_name(&host.name);
-    to.set_zone(&host.zone);
-    to.set_caller_address(host.caller_address.to_string());
-    to.set_relay_address(host.relay_address.to_string());
-    to.set_peer_address(host.peer_address.to_string());
-    to.set_operator_address(host.operator_address.to_string());
+    if with_zone {
+        to.set_zone(&host.zone);
+    }
+    to.set_caller_v4(v4(caller));
+    to.set_caller_port(caller.port());
+    to.set_relay_v4(v4(relay));
+    to.set_relay_port(relay.port());
+    to.set_peer_v4(v4(peer));
+    to.set_peer_port(peer.port());
+    to.set_operator_v4(v4(operator));
+    to.set_operator_port(operator.port());
+    if addresses.iter().any(SocketAddr::is_ipv6) {
+        let mut v6 = to.init_v6(ADDRESSES as u32);
+        for (i, address) in addresses.iter().enumerate() {
+            let ip = match address.ip() {
+                IpAddr::V4(ip) => ip.to_ipv6_mapped(),
+                IpAddr::V6(ip) => ip,
+            };
+            v6.set(i as u32, &ip.octets());
+        }
+    }
 }
 
-pub fn read_host(from: wire::host::Reader<'_>) -> Result<HostEntry, Error> {
+/// Reads a host of `zone`; none where the message names it.
+pub fn read_host(from: wire::host::Reader<'_>, zone: Option<&str>) -> Result<HostEntry, Error> {
+    let v6 = from.get_v6()?;
+    let ip = |number: usize, v4: u32| -> Result<IpAddr, Error> {
+        if v6.is_empty() {
+            return Ok(Ipv4Addr::from_bits(v4).into());
+        }
+        if v6.len() != ADDRESSES as u32 {
+            return Err(Error::failed(format!("{} addresses of a host", v6.len())));
+        }
+        let octets = <[u8; 16]>::try_from(v6.get(number as u32)?);
+        let octets = octets.map_err(|_| Error::failed("an address is cut short".to_owned()))?;
+        Ok(Ipv6Addr::from(octets).to_canonical())
+    };
+    let address = |number: usize, v4: u32, port: u16| match port {
+        0 => Err(Error::failed("an address has no port".to_owned())),
+        port => Ok(SocketAddr::new(ip(number, v4)?, port)),
+    };
     Ok(HostEntry {
         name: text(from.get_name()?)?,
-        zone: text(from.get_zone()?)?,
-        caller_address: address(from.get_caller_address()?)?,
-        relay_address: address(from.get_relay_address()?)?,
-        peer_address: address(from.get_peer_address()?)?,
-        operator_address: address(from.get_operator_address()?)?,
+        zone: match zone {
+            Some(zone) => zone.to_owned(),
+            None => text(from.get_zone()?)?,
+        },
+        caller_address: address(0, from.get_caller_v4(), from.get_caller_port())?,
+        relay_address: address(1, from.get_relay_v4(), from.get_relay_port())?,
+        peer_address: address(2, from.get_peer_v4(), from.get_peer_port())?,
+        operator_address: address(3, from.get_operator_v4(), from.get_operator_port())?,
     })
 }
 
@@ -66,51 +119,60 @@
 fn write_loads(mut to: capnp::struct_list::Builder<'_, wire::load::Owned>, loads: &[ServiceLoad]) {
     for (i, load) in loads.iter().enumerate() {
         let mut to = to.reborrow().get(i as u32);
-        to.set_service(&load.service);
+        to.set_service(service_id(&load.service));
         to.set_in_flight(load.load.in_flight);
         to.set_capacity(load.load.capacity);
         to.set_queued(load.load.queued);
-        to.set_latency_ms(load.load.latency_ms);
+        to.set_latency_ms(load.load.latency_ms as f32);
     }
 }
 
+/// Reads loads; those of services that are not known here are left out.
 fn read_loads(
     from: capnp::struct_list::Reader<'_, wire::load::Owned>,
+    names: &ServiceNames,
 ) -> Result<Vec<ServiceLoad>, Error> {
     bounded(from.len(), "loads")?;
-    from.iter().map(read_load).collect()
-}
-
-fn read_load(from: wire::load::Reader<'_>) -> Result<ServiceLoad, Error> {
-    let latency_ms = from.get_latency_ms();
-    if !latency_ms.is_finite() || latency_ms < 0.0 {
-        return Err(Error::failed(format!("latency of {latency_ms} ms")));
+    let mut loads = Vec::with_capacity(from.len() as usize);
+    for load in from.iter() {
+        let latency_ms = f64::from(load.get_latency_ms());
+        if !latency_ms.is_finite() || latency_ms < 0.0 {
+            return Err(Error::failed(format!("latency of {latency_ms} ms")));
+        }
+        if let Some(service) = names.find(load.get_service()) {
+            let load = PoolLoad {
+                in_flight: load.get_in_flight(),
+                capacity: load.get_capacity(),
+                queued: load.get_queued(),
+                latency_ms,
+            };
+            loads.push(ServiceLoad { service, load });
+        }
     }
-    Ok(ServiceLoad {
-        service: text(from.get_service()?)?,
-        load: PoolLoad {
-            in_flight: from.get_in_flight(),
-            capacity: from.get_capacity(),
-            queued: from.get_queued(),
-            latency_ms,
-        },
-    })
+    Ok(loads)
 }
 
 pub fn write_beat(mut to: wire::heartbeat::Builder<'_>, beat: &Beat) {
     let heartbeat = &beat.heartbeat;
-    write_host(to.reborrow().init_host(), &heartbeat.host);
-    to.set_incarnation(heartbeat.incarnation);
     to.set_sequence(heartbeat.sequence);
+    to.set_revision(beat.revision);
     to.set_leaving(heartbeat.leaving);
-    let doubts = to.reborrow().init_doubts(heartbeat.doubts.len() as u32);
-    write_texts(doubts, heartbeat.doubts.iter());
-    let vouches = to.reborrow().init_vouches(heartbeat.vouches.len() as u32);
-    write_texts(vouches, heartbeat.vouches.iter());
-    let lenders = to.reborrow().init_lenders(heartbeat.lenders.len() as u32);
-    write_texts(lenders, heartbeat.lenders.iter());
-    write_position(to.reborrow().init_position(), &beat.position);
-    write_loads(to.init_loads(beat.loads.len() as u32), &beat.loads);
+    // A list that is left out takes no room.
+    if !heartbeat.doubts.is_empty() {
+        let doubts = to.reborrow().init_doubts(heartbeat.doubts.len() as u32);
+        write_texts(doubts, heartbeat.doubts.iter());
+    }
+    if !heartbeat.vouches.is_empty() {
+        let vouches = to.reborrow().init_vouches(heartbeat.vouches.len() as u32);
+        write_texts(vouches, heartbeat.vouches.iter());
+    }
+    if !heartbeat.lenders.is_empty() {
+        let lenders = to.reborrow().init_lenders(heartbeat.lenders.len() as u32);
+        write_texts(lenders, heartbeat.lenders.iter());
+    }
+    if !beat.loads.is_empty() {
+        write_loads(to.init_loads(beat.loads.len() as u32), &beat.loads);
+    }
 }
 
 fn write_texts<'a>(mut to: text_list::Builder<'_>, texts: impl Iterator<Item = &'a String>) {
@@ -124,19 +186,25 @@
     from.iter().map(|name| text(name?)).collect()
 }
 
-pub fn read_beat(from: wire::heartbeat::Reader<'_>) -> Result<Beat, Error> {
+/// Reads a heartbeat of the host and start that the session was opened for.
+pub fn read_beat(
+    from: wire::heartbeat::Reader<'_>,
+    host: &HostEntry,
+    incarnation: Incarnation,
+    names: &ServiceNames,
+) -> Result<Beat, Error> {
     Ok(Beat {
         heartbeat: Heartbeat {
-            host: read_host(from.get_host()?)?,
-            incarnation: from.get_incarnation(),
+            host: host.clone(),
+            incarnation,
             sequence: from.get_sequence(),
             leaving: from.get_leaving(),
             doubts: read_texts(from.get_doubts()?)?,
             vouches: read_texts(from.get_vouches()?)?,
             lenders: read_texts(from.get_lenders()?)?,
         },
-        position: read_position(from.get_position()?)?,
-        loads: read_loads(from.get_loads()?)?,
+        revision: from.get_revision(),
+        loads: read_loads(from.get_loads()?, names)?,
     })
 }
 
@@ -147,39 +215,53 @@
     for (i, summary) in summaries.iter().enumerate() {
         let mut to = to.reborrow().get(i as u32);
         to.set_zone(&summary.zone);
-        to.set_age_ms(summary.age.as_millis().min(u128::from(u32::MAX)) as u32);
+        to.set_age_ms(wire_ms(summary.age));
         write_loads(
             to.reborrow().init_loads(summary.loads.len() as u32),
             &summary.loads,
         );
+        if summary.hosts.is_empty() {
+            continue;
+        }
+        to.set_hosts_age_ms(wire_ms(summary.hosts_age));
         let mut hosts = to.init_hosts(summary.hosts.len() as u32);
         for (i, host) in summary.hosts.iter().enumerate() {
-            write_host(hosts.reborrow().get(i as u32), host);
+            write_host(hosts.reborrow().get(i as u32), host, false);
         }
     }
 }
 
 pub fn read_summaries(
     from: capnp::struct_list::Reader<'_, wire::summary::Owned>,
+    names: &ServiceNames,
 ) -> Result<Vec<ZoneSummary>, Error> {
     bounded(from.len(), "summaries")?;
-    from.iter().map(read_summary).collect()
+    from.iter()
+        .map(|summary| read_summary(summary, names))
+        .collect()
 }
 
-fn read_summary(from: wire::summary::Reader<'_>) -> Result<ZoneSummary, Error> {
-    let hosts = from.get_hosts()?;
+fn read_summary(
+    from: wire::summary::Reader<'_>,
+    names: &ServiceNames,
+) -> Result<ZoneSummary, Error> {
+    let zone = text(from.get_zone()?)?;
+    let hosts = from.get_hosts()?.iter().take(SUMMARY_HOSTS);
     Ok(ZoneSummary {
-        zone: text(from.get_zone()?)?,
         age: Duration::from_millis(from.get_age_ms().into()),
-        loads: read_loads(from.get_loads()?)?,
+        loads: read_loads(from.get_loads()?, names)?,
         hosts: hosts
-            .iter()
-            .take(SUMMARY_HOSTS)
-            .map(read_host)
+            .map(|host| read_host(host, Some(&zone)))
             .collect::<Result<_, _>>()?,
+        hosts_age: Duration::from_millis(from.get_hosts_age_ms().into()),
+        zone,
     })
 }
 
+fn wire_ms(age: Duration) -> u32 {
+    u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
+}
+
 pub fn write_request(mut to: wire::loan_request::Builder<'_>, request: &LoanRequest) {
     to.set_borrower(&request.borrower);
     to.set_incarnation(request.incarnation);
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -7,7 +7,9 @@
 mod client;
 mod codec;
 mod messages;
+mod names;
 mod server;
+mod traffic;
 
 /// Generated from `schema/peer.capnp` by `capnp compile -orust`.
 #[allow(
@@ -22,8 +24,10 @@
 mod peer_capnp;
 
 pub use client::{PeerClient, PeerError};
-pub use messages::{Beat, Exchange, ExchangeReply};
+pub use messages::{Beat, Exchange, ExchangeReply, Local};
+pub use names::{ServiceId, ServiceNames, service_id};
 pub use server::{PeerHandler, PeerServer};
+pub use traffic::PeerTraffic;
 
 use capnp::message::ReaderOptions;
 use hmac::{Hmac, Mac};
--- a/crates/peer/src/messages.rs
+++ b/crates/peer/src/messages.rs
@@ -1,16 +1,37 @@
 //! What hosts tell each other.
 
+use std::rc::Rc;
+
 use steering::belief::{ServiceLoad, ZoneSummary};
 use steering::history::{Entry, Position, Snapshot};
-use steering::membership::Heartbeat;
+use steering::ids::{Incarnation, Revision};
+use steering::membership::{Heartbeat, HostEntry};
+
+use crate::names::ServiceNames;
+use crate::traffic::PeerTraffic;
+
+/// This host, as all its connections to others share it.
+#[derive(Debug, Clone)]
+pub struct Local {
+    /// Where it can be reached.
+    pub host: HostEntry,
+    /// Its start.
+    pub incarnation: Incarnation,
+    /// Key that the deployment's hosts share.
+    pub key: Rc<[u8]>,
+    /// Services that it knows.
+    pub names: Rc<ServiceNames>,
+    /// Bytes to and from other hosts.
+    pub traffic: Rc<PeerTraffic>,
+}
 
 /// A heartbeat with what rides on it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Beat {
     /// The heartbeat.
     pub heartbeat: Heartbeat,
-    /// Where the sender stands in the configuration.
-    pub position: Position,
+    /// Revision in force at the sender.
+    pub revision: Revision,
     /// Load of the pools that the sender owns, summed by service.
     pub loads: Vec<ServiceLoad>,
 }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -11,18 +11,21 @@
 use hmac::Mac;
 use rand::RngCore;
 use steering::history::{Entry, Position};
-use steering::ids::HostName;
+use steering::ids::{HostName, Incarnation, Revision};
 use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
+use steering::membership::HostEntry;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
 use crate::codec::{
-    read_beat, read_json, read_position, read_request, read_summaries, write_grant, write_json,
-    write_position, write_summaries,
+    read_beat, read_host, read_json, read_position, read_request, read_summaries, write_grant,
+    write_json, write_position, write_summaries,
 };
-use crate::messages::{Beat, Exchange, ExchangeReply};
+use crate::messages::{Beat, Exchange, ExchangeReply, Local};
+use crate::names::ServiceNames;
 use crate::peer_capnp::{PROTOCOL_VERSION, gate, session};
+use crate::traffic::Counted;
 use crate::{NONCE_BYTES, reader_options, tag};
 
 const CONNECTIONS_LIMIT: usize = 512;
@@ -30,9 +33,9 @@
 /// What a host does with messages of other hosts; each call must be short.
 pub trait PeerHandler {
     /// Takes a heartbeat.
-    fn heartbeat(&self, beat: Beat) -> Position;
+    fn heartbeat(&self, beat: Beat) -> Revision;
     /// Takes and gives configuration and summaries.
-    fn exchange(&self, exchange: Exchange) -> ExchangeReply;
+    fn exchange(&self, from: &HostEntry, exchange: Exchange) -> ExchangeReply;
     /// Takes an accepted change from another host.
     fn push(&self, from: &HostName, entry: Entry) -> Position;
     /// Lends a part of a limit.
@@ -41,16 +44,16 @@
 
 /// Serves other hosts on a local task set.
 pub struct PeerServer {
-    key: Rc<[u8]>,
+    local: Local,
     handler: Rc<dyn PeerHandler>,
     open: Rc<Cell<usize>>,
 }
 
 impl PeerServer {
     /// Serves hosts that hold the key.
-    pub fn new(key: &[u8], handler: Rc<dyn PeerHandler>) -> Self {
+    pub fn new(local: Local, handler: Rc<dyn PeerHandler>) -> Self {
         PeerServer {
-            key: key.into(),
+            local,
             handler,
             open: Rc::default(),
         }
@@ -75,9 +78,11 @@
     fn serve(&self, stream: TcpStream, peer: SocketAddr) {
         let _ = stream.set_nodelay(true);
         let (reader, writer) = stream.compat().split();
+        let reader = Counted::new(reader, &self.local.traffic);
+        let writer = Counted::new(writer, &self.local.traffic);
         let network = twoparty::VatNetwork::new(reader, writer, Side::Server, reader_options());
         let gate = GateServer {
-            key: Rc::clone(&self.key),
+            local: self.local.clone(),
             handler: Rc::clone(&self.handler),
             nonce: RefCell::default(),
         };
@@ -95,7 +100,7 @@
 }
 
 struct GateServer {
-    key: Rc<[u8]>,
+    local: Local,
     handler: Rc<dyn PeerHandler>,
     /// Of the last challenge; used once.
     nonce: RefCell<Option<[u8; NONCE_BYTES]>>,
@@ -122,24 +127,30 @@
         mut results: gate::OpenResults,
     ) -> Result<(), Error> {
         let params = params.get()?;
-        let host = params.get_host()?.to_str()?.to_owned();
+        if params.get_version() != PROTOCOL_VERSION {
+            let version = params.get_version();
+            return Err(Error::failed(format!(
+                "protocol version {version}, not {PROTOCOL_VERSION}"
+            )));
+        }
+        let host = read_host(params.get_host()?, None)?;
+        let incarnation = params.get_incarnation();
         let nonce = self.nonce.take();
         let nonce = nonce.ok_or_else(|| Error::failed("no challenge was asked for".to_owned()))?;
-        tag(&self.key, &nonce, &host, params.get_incarnation())
+        tag(&self.local.key, &nonce, &host.name, incarnation)
             .verify_slice(params.get_tag()?)
             .map_err(|_| {
                 tracing::warn!(
                     event = "peer_refused",
-                    host,
+                    host = host.name,
                     reason = "not under the shared key"
                 );
                 Error::failed("the tag is not under the shared key".to_owned())
             })?;
-        if params.get_version() == 0 {
-            return Err(Error::failed("protocol version 0 is not known".to_owned()));
-        }
         let session = SessionServer {
             host,
+            incarnation,
+            names: Rc::clone(&self.local.names),
             handler: Rc::clone(&self.handler),
         };
         results.get().set_session(new_client(session));
@@ -148,7 +159,9 @@
 }
 
 struct SessionServer {
-    host: HostName,
+    host: HostEntry,
+    incarnation: Incarnation,
+    names: Rc<ServiceNames>,
     handler: Rc<dyn PeerHandler>,
 }
 
@@ -158,12 +171,9 @@
         params: session::HeartbeatParams,
         mut results: session::HeartbeatResults,
     ) -> Result<(), Error> {
-        let beat = read_beat(params.get()?.get_beat()?)?;
-        if beat.heartbeat.host.name != self.host {
-            return Err(Error::failed("a heartbeat of another host".to_owned()));
-        }
-        let position = self.handler.heartbeat(beat);
-        write_position(results.get().init_position(), &position);
+        let beat = params.get()?.get_beat()?;
+        let beat = read_beat(beat, &self.host, self.incarnation, &self.names)?;
+        results.get().set_revision(self.handler.heartbeat(beat));
         Ok(())
     }
 
@@ -173,10 +183,11 @@
         mut results: session::ExchangeResults,
     ) -> Result<(), Error> {
         let params = params.get()?;
-        let reply = self.handler.exchange(Exchange {
+        let exchange = Exchange {
             position: read_position(params.get_position()?)?,
-            summaries: read_summaries(params.get_summaries()?)?,
-        });
+            summaries: read_summaries(params.get_summaries()?, &self.names)?,
+        };
+        let reply = self.handler.exchange(&self.host, exchange);
         let mut results = results.get();
         write_position(results.reborrow().init_position(), &reply.position);
         let mut entries = results.reborrow().init_entries(reply.entries.len() as u32);
@@ -197,7 +208,7 @@
         mut results: session::PushResults,
     ) -> Result<(), Error> {
         let entry: Entry = read_json(params.get()?.get_entry()?)?;
-        let position = self.handler.push(&self.host, entry);
+        let position = self.handler.push(&self.host.name, entry);
         write_position(results.get().init_position(), &position);
         Ok(())
     }
@@ -210,7 +221,7 @@
         let params = params.get()?;
         let limit: LimitKey = read_json(params.get_limit()?)?;
         let request = read_request(params.get_request()?)?;
-        if request.borrower != self.host {
+        if request.borrower != self.host.name {
             return Err(Error::failed("a loan for another host".to_owned()));
         }
         let grant = self.handler.borrow(limit, request);
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -363,6 +363,13 @@
             .map_or(0, |status| status.revision)
     }
 
+    /// Bytes of messages that a host has sent to and received from others so far.
+    pub fn peer_bytes(&self, host: &str) -> u64 {
+        let dump = self.operator(host).dump().unwrap_or_default();
+        let bytes = |field: &str| dump[field].as_u64().unwrap_or(0);
+        bytes("peer_sent_bytes") + bytes("peer_received_bytes")
+    }
+
     /// Callers' addresses of all hosts.
     pub fn entries(&self) -> Vec<SocketAddr> {
         self.hosts
--- a/crates/standin/src/measure/capacity.rs
+++ b/crates/standin/src/measure/capacity.rs
@@ -15,7 +15,7 @@
 use steering::belief::ServiceLoad;
 use steering::blocks::BlockTable;
 use steering::document::{Block, Change, Edit, Kind, ObjectId};
-use steering::history::{History, Position};
+use steering::history::History;
 use steering::lookup::Directory;
 use steering::membership::{HostEntry, Membership, Timing};
 use steering::plan::Plan;
@@ -25,7 +25,10 @@
 
 use super::balance::round;
 use super::look_up::{blocks, directory};
+use super::traffic::{self, Size};
 
+/// Sites of a zone at the target, each of another service: 2,200 over 88.
+const SERVICES_A_ZONE: usize = 25;
 const REPEAT: Duration = Duration::from_millis(120);
 
 /// A straight line through measured points: `y = base + slope * x`.
@@ -95,10 +98,7 @@
     };
     let beat = Beat {
         heartbeat: membership.heartbeat(Instant::now(), Default::default()),
-        position: Position {
-            revision: 1,
-            digest: "0".repeat(64),
-        },
+        revision: 1,
         loads: vec![load],
     };
     beat.wire_bytes() as f64
@@ -448,6 +448,35 @@
             }) / 1e3
         }),
     ));
+    let traffic = |zones, hosts, services| {
+        traffic::kb_per_s(Size {
+            zones,
+            hosts,
+            services,
+        })
+    };
+    let by_hosts: io::Result<Vec<(f64, f64)>> = [2, 10, 21, 42]
+        .into_iter()
+        .map(|hosts| Ok((hosts as f64, traffic(2, hosts, 1)?)))
+        .collect();
+    slopes.push(slope(
+        "membership",
+        "hosts in a zone",
+        "KB/s of messages out and in, 2 zones, 1 service",
+        target_zone_hosts,
+        by_hosts?,
+    ));
+    let by_zones: io::Result<Vec<(f64, f64)>> = [6, 22, 44, 88]
+        .into_iter()
+        .map(|zones| Ok((zones as f64, traffic(zones, 2, SERVICES_A_ZONE)?)))
+        .collect();
+    slopes.push(slope(
+        "configuration exchange",
+        "zones",
+        "KB/s of messages out and in, 2 hosts, 25 services",
+        88.0,
+        by_zones?,
+    ));
     Ok(json!({"measure": "capacity", "heartbeat_bytes": beat_bytes, "slopes": slopes}))
 }
 
--- a/crates/standin/src/measure/config.rs
+++ b/crates/standin/src/measure/config.rs
@@ -27,6 +27,8 @@
     polls_per_s: f64,
     cpu_of_a_core_each: f64,
     rss_mb_each: f64,
+    /// Sent to and received from other hosts.
+    peer_kb_per_s_each: f64,
 }
 
 fn label(value: usize) -> Edit {
@@ -70,7 +72,10 @@
         .collect();
     let polls = deployment.platform.counts().reads;
     let cpu_s = cpu_seconds();
+    let peer_bytes = all_peer_bytes(&deployment);
     std::thread::sleep(IDLE);
+    let peer_bytes = (all_peer_bytes(&deployment) - peer_bytes) as f64;
+    let peer_kb_per_s_each = peer_bytes / 1e3 / IDLE.as_secs_f64() / hosts as f64;
     let polls_per_s = (deployment.platform.counts().reads - polls) as f64 / IDLE.as_secs_f64();
     let cpu_of_a_core_each = (cpu_seconds() - cpu_s) / IDLE.as_secs_f64() / hosts as f64;
     let mut times = Spread::default();
@@ -96,9 +101,15 @@
         polls_per_s,
         cpu_of_a_core_each,
         rss_mb_each,
+        peer_kb_per_s_each,
     })
 }
 
+fn all_peer_bytes(deployment: &Deployment) -> u64 {
+    let hosts = deployment.hosts.keys();
+    hosts.map(|host| deployment.peer_bytes(host)).sum()
+}
+
 /// Processor time of this process, in seconds.
 pub fn cpu_seconds() -> f64 {
     const TICKS_PER_S: f64 = 100.0;
@@ -126,6 +137,7 @@
             "store_polls_per_s": measured.polls_per_s,
             "idle_cpu_percent_of_a_core_each": (measured.cpu_of_a_core_each * 1e4).round() / 100.0,
             "rss_mb_each": super::balance::round(measured.rss_mb_each),
+            "peer_kb_per_s_each": super::balance::round(measured.peer_kb_per_s_each),
         })
     };
     Ok(json!({
--- a/crates/steering/src/belief.rs
+++ b/crates/steering/src/belief.rs
@@ -34,8 +34,11 @@
     pub age: Duration,
     /// Load of its services.
     pub loads: Vec<ServiceLoad>,
-    /// Hosts that may be asked; at most [`SUMMARY_HOSTS`].
+    /// Hosts that may be asked, at most [`SUMMARY_HOSTS`]; none where they were left
+    /// out this time, which says nothing about the zone.
     pub hosts: Vec<HostEntry>,
+    /// Time since `hosts` was true.
+    pub hosts_age: Duration,
 }
 
 /// Most hosts in a summary.
--- a/src/host/control.rs
+++ b/src/host/control.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use ::caller::{LoadNote, Shared};
-use peer::{PeerClient, PeerServer};
+use peer::{Local, PeerClient, PeerServer};
 use platform::{ListedHost, RosterStore, Worker};
 use steering::history::History;
 use steering::ids::Incarnation;
@@ -28,6 +28,8 @@
 const LIST_EVERY: Duration = Duration::from_secs(2);
 const LIST_EVERY_OTHERS: Duration = Duration::from_secs(15);
 const START_RETRY: Duration = Duration::from_millis(100);
+/// A start that is cut off from the platform and from all others serves after this.
+const OTHERS_LIMIT: Duration = Duration::from_secs(5);
 /// Hosts of a zone that poll the platform.
 pub const POLLERS: usize = 2;
 pub const PEER_DEADLINE: Duration = Duration::from_millis(1_000);
@@ -52,7 +54,8 @@
     pub me: ListedHost,
     pub incarnation: Incarnation,
     pub state: RefCell<State>,
-    pub key: Rc<[u8]>,
+    /// This host, as its connections to others share it.
+    pub local: Local,
     clients: RefCell<HashMap<SocketAddr, Rc<PeerClient>>>,
     pub notes: Receiver<LoadNote>,
     ready: watch::Sender<bool>,
@@ -76,8 +79,15 @@
         let mut commands = parts.commands;
         let now = Instant::now();
         let membership = Membership::new(parts.me.entry.clone(), parts.incarnation, now);
-        let control = Rc::new(Control {
+        let local = Local {
+            host: parts.me.entry.clone(),
+            incarnation: parts.incarnation,
             key: parts.config.peer_key.as_bytes().into(),
+            names: Rc::default(),
+            traffic: Rc::default(),
+        };
+        let control = Rc::new(Control {
+            local,
             config: parts.config,
             shared: parts.shared,
             worker: parts.worker,
@@ -99,13 +109,14 @@
                 roster: Default::default(),
                 own: HashMap::new(),
                 store_answered: None,
+                list_answered: false,
             }),
         });
         control.publish();
         match listen(peers) {
             Ok(peers) => {
                 let handler = Rc::new(Handler(Rc::clone(&control)));
-                spawn_local(PeerServer::new(&control.key, handler).run(peers));
+                spawn_local(PeerServer::new(control.local.clone(), handler).run(peers));
             }
             Err(error) => tracing::error!(event = "peers_failed", %error),
         }
@@ -157,12 +168,23 @@
             self.poll().await;
             sleep(START_RETRY).await;
         }
+        let begun = Instant::now();
+        while !self.knows_others() && begun.elapsed() < OTHERS_LIMIT {
+            sleep(START_RETRY).await;
+        }
         self.publish();
         let _ = self.ready.send(true);
         let revision = self.state.borrow().history.revision();
         tracing::info!(event = "ready", host = self.me.entry.name, revision);
     }
 
+    /// Whether it has heard of other hosts, or that there are none: without them it
+    /// would refuse what they can answer.
+    fn knows_others(&self) -> bool {
+        let state = self.state.borrow();
+        state.list_answered || !state.summaries.is_empty()
+    }
+
     /// Tells the platform of this start, again until it has answered.
     async fn register(self: Rc<Self>) {
         loop {
@@ -188,7 +210,9 @@
             if let Ok(Ok(listed)) = listed {
                 self.take_list(listed);
             }
+            let answered = self.state.borrow().list_answered;
             let every = match self.is_among("poll", POLLERS) {
+                _ if !answered => START_RETRY,
                 true => LIST_EVERY,
                 false => LIST_EVERY_OTHERS,
             };
@@ -200,6 +224,7 @@
         let now = Instant::now();
         let mut state = self.state.borrow_mut();
         state.store_answered = Some(now);
+        state.list_answered = true;
         for host in &listed {
             if let Some(incarnation) = host.incarnation {
                 let start = (host.entry.name.clone(), incarnation);
@@ -246,15 +271,8 @@
     /// A client of the host with this peer address.
     pub fn client(&self, address: SocketAddr) -> Rc<PeerClient> {
         let make = || {
-            let name = self.me.entry.name.clone();
-            let key = Rc::clone(&self.key);
-            Rc::new(PeerClient::new(
-                address,
-                name,
-                self.incarnation,
-                key,
-                PEER_DEADLINE,
-            ))
+            let local = self.local.clone();
+            Rc::new(PeerClient::new(address, local, PEER_DEADLINE))
         };
         Rc::clone(
             self.clients
--- a/src/host/handler.rs
+++ b/src/host/handler.rs
@@ -5,8 +5,9 @@
 
 use peer::{Beat, Exchange, ExchangeReply, PeerHandler};
 use steering::history::{Entry, HistoryError, Position};
-use steering::ids::HostName;
+use steering::ids::{HostName, Revision};
 use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
+use steering::membership::HostEntry;
 use tokio::task::spawn_local;
 
 use super::control::Control;
@@ -15,7 +16,7 @@
 pub struct Handler(pub Rc<Control>);
 
 impl PeerHandler for Handler {
-    fn heartbeat(&self, beat: Beat) -> Position {
+    fn heartbeat(&self, beat: Beat) -> Revision {
         let host = beat.heartbeat.host.clone();
         let taken = self
             .0
@@ -23,23 +24,24 @@
             .borrow_mut()
             .membership
             .heard(Instant::now(), beat.heartbeat);
-        let mine = self.0.state.borrow().history.position().clone();
+        let mine = self.0.state.borrow().history.revision();
         if !taken {
             return mine;
         }
         self.0.take_loads(&host.name, beat.loads);
-        if beat.position.revision > mine.revision {
+        if beat.revision > mine {
             let control = Rc::clone(&self.0);
             spawn_local(async move { control.exchange_with(host.peer_address).await });
         }
         mine
     }
 
-    fn exchange(&self, exchange: Exchange) -> ExchangeReply {
+    fn exchange(&self, from: &HostEntry, exchange: Exchange) -> ExchangeReply {
         for summary in exchange.summaries {
             self.0.take_summary(summary);
         }
-        let summaries = self.0.some_summaries();
+        let in_zone = from.zone == self.0.me.entry.zone;
+        let summaries = self.0.some_summaries(in_zone);
         let state = self.0.state.borrow();
         let theirs = exchange.position.revision;
         let entries = state.history.entries_after(theirs);
--- a/src/host/report.rs
+++ b/src/host/report.rs
@@ -94,6 +94,8 @@
                 .shared
                 .open_connections
                 .load(std::sync::atomic::Ordering::Acquire),
+            peer_sent_bytes: self.local.traffic.sent_bytes(),
+            peer_received_bytes: self.local.traffic.received_bytes(),
             block_bytes: state.plan.block_bytes(),
             document: Arc::clone(state.history.document()),
         };
--- a/src/host/spread.rs
+++ b/src/host/spread.rs
@@ -1,6 +1,7 @@
 //! Heartbeats in the zone, and exchanges with random hosts in it and beyond.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -8,16 +9,22 @@
 use rand::Rng;
 use rand::seq::{IndexedRandom, IteratorRandom};
 use steering::belief::ZoneSummary;
+use steering::ids::ZoneName;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use super::control::{Control, timer};
+use super::control::Control;
+use super::state::HeldSummary;
 
-const EXCHANGE_EVERY: Duration = Duration::from_secs(1);
+const EXCHANGE_AT_LEAST_EVERY: Duration = Duration::from_secs(1);
+/// Time between exchanges grows with the zones, so that their summaries stay cheap.
+const EXCHANGE_EVERY_BY_ZONE: Duration = Duration::from_millis(25);
 /// One exchange in so many goes to another zone, where the own has other hosts.
 const ACROSS_ONE_IN: u32 = 3;
-/// Most summaries in one exchange, the own zone's first.
-const SUMMARIES: usize = 8;
+/// Summaries in one exchange: fewer where there are many zones.
+const SUMMARIES: RangeInclusive<usize> = 2..=8;
+/// Summaries in one exchange times zones, between those bounds.
+const SUMMARIES_BY_ZONES: usize = 64;
 
 impl Control {
     /// Sends heartbeats to the zone's hosts for ever.
@@ -43,7 +50,7 @@
             let mut state = self.state.borrow_mut();
             Rc::new(Beat {
                 heartbeat: state.membership.heartbeat(now, lenders),
-                position: state.history.position().clone(),
+                revision: state.history.revision(),
                 loads,
             })
         };
@@ -59,9 +66,9 @@
     async fn beat(self: Rc<Self>, address: SocketAddr, beat: Rc<Beat>) {
         let client = self.client(address);
         match client.heartbeat(&beat).await {
-            Ok(position) => {
+            Ok(theirs) => {
                 let mine = self.state.borrow().history.revision();
-                if position.revision > mine {
+                if theirs > mine {
                     self.exchange_with(address).await;
                 }
             }
@@ -71,18 +78,22 @@
 
     /// Exchanges with random hosts for ever.
     pub async fn exchanges(self: Rc<Self>) {
-        let mut timer = timer(EXCHANGE_EVERY);
         loop {
-            timer.tick().await;
             if let Some(address) = self.draw_partner() {
                 spawn_local(Rc::clone(&self).exchange_once(address));
             }
             let mut used = self.zone_peers();
             used.extend(self.config.seeds.iter().copied());
             self.drop_clients(&used);
+            sleep(self.exchange_every()).await;
         }
     }
 
+    fn exchange_every(&self) -> Duration {
+        let zones = self.state.borrow().plan.document.zones.len() as u32;
+        EXCHANGE_AT_LEAST_EVERY.max(EXCHANGE_EVERY_BY_ZONE * zones)
+    }
+
     async fn exchange_once(self: Rc<Self>, address: SocketAddr) {
         self.exchange_with(address).await;
     }
@@ -113,10 +124,11 @@
     /// Exchanges with one host until this one is no longer behind it.
     pub async fn exchange_with(self: &Rc<Self>, address: SocketAddr) {
         let client = self.client(address);
+        let in_zone = self.zone_peers().contains(&address);
         loop {
             let exchange = Exchange {
                 position: self.state.borrow().history.position().clone(),
-                summaries: self.some_summaries(),
+                summaries: self.some_summaries(in_zone),
             };
             let reply = match client.exchange(&exchange).await {
                 Ok(reply) => reply,
@@ -161,19 +173,26 @@
         }
     }
 
-    /// The own zone's summary and some others, drawn at random.
-    pub fn some_summaries(&self) -> Vec<ZoneSummary> {
-        let mut summaries = vec![self.own_summary()];
+    /// Summaries of zones drawn at random, the first with its hosts; before them the
+    /// own zone's, which the hosts of the own zone need not be told.
+    pub fn some_summaries(&self, in_zone: bool) -> Vec<ZoneSummary> {
+        let mut summaries = Vec::new();
+        if !in_zone {
+            summaries.push(self.own_summary());
+        }
         let now = Instant::now();
         let state = self.state.borrow();
+        let zones = state.plan.document.zones.len().max(1);
+        let most = (SUMMARIES_BY_ZONES / zones).clamp(*SUMMARIES.start(), *SUMMARIES.end());
         let others = state
             .summaries
-            .values()
-            .choose_multiple(&mut rand::rng(), SUMMARIES - 1);
-        summaries.extend(others.into_iter().map(|held| ZoneSummary {
-            age: now.saturating_duration_since(held.measured),
-            ..held.summary.clone()
-        }));
+            .iter()
+            .choose_multiple(&mut rand::rng(), most - summaries.len());
+        let others = others.into_iter().enumerate();
+        let passed_on = |(number, (zone, held)): (usize, (&ZoneName, &HeldSummary))| {
+            held.pass_on(zone, now, number == 0)
+        };
+        summaries.extend(others.filter_map(passed_on));
         summaries
     }
 }
--- a/src/host/state.rs
+++ b/src/host/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use platform::ListedHost;
 use serde::Serialize;
@@ -11,7 +11,7 @@
 use steering::history::History;
 use steering::ids::{HostName, Incarnation, Revision, ZoneName};
 use steering::limiter::Roster;
-use steering::membership::Membership;
+use steering::membership::{HostEntry, Membership};
 use steering::plan::Plan;
 use steering::view::OwnCounts;
 use tokio::sync::oneshot;
@@ -34,12 +34,49 @@
     End,
 }
 
-/// A zone's summary with the time that it was measured.
+/// What is held of another zone, by this host's clock.
+#[derive(Default)]
 pub struct HeldSummary {
-    /// The summary; its age is that at `measured`.
-    pub summary: ZoneSummary,
-    /// When it was measured, by this host's clock.
-    pub measured: Instant,
+    /// Load of its services.
+    pub loads: Vec<ServiceLoad>,
+    /// When `loads` was measured; none before the first.
+    pub measured: Option<Instant>,
+    /// Hosts that may be asked; none as long as no summary has named any.
+    pub hosts: Vec<HostEntry>,
+    /// When `hosts` was true; none before the first.
+    pub hosts_measured: Option<Instant>,
+}
+
+impl HeldSummary {
+    /// Takes what is newer in a summary that came now; whether its loads were.
+    pub fn take(&mut self, summary: &ZoneSummary, now: Instant) -> bool {
+        let hosts_measured = now.checked_sub(summary.hosts_age);
+        if !summary.hosts.is_empty() && hosts_measured > self.hosts_measured {
+            self.hosts.clone_from(&summary.hosts);
+            self.hosts_measured = hosts_measured;
+        }
+        let measured = now.checked_sub(summary.age);
+        let newer = measured > self.measured;
+        if newer {
+            self.loads.clone_from(&summary.loads);
+            self.measured = measured;
+        }
+        newer
+    }
+
+    /// The zone's summary for another host, with or without its hosts; none where
+    /// nothing was measured yet.
+    pub fn pass_on(&self, zone: &str, now: Instant, with_hosts: bool) -> Option<ZoneSummary> {
+        let hosts_measured = self.hosts_measured.filter(|_| with_hosts);
+        Some(ZoneSummary {
+            zone: zone.to_owned(),
+            age: now.saturating_duration_since(self.measured?),
+            loads: self.loads.clone(),
+            hosts: hosts_measured.map_or_else(Vec::new, |_| self.hosts.clone()),
+            hosts_age: hosts_measured
+                .map_or(Duration::ZERO, |at| now.saturating_duration_since(at)),
+        })
+    }
 }
 
 /// Load that another host of the zone told in its last heartbeat.
@@ -76,6 +113,8 @@
     pub own: OwnCounts,
     /// When the platform last answered.
     pub store_answered: Option<Instant>,
+    /// Whether the platform's list was read in this start.
+    pub list_answered: bool,
 }
 
 /// The control thread's state, for dumps.
@@ -97,6 +136,10 @@
     pub spent_tickets: usize,
     /// Open connections of callers and hosts.
     pub open_connections: u32,
+    /// Bytes of messages sent to other hosts.
+    pub peer_sent_bytes: u64,
+    /// Bytes of messages received from other hosts.
+    pub peer_received_bytes: u64,
     /// Memory of the table of client blocks, in bytes.
     pub block_bytes: usize,
     /// The configuration in force.
--- a/src/host/views.rs
+++ b/src/host/views.rs
@@ -12,7 +12,7 @@
 use steering::view::View;
 
 use super::control::{Control, timer};
-use super::state::{HeardLoads, HeldSummary, State};
+use super::state::{HeardLoads, State};
 
 const PUBLISH_EVERY: Duration = Duration::from_millis(50);
 /// Ticks between two views while no request is in flight.
@@ -61,6 +61,7 @@
             state.plan = Arc::new(state.plan.next(Arc::clone(state.history.document())));
             state.planned = state.history.revision();
             self.keep_counts(state);
+            self.local.names.set(state.plan.services.keys());
         }
         self.believe_own_zone(state, now);
         let view = View {
@@ -136,9 +137,11 @@
                 .push(host.entry.clone());
         }
         for (zone, held) in &state.summaries {
-            let age = now.saturating_duration_since(held.measured);
-            if age < SUMMARY_LAPSE && !held.summary.hosts.is_empty() {
-                hosts.insert(zone.clone(), held.summary.hosts.clone());
+            let age = held
+                .hosts_measured
+                .map(|at| now.saturating_duration_since(at));
+            if age.is_some_and(|age| age < SUMMARY_LAPSE) {
+                hosts.insert(zone.clone(), held.hosts.clone());
             }
         }
         hosts.insert(self.me.entry.zone.clone(), state.membership.staying(now));
@@ -192,33 +195,31 @@
                 .into_iter()
                 .take(SUMMARY_HOSTS)
                 .collect(),
+            hosts_age: Duration::ZERO,
         }
     }
 
-    /// Takes another zone's summary, where it is newer than what is held.
+    /// Takes what is newer in another zone's summary than what is held.
     pub fn take_summary(&self, summary: ZoneSummary) {
         if summary.zone == self.me.entry.zone {
             return;
         }
-        let Some(measured) = Instant::now().checked_sub(summary.age) else {
-            return;
-        };
+        let now = Instant::now();
         let state = &mut *self.state.borrow_mut();
-        let held = state.summaries.get(&summary.zone);
-        if held.is_some_and(|held| held.measured >= measured) {
+        let held = state.summaries.entry(summary.zone.clone()).or_default();
+        if !held.take(&summary, now) {
             return;
         }
-        for load in &summary.loads {
+        let Some(measured) = held.measured else {
+            return;
+        };
+        for load in summary.loads {
             let report = Report {
                 load: load.load,
                 measured,
             };
             state.beliefs.update(&summary.zone, &load.service, report);
         }
-        let zone = summary.zone.clone();
-        state
-            .summaries
-            .insert(zone, HeldSummary { summary, measured });
     }
 
     /// Takes the load that a host of the zone told.
