Let a service name its work by header fields, so that a form sent again runs once

Cause: a person who sends a return or a settlement again gets a new ticket with each form; the ticket then tells two sendings apart that are one piece of work.

Change: an operation may name its work: key fields say which it is, argument fields what must not differ, rejected statuses when the service did nothing. Any host takes it after a claim in the store; the first answer is told to whoever sends it again, other arguments are a conflict, a rejected try takes its own claim away. A host that is full no longer calls any work not run that may not be repeated.

--- a/crates/caller/src/entry.rs
+++ b/crates/caller/src/entry.rs
@@ -82,25 +82,31 @@
     if request.uri().path() == LOOK_UP_PATH {
         return Ok(look_up::answer(shared, request.uri(), caller)?);
     }
-    let again = may_be_sent_again(request.headers());
-    let early = |kind: ErrorKind| match again {
-        true => Failure::before_ticket(kind),
-        false => kind.into(),
-    };
-    let in_flight = InFlight::enter(shared).map_err(early)?;
+    let ticketed = has_ticket_or_key(request.headers());
     let view = shared.view.load_full();
-    let head = parse(&request, &view, caller, id.to_owned()).map_err(early)?;
+    let head = parse(&request, &view, caller, id.to_owned());
+    let head = head.map_err(|kind| refuse_early(kind, ticketed))?;
+    let early = |kind| refuse_early(kind, !head.repeatable);
+    let in_flight = InFlight::enter(shared).map_err(early)?;
     let ticket = text(request.headers(), TICKET_HEADER).map(str::to_owned);
     let body = read_body(shared, &head, request.into_body()).await;
-    let answer = run(shared, head, body.map_err(early)?, ticket.as_deref()).await?;
+    let body = body.map_err(early)?;
+    let answer = run(shared, head, body, ticket.as_deref()).await?;
     Ok(answer.map(|body| Holding::new(body, in_flight).boxed_unsync()))
 }
 
-/// Whether the same work may have come before, under its ticket or key.
-fn may_be_sent_again(headers: &HeaderMap) -> bool {
+fn has_ticket_or_key(headers: &HeaderMap) -> bool {
     headers.contains_key(TICKET_HEADER) || headers.contains_key(KEY_HEADER)
 }
 
+/// A refusal before anybody has looked whether the same work came before.
+fn refuse_early(kind: ErrorKind, may_have_come_before: bool) -> Failure {
+    match may_have_come_before {
+        true => Failure::before_ticket(kind),
+        false => kind.into(),
+    }
+}
+
 async fn run(
     shared: &Arc<Shared>,
     head: WorkHead,
--- a/crates/caller/src/request.rs
+++ b/crates/caller/src/request.rs
@@ -7,7 +7,7 @@
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request};
 use steering::blocks::ClassId;
-use steering::document::{Operation, Service};
+use steering::document::{Identity, Operation, Service};
 use steering::error::ErrorKind;
 use steering::ids::{RequestId, ServiceName};
 use steering::view::View;
@@ -54,6 +54,8 @@
     pub headers: HeaderMap,
     /// Whether it may run more than once.
     pub repeatable: bool,
+    /// What names its work; none: a ticket or a key does.
+    pub named: Option<NamedWork>,
     /// Time by which its answer must begin.
     pub deadline: Instant,
     /// Address of the caller.
@@ -62,6 +64,24 @@
     pub class: ClassId,
 }
 
+/// What names a request's work.
+#[derive(Debug, Clone)]
+pub struct NamedWork {
+    /// The operation.
+    pub operation: String,
+    /// The header fields.
+    pub identity: Identity,
+}
+
+impl NamedWork {
+    fn of(operation: &Operation) -> Option<Self> {
+        Some(NamedWork {
+            identity: operation.identity.clone()?,
+            operation: operation.name.clone(),
+        })
+    }
+}
+
 /// The body of a request, to be sent once or more.
 pub enum WorkBody {
     /// Held whole.
@@ -142,6 +162,7 @@
         id,
         service: name.to_owned(),
         operation,
+        named: known.and_then(NamedWork::of),
         repeatable: known.map_or(is_safe(&method), |operation| operation.repeatable),
         method,
         path,
--- a/crates/caller/src/ticketed.rs
+++ b/crates/caller/src/ticketed.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hyper::{Response, header};
+use hyper::Response;
+use hyper::header::{self, HeaderMap};
 use sha2::{Digest, Sha256};
 use steering::claim::{
     AttemptId, CLAIM_DISPATCH_WINDOW, ClaimOutcome, Ending, Fingerprint, Receipt, Spend,
@@ -19,7 +20,7 @@
 use crate::answers::{Failure, REPLAYED_HEADER};
 use crate::body::{Held, hold};
 use crate::local::Miss;
-use crate::request::{KEY_HEADER, WorkBody, WorkHead, value};
+use crate::request::{KEY_HEADER, NamedWork, WorkBody, WorkHead, value};
 use crate::shared::Shared;
 use crate::steer::{relay_home, steer};
 
@@ -38,6 +39,24 @@
     lapse: Instant,
     /// When its memory here may lapse; not before `lapse`.
     forget_at: Instant,
+    /// Statuses by which the upstream says that it did nothing.
+    rejected_statuses: Vec<u16>,
+}
+
+impl Once {
+    /// Work that any host may run, once the store has its claim.
+    fn in_store(id: ClaimId, fingerprint: Fingerprint, rejected_statuses: Vec<u16>) -> Self {
+        let lapse = Instant::now() + KEY_MEMORY;
+        Once {
+            id,
+            attempt: rand::random(),
+            fingerprint,
+            mode: TicketMode::Store,
+            lapse,
+            forget_at: lapse,
+            rejected_statuses,
+        }
+    }
 }
 
 /// Answers a request that may not be repeated.
@@ -47,6 +66,9 @@
     mut body: WorkBody,
     ticket_text: Option<&str>,
 ) -> Result<Response<Body>, Failure> {
+    if let Some(work) = head.named.clone() {
+        return run_named(shared, head, body, work).await;
+    }
     let fingerprint = fingerprint_of(&head, &body)?;
     let Some(ticket_text) = ticket_text else {
         return run_keyed(shared, head, body, fingerprint).await;
@@ -67,6 +89,7 @@
             attempt: rand::random(),
             fingerprint,
             mode: ticket.mode,
+            rejected_statuses: Vec::new(),
         };
         return run_once(shared, head, body, once).await;
     }
@@ -160,14 +183,7 @@
     fingerprint: Fingerprint,
 ) -> Result<Response<Body>, Failure> {
     if ticket.mode == TicketMode::Store {
-        let once = Once {
-            id: ticket.id.clone(),
-            attempt: rand::random(),
-            fingerprint,
-            mode: TicketMode::Store,
-            lapse: Instant::now() + KEY_MEMORY,
-            forget_at: Instant::now() + KEY_MEMORY,
-        };
+        let once = Once::in_store(ticket.id.clone(), fingerprint, Vec::new());
         return run_once(shared, head, body, once).await;
     }
     // In mode `home` nobody else ever runs it; without a receipt it may have run.
@@ -194,17 +210,48 @@
     digest.update(head.service.as_bytes());
     digest.update([0]);
     digest.update(key.as_bytes());
-    let once = Once {
-        id: format!("key-{:x}", digest.finalize()),
-        attempt: rand::random(),
-        fingerprint,
-        mode: TicketMode::Store,
-        lapse: Instant::now() + KEY_MEMORY,
-        forget_at: Instant::now() + KEY_MEMORY,
+    let id = format!("key-{:x}", digest.finalize());
+    run_once(
+        shared,
+        head,
+        body,
+        Once::in_store(id, fingerprint, Vec::new()),
+    )
+    .await
+}
+
+/// Work that its service names by header fields, whoever sends it and how often.
+async fn run_named(
+    shared: &Arc<Shared>,
+    head: WorkHead,
+    body: WorkBody,
+    NamedWork {
+        operation,
+        identity,
+    }: NamedWork,
+) -> Result<Response<Body>, Failure> {
+    let value = |name: &str| only_value(&head.headers, name);
+    let id = identity
+        .claim_id(&head.service, &operation, &value)
+        .ok_or(ErrorKind::IdentityRequired)?;
+    let fingerprint = match identity.arguments(&value) {
+        Some(arguments) => fingerprint(head.method.as_str(), &head.path, arguments.as_bytes()),
+        None => fingerprint_of(&head, &body)?,
     };
+    let once = Once::in_store(id, fingerprint, identity.rejected_statuses);
     run_once(shared, head, body, once).await
 }
 
+/// A header field's value, where it is there once and not empty.
+fn only_value(headers: &HeaderMap, name: &str) -> Option<Vec<u8>> {
+    let mut values = headers.get_all(name).iter();
+    let value = values.next().filter(|value| !value.is_empty())?;
+    match values.next() {
+        None => Some(value.as_bytes().to_vec()),
+        Some(_) => None,
+    }
+}
+
 async fn run_once(
     shared: &Arc<Shared>,
     head: WorkHead,
@@ -311,6 +358,11 @@
     once: &Once,
     answer: Response<Body>,
 ) -> Result<Response<Body>, Failure> {
+    if once.rejected_statuses.contains(&answer.status().as_u16()) {
+        // The service's word that nothing was done: it may be sent again, corrected.
+        end(shared, once, None);
+        return Ok(answer);
+    }
     let (parts, body) = answer.into_parts();
     let content_type = parts.headers.get(header::CONTENT_TYPE);
     let mut receipt = Receipt {
--- a/crates/standin/src/trial_caller.rs
+++ b/crates/standin/src/trial_caller.rs
@@ -156,24 +156,31 @@
 
     /// Work that may not be repeated, under a ticket, to one host.
     pub fn post_at(&self, host: SocketAddr, path: &str, operation: &str, ticket: &str) -> Reply {
-        let url = format!("http://{host}/services/{}{path}", self.service);
-        let request = self
-            .agent
-            .post(url)
-            .header("stagedeck-ticket", ticket)
-            .header(OPERATION_HEADER, operation);
-        read(request.send(operation))
+        let headers = [("stagedeck-ticket", ticket)];
+        self.post(host, path, operation, &headers, operation)
     }
 
     /// Work that may not be repeated, under the caller's own key.
     pub fn post_keyed(&self, host: SocketAddr, path: &str, operation: &str, key: &str) -> Reply {
+        let headers = [("idempotency-key", key)];
+        self.post(host, path, operation, &headers, operation)
+    }
+
+    /// Work with these headers and this body, to one host.
+    pub fn post(
+        &self,
+        host: SocketAddr,
+        path: &str,
+        operation: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Reply {
         let url = format!("http://{host}/services/{}{path}", self.service);
-        let request = self
-            .agent
-            .post(url)
-            .header("idempotency-key", key)
-            .header(OPERATION_HEADER, operation);
-        read(request.send(operation))
+        let request = self.agent.post(url).header(OPERATION_HEADER, operation);
+        let request = headers.iter().fold(request, |request, (name, value)| {
+            request.header(*name, *value)
+        });
+        read(request.send(body))
     }
 
     /// Downloads, reading to the end; the number of bytes that came.
--- a/crates/standin/src/upstream/answer.rs
+++ b/crates/standin/src/upstream/answer.rs
@@ -133,6 +133,12 @@
         shed.headers_mut().insert(NOT_RUN_HEADER, yes);
         return Ok(shed);
     }
+    let rejection = behaviour.reject_with.map(StatusCode::from_u16);
+    if let Some(Ok(status)) = rejection {
+        let mut rejected = Response::new(fixed("rejected".to_owned()));
+        *rejected.status_mut() = status;
+        return Ok(rejected);
+    }
     run(inner, request, behaviour, in_flight, guard).await
 }
 
--- a/crates/steering/src/document/check.rs
+++ b/crates/steering/src/document/check.rs
@@ -329,6 +329,10 @@
         .map(|operation| operation.name.clone());
     unique(&format!("{path}.operations"), names, problems);
     for (i, operation) in service.operations.iter().enumerate() {
+        if let Some(identity) = &operation.identity {
+            let path = format!("{path}.operations[{i}].identity");
+            identity.check(&path, operation.repeatable, problems);
+        }
         if let Some(deadline_ms) = operation.deadline_ms {
             problems.at_least(
                 format!("{path}.operations[{i}].deadline_ms"),
--- a/crates/steering/src/document/mod.rs
+++ b/crates/steering/src/document/mod.rs
@@ -2,11 +2,13 @@
 
 mod check;
 mod edit;
+mod identity;
 mod objects;
 mod proposal;
 
 pub use check::{Problem, Problems};
 pub use edit::{Change, Edit, EditError, Kind, ObjectId};
+pub use identity::{HeaderValueOf, Identity};
 pub use objects::{
     Block, Link, Operation, Place, Region, Rule, Service, TicketMode, Traffic, Upstream, Zone,
 };
--- a/crates/steering/src/document/objects.rs
+++ b/crates/steering/src/document/objects.rs
@@ -5,6 +5,7 @@
 use ipnet::IpNet;
 use serde::{Deserialize, Serialize};
 
+use super::Identity;
 use crate::ids::{RegionName, RuleName, ServiceName, UpstreamName, ZoneName};
 use crate::labels::{Labels, Selector};
 
@@ -147,6 +148,9 @@
     /// Longest wait for the first byte of the answer, in milliseconds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub deadline_ms: Option<u64>,
+    /// What names its work; none: a ticket or a caller's own key does.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub identity: Option<Identity>,
     /// Labels that rules can select on.
     #[serde(default)]
     pub labels: Labels,
--- a/crates/steering/src/error.rs
+++ b/crates/steering/src/error.rs
@@ -37,13 +37,16 @@
     /// Work that may not be repeated came without a ticket or key.
     #[display("ticket_required")]
     TicketRequired,
+    /// The work is named by header fields, and one of them is missing.
+    #[display("identity_required")]
+    IdentityRequired,
     /// The ticket is forged or for another service.
     #[display("ticket_invalid")]
     TicketInvalid,
     /// The ticket has lapsed, and nothing ever ran under it.
     #[display("ticket_lapsed")]
     TicketLapsed,
-    /// The ticket or key was used before with another request.
+    /// The ticket, key or identity was used before with another request.
     #[display("ticket_conflict")]
     TicketConflict,
     /// The same ticket's request is still running.
@@ -144,6 +147,13 @@
             None,
             "this work needs a ticket",
         ),
+        row(
+            K::IdentityRequired,
+            428,
+            True,
+            None,
+            "this work needs the header fields that name it",
+        ),
         row(K::TicketInvalid, 403, True, None, "the ticket is not valid"),
         row(
             K::TicketLapsed,
@@ -157,7 +167,7 @@
             422,
             True,
             None,
-            "the ticket was used for another request",
+            "the ticket, key or identity was used for another request",
         ),
         row(
             K::InProgress,
--- a/crates/steering/tests/document.rs
+++ b/crates/steering/tests/document.rs
@@ -21,6 +21,11 @@
     })
 }
 
+/// Operations of a service that names its work so.
+fn filing(identity: Value) -> Value {
+    json!([{"name": "file", "repeatable": false, "identity": identity}])
+}
+
 #[test]
 fn a_good_document_passes() {
     let document: Document = serde_json::from_value(good()).unwrap();
@@ -37,6 +42,11 @@
 #[case("/links/0/one_way_ms", json!(-1), "links[0].one_way_ms", "0 or more")]
 #[case("/services/0/deadline_ms", json!(0), "services[0].deadline_ms", "at least 1")]
 #[case("/services/0/priority", json!(10), "services[0].priority", "from 0 to 9")]
+#[case("/services/0/operations", filing(json!({"key_headers": []})), "services[0].operations[0].identity.key_headers", "not be empty")]
+#[case("/services/0/operations", filing(json!({"key_headers": ["X-A"]})), "services[0].operations[0].identity.key_headers[0]", "lower-case")]
+#[case("/services/0/operations", filing(json!({"key_headers": ["a"], "argument_headers": ["b", "a"]})), "services[0].operations[0].identity.argument_headers[1]", "twice")]
+#[case("/services/0/operations", filing(json!({"key_headers": ["a"], "rejected_statuses": [422, 500]})), "services[0].operations[0].identity.rejected_statuses[1]", "is 500")]
+#[case("/services/0/operations", json!([{"name": "a", "repeatable": true, "identity": {"key_headers": ["a"]}}]), "services[0].operations[0].identity", "may not be repeated")]
 #[case("/upstreams/0/slots", json!(0), "upstreams[0].slots", "at least 1")]
 #[case("/upstreams/0/connection_limit", json!(3), "upstreams[0].connection_limit", "at least 9")]
 #[case("/upstreams/0/service", json!("x"), "upstreams[0].service", "no service is named `x`")]
