--- a/crates/standin/src/measure/outage.rs
+++ b/crates/standin/src/measure/outage.rs
@@ -10,7 +10,7 @@
 use crate::deployment::{Deployment, DeploymentPlan, HostPlan};
 use crate::load::{Fates, Load, LoadPlan, run_twice};
 
-const DOWN: Duration = Duration::from_secs(40);
+const DOWN: Duration = Duration::from_secs(60);
 
 /// Measures; one JSON object.
 pub fn run() -> io::Result<Value> {
--- a/crates/steering/src/history.rs
+++ b/crates/steering/src/history.rs
@@ -36,7 +36,7 @@
     pub revision: Revision,
     /// Digest of the history up to here.
     pub digest: HistoryDigest,
-    /// SHA-256 of the document as JSON, hexadecimal.
+    /// SHA-256 of the revision, its digest and the document as JSON, hexadecimal.
     pub checksum: String,
     /// The document.
     pub document: Arc<Document>,
@@ -93,9 +93,14 @@
     format!("{:x}", digest.finalize())
 }
 
-fn checksum(document: &Document) -> String {
+fn checksum(position: &Position, document: &Document) -> String {
     let document = serde_json::to_vec(document).expect("a document is always valid JSON");
-    format!("{:x}", Sha256::digest(document))
+    let mut checksum = Sha256::new();
+    checksum.update(position.revision.to_be_bytes());
+    checksum.update((position.digest.len() as u64).to_be_bytes());
+    checksum.update(&position.digest);
+    checksum.update(document);
+    format!("{:x}", checksum.finalize())
 }
 
 impl History {
@@ -153,7 +158,11 @@
         if snapshot.revision <= self.revision() {
             return Ok(false);
         }
-        if checksum(&snapshot.document) != snapshot.checksum {
+        let position = Position {
+            revision: snapshot.revision,
+            digest: snapshot.digest.clone(),
+        };
+        if checksum(&position, &snapshot.document) != snapshot.checksum {
             return Err(HistoryError::Damaged(snapshot.revision));
         }
         snapshot
@@ -163,10 +172,7 @@
                 revision: snapshot.revision,
                 reason: problems.to_string(),
             })?;
-        self.position = Position {
-            revision: snapshot.revision,
-            digest: snapshot.digest.clone(),
-        };
+        self.position = position;
         self.document = Arc::clone(&snapshot.document);
         self.recent.clear();
         Ok(true)
@@ -177,7 +183,7 @@
         Snapshot {
             revision: self.revision(),
             digest: self.position.digest.clone(),
-            checksum: checksum(&self.document),
+            checksum: checksum(&self.position, &self.document),
             document: Arc::clone(&self.document),
         }
     }
--- a/src/config.rs
+++ b/src/config.rs
@@ -214,7 +214,10 @@
             }
         }
         self.check_addresses(&mut problems);
-        if self.log.parse::<tracing_subscriber::EnvFilter>().is_err() {
+        // The filter's parser panics at some texts that are not ASCII.
+        let is_filter =
+            self.log.is_ascii() && self.log.parse::<tracing_subscriber::EnvFilter>().is_ok();
+        if !is_filter {
             problems.push("log", format!("`{}` is no log filter", self.log));
         }
         problems.into_result()
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -304,3 +304,60 @@
     let said = String::from_utf8_lossy(&output.stderr).into_owned();
     assert!(said.contains("caller_address"), "{said}");
 }
+
+/// Splits a line of key=value pairs; none where it is anything else.
+fn pairs(line: &str) -> Option<Vec<(&str, &str)>> {
+    let mut pairs = Vec::new();
+    let mut rest = line;
+    while !rest.is_empty() {
+        let (key, after) = rest.split_once('=')?;
+        let end = match after.strip_prefix('"') {
+            Some(quoted) => quoted.find('"')? + 2,
+            None => after.find(' ').unwrap_or(after.len()),
+        };
+        let is_key = !key.is_empty() && !key.contains([' ', '"']);
+        pairs.push((key, &after[..end]));
+        rest = after[end..].strip_prefix(' ').unwrap_or(&after[end..]);
+        if !is_key {
+            return None;
+        }
+    }
+    Some(pairs)
+}
+
+#[test]
+fn each_log_line_is_key_value_pairs() {
+    let platform = StandInPlatform::start(any_port()).unwrap();
+    let mut process = Process::start("n1", "norte", &platform);
+    let text = std::fs::read_to_string(&process.settings).unwrap();
+    std::fs::write(&process.settings, text.replace("\"error\"", "\"debug\"")).unwrap();
+    process.child.kill().unwrap();
+    process.child.wait().unwrap();
+    let child = Command::new(env!("CARGO_BIN_EXE_stagedeck"))
+        .args(["serve", "--settings"])
+        .arg(&process.settings)
+        .stdin(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    process.child = child;
+    let stderr = process.child.stderr.take().unwrap();
+    let lines = std::io::BufRead::lines(std::io::BufReader::new(stderr));
+    let mut events = Vec::new();
+    for line in lines.map_while(Result::ok) {
+        let pairs = pairs(&line).unwrap_or_else(|| panic!("no pairs: {line}"));
+        let first: Vec<&str> = pairs.iter().take(3).map(|(key, _)| *key).collect();
+        // Libraries log beside us; their lines have a message in place of an event.
+        assert_eq!(first[..2], ["time_ms", "level"], "{line}");
+        events.extend(
+            pairs
+                .iter()
+                .filter(|(key, _)| *key == "event")
+                .map(|pair| pair.1.to_owned()),
+        );
+        if events.iter().any(|event| event == "ready") {
+            break;
+        }
+    }
+    assert!(events.contains(&"started".to_owned()), "{events:?}");
+}
