Measure two shifts at once with a region lost; compare with least loaded by the exact count

Change: the model steers by the rule of the caller's region and takes the limits that the shipped code takes; `measure together`; `owner_least_loaded` in `balance`; unused policies removed.

--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -73,6 +73,8 @@
     Balance,
     /// Half of the traffic moves to cold upstreams.
     Shift,
+    /// Two shifts toward one region at once, and a region lost meanwhile.
+    Together,
     /// Reports stop for a minute.
     Stale,
     /// A region is lost.
@@ -112,6 +114,7 @@
                 Measurement::Overhead => measure::overhead::run()?,
                 Measurement::Balance => measure::balance::run(plots.as_deref())?,
                 Measurement::Shift => measure::shift::run(plots.as_deref())?,
+                Measurement::Together => measure::together::run()?,
                 Measurement::Stale => measure::stale::run()?,
                 Measurement::Loss => measure::loss::run()?,
                 Measurement::Lookup => measure::look_up::run()?,
--- a/crates/standin/src/measure/balance.rs
+++ b/crates/standin/src/measure/balance.rs
@@ -1,6 +1,7 @@
 //! Latency and headroom by load and upstream fault, beside the baselines.
 
 use serde_json::{Map, Value, json};
+use steering::choice::LeastLoaded;
 
 use super::parallel;
 use super::plot::{Bars, bars};
@@ -33,6 +34,8 @@
 enum Way {
     Product,
     Baseline(BaselineKind, bool),
+    /// The product, but for the choice of an upstream: least loaded by the owner's count.
+    OwnerLeastLoaded,
 }
 
 const WAYS: &[(Way, &str)] = &[
@@ -54,6 +57,7 @@
         Way::Baseline(BaselineKind::PowerOfTwo, true),
         "power_of_two_all",
     ),
+    (Way::OwnerLeastLoaded, "owner_least_loaded"),
 ];
 
 /// Whose deployment.
@@ -110,6 +114,7 @@
             (1, "round_robin"),
             (4, "power_of_two"),
             (5, "power_of_two_all"),
+            (6, "owner_least_loaded"),
         ] {
             let ratio = p99_ms(*user, Trouble::Slow, 85, 0) / p99_ms(*user, Trouble::Slow, 85, way);
             all.insert(
@@ -221,6 +226,10 @@
             let mut product = Product::new(&engine);
             engine.run(&mut product, RUN_MS, |_| {});
         }
+        Way::OwnerLeastLoaded => {
+            let mut product = Product::with_policy(&engine, || Box::new(LeastLoaded));
+            engine.run(&mut product, RUN_MS, |_| {});
+        }
         Way::Baseline(kind, all_zones) => {
             let mut baseline = Baseline::new(&engine, kind, all_zones);
             engine.run(&mut baseline, RUN_MS, |_| {});
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -16,6 +16,7 @@
 pub mod retry;
 pub mod shift;
 pub mod stale;
+pub mod together;
 mod traffic;
 
 pub use figures::Spread;
--- a/crates/standin/src/model/steerers.rs
+++ b/crates/standin/src/model/steerers.rs
@@ -7,9 +7,10 @@
 
 use rand::Rng;
 use steering::belief::{Beliefs, Report};
-use steering::choice::{LeastExpected, PlaceView, choose_places};
+use steering::choice::{LeastExpected, PlaceView, Policy, choose_places};
 use steering::document::Upstream;
 use steering::limiter::{Ledger, LimitKey, Roster, WHOLE_PERMILLE};
+use steering::plan::{CallerClass, RuleMatch};
 use steering::pool::{Decision, Grant, LoadReport, Offer, Outcome, Pool, PoolLimits, Step, WaitId};
 
 use super::engine::{Engine, Event, Fate, Steerer};
@@ -29,12 +30,40 @@
     }
 }
 
+/// The rule for callers that enter in a zone: they have its labels.
+fn rule(engine: &Engine, entry: usize) -> Option<RuleMatch<'_>> {
+    let plan = &engine.world.plan;
+    let zone = &engine.world.zones[entry];
+    let caller = CallerClass {
+        zone: Some(zone.clone()),
+        labels: plan.zone_labels(zone).cloned().unwrap_or_default(),
+    };
+    plan.rule(&plan.services[SERVICE].service, None, &caller)
+}
+
+/// Share of each zone under a rule.
+fn shares(engine: &Engine, rule: Option<RuleMatch<'_>>) -> Vec<f64> {
+    let plan = &engine.world.plan;
+    let zones = &engine.world.zones;
+    let place_of = |zone: &String| {
+        let labels = plan.zone_labels(zone)?;
+        rule?.place(labels).map(|(_, place)| place)
+    };
+    let of_zone = |zone: &String| {
+        let Some(place) = place_of(zone) else {
+            return 0.0;
+        };
+        let same = |other: &&String| place_of(other).is_some_and(|at| std::ptr::eq(at, place));
+        place.share_percent / zones.iter().filter(same).count().max(1) as f64
+    };
+    zones.iter().map(of_zone).collect()
+}
+
 /// One zone's owner.
 struct Owner {
     pool: Pool,
     waiting: HashMap<WaitId, usize>,
     ledger: Ledger,
-    limits: Vec<LimitKey>,
 }
 
 /// A roster that gives one host the whole of each limit.
@@ -56,6 +85,10 @@
     pub reports_stopped: bool,
     /// What each request that is being served was granted.
     grants: HashMap<usize, Grant>,
+    /// Limits that each request which was admitted comes under.
+    keys: HashMap<usize, Vec<LimitKey>>,
+    /// Requests being served under each cap of a rule, by zone.
+    under_cap: HashMap<(usize, LimitKey), u32>,
     /// Most in flight under a rule's cap, over the cap.
     pub peak_over_cap: f64,
     /// Whether answers tell the load of the place that they come from.
@@ -63,14 +96,19 @@
 }
 
 impl Product {
-    /// Owners of every zone, warm where `warm` is set.
+    /// Owners of every zone, with the policy that ships.
     pub fn new(engine: &Engine) -> Self {
+        Product::with_policy(engine, || Box::new(LeastExpected))
+    }
+
+    /// Owners of every zone that choose among upstreams by another policy.
+    pub fn with_policy(engine: &Engine, policy: fn() -> Box<dyn Policy>) -> Self {
         let zones = engine.world.zones.len();
         let now = engine.now();
         let plan = &engine.world.plan;
         let service = &plan.services[SERVICE];
         let owner = |zone: &String| {
-            let mut pool = Pool::new(PoolLimits::from(&service.service), Box::new(LeastExpected));
+            let mut pool = Pool::new(PoolLimits::from(&service.service), policy());
             let upstreams: Vec<Arc<Upstream>> = service
                 .zone(zone)
                 .map(|zone| {
@@ -93,7 +131,6 @@
                 pool,
                 waiting: HashMap::new(),
                 ledger,
-                limits: limits.into_keys().collect(),
             }
         };
         Product {
@@ -105,6 +142,8 @@
             ticks: 0,
             reports_stopped: false,
             grants: HashMap::new(),
+            keys: HashMap::new(),
+            under_cap: HashMap::new(),
             peak_over_cap: 0.0,
             piggyback: true,
         }
@@ -133,15 +172,14 @@
         for (zone, owner) in engine.world.zones.iter().zip(&mut self.owners) {
             let limits = engine.world.plan.zone_limits(zone);
             owner.ledger.configure(now, &limits, &whole_roster());
-            owner.limits = limits.into_keys().collect();
         }
     }
 
     fn views(&self, engine: &Engine, entry: usize) -> Vec<(usize, PlaceView)> {
         let plan = &engine.world.plan;
         let service = &plan.services[SERVICE];
-        let rule = plan.rule(&service.service, None, &Default::default());
-        let shares = self.shares(engine);
+        let rule = rule(engine, entry);
+        let shares = shares(engine, rule);
         let now = engine.now();
         let mut views = Vec::new();
         for (number, zone) in service.zones.iter().enumerate() {
@@ -174,23 +212,17 @@
         views
     }
 
-    fn shares(&self, engine: &Engine) -> Vec<f64> {
-        let plan = &engine.world.plan;
-        let Some(rule) = plan.document.rules.first() else {
-            return vec![0.0; engine.world.zones.len()];
-        };
-        let of_zone = |zone: &String| {
-            let labels = plan.zone_labels(zone);
-            let place =
-                labels.and_then(|labels| rule.places.iter().find(|p| p.zones.matches(labels)));
-            let Some(place) = place else { return 0.0 };
-            let matching = engine.world.zones.iter().filter(|other| {
-                plan.zone_labels(other)
-                    .is_some_and(|labels| place.zones.matches(labels))
-            });
-            place.share_percent / matching.count().max(1) as f64
-        };
-        engine.world.zones.iter().map(of_zone).collect()
+    /// Caps of a rule that an admitted request comes under.
+    fn caps_of(&self, request: usize) -> Vec<LimitKey> {
+        let keys = self.keys.get(&request).into_iter().flatten();
+        keys.filter(|key| matches!(key, LimitKey::RuleFlight(..)))
+            .cloned()
+            .collect()
+    }
+
+    fn release_limits(&mut self, zone: usize, request: usize) {
+        let keys = self.keys.remove(&request).unwrap_or_default();
+        self.owners[zone].ledger.release(&keys);
     }
 
     fn send_on(&mut self, engine: &mut Engine, request: usize) {
@@ -216,12 +248,14 @@
             .iter()
             .find(|u| document.upstreams[**u].name == *name);
         engine.requests[request].upstream = *found.expect("a pool has its zone's upstreams");
-        let in_cap = f64::from(self.owners[zone].pool.load().in_flight);
-        let cap = engine.world.plan.zone_limits(&engine.world.zones[zone]);
-        for (key, units) in cap {
-            if matches!(key, LimitKey::RuleFlight(..)) {
-                self.peak_over_cap = self.peak_over_cap.max(in_cap / f64::from(units));
-            }
+        let caps = engine.world.plan.zone_limits(&engine.world.zones[zone]);
+        for key in self.caps_of(request) {
+            let under_cap = self.under_cap.entry((zone, key.clone())).or_default();
+            *under_cap += 1;
+            let cap = caps.get(&key).copied().unwrap_or(0);
+            self.peak_over_cap = self
+                .peak_over_cap
+                .max(f64::from(*under_cap) / f64::from(cap));
         }
         engine.after(0.0, Event::Take { request });
     }
@@ -243,8 +277,7 @@
                 }
                 Step::Refused(wait, _) => {
                     if let Some(request) = self.owners[zone].waiting.remove(&wait) {
-                        let owner = &mut self.owners[zone];
-                        owner.ledger.release(&owner.limits);
+                        self.release_limits(zone, request);
                         self.refuse(engine, zone, request);
                     }
                 }
@@ -286,18 +319,22 @@
         let back_ms = engine.world.one_way_ms[entry][zone] + RELAY_MS;
         let deadline_ms = engine.requests[request].arrived_ms + engine.world.deadline_ms - back_ms;
         let deadline = engine.at(deadline_ms);
+        let plan = &engine.world.plan;
+        let from = plan.region(&engine.world.zones[entry]);
+        let keys = plan.limits_of(rule(engine, entry), from, &engine.world.zones[zone]);
         let owner = &mut self.owners[zone];
-        if owner.ledger.admit(now, &owner.limits).is_err() {
+        if owner.ledger.admit(now, &keys).is_err() {
             self.refuse(engine, zone, request);
             return;
         }
+        self.keys.insert(request, keys);
         match owner.pool.offer(now, offer(deadline), &mut engine.rng) {
             Decision::Granted(grant) => self.go(engine, zone, request, &grant),
             Decision::Queued(wait) => {
                 owner.waiting.insert(wait, request);
             }
             Decision::Refused(_) => {
-                owner.ledger.release(&owner.limits);
+                self.release_limits(zone, request);
                 self.refuse(engine, zone, request);
             }
         }
@@ -314,8 +351,13 @@
             false => Outcome::Answered(Duration::from_secs_f64(took_ms / 1_000.0)),
         };
         let now = engine.now();
+        for key in self.caps_of(request) {
+            if let Some(under_cap) = self.under_cap.get_mut(&(zone, key)) {
+                *under_cap -= 1;
+            }
+        }
+        self.release_limits(zone, request);
         let owner = &mut self.owners[zone];
-        owner.ledger.release(&owner.limits);
         let steps = owner.pool.release(now, &grant, outcome, &mut engine.rng);
         self.settle(engine, zone, steps);
         let entry = engine.requests[request].entry;
--- a/crates/steering/src/choice/mod.rs
+++ b/crates/steering/src/choice/mod.rs
@@ -4,6 +4,4 @@
 mod policy;
 
 pub use place::{PlaceView, choose_places};
-pub use policy::{
-    Candidate, LeastExpected, LeastLoaded, Policy, PowerOfTwo, RandomChoice, RoundRobin,
-};
+pub use policy::{Candidate, LeastExpected, LeastLoaded, Policy};
--- a/crates/steering/src/choice/policy.rs
+++ b/crates/steering/src/choice/policy.rs
@@ -1,4 +1,4 @@
-//! Ways to choose an upstream; [`LeastExpected`] ships, the others are baselines.
+//! Ways to choose an upstream; [`LeastExpected`] ships, [`LeastLoaded`] is its baseline.
 
 use rand::{Rng, RngCore};
 
@@ -41,51 +41,6 @@
         .collect()
 }
 
-/// Each upstream in turn.
-#[derive(Debug, Default)]
-pub struct RoundRobin {
-    next: usize,
-}
-
-impl Policy for RoundRobin {
-    fn choose(&mut self, all: &[Candidate], _: usize, _: &mut dyn RngCore) -> Option<usize> {
-        let free = with_room(all);
-        let chosen = *free.iter().find(|i| **i >= self.next).or(free.first())?;
-        self.next = chosen + 1;
-        Some(chosen)
-    }
-}
-
-/// Any upstream.
-#[derive(Debug, Default)]
-pub struct RandomChoice;
-
-impl Policy for RandomChoice {
-    fn choose(&mut self, all: &[Candidate], _: usize, rng: &mut dyn RngCore) -> Option<usize> {
-        let free = with_room(all);
-        if free.is_empty() {
-            return None;
-        }
-        Some(free[rng.random_range(0..free.len())])
-    }
-}
-
-/// The less loaded of two that are drawn.
-#[derive(Debug, Default)]
-pub struct PowerOfTwo;
-
-impl Policy for PowerOfTwo {
-    fn choose(&mut self, all: &[Candidate], _: usize, rng: &mut dyn RngCore) -> Option<usize> {
-        let free = with_room(all);
-        if free.is_empty() {
-            return None;
-        }
-        let a = free[rng.random_range(0..free.len())];
-        let b = free[rng.random_range(0..free.len())];
-        Some(if all[b].load() < all[a].load() { b } else { a })
-    }
-}
-
 /// The least loaded by the owner's exact count.
 #[derive(Debug, Default)]
 pub struct LeastLoaded;
