Know that the download runs before the host counts as full

Cause: a_full_host_does_not_call_work_not_run_that_came_before failed once in two runs at 24 threads: its download was itself refused while the answer before it still held the only place, so the host was never full. Change: the test sends the download until its answer has begun with 200. Conclusion: a fault of the test.

--- a/crates/standin/tests/once.rs
+++ b/crates/standin/tests/once.rs
@@ -1,6 +1,6 @@
 //! Work that may not be repeated runs at most once, and "not run" means not run.
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
@@ -147,15 +147,21 @@
         matches!(reply, Reply::Answered(_))
     })
     .unwrap();
-    let mut download = TcpStream::connect(home).unwrap();
-    download
-        .write_all(b"GET /services/surcos/archive?1000000000 HTTP/1.1\r\nhost: x\r\n\r\n")
-        .unwrap();
     let full = |reply: &Reply, said: &str| matches!(reply, Reply::Refused { error, not_run, .. } if error == "host_busy" && not_run == said);
-    eventually("the host is full", || {
-        full(&caller.get_at(home, "/p"), "true")
+    let mut download = None;
+    eventually("a download runs", || {
+        // It may itself be refused, while the answer before it still ends.
+        let mut stream = TcpStream::connect(home).unwrap();
+        let request = b"GET /services/surcos/archive?1000000000 HTTP/1.1\r\nhost: x\r\n\r\n";
+        stream.write_all(request).unwrap();
+        let mut status = [0; 12];
+        stream.read_exact(&mut status).unwrap();
+        download = Some(stream);
+        status == *b"HTTP/1.1 200"
     })
     .unwrap();
+    let reply_to_others = caller.get_at(home, "/p");
+    assert!(full(&reply_to_others, "true"), "{reply_to_others:?}");
     for reply in [
         caller.post_at(home, WORK, "a", &ticket),
         caller.post_keyed(home, WORK, "b", "key"),
