--- a/crates/standin/src/model/mod.rs
+++ b/crates/standin/src/model/mod.rs
@@ -1,12 +1,14 @@
 //! A model of zones, links and upstreams in virtual time, for measuring the
 //! decisions of `steering` beside baselines under the same arrivals.
 
+mod baseline;
 mod engine;
-mod steerers;
+mod product;
 mod upstream;
 mod world;
 
+pub use baseline::{Baseline, BaselineKind};
 pub use engine::Engine;
-pub use steerers::{Baseline, BaselineKind, Product};
+pub use product::Product;
 pub use upstream::{Cache, ModelUpstream};
 pub use world::{Lie, World, WorldPlan};
