Name the store package store; let bodies and header rules serve a second path

Cause: the platform's adapter is to be called platform/, and the coming path of routed requests needs the bodies and the hop-by-hop rules of the caller package. Change: crates/platform is crates/store; bodies, WorkBody and end_to_end move to crates/upstream, which both paths use. No behaviour changes.

--- a/crates/caller/src/entry.rs
+++ b/crates/caller/src/entry.rs
@@ -11,10 +11,9 @@
 use hyper::{Request, Response};
 use rand::Rng;
 use steering::error::ErrorKind;
-use upstream::{Body, REQUEST_ID_HEADER};
+use upstream::{Body, REQUEST_ID_HEADER, WorkBody};
 
 use crate::answers::{Failure, failure};
-use crate::body::{BoundError, Bounded, Holding, hold};
 use crate::guarded::Suspect;
 use crate::local::{self, Admission, Miss};
 use crate::look_up::{self, LOOK_UP_PATH};
@@ -22,10 +21,11 @@
     LOAD_HEADER, PROOF_HEADER, Purpose, RELAY_HEADER, RelayHead, STAGE_ADMISSION, STAGE_DISPATCH,
     STAGE_HEADER, prove,
 };
-use crate::request::{KEY_HEADER, TICKET_HEADER, WorkBody, WorkHead, parse, text, value};
+use crate::request::{KEY_HEADER, TICKET_HEADER, WorkHead, parse, text, value};
 use crate::shared::Shared;
 use crate::steer;
 use crate::ticketed;
+use upstream::{BoundError, Bounded, Holding, hold};
 
 /// Counts a request in flight on this host until its answer has ended.
 struct InFlight(Arc<Shared>);
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -5,7 +5,6 @@
 
 mod admission;
 mod answers;
-mod body;
 mod claims;
 mod entry;
 mod guarded;
--- a/crates/caller/src/local.rs
+++ b/crates/caller/src/local.rs
@@ -12,12 +12,13 @@
 use steering::pool::{Offer, Outcome, PoolLimits};
 use upstream::{
     Body, DEADLINE_HEADER, NOT_RUN_HEADER, REQUEST_ID_HEADER, Reuse, SendError, TrackedBody,
+    WorkBody, end_to_end,
 };
 
 use crate::admission::Permit;
-use crate::body::Holding;
-use crate::request::{WorkBody, WorkHead, end_to_end, value};
+use crate::request::{WorkHead, value};
 use crate::shared::Shared;
+use upstream::Holding;
 
 /// Silence of the control thread after which a host trusts its own view no more.
 const CONTROL_SILENCE_LIMIT: Duration = Duration::from_secs(5);
--- a/crates/caller/src/request.rs
+++ b/crates/caller/src/request.rs
@@ -3,17 +3,14 @@
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Request};
 use steering::blocks::ClassId;
 use steering::document::{Identity, Operation, Service};
 use steering::error::ErrorKind;
 use steering::ids::{RequestId, ServiceName};
 use steering::view::View;
-use upstream::{Body, DEADLINE_HEADER, full};
-
-use crate::body::Held;
+use upstream::{DEADLINE_HEADER, end_to_end};
 
 /// Path below which services are found: `/services/NAME/…`.
 pub const SERVICES_PATH: &str = "/services/";
@@ -21,22 +18,6 @@
 pub const TICKET_HEADER: &str = "stagedeck-ticket";
 /// Header with a caller's own key for work that may not be repeated.
 pub const KEY_HEADER: &str = "idempotency-key";
-/// Start of the names of headers that are the system's own.
-const OWN_PREFIX: &str = "stagedeck-";
-
-/// Headers that hold for one connection only (RFC 9110, 7.6.1).
-const HOP_BY_HOP: &[&str] = &[
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// A request without its body.
 #[derive(Debug, Clone)]
 pub struct WorkHead {
@@ -82,48 +63,6 @@
     }
 }
 
-/// The body of a request, to be sent once or more.
-pub enum WorkBody {
-    /// Held whole.
-    Whole(Bytes),
-    /// Passed on as it comes; none once it has been sent.
-    Streaming(Option<Body>),
-}
-
-impl WorkBody {
-    /// A body to send; none where it can't be sent again.
-    pub fn take(&mut self) -> Option<Body> {
-        match self {
-            WorkBody::Whole(bytes) => Some(full(bytes.clone())),
-            WorkBody::Streaming(body) => body.take(),
-        }
-    }
-
-    /// A body that was not sent.
-    pub fn put_back(&mut self, unsent: Body) {
-        if let WorkBody::Streaming(body) = self {
-            *body = Some(unsent);
-        }
-    }
-
-    /// A copy, where it is held whole.
-    pub fn copy(&self) -> Option<WorkBody> {
-        match self {
-            WorkBody::Whole(bytes) => Some(WorkBody::Whole(bytes.clone())),
-            WorkBody::Streaming(_) => None,
-        }
-    }
-}
-
-impl From<Held> for WorkBody {
-    fn from(held: Held) -> Self {
-        match held {
-            Held::Whole(bytes) => WorkBody::Whole(bytes),
-            Held::Streaming(body) => WorkBody::Streaming(Some(body)),
-        }
-    }
-}
-
 /// Reads a request's head; `path` is what follows [`SERVICES_PATH`].
 pub fn parse<B>(
     request: &Request<B>,
@@ -173,25 +112,6 @@
     })
 }
 
-/// A request's headers that go on to the upstream.
-pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    let mut kept = HeaderMap::with_capacity(headers.len());
-    for (name, value) in headers {
-        let own = name.as_str().starts_with(OWN_PREFIX);
-        if !own && !HOP_BY_HOP.contains(&name.as_str()) && !named.contains(name) {
-            kept.append(name, value.clone());
-        }
-    }
-    kept
-}
-
 /// A header's value as text.
 pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name).and_then(|value| value.to_str().ok())
--- a/crates/caller/src/steer.rs
+++ b/crates/caller/src/steer.rs
@@ -15,7 +15,7 @@
 use steering::retry::Attempt;
 use steering::view::Target;
 use tokio::time::sleep;
-use upstream::{Body, Reuse, SendError};
+use upstream::{Body, Reuse, SendError, WorkBody};
 
 use crate::answers::{ERROR_HEADER, Failure, NOT_RUN_HEADER};
 use crate::local::{self, Admission, Miss, pass_back};
@@ -23,7 +23,7 @@
     LOAD_HEADER, PROOF_HEADER, Purpose, RELAY_CONNECTIONS, RELAY_HEADER, RelayHead,
     STAGE_ADMISSION, STAGE_HEADER, is_proven,
 };
-use crate::request::{SERVICES_PATH, WorkBody, WorkHead, text, value};
+use crate::request::{SERVICES_PATH, WorkHead, text, value};
 use crate::shared::{LoadNote, Shared};
 
 /// Places that are tried after the first has refused at admission.
@@ -263,7 +263,7 @@
 
 fn hold(answer: Response<Body>, count: OwnCount) -> Response<Body> {
     use http_body_util::BodyExt;
-    answer.map(|body| crate::body::Holding::new(body, count).boxed_unsync())
+    answer.map(|body| upstream::Holding::new(body, count).boxed_unsync())
 }
 
 /// Passes a request to another host.
--- a/crates/caller/src/ticketed.rs
+++ b/crates/caller/src/ticketed.rs
@@ -15,14 +15,14 @@
 use steering::error::{ErrorKind, NotRun};
 use steering::ids::ClaimId;
 use steering::ticket::{self, Ticket, TicketError};
-use upstream::{Body, full};
+use upstream::{Body, WorkBody, full};
 
 use crate::answers::{Failure, REPLAYED_HEADER};
-use crate::body::{Held, hold};
 use crate::local::Miss;
-use crate::request::{KEY_HEADER, NamedWork, WorkBody, WorkHead, value};
+use crate::request::{KEY_HEADER, NamedWork, WorkHead, value};
 use crate::shared::Shared;
 use crate::steer::{relay_home, steer};
+use upstream::{Held, hold};
 
 /// Time that a caller's own key is remembered here; its claim row lasts longer.
 const KEY_MEMORY: Duration = Duration::from_secs(60);
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -7,7 +7,6 @@
 use std::time::{Duration, Instant};
 
 use operator::OperatorClient;
-use platform::{ConfigStore, HttpPlatform};
 use rand::Rng;
 use serde_json::{Value, json};
 use stagedeck::{Addresses, Config, Host, Sockets};
@@ -15,6 +14,7 @@
 use steering::document::{Change, Edit, Proposal, Verdict};
 use steering::history::History;
 use steering::ids::Revision;
+use store::{ConfigStore, HttpPlatform};
 use tokio::runtime::{Builder, Handle, Runtime};
 
 use crate::link::{Link, LinkState};
--- a/crates/standin/src/measure/claims.rs
+++ b/crates/standin/src/measure/claims.rs
@@ -4,9 +4,9 @@
 use std::io;
 use std::time::{Duration, Instant};
 
-use platform::{ClaimRequest, ClaimStore, HttpPlatform, ReceiptWrite};
 use serde_json::{Value, json};
 use steering::claim::{Ending, Receipt};
+use store::{ClaimRequest, ClaimStore, HttpPlatform, ReceiptWrite};
 
 use super::balance::round;
 use crate::deployment::{Deployment, DeploymentPlan};
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use ::platform::{Commit, ListedHost, Transaction, wire};
+use ::store::{Commit, ListedHost, Transaction, wire};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tiny_http::{Method, Request, Response, Server};
--- a/crates/standin/src/platform/state.rs
+++ b/crates/standin/src/platform/state.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
-use ::platform::{ABSENT, Commit, ListedHost, Row, Transaction, Version, wire};
+use ::store::{ABSENT, Commit, ListedHost, Row, Transaction, Version, wire};
 
 /// Rows, objects and hosts.
 #[derive(Default)]
--- a/crates/standin/tests/configuration.rs
+++ b/crates/standin/tests/configuration.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use operator::OperatorClient;
-use platform::{ConfigStore, HttpPlatform};
 use standin::{
     Deployment, DeploymentPlan, Fault, HostPlan, LinkState, PlatformFaults, StandInPlatform,
     any_port, eventually,
 };
 use steering::document::{Change, Edit, Kind, ObjectId, Proposal, Verdict};
 use steering::history::History;
+use store::{ConfigStore, HttpPlatform};
 
 fn label(name: &str, value: &str) -> Edit {
     let object = ObjectId {
--- a/crates/standin/tests/once.rs
+++ b/crates/standin/tests/once.rs
@@ -400,16 +400,16 @@
 }
 
 /// A platform and two hosts' claims in it.
-fn claims() -> (standin::StandInPlatform, platform::HttpPlatform) {
+fn claims() -> (standin::StandInPlatform, store::HttpPlatform) {
     let platform = standin::StandInPlatform::start(standin::any_port()).unwrap();
-    let client = platform::HttpPlatform::new(platform.address(), std::time::Duration::from_secs(2));
+    let client = store::HttpPlatform::new(platform.address(), std::time::Duration::from_secs(2));
     (platform, client)
 }
 
 #[test]
 fn what_a_failed_claim_leaves_behind_never_removes_another_hosts_row() {
-    use platform::{ClaimRequest, ClaimStore, ReceiptWrite};
     use steering::claim::ClaimOutcome;
+    use store::{ClaimRequest, ClaimStore, ReceiptWrite};
     let (platform, client) = claims();
     let winner = ClaimStore::new(&client, "winner".to_owned(), 1);
     let loser = ClaimStore::new(&client, "loser".to_owned(), 1);
--- a/crates/platform/tests/fake/mod.rs
+++ b/crates/store/tests/fake/mod.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 
-use platform::{
+use store::{
     ABSENT, Commit, HostList, ListedHost, ObjectStore, Row, StoreError, Table, Transaction, Version,
 };
 
--- a/crates/platform/tests/stateful.rs
+++ b/crates/store/tests/stateful.rs
@@ -8,7 +8,6 @@
 use std::time::{Duration, Instant};
 
 use fake::{FakePlatform, StoreFault};
-use platform::{ClaimRequest, ClaimStore, ConfigStore, ReceiptWrite};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
@@ -21,6 +20,7 @@
 use steering::document::{Change, Edit, Proposal, Region, TicketMode, Verdict};
 use steering::history::{History, Snapshot};
 use steering::ticket::Issuer;
+use store::{ClaimRequest, ClaimStore, ConfigStore, ReceiptWrite};
 
 const HOSTS: usize = 3;
 const OPERATIONS: usize = 4;
--- a/crates/caller/src/body.rs
+++ b/crates/upstream/src/body.rs
@@ -4,11 +4,11 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use crate::{Body, BodyError, full};
 use bytes::{Bytes, BytesMut};
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::BodyExt;
 use tokio::time::{Instant, Sleep, sleep};
-use upstream::{Body, BodyError};
 
 /// A body that holds a value until it ends or is dropped.
 pub struct Holding<B, T> {
@@ -188,3 +188,45 @@
     }
     Ok(Held::Whole(held.freeze()))
 }
+
+/// The body of a request, to be sent once or more.
+pub enum WorkBody {
+    /// Held whole.
+    Whole(Bytes),
+    /// Passed on as it comes; none once it has been sent.
+    Streaming(Option<Body>),
+}
+
+impl WorkBody {
+    /// A body to send; none where it can't be sent again.
+    pub fn take(&mut self) -> Option<Body> {
+        match self {
+            WorkBody::Whole(bytes) => Some(full(bytes.clone())),
+            WorkBody::Streaming(body) => body.take(),
+        }
+    }
+
+    /// A body that was not sent.
+    pub fn put_back(&mut self, unsent: Body) {
+        if let WorkBody::Streaming(body) = self {
+            *body = Some(unsent);
+        }
+    }
+
+    /// A copy, where it is held whole.
+    pub fn copy(&self) -> Option<WorkBody> {
+        match self {
+            WorkBody::Whole(bytes) => Some(WorkBody::Whole(bytes.clone())),
+            WorkBody::Streaming(_) => None,
+        }
+    }
+}
+
+impl From<Held> for WorkBody {
+    fn from(held: Held) -> Self {
+        match held {
+            Held::Whole(bytes) => WorkBody::Whole(bytes),
+            Held::Streaming(body) => WorkBody::Streaming(Some(body)),
+        }
+    }
+}
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -3,11 +3,15 @@
 //! The connections are also used between hosts, for relayed requests. Nothing
 //! in here repeats a request by itself.
 
+mod body;
 mod connections;
+mod headers;
 mod probe;
 mod tracked;
 
+pub use body::{BoundError, Bounded, Held, Holding, WorkBody, hold};
 pub use connections::{Connections, Reuse, SendError};
+pub use headers::end_to_end;
 pub use probe::{LOAD_PATH, ProbeError, probe};
 pub use tracked::TrackedBody;
 
--- a/src/host/claims.rs
+++ b/src/host/claims.rs
@@ -4,9 +4,9 @@
 
 use futures::FutureExt;
 use futures::future::BoxFuture;
-use platform::{ClaimRequest, ClaimStore, ReceiptWrite, Worker, WorkerError};
 use steering::claim::{AttemptId, ClaimOutcome, ClaimRow, Ending, Fingerprint};
 use steering::ids::{ClaimId, HostName, Incarnation};
+use store::{ClaimRequest, ClaimStore, ReceiptWrite, Worker, WorkerError};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep;
 
--- a/src/host/configuration.rs
+++ b/src/host/configuration.rs
@@ -4,10 +4,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use platform::ConfigStore;
 use steering::document::{Proposal, Verdict};
 use steering::history::{Entry, History};
 use steering::rendezvous;
+use store::ConfigStore;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 
--- a/src/host/control.rs
+++ b/src/host/control.rs
@@ -10,12 +10,12 @@
 
 use ::caller::{LoadNote, Shared};
 use peer::{Local, PeerClient, PeerServer};
-use platform::{ListedHost, RosterStore, Worker};
 use steering::history::History;
 use steering::ids::Incarnation;
 use steering::limiter::LOAN_LAPSE;
 use steering::membership::{HostEntry, Membership};
 use steering::rendezvous;
+use store::{ListedHost, RosterStore, Worker};
 use tokio::runtime::Builder;
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -24,12 +24,12 @@
 use ::operator::OperatorServer;
 use derive_more::{Display, Error, From};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
-use platform::{HttpPlatform, ListedHost, Worker};
 use rand::Rng;
 use steering::ids::Incarnation;
 use steering::membership::HostEntry;
 use steering::ticket::Issuer;
 use steering::view::View;
+use store::{HttpPlatform, ListedHost, Worker};
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::{mpsc, watch};
 
--- a/src/host/state.rs
+++ b/src/host/state.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use platform::ListedHost;
 use serde::Serialize;
 use steering::belief::{Beliefs, ServiceLoad, ZoneSummary};
 use steering::document::{Proposal, Verdict};
@@ -14,6 +13,7 @@
 use steering::membership::{HostEntry, Membership};
 use steering::plan::Plan;
 use steering::view::OwnCounts;
+use store::ListedHost;
 use tokio::sync::oneshot;
 
 use ::operator::{InForce, Status};
