--- /dev/null
+++ b/crates/gateway/src/control/beliefs.rs
@@ -0,0 +1,160 @@
+//! Everything that the host believes, and the view that follows from it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use steering::ids::{RegionName, ZoneName};
+use steering::route::{Catalog, Conditions, Roll, RouteDocument, RouteTable, RouteView};
+use store::{Changes, Record};
+
+use crate::host::Common;
+
+/// The control thread's beliefs.
+pub(super) struct Beliefs {
+    regions: BTreeMap<ZoneName, RegionName>,
+    document: Arc<RouteDocument>,
+    table: Arc<RouteTable>,
+    evacuated: BTreeSet<ZoneName>,
+    catalog: Catalog,
+    conditions: Conditions,
+    pub roll: Roll,
+    /// Hosts named in the last view, to see when time alone has changed them.
+    named: BTreeMap<RegionName, Vec<SocketAddr>>,
+    sharers: usize,
+}
+
+impl Beliefs {
+    pub fn new(common: &Common) -> Self {
+        Beliefs {
+            regions: common.settings.regions.clone(),
+            document: Arc::default(),
+            table: Arc::default(),
+            evacuated: BTreeSet::new(),
+            catalog: Catalog::default(),
+            conditions: Conditions::default(),
+            roll: Roll::default(),
+            named: BTreeMap::new(),
+            sharers: 1,
+        }
+    }
+
+    /// Notes that the store answers again after it had been away.
+    pub fn store_returned(&mut self, now: Instant) {
+        self.catalog.store_returned(now);
+    }
+
+    /// Takes what operators say; true where anything has changed.
+    pub fn take_routes(&mut self, changes: Changes) -> bool {
+        let mut changed = false;
+        let mut evacuated = match changes.whole {
+            true => BTreeSet::new(),
+            false => self.evacuated.clone(),
+        };
+        for record in changes.records {
+            match record {
+                Record::Document(document) => changed |= self.take_document(*document),
+                Record::Evacuation { zone, wanted: true } => drop(evacuated.insert(zone)),
+                Record::Evacuation { zone, .. } => drop(evacuated.remove(&zone)),
+                Record::Unusable { key, reason } => {
+                    let version = self.document.version;
+                    tracing::warn!(event = "document_refused", key, reason, in_force = version);
+                }
+                Record::Upstream(_) | Record::UpstreamGone(_) => {}
+            }
+        }
+        if evacuated != self.evacuated {
+            tracing::info!(event = "evacuations", zones = ?evacuated);
+            self.evacuated = evacuated;
+            changed = true;
+        }
+        changed
+    }
+
+    fn take_document(&mut self, document: RouteDocument) -> bool {
+        let (version, in_force) = (document.version, self.document.version);
+        if version <= in_force {
+            return false;
+        }
+        let routes = document.routes.len();
+        tracing::info!(event = "document_taken", version, before = in_force, routes);
+        self.table = Arc::new(RouteTable::new(&document));
+        self.document = Arc::new(document);
+        true
+    }
+
+    /// Takes what upstreams say; true where anything but an age has changed.
+    pub fn take_upstreams(&mut self, now: Instant, changes: Changes) -> bool {
+        let mut changed = false;
+        let mut reports = Vec::new();
+        for record in changes.records {
+            match record {
+                Record::Upstream(report) => reports.push(report),
+                Record::UpstreamGone(id) => {
+                    let gone = self.catalog.remove(now, &id);
+                    tracing::info!(event = "upstream_gone", upstream = id, at_once = gone);
+                    changed |= gone;
+                }
+                Record::Unusable { key, reason } => {
+                    tracing::warn!(event = "report_refused", upstream = key, reason);
+                }
+                Record::Document(_) | Record::Evacuation { .. } => {}
+            }
+        }
+        if changes.whole {
+            return self.catalog.replace(now, reports) || changed;
+        }
+        for report in reports {
+            changed |= self.catalog.put(now, report);
+        }
+        changed
+    }
+
+    /// Drops what has run out; true where the next view will differ.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        let dropped = self.catalog.expire(now);
+        dropped || self.named(now) != self.named || self.roll.sharers(now) != self.sharers
+    }
+
+    /// The view that follows.
+    pub fn view(&mut self, now: Instant) -> RouteView {
+        let named = self.named(now);
+        if named != self.named {
+            tracing::info!(event = "hosts_named", hosts = ?named);
+        }
+        self.named = named;
+        self.sharers = self.roll.sharers(now);
+        RouteView {
+            version: self.document.version,
+            limits: self.document.limits,
+            table: Arc::clone(&self.table),
+            services: RouteView::pools(
+                &self.document,
+                &self.catalog,
+                &self.evacuated,
+                &self.regions,
+                &mut self.conditions,
+            ),
+            hosts: self.named.clone(),
+            sharers: self.sharers,
+        }
+    }
+
+    /// Version of the document in force.
+    pub fn version(&self) -> u64 {
+        self.document.version
+    }
+
+    /// Other hosts' addresses for callers, by region.
+    fn named(&self, now: Instant) -> BTreeMap<RegionName, Vec<SocketAddr>> {
+        let mut named: BTreeMap<RegionName, Vec<SocketAddr>> = BTreeMap::new();
+        for host in self.roll.named(now) {
+            if let Some(region) = self.regions.get(&host.entry.zone) {
+                let addresses = named.entry(region.clone()).or_default();
+                addresses.push(host.entry.caller_address);
+            }
+        }
+        named
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control/hosts.rs
@@ -0,0 +1,287 @@
+//! Meets other hosts: through rows in the store, and by heartbeats.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures::future::join_all;
+use peer::{Beat, Exchange, ExchangeReply, Local, PeerClient, PeerHandler, PeerServer};
+use rand::Rng;
+use steering::history::{Entry, Position};
+use steering::ids::{HostName, Revision};
+use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
+use steering::membership::{Heartbeat, HostEntry};
+use steering::rendezvous;
+use store::OwnRow;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+use super::Control;
+
+/// Table with a row for each host: its entry as JSON.
+const HOSTS_TABLE: &str = "hosts";
+/// Table with the key that hosts prove to each other.
+const KEYS_TABLE: &str = "keys";
+const PEER_KEY: &str = "peers";
+const PEER_KEY_BYTES: usize = 32;
+
+/// Time between two heartbeats to the same host; three of them are missed before it
+/// is named to no caller.
+const BEAT_EVERY: Duration = Duration::from_secs(1);
+/// Longest wait for the answer to a heartbeat: a round trip across regions takes some
+/// 80 ms, a new session four of them.
+const BEAT_LIMIT: Duration = Duration::from_millis(900);
+/// A pause of this host's own process: longer than three heartbeats.
+const PAUSED: Duration = Duration::from_secs(3);
+/// Time between two readings of the list: heartbeats tell sooner who has come.
+const LIST_EVERY: Duration = Duration::from_secs(10);
+/// Time before a call to the store that failed is made again.
+const AGAIN_AFTER: Duration = Duration::from_millis(500);
+/// Hosts of the own region that get heartbeats, where there are more.
+const PARTNERS_NEAR: usize = 8;
+/// Hosts of each other region that get heartbeats, where there are more.
+const PARTNERS_FAR: usize = 2;
+/// Time for the last heartbeat and the removal of the own row.
+const FAREWELL_LIMIT: Duration = Duration::from_secs(1);
+
+impl Control {
+    /// Makes this host known, and hears others, for ever.
+    pub(super) async fn meet_hosts(self: Rc<Self>, peers: TcpListener) {
+        let key = self.peer_key().await;
+        let local = Local {
+            host: self.me.clone(),
+            incarnation: self.incarnation,
+            key: key.into(),
+            names: Rc::default(),
+            traffic: Rc::default(),
+        };
+        match tokio::net::TcpListener::from_std(peers) {
+            Ok(peers) => {
+                let handler = Rc::new(Hearer(Rc::clone(&self)));
+                spawn_local(PeerServer::new(local.clone(), handler).run(peers));
+            }
+            Err(error) => tracing::error!(event = "peers_failed", %error),
+        }
+        spawn_local(Rc::clone(&self).be_listed());
+        spawn_local(Rc::clone(&self).read_list());
+        self.beat(local).await;
+    }
+
+    /// Tells others that this host leaves, and takes its row away.
+    pub(super) async fn leave(&self) {
+        let beat = self.heartbeat(true);
+        let clients: Vec<Rc<PeerClient>> = self.clients.borrow().values().cloned().collect();
+        let told = join_all(clients.iter().map(|client| client.heartbeat(&beat)));
+        let removed = self.records.remove(HOSTS_TABLE, &self.me.name);
+        let (_, removed) = futures::join!(told, timeout(FAREWELL_LIMIT, removed));
+        if !matches!(removed, Ok(Ok(()))) {
+            tracing::warn!(event = "row_not_removed", host = self.me.name);
+        }
+    }
+
+    /// The key that all hosts share; whoever comes first makes it.
+    async fn peer_key(&self) -> Vec<u8> {
+        loop {
+            match self.records.rows(KEYS_TABLE).await {
+                Ok(rows) => {
+                    if let Some(row) = rows.into_iter().find(|row| row.key == PEER_KEY) {
+                        return row.value;
+                    }
+                    let mut value = vec![0; PEER_KEY_BYTES];
+                    rand::rng().fill(value.as_mut_slice());
+                    let row = OwnRow {
+                        key: PEER_KEY.to_owned(),
+                        value,
+                    };
+                    match self.records.create(KEYS_TABLE, row).await {
+                        // Read back in any case: another host may have been first.
+                        Ok(_) => continue,
+                        Err(error) => tracing::warn!(event = "peer_key_not_made", %error),
+                    }
+                }
+                Err(error) => tracing::warn!(event = "peer_key_not_read", %error),
+            }
+            sleep(AGAIN_AFTER).await;
+        }
+    }
+
+    /// Writes this host's row, again until the store has taken it.
+    async fn be_listed(self: Rc<Self>) {
+        let value = serde_json::to_vec(&self.me).expect("entries are valid JSON");
+        loop {
+            let row = OwnRow {
+                key: self.me.name.clone(),
+                value: value.clone(),
+            };
+            match self.records.put(HOSTS_TABLE, row).await {
+                Ok(()) => return,
+                Err(error) => tracing::warn!(event = "row_not_written", %error),
+            }
+            sleep(AGAIN_AFTER).await;
+        }
+    }
+
+    /// Reads the list of hosts now and then.
+    async fn read_list(self: Rc<Self>) {
+        loop {
+            match self.records.rows(HOSTS_TABLE).await {
+                Ok(rows) => {
+                    self.take_list(&rows);
+                    sleep(LIST_EVERY).await;
+                }
+                Err(error) => {
+                    tracing::debug!(event = "list_not_read", %error);
+                    sleep(AGAIN_AFTER).await;
+                }
+            }
+        }
+    }
+
+    fn take_list(&self, rows: &[OwnRow]) {
+        let now = Instant::now();
+        let mut beliefs = self.beliefs.borrow_mut();
+        for row in rows {
+            match serde_json::from_slice::<HostEntry>(&row.value) {
+                Ok(entry) if entry.name != self.me.name => beliefs.roll.list(now, entry),
+                Ok(_) => {}
+                Err(error) => {
+                    tracing::warn!(event = "row_refused", host = row.key, %error);
+                }
+            }
+        }
+    }
+
+    /// Sends heartbeats for ever.
+    async fn beat(self: Rc<Self>, local: Local) {
+        let mut last = Instant::now();
+        loop {
+            let now = Instant::now();
+            let gap = now.saturating_duration_since(last);
+            if gap > PAUSED {
+                tracing::warn!(event = "paused", ms = gap.as_millis() as u64);
+                self.beliefs.borrow_mut().roll.resume(now);
+            }
+            last = now;
+            self.meet_partners(&local);
+            let beat = Rc::new(self.heartbeat(false));
+            for (name, client) in self.clients.borrow().iter() {
+                // One at a time: a host that does not answer is not asked twice at once.
+                if Rc::strong_count(client) == 1 {
+                    let told = Rc::clone(&self).tell(name.clone(), Rc::clone(client), beat.clone());
+                    spawn_local(told);
+                }
+            }
+            sleep(BEAT_EVERY).await;
+        }
+    }
+
+    /// Keeps a client for each host that gets heartbeats, and for no other.
+    fn meet_partners(&self, local: &Local) {
+        let partners = self.partners();
+        let mut clients = self.clients.borrow_mut();
+        clients.retain(|name, client| {
+            let host = partners.iter().find(|host| host.name == *name);
+            host.is_some_and(|host| host.peer_address == client.address())
+        });
+        for host in partners {
+            clients.entry(host.name).or_insert_with(|| {
+                Rc::new(PeerClient::new(
+                    host.peer_address,
+                    local.clone(),
+                    BEAT_LIMIT,
+                ))
+            });
+        }
+    }
+
+    async fn tell(self: Rc<Self>, name: HostName, client: Rc<PeerClient>, beat: Rc<Beat>) {
+        match client.heartbeat(&beat).await {
+            Ok(_) => {
+                let now = Instant::now();
+                self.beliefs.borrow_mut().roll.answered(now, &name);
+            }
+            Err(error) => tracing::debug!(event = "heartbeat_failed", host = name, %error),
+        }
+    }
+
+    fn heartbeat(&self, leaving: bool) -> Beat {
+        self.beats.set(self.beats.get() + 1);
+        let heartbeat = Heartbeat {
+            host: self.me.clone(),
+            incarnation: self.incarnation,
+            sequence: self.beats.get(),
+            leaving,
+            // Each host judges for itself whom it names to callers.
+            doubts: BTreeSet::new(),
+            vouches: BTreeSet::new(),
+            lenders: BTreeSet::new(),
+        };
+        Beat {
+            heartbeat,
+            revision: self.beliefs.borrow().version(),
+            loads: Vec::new(),
+        }
+    }
+
+    /// Hosts that get heartbeats: all of a small deployment, else some of each region,
+    /// so that the cost of a host does not grow with the deployment.
+    fn partners(&self) -> Vec<HostEntry> {
+        let beliefs = self.beliefs.borrow();
+        let mut by_region: BTreeMap<&str, Vec<&HostEntry>> = BTreeMap::new();
+        for host in beliefs.roll.known() {
+            let region = self.common.settings.regions.get(&host.entry.zone);
+            let region = region.map_or("", String::as_str);
+            by_region.entry(region).or_default().push(&host.entry);
+        }
+        let mut partners = Vec::new();
+        for (region, hosts) in by_region {
+            let near = region == self.common.settings.region;
+            let most = if near { PARTNERS_NEAR } else { PARTNERS_FAR };
+            let names = hosts.iter().map(|host| host.name.as_str());
+            let ranked = rendezvous::rank(&self.me.name, names);
+            let chosen = ranked.into_iter().take(most);
+            partners.extend(
+                chosen
+                    .filter_map(|name| hosts.iter().find(|host| host.name == name))
+                    .map(|host| (*host).clone()),
+            );
+        }
+        partners
+    }
+}
+
+/// Takes what other hosts send.
+struct Hearer(Rc<Control>);
+
+impl PeerHandler for Hearer {
+    fn heartbeat(&self, beat: Beat) -> Revision {
+        let Heartbeat {
+            host,
+            incarnation,
+            leaving,
+            ..
+        } = &beat.heartbeat;
+        let now = Instant::now();
+        let mut beliefs = self.0.beliefs.borrow_mut();
+        let changed = beliefs.roll.hear(now, host, *incarnation, *leaving);
+        let version = beliefs.version();
+        drop(beliefs);
+        if changed {
+            self.0.publish();
+        }
+        version
+    }
+
+    fn exchange(&self, _: &HostEntry, _: Exchange) -> ExchangeReply {
+        ExchangeReply::default()
+    }
+
+    fn push(&self, _: &HostName, _: Entry) -> Position {
+        Position::default()
+    }
+
+    fn borrow(&self, _: LimitKey, _: LoanRequest) -> Option<LoanGrant> {
+        None
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control/mod.rs
@@ -0,0 +1,93 @@
+//! What the host believes: kept by one thread, published as views.
+
+mod beliefs;
+mod feeds;
+mod hosts;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use peer::PeerClient;
+use steering::ids::{HostName, Incarnation};
+use steering::membership::HostEntry;
+use store::Records;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::host::{Common, Stage};
+use beliefs::Beliefs;
+
+/// Pace at which what runs out by itself is looked at. A host that falls silent is
+/// noticed some seconds later, so this adds little.
+const LOOK_AT_TIMES_EVERY: Duration = Duration::from_millis(500);
+
+/// The control thread's state.
+pub(crate) struct Control {
+    common: Common,
+    records: Box<dyn Records>,
+    me: HostEntry,
+    incarnation: Incarnation,
+    beliefs: RefCell<Beliefs>,
+    /// Clients of the hosts that get heartbeats.
+    clients: RefCell<BTreeMap<HostName, Rc<PeerClient>>>,
+    /// Heartbeats sent so far.
+    beats: Cell<u64>,
+}
+
+/// Runs until the host has ended.
+pub(crate) async fn run(common: Common, peers: TcpListener, records: Box<dyn Records>) {
+    let settings = &common.settings;
+    let me = HostEntry {
+        name: settings.host.clone(),
+        zone: settings.zone.clone(),
+        caller_address: settings.caller_address,
+        // Requests are not relayed between hosts that serve routes.
+        relay_address: settings.caller_address,
+        peer_address: settings.peer_address,
+        operator_address: settings.ready_address,
+    };
+    let control = Rc::new(Control {
+        beliefs: RefCell::new(Beliefs::new(&common)),
+        incarnation: rand::random(),
+        me,
+        clients: RefCell::default(),
+        beats: Cell::default(),
+        records,
+        common,
+    });
+    spawn_local(Rc::clone(&control).follow_routes());
+    spawn_local(Rc::clone(&control).follow_upstreams());
+    spawn_local(Rc::clone(&control).look_at_times());
+    let hosts = spawn_local(Rc::clone(&control).meet_hosts(peers));
+    let mut stage = control.common.stage.clone();
+    let leaving = |stage: &Stage| *stage != Stage::Serving;
+    if stage.wait_for(leaving).await.is_ok() {
+        hosts.abort();
+        control.leave().await;
+    }
+    // What is believed still changes while the last requests are served. The sender
+    // ends with the host.
+    let _ = stage.wait_for(|stage| *stage == Stage::Ended).await;
+}
+
+impl Control {
+    /// Publishes what is believed now.
+    fn publish(&self) {
+        let view = self.beliefs.borrow_mut().view(Instant::now());
+        self.common.view.store(view.into());
+    }
+
+    /// Publishes again where time alone has changed what is believed.
+    async fn look_at_times(self: Rc<Self>) {
+        loop {
+            sleep(LOOK_AT_TIMES_EVERY).await;
+            let changed = self.beliefs.borrow_mut().expire(Instant::now());
+            if changed {
+                self.publish();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/host.rs
@@ -0,0 +1,189 @@
+//! A running host: its threads and how they are wired.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use derive_more::{Display, Error, From};
+use steering::route::RouteView;
+use store::Records;
+use tokio::runtime::Builder;
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+
+use crate::control;
+use crate::dialect::Dialect;
+use crate::settings::GatewaySettings;
+use crate::traffic;
+
+/// Makes a client of the store, on the thread that will use it.
+pub type MakeRecords = Box<dyn FnOnce() -> Box<dyn Records> + Send>;
+
+/// Time before the end of the grace at which a stopping host ends in any case.
+const END_BEFORE: Duration = Duration::from_millis(300);
+
+/// Why a host could not start.
+#[derive(Debug, Display, Error, From)]
+pub enum GatewayError {
+    /// An address can't be listened on.
+    #[display("{name} {address}: {source}")]
+    #[from(skip)]
+    Listen {
+        /// The setting.
+        name: &'static str,
+        /// Its value.
+        address: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+    /// A thread or its runtime can't be started.
+    #[display("{_0}")]
+    Thread(io::Error),
+}
+
+/// Sockets of a host.
+pub(crate) struct Sockets {
+    pub callers: TcpListener,
+    pub ready: TcpListener,
+    pub look_ups: TcpListener,
+    pub peers: TcpListener,
+}
+
+impl Sockets {
+    fn bind(settings: &GatewaySettings) -> Result<Sockets, GatewayError> {
+        let bind = |name, address: SocketAddr| {
+            let listen = || {
+                let listener = TcpListener::bind(address)?;
+                listener.set_nonblocking(true)?;
+                Ok(listener)
+            };
+            listen().map_err(|source| GatewayError::Listen {
+                name,
+                address,
+                source,
+            })
+        };
+        Ok(Sockets {
+            callers: bind("caller_address", settings.caller_address)?,
+            ready: bind("ready_address", settings.ready_address)?,
+            look_ups: bind("look_up_address", settings.look_up_address)?,
+            peers: bind("peer_address", settings.peer_address)?,
+        })
+    }
+}
+
+/// Where a host stands in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// It serves.
+    Serving,
+    /// It serves who still comes, and is named to nobody.
+    Leaving {
+        /// When it was told to leave.
+        since: Instant,
+    },
+    /// It has served its last request.
+    Ended,
+}
+
+/// What the threads of a host share.
+#[derive(Clone)]
+pub(crate) struct Common {
+    pub settings: Arc<GatewaySettings>,
+    pub view: Arc<ArcSwap<RouteView>>,
+    pub stage: watch::Receiver<Stage>,
+}
+
+/// A running host.
+pub struct GatewayHost {
+    settings: Arc<GatewaySettings>,
+    stage: watch::Sender<Stage>,
+    traffic: JoinHandle<()>,
+    control: JoinHandle<()>,
+    /// Where callers reach it.
+    pub caller_address: SocketAddr,
+    /// Where look-ups reach it.
+    pub look_up_address: SocketAddr,
+    /// Where checks whether it is ready reach it.
+    pub ready_address: SocketAddr,
+}
+
+impl GatewayHost {
+    /// Starts a host. It answers that it is not ready until it holds a document.
+    ///
+    /// # Errors
+    ///
+    /// An address that can't be listened on, or a thread that can't be started.
+    pub fn start(
+        settings: GatewaySettings,
+        dialect: Arc<dyn Dialect>,
+        records: MakeRecords,
+    ) -> Result<GatewayHost, GatewayError> {
+        let sockets = Sockets::bind(&settings)?;
+        let caller_address = sockets.callers.local_addr()?;
+        let look_up_address = sockets.look_ups.local_addr()?;
+        let ready_address = sockets.ready.local_addr()?;
+        let peers = sockets.peers.try_clone()?;
+        let settings = Arc::new(settings);
+        let (stage, watched) = watch::channel(Stage::Serving);
+        let common = Common {
+            settings: Arc::clone(&settings),
+            view: Arc::default(),
+            stage: watched,
+        };
+        let shared = common.clone();
+        let control = spawn("control", move || async move {
+            control::run(shared, peers, records()).await;
+        })?;
+        let traffic = spawn("traffic", move || async move {
+            traffic::run(common, sockets, dialect).await;
+        })?;
+        Ok(GatewayHost {
+            settings,
+            stage,
+            traffic,
+            control,
+            caller_address,
+            look_up_address,
+            ready_address,
+        })
+    }
+
+    /// Stops the host: it is named to nobody from now on, finishes what it has begun,
+    /// and ends before its grace does.
+    pub fn stop(self) {
+        let since = Instant::now();
+        tracing::info!(event = "leaving", host = self.settings.host);
+        // Both threads may have ended already; then nobody is left to be told.
+        let _ = self.stage.send(Stage::Leaving { since });
+        let end = since + self.settings.bounds.grace.saturating_sub(END_BEFORE);
+        wait(&self.traffic, end);
+        let _ = self.stage.send(Stage::Ended);
+        wait(&self.control, end);
+        let took_ms = since.elapsed().as_millis() as u64;
+        tracing::info!(event = "stopped", host = self.settings.host, took_ms);
+    }
+}
+
+/// Waits for a thread, until `end` at most.
+fn wait(thread: &JoinHandle<()>, end: Instant) {
+    while !thread.is_finished() && Instant::now() < end {
+        thread::sleep(STOP_POLL);
+    }
+}
+
+const STOP_POLL: Duration = Duration::from_millis(20);
+
+/// Runs a future, and what it spawns, on a thread of its own.
+fn spawn<F>(name: &str, make: impl FnOnce() -> F + Send + 'static) -> io::Result<JoinHandle<()>>
+where
+    F: Future<Output = ()>,
+{
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(move || LocalSet::new().block_on(&runtime, make()))
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,14 @@
+//! Serves routes: requests that find their upstream by domain, path and object.
+//!
+//! One thread holds what the host believes and publishes it as a view; another
+//! serves callers from the latest view. Every decision is in `steering::route`.
+
+mod control;
+mod dialect;
+mod host;
+mod settings;
+mod traffic;
+
+pub use dialect::{Dialect, HeaderNames, LoadNote, LookUp};
+pub use host::{GatewayError, GatewayHost, MakeRecords};
+pub use settings::{Bounds, GatewaySettings};
--- /dev/null
+++ b/crates/gateway/src/traffic/forward.rs
@@ -0,0 +1,311 @@
+//! A request's way: route, part, region, upstream, and what follows a miss.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use hyper::{Request, Response, StatusCode};
+use steering::ids::{RegionName, ServiceName};
+use steering::route::{
+    CallerLimits, Choice, Fate, NoRoom, RegionPool, Route, RouteView, Sent, ServicePool,
+    UpstreamId, Wish, after, choose, object_hash, place,
+};
+use upstream::{Body, BoundError, Bounded, Holding, WorkBody, hold};
+
+use super::Traffic;
+use super::answers::Refusal;
+use super::head::Head;
+use super::send::{Work, send};
+use super::shares::Shares;
+
+/// Bodies up to this size are held, so that they can be sent again.
+const HELD_BODY_BYTES: usize = 64 << 10;
+/// Time after which a caller may come back to a host that holds no document yet.
+const NO_DOCUMENT_WAIT: Duration = Duration::from_millis(500);
+/// Time left below which nothing is sent: no answer could come back.
+const TIME_LEAST: Duration = Duration::from_millis(5);
+/// Usual time of a service that has not answered yet, as a share of the goal.
+const USUAL_AT_FIRST: f64 = 0.5;
+/// Share of a wait at a full upstream that the least urgent requests accept.
+const URGENCY_LEAST: f64 = 0.6;
+/// Share that each rank of urgency costs.
+const URGENCY_STEP: f64 = 0.2;
+
+/// Counts a request until its answer has ended.
+struct InFlight(Arc<Traffic>);
+
+impl InFlight {
+    fn new(traffic: &Arc<Traffic>) -> Self {
+        traffic.in_flight.fetch_add(1, Ordering::Relaxed);
+        InFlight(Arc::clone(traffic))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Answers a caller's request.
+pub(super) async fn answer(traffic: &Arc<Traffic>, request: Request<Incoming>) -> Response<Body> {
+    let in_flight = InFlight::new(traffic);
+    let head = Head::read(&request, traffic.dialect.headers(), Instant::now());
+    let answered = route_and_run(traffic, &head, request).await;
+    let answer = answered.unwrap_or_else(|refusal| {
+        let ms = head.arrived.elapsed().as_millis() as u64;
+        tracing::debug!(event = "refused", id = head.id, ?refusal, ms);
+        refusal.answer()
+    });
+    answer.map(|body| Holding::new(body, in_flight).boxed_unsync())
+}
+
+async fn route_and_run(
+    traffic: &Arc<Traffic>,
+    head: &Head,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Refusal> {
+    let view = traffic.common.view.load_full();
+    if view.version == 0 {
+        return Err(Refusal::NotRun(NO_DOCUMENT_WAIT));
+    }
+    let route = view.table.find(&head.domain, request.uri().path());
+    let route = Arc::clone(route.ok_or(Refusal::NoRoute)?);
+    let (parts, body) = request.into_parts();
+    let body = read(body, view.limits).await?;
+    let deadline = match route.timeout {
+        Some(timeout) => head.deadline.min(head.arrived + timeout),
+        None => head.deadline,
+    };
+    let mut run = Run {
+        traffic,
+        head,
+        route: &route,
+        parts,
+        body,
+        deadline,
+        sends: Vec::new(),
+        tried: Vec::new(),
+    };
+    let time = deadline.saturating_duration_since(Instant::now());
+    match tokio::time::timeout(time, run.run()).await {
+        Ok(answered) => answered,
+        Err(_) => Err(run.out_of_time()),
+    }
+}
+
+async fn read(body: Incoming, limits: CallerLimits) -> Result<WorkBody, Refusal> {
+    let body = Bounded::new(body, limits.body_bytes, limits.head_timeout).boxed_unsync();
+    let held = hold(body, HELD_BODY_BYTES).await;
+    held.map(WorkBody::from).map_err(|error| {
+        Refusal::BadRequest(match error.downcast_ref() {
+            Some(BoundError::TooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
+            Some(BoundError::Stalled) => StatusCode::REQUEST_TIMEOUT,
+            None => StatusCode::BAD_REQUEST,
+        })
+    })
+}
+
+/// A request on its way.
+struct Run<'a> {
+    traffic: &'a Arc<Traffic>,
+    head: &'a Head,
+    route: &'a Route,
+    parts: Parts,
+    body: WorkBody,
+    deadline: Instant,
+    /// How far each send got.
+    sends: Vec<Sent>,
+    /// Upstreams that are not asked again.
+    tried: Vec<UpstreamId>,
+}
+
+impl Run<'_> {
+    async fn run(&mut self) -> Result<Response<Body>, Refusal> {
+        let service = self.traffic.shares().part(self.route).clone();
+        let object = match &self.head.object {
+            Some(object) => object_hash(&service, object),
+            // Any upstream does for work on no object.
+            None => rand::random(),
+        };
+        self.traffic.shares().first(&service, Instant::now());
+        let region = self.region(&service, object);
+        loop {
+            let choice = self.choose(&service, object, region.as_ref())?;
+            let upstream = Arc::clone(&choice.upstream);
+            tracing::debug!(
+                event = "sent",
+                id = self.head.id,
+                upstream = upstream.report.id,
+                rank = choice.rank,
+                load = choice.load
+            );
+            self.tried.push(upstream.report.id.clone());
+            // A send that is cut short by the deadline may have run.
+            self.sends.push(Sent::Perhaps);
+            let view = self.traffic.common.view.load_full();
+            let terms = view
+                .services
+                .get(&service)
+                .and_then(|pool| pool.terms.as_ref());
+            let mut work = Work {
+                head: self.head,
+                parts: &self.parts,
+                body: &mut self.body,
+                repeatable: self.route.repeatable,
+                deadline: self.deadline,
+            };
+            let connections = terms.map(|terms| terms.connections);
+            let missed = match send(self.traffic, &upstream, &mut work, connections).await {
+                Ok(answer) => return Ok(answer),
+                Err(missed) => missed,
+            };
+            tracing::info!(
+                event = "missed",
+                id = self.head.id,
+                upstream = upstream.report.id,
+                sent = ?missed.sent,
+                reason = missed.reason
+            );
+            if let Some(last) = self.sends.last_mut() {
+                *last = missed.sent;
+            }
+            if self.after_miss(&service) != Fate::SendAgain {
+                return Err(self.given_up(None));
+            }
+        }
+    }
+
+    /// The region that serves the request; none where no region may or can.
+    fn region(&self, service: &ServiceName, object: u64) -> Option<RegionName> {
+        let view = self.traffic.common.view.load();
+        let pool = view.services.get(service)?;
+        let own = &self.traffic.common.settings.region;
+        let homes = &self.route.home_regions;
+        let may = |region: &RegionName| homes.is_empty() || homes.contains(region);
+        let has = |region: &RegionName| pool.regions.contains_key(region) && may(region);
+        let place = place(object);
+        if has(own) && self.traffic.shares().stays(service, pool, place) {
+            return Some(own.clone());
+        }
+        let others = pool.regions.iter();
+        let others = others.filter(|(region, _)| *region != own && may(region));
+        let far = far_region(object, others);
+        far.or_else(|| has(own).then(|| own.clone()))
+    }
+
+    fn choose(
+        &self,
+        service: &ServiceName,
+        object: u64,
+        region: Option<&RegionName>,
+    ) -> Result<Choice, Refusal> {
+        let now = Instant::now();
+        if self.deadline.saturating_duration_since(now) < TIME_LEAST {
+            return Err(self.out_of_time());
+        }
+        let view = self.traffic.common.view.load_full();
+        let nowhere = NoRoom {
+            reachable: false,
+            come_back: NO_DOCUMENT_WAIT,
+        };
+        let Some(pool) = view.services.get(service) else {
+            return Err(self.given_up(Some(nowhere)));
+        };
+        let bounds = &self.traffic.common.settings.bounds;
+        let usual = self.traffic.shares().usual(service);
+        let wish = Wish {
+            object,
+            goal: self.route.goal,
+            urgency: self.urgency(&view),
+            tried: &self.tried,
+            usual: usual.unwrap_or(self.route.goal.mul_f64(USUAL_AT_FIRST)),
+            terms: pool.terms.as_ref(),
+            cold_bound: &|bears| Shares::cold_bound(bounds, bears),
+            sharers: view.sharers,
+        };
+        let mut no_room = nowhere;
+        for region in self.regions_to_ask(pool, region) {
+            match choose(region, &wish, now) {
+                Ok(choice) => return Ok(choice),
+                Err(refused) => no_room = refused,
+            }
+            // A full region is not left at once: shares between regions move slowly.
+            if no_room.reachable {
+                break;
+            }
+        }
+        Err(self.given_up(Some(no_room)))
+    }
+
+    /// The chosen region first, then the others that may serve.
+    fn regions_to_ask<'p>(
+        &self,
+        pool: &'p ServicePool,
+        chosen: Option<&RegionName>,
+    ) -> Vec<&'p RegionPool> {
+        let homes = &self.route.home_regions;
+        let may = |region: &RegionName| homes.is_empty() || homes.contains(region);
+        let allowed = pool.regions.iter().filter(|(region, _)| may(region));
+        let mut allowed: Vec<(&RegionName, &RegionPool)> = allowed.collect();
+        allowed.sort_by_key(|(region, _)| Some(*region) != chosen);
+        allowed.into_iter().map(|(_, pool)| pool).collect()
+    }
+
+    /// More urgent requests accept longer waits, so that they are refused last.
+    fn urgency(&self, _: &RouteView) -> f64 {
+        let rank = f64::from(self.route.priority.saturating_sub(1));
+        (1.0 - URGENCY_STEP * rank).max(URGENCY_LEAST)
+    }
+
+    fn after_miss(&self, service: &ServiceName) -> Fate {
+        let reached = self.sends.iter().filter(|sent| **sent != Sent::Not);
+        let reached = reached.count() as u32;
+        let may_have_run = self.sends.contains(&Sent::Perhaps);
+        let pointless = may_have_run && !self.route.repeatable;
+        let may_send_again = !pointless
+            && reached < self.route.attempts
+            && (reached == 0 || self.take_repeat(service));
+        after(&self.sends, self.route.repeatable, may_send_again)
+    }
+
+    fn take_repeat(&self, service: &ServiceName) -> bool {
+        let sharers = self.traffic.common.view.load().sharers;
+        let now = Instant::now();
+        self.traffic.shares().repeat(service, sharers, now)
+    }
+
+    fn given_up(&self, no_room: Option<NoRoom>) -> Refusal {
+        match after(&self.sends, self.route.repeatable, false) {
+            Fate::NotRun => {
+                Refusal::NotRun(no_room.map_or(NO_DOCUMENT_WAIT, |no_room| no_room.come_back))
+            }
+            _ => Refusal::MayHaveRun,
+        }
+    }
+
+    fn out_of_time(&self) -> Refusal {
+        match after(&self.sends, self.route.repeatable, false) {
+            Fate::NotRun => Refusal::NotRun(NO_DOCUMENT_WAIT),
+            _ => Refusal::TooLate,
+        }
+    }
+}
+
+/// The region besides the own that an object goes to, by the regions' slots.
+fn far_region<'a>(
+    object: u64,
+    regions: impl Iterator<Item = (&'a RegionName, &'a RegionPool)>,
+) -> Option<RegionName> {
+    let regions: Vec<(&RegionName, &RegionPool)> = regions.collect();
+    let members = regions.iter();
+    let members = members.map(|(name, pool)| {
+        let hash = steering::rendezvous::hash(name.as_bytes());
+        (hash, f64::from(pool.slots()))
+    });
+    let ranked = steering::route::rank(object, members);
+    ranked.first().map(|first| regions[*first].0.clone())
+}
--- /dev/null
+++ b/crates/gateway/src/traffic/head.rs
@@ -0,0 +1,49 @@
+//! What a request says of itself.
+
+use std::time::{Duration, Instant};
+
+use hyper::Request;
+use hyper::header::{HOST, HeaderMap};
+
+use crate::dialect::HeaderNames;
+
+/// Deadline of a request that names none.
+const DEADLINE_DEFAULT: Duration = Duration::from_secs(30);
+
+/// The parts of a request's head that decide.
+#[derive(Debug, Clone)]
+pub(super) struct Head {
+    /// Its identity; empty where it names none.
+    pub id: String,
+    /// Domain that it is for.
+    pub domain: String,
+    /// Object that it is about, where it names one.
+    pub object: Option<Vec<u8>>,
+    /// When it came.
+    pub arrived: Instant,
+    /// When its caller leaves.
+    pub deadline: Instant,
+}
+
+impl Head {
+    pub fn read<B>(request: &Request<B>, names: &HeaderNames, arrived: Instant) -> Head {
+        let headers = request.headers();
+        let time = text(headers, &names.deadline_ms).and_then(|text| text.parse().ok());
+        let time = time.map_or(DEADLINE_DEFAULT, Duration::from_millis);
+        let host = text(headers, &HOST).or(request.uri().host());
+        Head {
+            id: text(headers, &names.request_id).unwrap_or("").to_owned(),
+            domain: host.unwrap_or("").to_owned(),
+            object: headers.get(&names.object).map(|v| v.as_bytes().to_vec()),
+            arrived,
+            deadline: arrived + time.min(DEADLINE_MOST),
+        }
+    }
+}
+
+/// A caller that says it waits longer is taken to wait so long.
+const DEADLINE_MOST: Duration = Duration::from_secs(3_600);
+
+fn text<'a>(headers: &'a HeaderMap, name: &hyper::header::HeaderName) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
--- /dev/null
+++ b/crates/gateway/src/traffic/look_up.rs
@@ -0,0 +1,48 @@
+//! Which hosts a caller should use.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use steering::route::RouteView;
+
+use crate::dialect::LookUp;
+use crate::settings::GatewaySettings;
+
+/// Most hosts in an answer.
+const HOSTS_MOST: usize = 64;
+/// Time for which an answer holds. Some callers keep it three times as long; a host
+/// that stops is to be left by them within its grace.
+const TTL: Duration = Duration::from_secs(2);
+
+/// Time for which an answer holds.
+pub(super) fn ttl(settings: &GatewaySettings) -> Duration {
+    TTL.min(settings.bounds.look_up_ttl_most)
+}
+
+/// Hosts of the caller's region, else of any. `serving` is this host, where it serves.
+pub(super) fn hosts(
+    view: &RouteView,
+    settings: &GatewaySettings,
+    asked: &LookUp,
+    serving: Option<SocketAddr>,
+) -> Vec<SocketAddr> {
+    let of_zone = asked
+        .zone
+        .as_ref()
+        .and_then(|zone| settings.regions.get(zone));
+    let region = asked
+        .region
+        .as_ref()
+        .or(of_zone)
+        .unwrap_or(&settings.region);
+    let mut near = view.hosts.get(region).cloned().unwrap_or_default();
+    near.extend(serving.filter(|_| *region == settings.region));
+    if near.is_empty() {
+        near = view.hosts.values().flatten().copied().collect();
+        near.extend(serving);
+    }
+    near.sort_unstable();
+    near.dedup();
+    near.truncate(HOSTS_MOST);
+    near
+}
--- /dev/null
+++ b/crates/gateway/src/traffic/mod.rs
@@ -0,0 +1,87 @@
+//! Callers' requests, look-ups and checks, all on one thread.
+
+mod answers;
+mod forward;
+mod head;
+mod look_up;
+mod send;
+mod server;
+mod shares;
+
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use upstream::Connections;
+
+use crate::dialect::Dialect;
+use crate::host::{Common, Sockets, Stage};
+use shares::Shares;
+
+/// Time for which a leaving host still takes new connections: callers hold its address
+/// for as long as a look-up's answer holds. At most half of the grace.
+const TAKES_NEW_FOR: Duration = Duration::from_secs(3);
+/// Pace at which shares are adapted to load.
+const ADAPT_EVERY: Duration = Duration::from_secs(1);
+/// Pace at which a leaving host looks whether it has served its last request.
+const LAST_POLL: Duration = Duration::from_millis(20);
+
+/// The traffic thread's state.
+pub(crate) struct Traffic {
+    common: Common,
+    dialect: Arc<dyn Dialect>,
+    connections: Connections,
+    shares: Mutex<Shares>,
+    /// Callers' connections that are open.
+    open: AtomicU32,
+    /// Requests whose answers have not ended.
+    in_flight: AtomicU32,
+}
+
+impl Traffic {
+    fn shares(&self) -> MutexGuard<'_, Shares> {
+        self.shares.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn is_leaving(&self) -> bool {
+        *self.common.stage.borrow() != Stage::Serving
+    }
+}
+
+/// Serves until the host leaves and the last request has been answered.
+pub(crate) async fn run(common: Common, sockets: Sockets, dialect: Arc<dyn Dialect>) {
+    let mut stage = common.stage.clone();
+    let takes_new_for = TAKES_NEW_FOR.min(common.settings.bounds.grace / 2);
+    let traffic = Arc::new(Traffic {
+        shares: Mutex::new(Shares::new(&common.settings)),
+        connections: Connections::default(),
+        open: AtomicU32::default(),
+        in_flight: AtomicU32::default(),
+        dialect,
+        common,
+    });
+    let callers = server::accept(&traffic, sockets.callers, server::Side::Callers);
+    server::accept(&traffic, sockets.ready, server::Side::Checks);
+    server::accept(&traffic, sockets.look_ups, server::Side::Checks);
+    spawn_local(adapt(Arc::clone(&traffic)));
+    // The sender ends with the host.
+    let _ = stage.wait_for(|stage| *stage != Stage::Serving).await;
+    sleep(takes_new_for).await;
+    callers.abort();
+    while traffic.in_flight.load(Ordering::Relaxed) > 0 {
+        sleep(LAST_POLL).await;
+    }
+}
+
+async fn adapt(traffic: Arc<Traffic>) {
+    let mut last = Instant::now();
+    loop {
+        sleep(ADAPT_EVERY).await;
+        let now = Instant::now();
+        let view = traffic.common.view.load_full();
+        traffic.shares().adapt(&view, now, now - last);
+        last = now;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/traffic/send.rs
@@ -0,0 +1,183 @@
+//! One send of a request to one upstream.
+
+use std::cell::Cell;
+use std::sync::Arc;
+use std::time::Instant;
+
+use http_body_util::BodyExt;
+use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
+use hyper::{Request, Response, StatusCode};
+use steering::route::{Answered, Sent, Upstream};
+use upstream::{Body, Holding, Reuse, SendError, TrackedBody, WorkBody, end_to_end};
+
+use super::Traffic;
+use super::head::Head;
+
+/// Connections to an upstream where its service names no bound.
+const CONNECTIONS_DEFAULT: u32 = 256;
+
+/// A request in flight at an upstream; ends when dropped.
+struct Flight {
+    upstream: Arc<Upstream>,
+    traffic: Arc<Traffic>,
+    begun: Instant,
+    judged: Cell<bool>,
+}
+
+impl Flight {
+    fn begin(traffic: &Arc<Traffic>, upstream: &Arc<Upstream>) -> Self {
+        let begun = Instant::now();
+        upstream.condition().sent(begun);
+        Flight {
+            upstream: Arc::clone(upstream),
+            traffic: Arc::clone(traffic),
+            begun,
+            judged: Cell::new(false),
+        }
+    }
+
+    fn judge(&self, answered: Answered) {
+        let service = &self.upstream.report.service;
+        let usual = self.traffic.shares().usual(service);
+        let mut condition = self.upstream.condition();
+        condition.answered(Instant::now(), answered, usual);
+        self.judged.set(true);
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        if !self.judged.get() {
+            self.judge(Answered::Unknown);
+        }
+        self.upstream.condition().ended();
+    }
+}
+
+/// A send that brought no answer to pass on.
+#[derive(Debug)]
+pub(super) struct Missed {
+    /// How far it got.
+    pub sent: Sent,
+    /// Why, for the log.
+    pub reason: String,
+}
+
+impl Missed {
+    fn new(sent: Sent, reason: impl ToString) -> Self {
+        Missed {
+            sent,
+            reason: reason.to_string(),
+        }
+    }
+}
+
+/// What is sent.
+pub(super) struct Work<'a> {
+    pub head: &'a Head,
+    pub parts: &'a Parts,
+    pub body: &'a mut WorkBody,
+    pub repeatable: bool,
+    /// When an answer is of no use any more.
+    pub deadline: Instant,
+}
+
+/// Sends a request once, and passes the answer on if it is one.
+pub(super) async fn send(
+    traffic: &Arc<Traffic>,
+    upstream: &Arc<Upstream>,
+    work: &mut Work<'_>,
+    connections: Option<u32>,
+) -> Result<Response<Body>, Missed> {
+    let Some(request) = request(traffic, upstream, work) else {
+        return Err(Missed::new(Sent::Perhaps, "the body can't be sent again"));
+    };
+    let reuse = match work.repeatable {
+        true => Reuse::Any,
+        false => Reuse::Recent,
+    };
+    let flight = Flight::begin(traffic, upstream);
+    let connections = connections.unwrap_or(CONNECTIONS_DEFAULT);
+    let address = upstream.report.address;
+    let sent = traffic
+        .connections
+        .send(address, connections, reuse, request, work.deadline);
+    match sent.await {
+        Ok(answer) => take(traffic, answer, work, flight),
+        Err(SendError::NotSent { reason, request }) => {
+            flight.judge(Answered::Failed);
+            if let Some(request) = request {
+                work.body.put_back(request.into_body());
+            }
+            Err(Missed::new(Sent::Not, reason))
+        }
+        Err(SendError::Lost { reason }) => {
+            flight.judge(Answered::Failed);
+            Err(Missed::new(Sent::Perhaps, reason))
+        }
+        Err(SendError::Late) => Err(Missed::new(Sent::Perhaps, "late")),
+    }
+}
+
+fn request(traffic: &Traffic, upstream: &Upstream, work: &mut Work<'_>) -> Option<Request<Body>> {
+    let names = traffic.dialect.headers();
+    let path = work.parts.uri.path_and_query();
+    let mut request = Request::new(work.body.take()?);
+    *request.method_mut() = work.parts.method.clone();
+    *request.uri_mut() = path.map_or("/", |path| path.as_str()).parse().ok()?;
+    let headers = request.headers_mut();
+    *headers = end_to_end(&work.parts.headers);
+    let left = work.deadline.saturating_duration_since(Instant::now());
+    headers.insert(&names.deadline_ms, (left.as_millis() as u64).into());
+    let id = HeaderValue::from_str(&upstream.report.id).ok()?;
+    headers.insert(&names.expected_upstream, id);
+    Some(request)
+}
+
+/// Passes an answer on, where it is this request's own and the upstream's.
+fn take(
+    traffic: &Arc<Traffic>,
+    answer: Response<TrackedBody>,
+    work: &Work<'_>,
+    flight: Flight,
+) -> Result<Response<Body>, Missed> {
+    let names = traffic.dialect.headers();
+    let headers = answer.headers();
+    let is_own = headers
+        .get(&names.request_id)
+        .is_some_and(|id| id.as_bytes() == work.head.id.as_bytes());
+    if !is_own && !work.head.id.is_empty() {
+        flight.judge(Answered::Failed);
+        return Err(Missed::new(Sent::Perhaps, "an answer to another request"));
+    }
+    let status = answer.status();
+    let load = headers.get(&names.load).and_then(|load| load.to_str().ok());
+    if let Some(load) = load.and_then(|load| traffic.dialect.load(load)) {
+        let mut condition = flight.upstream.condition();
+        condition.reported(Instant::now(), load.running, load.waiting);
+    }
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        flight.judge(Answered::Refused);
+        flight.upstream.condition().replaced();
+        return Err(Missed::new(Sent::Refused, "another has the address"));
+    }
+    if headers.contains_key(&names.not_run) {
+        flight.judge(Answered::Refused);
+        return Err(Missed::new(Sent::Refused, status));
+    }
+    if status.is_informational() || (status.is_success() && !headers.contains_key(&names.proof)) {
+        flight.judge(Answered::Failed);
+        return Err(Missed::new(Sent::Perhaps, "not an upstream's own answer"));
+    }
+    let took = flight.begun.elapsed();
+    flight.judge(Answered::After(took));
+    if status.is_success() {
+        let service = &flight.upstream.report.service;
+        traffic.shares().answered(service, took);
+    }
+    let (mut parts, body) = answer.into_parts();
+    parts.headers = end_to_end(&parts.headers);
+    let body = Holding::new(body, flight).boxed_unsync();
+    Ok(Response::from_parts(parts, body))
+}
--- /dev/null
+++ b/crates/gateway/src/traffic/server.rs
@@ -0,0 +1,168 @@
+//! Listeners and connections.
+
+use std::convert::Infallible;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpStream;
+use tokio::pin;
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::sleep;
+use upstream::{Body, full};
+
+use super::{Traffic, forward, look_up};
+use crate::host::Stage;
+
+/// Pause after a failed accept: most often the process has no descriptor left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Least that hyper takes as its buffer for heads, in bytes.
+const HEAD_BYTES_LEAST: usize = 8_192;
+/// Share of the open files that callers' connections may take; the rest is for
+/// upstreams, the store and other hosts.
+const CALLERS_SHARE: f64 = 0.6;
+
+/// Who calls at a listener.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Side {
+    /// Callers with requests.
+    Callers,
+    /// Callers that ask for hosts, and checks whether this one is ready.
+    Checks,
+}
+
+/// Accepts connections until aborted.
+pub(super) fn accept(traffic: &Arc<Traffic>, listener: TcpListener, side: Side) -> JoinHandle<()> {
+    let traffic = Arc::clone(traffic);
+    spawn_local(async move {
+        let listener = match tokio::net::TcpListener::from_std(listener) {
+            Ok(listener) => listener,
+            Err(error) => {
+                tracing::error!(event = "listen_failed", %error);
+                return;
+            }
+        };
+        let most = f64::from(traffic.common.settings.open_files) * CALLERS_SHARE;
+        loop {
+            match listener.accept().await {
+                // Closed unread, so that the caller may go elsewhere.
+                Ok(_) if f64::from(traffic.open.load(Ordering::Relaxed)) >= most => {
+                    tracing::warn!(
+                        event = "connection_refused",
+                        open = traffic.open.load(Ordering::Relaxed)
+                    );
+                }
+                Ok((stream, _)) => {
+                    let _ = stream.set_nodelay(true);
+                    spawn_local(serve(Arc::clone(&traffic), stream, side));
+                }
+                Err(error) => {
+                    tracing::warn!(event = "accept_failed", %error);
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    })
+}
+
+/// Counts an open connection.
+struct Open(Arc<Traffic>);
+
+impl Open {
+    fn new(traffic: &Arc<Traffic>) -> Self {
+        traffic.open.fetch_add(1, Ordering::Relaxed);
+        Open(Arc::clone(traffic))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn serve(traffic: Arc<Traffic>, stream: TcpStream, side: Side) {
+    let _open = Open::new(&traffic);
+    let limits = traffic.common.view.load().limits;
+    let mut stage = traffic.common.stage.clone();
+    let leaving = Arc::clone(&traffic);
+    let service = service_fn(move |request| {
+        let traffic = Arc::clone(&traffic);
+        async move {
+            let mut answer = match side {
+                Side::Callers => forward::answer(&traffic, request).await,
+                Side::Checks => check(&traffic, &request),
+            };
+            if traffic.is_leaving() {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(answer)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // hyper counts a connection's rest as part of the next head.
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size(limits.head_bytes.max(HEAD_BYTES_LEAST))
+        .serve_connection(TokioIo::new(stream), service);
+    pin!(connection);
+    let closing = async {
+        // Idle connections of a leaving host are closed once it takes no new ones.
+        let _ = stage.wait_for(|stage| *stage != Stage::Serving).await;
+        sleep(super::TAKES_NEW_FOR.min(leaving.common.settings.bounds.grace / 2)).await;
+    };
+    tokio::select! {
+        ended = connection.as_mut() => return note(ended),
+        () = closing => connection.as_mut().graceful_shutdown(),
+    }
+    note(connection.await);
+}
+
+fn note(ended: Result<(), hyper::Error>) {
+    if let Err(error) = ended {
+        tracing::debug!(event = "connection_ended", %error);
+    }
+}
+
+/// Answers a look-up or a check.
+fn check(traffic: &Arc<Traffic>, request: &Request<Incoming>) -> Response<Body> {
+    let (method, uri) = (request.method(), request.uri());
+    let view = traffic.common.view.load();
+    let settings = &traffic.common.settings;
+    let serves = view.version > 0 && !traffic.is_leaving();
+    if traffic.dialect.is_ready_call(method, uri) {
+        return status(match serves {
+            true => StatusCode::OK,
+            false => StatusCode::SERVICE_UNAVAILABLE,
+        });
+    }
+    let Some(asked) = traffic.dialect.look_up_call(method, uri) else {
+        return status(StatusCode::NOT_FOUND);
+    };
+    let serving = serves.then_some(settings.caller_address);
+    let hosts = look_up::hosts(&view, settings, &asked, serving);
+    if hosts.is_empty() {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let body = traffic
+        .dialect
+        .look_up_answer(&hosts, look_up::ttl(settings));
+    let mut answer = Response::new(full(body));
+    let json = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(CONTENT_TYPE, json);
+    answer
+}
+
+fn status(status: StatusCode) -> Response<Body> {
+    let mut answer = Response::new(full(""));
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/crates/gateway/src/traffic/shares.rs
@@ -0,0 +1,127 @@
+//! What the traffic thread counts and adapts: budgets, shares, usual times.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use steering::ids::{RegionName, RuleName, ServiceName};
+use steering::route::{PartSpread, RegionSpread, RepeatPart, Route, RouteView, ServicePool};
+
+use crate::settings::{Bounds, GatewaySettings};
+
+/// Weight of the newest answer in a service's usual time.
+const NEWEST_WEIGHT: f64 = 0.05;
+/// An answer counts at most as so many times the usual, so that few slow upstreams
+/// do not become the usual.
+const USUAL_CAP: f64 = 3.0;
+
+/// Counts and shares of this host.
+pub(super) struct Shares {
+    region: RegionName,
+    bounds: Bounds,
+    repeats: HashMap<ServiceName, RepeatPart>,
+    parts: HashMap<RuleName, PartSpread>,
+    regions: HashMap<ServiceName, RegionSpread>,
+    /// Usual time from a send to the head of its answer, in milliseconds.
+    usual_ms: HashMap<ServiceName, f64>,
+}
+
+impl Shares {
+    pub fn new(settings: &GatewaySettings) -> Self {
+        Shares {
+            region: settings.region.clone(),
+            bounds: settings.bounds,
+            repeats: HashMap::new(),
+            parts: HashMap::new(),
+            regions: HashMap::new(),
+            usual_ms: HashMap::new(),
+        }
+    }
+
+    /// The service that a request of a route goes to.
+    pub fn part<'a>(&mut self, route: &'a Route) -> &'a ServiceName {
+        if route.parts.len() == 1 {
+            return &route.parts[0].service;
+        }
+        let spread = self.parts.entry(route.name.clone()).or_default();
+        &route.parts[spread.pick(&route.parts)].service
+    }
+
+    /// Whether a request stays in this host's region; `place` is its object's.
+    pub fn stays(&mut self, service: &str, pool: &ServicePool, place: f64) -> bool {
+        if !self.regions.contains_key(service) {
+            let slots = |name: &RegionName| pool.regions.get(name).map_or(0, |r| r.slots());
+            let all = pool.regions.values().map(|region| region.slots()).sum();
+            let spread = RegionSpread::new(slots(&self.region), all, pool.regions.len());
+            self.regions.insert(service.to_owned(), spread);
+        }
+        let spread = self.regions.get_mut(service);
+        spread.is_none_or(|spread| spread.stays(place))
+    }
+
+    /// Counts a request to a service.
+    pub fn first(&mut self, service: &str, now: Instant) {
+        self.repeat_part(service).first(now);
+    }
+
+    /// Takes a repeat from the service's budget.
+    pub fn repeat(&mut self, service: &str, sharers: usize, now: Instant) -> bool {
+        self.repeat_part(service).repeat(now, sharers)
+    }
+
+    fn repeat_part(&mut self, service: &str) -> &mut RepeatPart {
+        let Bounds {
+            repeat_ratio,
+            repeat_spare,
+            repeat_window,
+            ..
+        } = self.bounds;
+        if !self.repeats.contains_key(service) {
+            let part = RepeatPart::new(repeat_ratio, repeat_spare, repeat_window);
+            self.repeats.insert(service.to_owned(), part);
+        }
+        self.repeats.get_mut(service).expect("it was just inserted")
+    }
+
+    /// Requests in a second that a cold upstream may receive, which bears `bears`.
+    pub fn cold_bound(bounds: &Bounds, bears: f64) -> f64 {
+        bears * bounds.cold_times + bounds.cold_spare
+    }
+
+    /// The service's usual time, where any answer has come.
+    pub fn usual(&self, service: &str) -> Option<Duration> {
+        let usual = self.usual_ms.get(service);
+        usual.map(|ms| Duration::from_secs_f64(ms / 1_000.0))
+    }
+
+    /// Takes the time of an answer.
+    pub fn answered(&mut self, service: &str, took: Duration) {
+        let took_ms = took.as_secs_f64() * 1_000.0;
+        match self.usual_ms.get_mut(service) {
+            Some(usual) => *usual += NEWEST_WEIGHT * (took_ms.min(*usual * USUAL_CAP) - *usual),
+            None => drop(self.usual_ms.insert(service.to_owned(), took_ms)),
+        }
+    }
+
+    /// Moves the regions' shares.
+    pub fn adapt(&mut self, view: &Arc<RouteView>, now: Instant, passed: Duration) {
+        // Half of what is allowed from one 2 s window to the next leaves room for chance.
+        let step = self.bounds.shift_most / 2.0 / 2.0 * passed.as_secs_f64().min(2.0);
+        for (service, spread) in &mut self.regions {
+            let Some(pool) = view.services.get(service) else {
+                continue;
+            };
+            let own = pool.regions.get(&self.region);
+            let own_use = own.map_or(f64::INFINITY, |own| own.use_of_slots(now));
+            let others = pool.regions.iter();
+            let others = others.filter(|(region, _)| **region != self.region);
+            let others_use = others.map(|(_, pool)| pool.use_of_slots(now));
+            let before = spread.own();
+            spread.adapt(step, own_use, others_use.fold(f64::INFINITY, f64::min));
+            if before != spread.own() {
+                let own = spread.own();
+                tracing::debug!(event = "region_share", service, own, own_use);
+            }
+        }
+    }
+}
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -74,6 +74,11 @@
         }
     }
 
+    /// Address of the other host.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Sends a heartbeat; the revision in force at the other host.
     pub async fn heartbeat(&self, beat: &Beat) -> Result<Revision, PeerError> {
         self.call(async |session| {
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod pool;
 pub mod rendezvous;
 pub mod retry;
+pub mod route;
 pub mod ticket;
 pub mod view;
 
--- /dev/null
+++ b/crates/steering/src/route/condition.rs
@@ -0,0 +1,150 @@
+//! What this host has seen of an upstream.
+
+use std::time::{Duration, Instant};
+
+use super::pace::ColdPart;
+
+/// Time for which a report of load is believed.
+const REPORT_HOLDS: Duration = Duration::from_secs(2);
+/// Silence on all requests in flight after which an upstream gets no more.
+const SILENT_AFTER: Duration = Duration::from_millis(1_200);
+/// Time for which an upstream is left alone after a failure; doubles with each.
+const REST_AFTER_FAILURE: Duration = Duration::from_millis(500);
+/// Doublings of that time, at most.
+const REST_DOUBLINGS: u32 = 4;
+/// Answers that are compared with the service's usual time.
+const COMPARED: usize = 4;
+/// An upstream is slow where each of its last answers took so many times the usual.
+const SLOW_TIMES: f64 = 2.5;
+/// Time for which a slow upstream is avoided, then tried again.
+const AVOID_SLOW_FOR: Duration = Duration::from_secs(3);
+
+/// How a request ended, as far as it tells of the upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Answered {
+    /// An answer came after this time.
+    After(Duration),
+    /// It said that it is full or not the one that was meant; it lives.
+    Refused,
+    /// Nothing came, or nothing that is an answer.
+    Failed,
+    /// The caller left, or the time was over: nothing is learned.
+    Unknown,
+}
+
+/// Load and health of one start of an upstream, as this host sees them.
+#[derive(Debug, Default)]
+pub struct Condition {
+    /// Requests of this host that are in flight there.
+    in_flight: u32,
+    /// Load by other hosts at the last report, and when that came.
+    others: Option<(f64, Instant)>,
+    failures: u32,
+    rests_until: Option<Instant>,
+    /// Since when nothing has come back although something is in flight.
+    unanswered_since: Option<Instant>,
+    recent: Vec<Duration>,
+    avoid_until: Option<Instant>,
+    gone: bool,
+    /// This host's part of what the upstream bears while cold.
+    pub cold_part: ColdPart,
+}
+
+impl Condition {
+    /// Counts a request that is about to be sent.
+    pub fn sent(&mut self, now: Instant) {
+        self.in_flight += 1;
+        if self.in_flight == 1 {
+            self.unanswered_since = Some(now);
+        }
+    }
+
+    /// Takes the head of an answer, or its absence; `usual` is the service's usual time.
+    pub fn answered(&mut self, now: Instant, answered: Answered, usual: Option<Duration>) {
+        match answered {
+            Answered::After(took) => {
+                self.lives(now);
+                self.compare(now, took, usual);
+            }
+            Answered::Refused => self.lives(now),
+            Answered::Failed => self.failed(now),
+            Answered::Unknown => {}
+        }
+    }
+
+    /// Counts a request whose answer has ended.
+    pub fn ended(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if self.in_flight == 0 {
+            self.unanswered_since = None;
+        }
+    }
+
+    /// Takes a report of all its load, this host's included.
+    pub fn reported(&mut self, now: Instant, running: u32, waiting: u32) {
+        // The request whose answer carries the report may be counted or not.
+        let others = f64::from(running + waiting) - f64::from(self.in_flight);
+        self.others = Some((others.max(0.0), now));
+    }
+
+    /// Notes that another start has its address.
+    pub fn replaced(&mut self) {
+        self.gone = true;
+    }
+
+    /// Requests running and waiting there, as far as known.
+    pub fn load(&self, now: Instant) -> f64 {
+        let believed = self
+            .others
+            .filter(|(_, at)| now.saturating_duration_since(*at) < REPORT_HOLDS);
+        f64::from(self.in_flight) + believed.map_or(0.0, |(others, _)| others)
+    }
+
+    /// Whether it may be sent a request.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        let rests = self.rests_until.is_some_and(|until| until > now);
+        !self.gone && !rests && !self.is_silent(now)
+    }
+
+    /// Whether it has lately been much slower than its service usually is.
+    pub fn is_slow(&self, now: Instant) -> bool {
+        self.avoid_until.is_some_and(|until| until > now)
+    }
+
+    /// Requests of this host in flight there.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    fn is_silent(&self, now: Instant) -> bool {
+        let since = self.unanswered_since;
+        since.is_some_and(|since| now.saturating_duration_since(since) > SILENT_AFTER)
+    }
+
+    fn lives(&mut self, now: Instant) {
+        self.failures = 0;
+        self.rests_until = None;
+        self.unanswered_since = (self.in_flight > 0).then_some(now);
+    }
+
+    fn failed(&mut self, now: Instant) {
+        let doublings = self.failures.min(REST_DOUBLINGS);
+        self.rests_until = Some(now + REST_AFTER_FAILURE * 2u32.pow(doublings));
+        self.failures += 1;
+    }
+
+    fn compare(&mut self, now: Instant, took: Duration, usual: Option<Duration>) {
+        self.recent.push(took);
+        if self.recent.len() > COMPARED {
+            self.recent.remove(0);
+        }
+        let fastest = self.recent.iter().min();
+        let (Some(fastest), Some(usual)) = (fastest, usual) else {
+            return;
+        };
+        if self.recent.len() == COMPARED && *fastest > usual.mul_f64(SLOW_TIMES) {
+            self.avoid_until = Some(now + AVOID_SLOW_FOR);
+            self.recent.clear();
+        }
+    }
+}
--- /dev/null
+++ b/crates/steering/src/route/mod.rs
@@ -0,0 +1,31 @@
+//! Requests that find their service by domain and path, and their upstream by object.
+//!
+//! The operator's document names routes and services; upstreams report themselves.
+//! Every host computes the same homes of an object from the same view, so that no
+//! message is needed to agree on them.
+
+mod catalog;
+mod choice;
+mod condition;
+mod document;
+mod fate;
+mod homes;
+mod pace;
+mod roll;
+mod spread;
+mod table;
+mod upstream;
+mod view;
+
+pub use catalog::Catalog;
+pub use choice::{Choice, NoRoom, Wish, choose};
+pub use condition::{Answered, Condition};
+pub use document::{CallerLimits, Part, Route, RouteDocument, ServiceTerms};
+pub use fate::{Fate, Sent, after};
+pub use homes::{object_hash, place, rank};
+pub use pace::{ColdPart, RepeatPart};
+pub use roll::{KnownHost, Roll};
+pub use spread::{PartSpread, RegionSpread};
+pub use table::RouteTable;
+pub use upstream::{ReportedUpstream, UpstreamId};
+pub use view::{Conditions, RegionPool, RouteView, ServicePool, Upstream};
--- /dev/null
+++ b/crates/steering/src/route/pace.rs
@@ -0,0 +1,103 @@
+//! This host's parts of bounds that all hosts share.
+//!
+//! Each host takes a fixed part, sized by how many hosts there may be, so that the
+//! parts together never exceed the whole and no message is needed before a request.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// Share of a bound that is used: what is sent in one window may arrive in another.
+const USED_SHARE: f64 = 0.85;
+/// Window over which a cold upstream's requests are counted.
+const COLD_WINDOW: Duration = Duration::from_millis(1_100);
+
+/// Times of events within a window.
+#[derive(Debug, Default)]
+struct Recent(VecDeque<Instant>);
+
+impl Recent {
+    fn count(&mut self, now: Instant, window: Duration) -> usize {
+        while self
+            .0
+            .front()
+            .is_some_and(|at| now.saturating_duration_since(*at) >= window)
+        {
+            self.0.pop_front();
+        }
+        self.0.len()
+    }
+
+    fn add(&mut self, now: Instant) {
+        self.0.push_back(now);
+    }
+}
+
+/// The part of requests a second that this host may send to a cold upstream.
+#[derive(Debug, Default)]
+pub struct ColdPart {
+    sent: Recent,
+}
+
+impl ColdPart {
+    /// Takes one request from the part; `most_per_s` is what the upstream may receive in
+    /// a second from all `hosts` together.
+    pub fn take(&mut self, now: Instant, most_per_s: f64, hosts: usize) -> bool {
+        let part = most_per_s * USED_SHARE / hosts.max(1) as f64;
+        if part <= 0.0 {
+            return false;
+        }
+        // Less than one a window: one in a longer window.
+        let (most, window) = match part >= 1.0 {
+            true => (part.floor() as usize, COLD_WINDOW),
+            false => (1, COLD_WINDOW.div_f64(part)),
+        };
+        if self.sent.count(now, window) >= most {
+            return false;
+        }
+        self.sent.add(now);
+        true
+    }
+}
+
+/// The part of repeats that this host may send to a service.
+#[derive(Debug)]
+pub struct RepeatPart {
+    /// Repeats allowed for each request.
+    ratio: f64,
+    /// Repeats allowed besides, for all hosts together, in a window.
+    spare: f64,
+    /// Span over which both are counted.
+    window: Duration,
+    firsts: Recent,
+    repeats: Recent,
+}
+
+impl RepeatPart {
+    /// Nothing sent yet.
+    pub fn new(ratio: f64, spare: f64, window: Duration) -> Self {
+        RepeatPart {
+            ratio,
+            spare,
+            window,
+            firsts: Recent::default(),
+            repeats: Recent::default(),
+        }
+    }
+
+    /// Counts a request.
+    pub fn first(&mut self, now: Instant) {
+        self.firsts.count(now, self.window);
+        self.firsts.add(now);
+    }
+
+    /// Takes one repeat, where the part allows it.
+    pub fn repeat(&mut self, now: Instant, hosts: usize) -> bool {
+        let firsts = self.firsts.count(now, self.window) as f64;
+        let most = (firsts * self.ratio + self.spare / hosts.max(1) as f64) * USED_SHARE;
+        if (self.repeats.count(now, self.window) + 1) as f64 > most {
+            return false;
+        }
+        self.repeats.add(now);
+        true
+    }
+}
--- /dev/null
+++ b/crates/steering/src/route/roll.rs
@@ -0,0 +1,120 @@
+//! Which hosts there are, and which of them this host hears.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::ids::{HostName, Incarnation};
+use crate::membership::HostEntry;
+
+/// Silence after which a host is named to no caller. Operators give 3 s beyond the
+/// time in which a host counts as out of touch, 6 s or more in all.
+const NAMED_WITHIN: Duration = Duration::from_millis(3_500);
+/// Silence after which a host no longer counts in shared bounds.
+const COUNTED_WITHIN: Duration = Duration::from_secs(20);
+
+/// Another host.
+#[derive(Debug, Clone, PartialEq)]
+pub struct KnownHost {
+    /// Where it can be reached.
+    pub entry: HostEntry,
+    /// Its start, where it has been heard.
+    pub incarnation: Option<Incarnation>,
+    heard: Option<Instant>,
+    /// When it was last heard or newly listed.
+    noted: Instant,
+    leaving: bool,
+}
+
+/// All other hosts that this host knows of.
+#[derive(Debug, Default)]
+pub struct Roll {
+    hosts: BTreeMap<HostName, KnownHost>,
+}
+
+impl Roll {
+    /// Takes a host from the store's list or from another host; it is named to
+    /// callers only once it is heard.
+    pub fn list(&mut self, now: Instant, entry: HostEntry) {
+        let known = self.hosts.get_mut(&entry.name);
+        match known {
+            Some(known) if known.entry.peer_address == entry.peer_address => {}
+            _ => {
+                let host = KnownHost {
+                    incarnation: None,
+                    heard: None,
+                    noted: now,
+                    leaving: false,
+                    entry,
+                };
+                self.hosts.insert(host.entry.name.clone(), host);
+            }
+        }
+    }
+
+    /// Takes a sign of life; true where it changes which hosts are named.
+    pub fn hear(
+        &mut self,
+        now: Instant,
+        entry: &HostEntry,
+        incarnation: Incarnation,
+        leaving: bool,
+    ) -> bool {
+        let before = self.is_named(now, &entry.name);
+        let host = KnownHost {
+            entry: entry.clone(),
+            incarnation: Some(incarnation),
+            heard: Some(now),
+            noted: now,
+            leaving,
+        };
+        self.hosts.insert(entry.name.clone(), host);
+        before == leaving
+    }
+
+    /// Takes an answer of a host that is known already.
+    pub fn answered(&mut self, now: Instant, name: &str) {
+        if let Some(host) = self.hosts.get_mut(name) {
+            host.heard = Some(now);
+            host.noted = now;
+        }
+    }
+
+    /// Hosts to be named to callers, those that leave left out.
+    pub fn named(&self, now: Instant) -> impl Iterator<Item = &KnownHost> {
+        self.hosts.values().filter(move |host| is_named(host, now))
+    }
+
+    /// All other hosts that may be there.
+    pub fn known(&self) -> impl Iterator<Item = &KnownHost> {
+        self.hosts.values()
+    }
+
+    /// Hosts that may use a part of a shared bound, this one included.
+    pub fn sharers(&self, now: Instant) -> usize {
+        let others = self.hosts.values();
+        1 + others
+            .filter(|host| now.saturating_duration_since(host.noted) < COUNTED_WITHIN)
+            .count()
+    }
+
+    /// Gives every host a new chance to be heard: after a pause of this host the
+    /// silence was its own.
+    pub fn resume(&mut self, now: Instant) {
+        for host in self.hosts.values_mut() {
+            host.noted = now;
+            if host.heard.is_some() {
+                host.heard = Some(now);
+            }
+        }
+    }
+
+    fn is_named(&self, now: Instant, name: &str) -> bool {
+        self.hosts.get(name).is_some_and(|host| is_named(host, now))
+    }
+}
+
+fn is_named(host: &KnownHost, now: Instant) -> bool {
+    let heard = host.heard;
+    let recently = heard.is_some_and(|at| now.saturating_duration_since(at) < NAMED_WITHIN);
+    recently && !host.leaving
+}
--- /dev/null
+++ b/crates/steering/src/route/table.rs
@@ -0,0 +1,42 @@
+//! Finds the route of a request.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::document::{Route, RouteDocument};
+
+/// The routes of a document by domain and prefix.
+///
+/// A look-up tries each of the path's own prefixes, longest first: its cost does
+/// not depend on how many routes there are.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    domains: HashMap<String, HashMap<String, Arc<Route>>>,
+}
+
+impl RouteTable {
+    /// The table of a document.
+    pub fn new(document: &RouteDocument) -> Self {
+        let mut domains: HashMap<String, HashMap<String, Arc<Route>>> = HashMap::new();
+        for route in &document.routes {
+            domains
+                .entry(route.domain.clone())
+                .or_default()
+                .insert(route.prefix.clone(), Arc::new(route.clone()));
+        }
+        RouteTable { domains }
+    }
+
+    /// The route with the longest prefix of `path`; `host` may carry a port.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let domain = host.split(':').next().unwrap_or(host);
+        let prefixes = match self.domains.get(domain) {
+            Some(prefixes) => prefixes,
+            None => self.domains.get(&domain.to_ascii_lowercase())?,
+        };
+        let slashes = path.rmatch_indices('/');
+        slashes
+            .map(|(at, slash)| &path[..at + slash.len()])
+            .find_map(|prefix| prefixes.get(prefix))
+    }
+}
--- /dev/null
+++ b/crates/steering/src/route/upstream.rs
@@ -0,0 +1,28 @@
+//! What an upstream says of itself.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::ids::{ServiceName, ZoneName};
+
+/// Identity of one start of an upstream; a restart has another.
+pub type UpstreamId = String;
+
+/// An upstream's own report.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ReportedUpstream {
+    /// This start of it. An address may pass on to another start.
+    pub id: UpstreamId,
+    /// Service that it belongs to.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Availability zone that it stands in.
+    pub zone: ZoneName,
+    /// Requests that it works on at once; at least 1.
+    pub slots: u32,
+    /// Whether it takes no more work.
+    pub draining: bool,
+    /// Time for which it stays cold, from the report on; zero where it is warm.
+    pub cold_for: Duration,
+}
--- /dev/null
+++ b/crates/steering/src/route/view.rs
@@ -0,0 +1,140 @@
+//! What one host believes at a moment, ready to be used by requests.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use super::catalog::Catalog;
+use super::condition::Condition;
+use super::document::{RouteDocument, ServiceTerms};
+use super::table::RouteTable;
+use super::upstream::{ReportedUpstream, UpstreamId};
+use crate::ids::{RegionName, ServiceName, ZoneName};
+
+/// An upstream that requests may go to.
+#[derive(Debug)]
+pub struct Upstream {
+    /// Its report.
+    pub report: ReportedUpstream,
+    /// Hash of its identity, the same on every host.
+    pub hash: u64,
+    /// End of its warm-up, where it is cold.
+    pub cold_until: Option<Instant>,
+    condition: Arc<Mutex<Condition>>,
+}
+
+impl Upstream {
+    /// What this host has seen of it.
+    pub fn condition(&self) -> MutexGuard<'_, Condition> {
+        self.condition
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether it is cold.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.cold_until.is_some_and(|until| until > now)
+    }
+}
+
+/// A service's upstreams in a region.
+#[derive(Debug, Default)]
+pub struct RegionPool {
+    /// Those that take work; ordered by identity.
+    pub upstreams: Vec<Arc<Upstream>>,
+}
+
+impl RegionPool {
+    /// Requests that they work on at once, together.
+    pub fn slots(&self) -> u32 {
+        self.upstreams
+            .iter()
+            .map(|upstream| upstream.report.slots)
+            .sum()
+    }
+
+    /// Load relative to slots; 1 is full. Unusable upstreams count as full.
+    pub fn use_of_slots(&self, now: Instant) -> f64 {
+        let slots = f64::from(self.slots());
+        if slots == 0.0 {
+            return f64::INFINITY;
+        }
+        let load = |upstream: &Arc<Upstream>| {
+            let condition = upstream.condition();
+            match condition.is_usable(now) {
+                true => condition.load(now),
+                false => f64::from(upstream.report.slots),
+            }
+        };
+        self.upstreams.iter().map(load).sum::<f64>() / slots
+    }
+}
+
+/// A service's upstreams by region.
+#[derive(Debug, Default)]
+pub struct ServicePool {
+    /// Regions that have any.
+    pub regions: BTreeMap<RegionName, RegionPool>,
+    /// What the operator says of the service.
+    pub terms: Option<ServiceTerms>,
+}
+
+/// Immutable; a newer one replaces it whole.
+#[derive(Debug, Default)]
+pub struct RouteView {
+    /// Version of the document in force; 0 before the first.
+    pub version: u64,
+    /// Bounds on what callers send.
+    pub limits: super::document::CallerLimits,
+    /// The document's routes.
+    pub table: Arc<RouteTable>,
+    /// Upstreams by service.
+    pub services: HashMap<ServiceName, ServicePool>,
+    /// Addresses for callers of the hosts that are there, by region.
+    pub hosts: BTreeMap<RegionName, Vec<SocketAddr>>,
+    /// Hosts that share the bounds, this one included; at least 1.
+    pub sharers: usize,
+}
+
+/// Conditions outlive views: each start of an upstream keeps its own.
+pub type Conditions = HashMap<UpstreamId, Arc<Mutex<Condition>>>;
+
+impl RouteView {
+    /// Upstreams by service and region. Those that drain, stand in an evacuated zone or
+    /// in a zone of no known region are left out.
+    pub fn pools(
+        document: &RouteDocument,
+        catalog: &Catalog,
+        evacuated: &BTreeSet<ZoneName>,
+        regions: &BTreeMap<ZoneName, RegionName>,
+        conditions: &mut Conditions,
+    ) -> HashMap<ServiceName, ServicePool> {
+        let mut pools: HashMap<ServiceName, ServicePool> = HashMap::new();
+        for listed in catalog.listed() {
+            let report = &listed.report;
+            let condition = conditions.entry(report.id.clone()).or_default();
+            let Some(region) = regions.get(&report.zone) else {
+                continue;
+            };
+            if report.draining || evacuated.contains(&report.zone) {
+                continue;
+            }
+            let upstream = Upstream {
+                hash: crate::rendezvous::hash(report.id.as_bytes()),
+                cold_until: listed.cold_until,
+                condition: Arc::clone(condition),
+                report: report.clone(),
+            };
+            let pool = pools.entry(report.service.clone()).or_default();
+            let region = pool.regions.entry(region.clone()).or_default();
+            region.upstreams.push(Arc::new(upstream));
+        }
+        for (name, pool) in &mut pools {
+            pool.terms = document.services.get(name).cloned();
+        }
+        let kept: BTreeSet<&UpstreamId> = catalog.listed().map(|l| &l.report.id).collect();
+        conditions.retain(|id, _| kept.contains(id));
+        pools
+    }
+}
--- /dev/null
+++ b/crates/store/src/records.rs
@@ -0,0 +1,105 @@
+//! What a host that serves routes needs of a store: feeds of what operators and
+//! upstreams say, and a few rows of its own.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use steering::ids::ZoneName;
+use steering::route::{ReportedUpstream, RouteDocument, UpstreamId};
+
+/// A call in progress; calls are made on one thread.
+pub type Call<'a, T> = Pin<Box<dyn Future<Output = Result<T, RecordError>> + 'a>>;
+
+/// Place in a feed; rises with each change.
+pub type FeedVersion = u64;
+
+/// What a feed is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
+pub enum Feed {
+    /// Operators' documents and evacuations.
+    #[display("routes")]
+    Routes,
+    /// Upstreams' reports.
+    #[display("upstreams")]
+    Upstreams,
+}
+
+/// One thing that a feed says.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Record {
+    /// A new document.
+    Document(Box<RouteDocument>),
+    /// A zone is to get no work, or may get it again.
+    Evacuation {
+        /// The zone.
+        zone: ZoneName,
+        /// Whether it is to get none.
+        wanted: bool,
+    },
+    /// An upstream's report.
+    Upstream(ReportedUpstream),
+    /// An upstream's report is no longer there.
+    UpstreamGone(UpstreamId),
+    /// Something that can't be used; what it replaces stays in force.
+    Unusable {
+        /// Where it stands.
+        key: String,
+        /// Why.
+        reason: String,
+    },
+}
+
+/// Part of a feed, or all of it as of one moment.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Changes {
+    /// Whether these are all records, so that what is lacking is gone.
+    pub whole: bool,
+    /// The records, in order.
+    pub records: Vec<Record>,
+    /// Where to go on.
+    pub version: FeedVersion,
+}
+
+/// A row of the system's own.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OwnRow {
+    /// Its key within its table.
+    pub key: String,
+    /// Its value.
+    pub value: Vec<u8>,
+}
+
+/// Why a call brought nothing.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum RecordError {
+    /// The store can't be reached, or gave no answer in time; a write may have been done.
+    #[display("no answer: {_0}")]
+    NoAnswer(#[error(not(source))] String),
+    /// It turned the call away and did nothing.
+    #[display("turned away with status {_0}")]
+    TurnedAway(#[error(not(source))] u16),
+    /// The feed no longer goes back so far; it must be read whole.
+    #[display("the history is gone")]
+    HistoryGone,
+    /// It answered with something that makes no sense.
+    #[display("the answer makes no sense: {_0}")]
+    Nonsense(#[error(not(source))] String),
+}
+
+/// The store, as hosts that serve routes see it.
+pub trait Records {
+    /// Reads a feed whole.
+    fn read(&self, feed: Feed) -> Call<'_, Changes>;
+    /// Waits for what follows `after`, at most for `wait`; the records may be none.
+    fn watch(&self, feed: Feed, after: FeedVersion, wait: Duration) -> Call<'_, Changes>;
+    /// Reads the rows of a table of the system's own.
+    fn rows(&self, table: &'static str) -> Call<'_, Vec<OwnRow>>;
+    /// Writes a row, whatever was there.
+    fn put(&self, table: &'static str, row: OwnRow) -> Call<'_, ()>;
+    /// Writes a row where there is none; false where there is one.
+    fn create(&self, table: &'static str, row: OwnRow) -> Call<'_, bool>;
+    /// Takes a row away, whether or not it is there.
+    fn remove(&self, table: &'static str, key: &str) -> Call<'_, ()>;
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -40,9 +40,10 @@
 pub enum Command {
     /// Run a host until SIGTERM or SIGINT, then stop it without cutting a request.
     Serve {
-        /// The host's settings, a JSON file.
+        /// The host's settings, a JSON file. Without it the host serves the routes of
+        /// the platform whose settings file the environment names.
         #[arg(long)]
-        settings: PathBuf,
+        settings: Option<PathBuf>,
     },
     /// Check a settings file or a configuration file, and list all problems.
     Check {
--- /dev/null
+++ b/src/commands/gateway.rs
@@ -0,0 +1,57 @@
+//! `serve` on the platform: runs a host that serves the operator's routes.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use gateway::{GatewayHost, GatewaySettings};
+use platform::{PATH_VARIABLE, PlatformDialect, PlatformStore, parse_settings};
+
+use super::outcome::{BAD_INPUT, Outcome, UNAVAILABLE};
+use super::signals::wait_to_stop;
+use crate::logging;
+
+/// What is logged where the environment says nothing else.
+const LOG_DEFAULT: &str = "info";
+/// Variable with a `tracing` filter.
+const LOG_VARIABLE: &str = "STAGEDECK_LOG";
+
+pub fn run() -> Outcome {
+    let Some(path) = std::env::var_os(PATH_VARIABLE).map(PathBuf::from) else {
+        let reason = format!("either --settings or the variable {PATH_VARIABLE} is needed");
+        return Outcome::failed(BAD_INPUT, reason);
+    };
+    let settings = match load(&path) {
+        Ok(settings) => settings,
+        Err(reason) => return Outcome::failed(BAD_INPUT, reason),
+    };
+    let filter = std::env::var(LOG_VARIABLE).unwrap_or_else(|_| LOG_DEFAULT.to_owned());
+    let _writer = logging::start_unblocked(&filter);
+    let store = settings.store_address;
+    let host = settings.host.clone();
+    tracing::info!(
+        event = "start",
+        host,
+        zone = settings.zone,
+        version = env!("CARGO_PKG_VERSION")
+    );
+    let records = Box::new(move || Box::new(PlatformStore::new(store)) as _);
+    let host = match GatewayHost::start(settings, Arc::new(PlatformDialect), records) {
+        Ok(host) => host,
+        Err(error) => return Outcome::failed(UNAVAILABLE, error),
+    };
+    let reload = || match load(&path) {
+        Ok(_) => tracing::info!(event = "reload"),
+        Err(reason) => tracing::warn!(event = "reload_refused", reason),
+    };
+    if let Err(error) = wait_to_stop(reload) {
+        return Outcome::failed(UNAVAILABLE, error);
+    }
+    host.stop();
+    Outcome::done("")
+}
+
+fn load(path: &PathBuf) -> Result<GatewaySettings, String> {
+    let text = std::fs::read_to_string(path);
+    let text = text.map_err(|error| format!("{}: {error}", path.display()))?;
+    parse_settings(&text).map_err(|error| format!("{}: {error}", path.display()))
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -3,9 +3,11 @@
 mod change;
 mod check;
 mod drain;
+mod gateway;
 mod outcome;
 mod serve;
 mod show;
+mod signals;
 
 pub use outcome::Outcome;
 
@@ -19,7 +21,10 @@
 pub fn run_with(cli: &Cli, progress: &mut dyn FnMut(&str)) -> Outcome {
     let output = cli.output;
     match &cli.command {
-        Command::Serve { settings } => serve::run(settings),
+        Command::Serve { settings } => match settings {
+            Some(settings) => serve::run(settings),
+            None => gateway::run(),
+        },
         Command::Check { file } => check::run(file, output),
         Command::Apply { file, change } => change::apply(file, change, output),
         Command::Label {
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -2,10 +2,8 @@
 
 use std::path::Path;
 
-use tokio::runtime::Builder;
-use tokio::signal::unix::{SignalKind, signal};
-
 use super::outcome::{BAD_INPUT, Outcome, UNAVAILABLE};
+use super::signals::wait_to_stop;
 use crate::config::Config;
 use crate::host::{Host, Sockets};
 use crate::logging;
@@ -22,7 +20,7 @@
         Ok(host) => host,
         Err(error) => return Outcome::failed(UNAVAILABLE, error),
     };
-    if let Err(error) = wait_for_signal() {
+    if let Err(error) = wait_to_stop(|| {}) {
         return Outcome::failed(UNAVAILABLE, error);
     }
     host.stop();
@@ -43,31 +41,3 @@
         Err(error) => tracing::warn!(event = "few_open_files", %error, wanted),
     }
 }
-
-/// Waits for the first signal; a second one ends the process at once.
-fn wait_for_signal() -> std::io::Result<()> {
-    let runtime = Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(async {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-        Ok::<(), std::io::Error>(())
-    })?;
-    std::thread::Builder::new()
-        .name("signals".to_owned())
-        .spawn(move || {
-            let second = runtime.block_on(async {
-                let mut interrupt = signal(SignalKind::interrupt())?;
-                interrupt.recv().await;
-                Ok::<(), std::io::Error>(())
-            });
-            if second.is_ok() {
-                tracing::warn!(event = "ended_at_once", reason = "second signal");
-                std::process::exit(1);
-            }
-        })?;
-    Ok(())
-}
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -5,6 +5,7 @@
 
 use tracing::field::Field;
 use tracing::{Event, Subscriber};
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::field::MakeExt;
 use tracing_subscriber::fmt::format::{Writer, debug_fn};
@@ -24,6 +25,28 @@
     drop(started);
 }
 
+/// Lines that wait for a slow reader of standard output; more are dropped and counted.
+const LINES_WAITING: usize = 4_096;
+
+/// Starts logging to standard output, by a thread of its own: a reader that stops
+/// delays nothing. Lines are written until the returned guard is dropped.
+pub fn start_unblocked(filter: &str) -> WorkerGuard {
+    let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
+    let (writer, guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(LINES_WAITING)
+        .finish(std::io::stdout());
+    let started = fmt()
+        .with_env_filter(filter)
+        .with_writer(writer)
+        .event_format(KeyValueLine)
+        .fmt_fields(debug_fn(write_pair).delimited(" "))
+        .try_init();
+    // Only tests start several hosts in one process; the first filter holds.
+    drop(started);
+    guard
+}
+
 /// A line that begins with the time, in milliseconds since 1970, and the level.
 struct KeyValueLine;
 
