Keep an object at its first three homes

Cause: where the first home had no slot free, any upstream of the region got the object. Work at an upstream that does not hold it takes three times as long and pushes another object out, so high load made all work cold and stayed so. Change: only the first three usable homes of an object are weighed.

--- a/crates/steering/src/route/choice.rs
+++ b/crates/steering/src/route/choice.rs
@@ -8,8 +8,9 @@
 use super::upstream::UpstreamId;
 use super::view::{RegionPool, Upstream};
 
-/// Homes of an object that are weighed against each other; the rest are used only
-/// where none of these can be.
+/// Homes of an object: the first so many upstreams that are usable. Nobody else gets
+/// it, since work at an upstream that does not hold the object takes three times as
+/// long, and makes that upstream forget another object.
 const HOMES: usize = 3;
 /// Share of the goal that may be spent waiting at an object's first home: waiting
 /// there is shorter than doing the work at an upstream that does not hold the object.
@@ -75,6 +76,7 @@
         .iter()
         .filter(healthy)
         .chain(ranked.iter().filter(slow))
+        .take(HOMES)
         .collect();
     let room = ordered.iter().enumerate().find(|(place, choice)| {
         wait(choice, wish) <= tolerated(*place, wish) && take_cold(choice, wish, now)
@@ -82,10 +84,7 @@
     if let Some((_, choice)) = room {
         return Ok((*choice).clone());
     }
-    let least = ordered
-        .iter()
-        .take(HOMES)
-        .min_by_key(|choice| wait(choice, wish));
+    let least = ordered.iter().min_by_key(|choice| wait(choice, wish));
     match least {
         Some(choice) if wait(choice, wish) <= wish.goal.mul_f64(WAIT_MOST * wish.urgency) => {
             match take_cold(choice, wish, now) {
