Let one host of a group ask the store and tell the others

Change: who is told nothing asks; who hears one that ranks first listens. Upstreams of a zone that is taken back count as cold for their warm-up. A cold upstream whose part is used up is no home.

--- a/crates/gateway/src/control/beliefs.rs
+++ b/crates/gateway/src/control/beliefs.rs
@@ -3,11 +3,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use steering::ids::{RegionName, ZoneName};
-use steering::route::{Catalog, Conditions, Roll, RouteDocument, RouteTable, RouteView};
-use store::{Changes, Record};
+use steering::route::{
+    Catalog, Changes, Conditions, Evacuations, Record, Roll, RouteDocument, RouteTable, RouteView,
+};
 
 use crate::host::Common;
 
@@ -16,7 +17,7 @@
     regions: BTreeMap<ZoneName, RegionName>,
     document: Arc<RouteDocument>,
     table: Arc<RouteTable>,
-    evacuated: BTreeSet<ZoneName>,
+    evacuations: Evacuations,
     catalog: Catalog,
     conditions: Conditions,
     pub roll: Roll,
@@ -31,7 +32,7 @@
             regions: common.settings.regions.clone(),
             document: Arc::default(),
             table: Arc::default(),
-            evacuated: BTreeSet::new(),
+            evacuations: Evacuations::default(),
             catalog: Catalog::default(),
             conditions: Conditions::default(),
             roll: Roll::default(),
@@ -41,16 +42,22 @@
     }
 
     /// Notes that the store answers again after it had been away.
-    pub fn store_returned(&mut self, now: Instant) {
-        self.catalog.store_returned(now);
+    pub fn store_returned(&mut self, at: Instant) {
+        self.catalog.store_returned(at);
+    }
+
+    /// Time since the store answered again, if it was ever away.
+    pub fn store_back_for(&self, now: Instant) -> Option<Duration> {
+        let back = self.catalog.store_back();
+        back.map(|at| now.saturating_duration_since(at))
     }
 
     /// Takes what operators say; true where anything has changed.
-    pub fn take_routes(&mut self, changes: Changes) -> bool {
+    pub fn take_routes(&mut self, now: Instant, changes: Changes) -> bool {
         let mut changed = false;
         let mut evacuated = match changes.whole {
             true => BTreeSet::new(),
-            false => self.evacuated.clone(),
+            false => self.evacuations.wanted.clone(),
         };
         for record in changes.records {
             match record {
@@ -64,9 +71,8 @@
                 Record::Upstream(_) | Record::UpstreamGone(_) => {}
             }
         }
-        if evacuated != self.evacuated {
-            tracing::info!(event = "evacuations", zones = ?evacuated);
-            self.evacuated = evacuated;
+        if self.evacuations.take(now, evacuated) {
+            tracing::info!(event = "evacuations", zones = ?self.evacuations.wanted);
             changed = true;
         }
         changed
@@ -132,7 +138,7 @@
             services: RouteView::pools(
                 &self.document,
                 &self.catalog,
-                &self.evacuated,
+                &self.evacuations,
                 &self.regions,
                 &mut self.conditions,
             ),
--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -3,76 +3,108 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use store::{Changes, Feed, FeedVersion, RecordError};
+use steering::route::{Changes, Feed, FeedVersion, Lead, News, Use};
+use store::RecordError;
 use tokio::time::sleep;
 
 use super::Control;
+use crate::settings::GatewaySettings;
 
-/// Longest wait for news in one call. A call that a cut link has swallowed ends this
-/// long after, so that a host is up to date before it counts as in touch again (3 s).
-const WAIT: Duration = Duration::from_secs(2);
-/// Least time between two calls of the routes' feed: a storm of changes costs no more.
-const ROUTES_EVERY: Duration = Duration::from_millis(200);
-/// Least time between two calls of the upstreams' feed. A leaving upstream must get
-/// nothing 2 s after it said so; its report is seen within this time and a call's.
-const UPSTREAMS_EVERY: Duration = Duration::from_millis(700);
 /// Time before a call that failed is made again.
 const AGAIN_AFTER: Duration = Duration::from_millis(400);
 
-/// Where a reader of a feed stands.
-struct Reader {
+/// How far this host has come in a feed, and who asks for it.
+pub(super) struct Follower {
     feed: Feed,
     /// None before the first answer, and once the history is gone.
     version: Option<FeedVersion>,
     /// Since when nothing has been heard from the store.
     lost_since: Option<Instant>,
+    lead: Lead,
 }
 
-impl Control {
-    /// Follows operators' documents and evacuations for ever.
-    pub(super) async fn follow_routes(self: Rc<Self>) {
-        let mut reader = Reader::new(Feed::Routes);
-        loop {
-            if let Some(changes) = self.next(&mut reader).await {
-                let changed = self.beliefs.borrow_mut().take_routes(changes);
-                if changed {
-                    self.publish();
-                }
-                sleep(ROUTES_EVERY).await;
-            }
+impl Follower {
+    pub fn new(feed: Feed, settings: &GatewaySettings) -> Self {
+        let tightest = match feed {
+            Feed::Routes => settings.bounds.apply,
+            Feed::Upstreams => settings.bounds.drain,
+        };
+        Follower {
+            feed,
+            version: None,
+            lost_since: None,
+            lead: Lead::new(&settings.host, &feed.to_string(), tightest),
+        }
+    }
+
+    /// Takes an answer; true where the store had been away before it.
+    fn answered(&mut self, version: FeedVersion) -> bool {
+        self.version = Some(version);
+        let Some(since) = self.lost_since.take() else {
+            return false;
+        };
+        let away_ms = since.elapsed().as_millis() as u64;
+        tracing::info!(event = "store_regained", feed = %self.feed, away_ms);
+        true
+    }
+
+    fn failed(&mut self, error: &RecordError) {
+        if *error == RecordError::HistoryGone {
+            tracing::info!(event = "history_gone", feed = %self.feed);
+            self.version = None;
+            return;
+        }
+        if self.lost_since.is_none() {
+            tracing::warn!(event = "store_lost", feed = %self.feed, %error);
+            self.lost_since = Some(Instant::now());
         }
     }
+}
 
-    /// Follows upstreams' reports for ever.
-    pub(super) async fn follow_upstreams(self: Rc<Self>) {
-        let mut reader = Reader::new(Feed::Upstreams);
+impl Control {
+    /// Follows a feed for ever: listens while a host that ranks first tells what is new,
+    /// else asks the store and tells the others.
+    pub(super) async fn follow(self: Rc<Self>, feed: Feed) {
         loop {
-            if let Some(changes) = self.next(&mut reader).await {
-                let now = Instant::now();
-                let changed = self.beliefs.borrow_mut().take_upstreams(now, changes);
-                if changed {
-                    self.publish();
-                }
-                sleep(UPSTREAMS_EVERY).await;
+            let rests = self.follower(feed, |own| own.lead.rests(Instant::now()));
+            if !rests.is_zero() {
+                sleep(rests).await;
+                continue;
+            }
+            if let Some(news) = self.ask(feed).await {
+                self.tell_group(&news);
             }
+            let pace = self.follower(feed, |own| own.lead.pace());
+            sleep(pace).await;
         }
     }
 
-    /// The next changes; none where the call failed, after a pause.
-    async fn next(&self, reader: &mut Reader) -> Option<Changes> {
-        let called = match reader.version {
-            Some(after) => self.records.watch(reader.feed, after, WAIT).await,
-            None => self.records.read(reader.feed).await,
+    /// Asks the store; what follows what was known, where anything was.
+    async fn ask(&self, feed: Feed) -> Option<News> {
+        let (known, wait) = self.follower(feed, |own| (own.version, own.lead.wait()));
+        let called = match known {
+            Some(after) => self.records.watch(feed, after, wait).await,
+            None => self.records.read(feed).await,
         };
         match called {
             Ok(changes) => {
-                if reader.answered(changes.version) {
+                let returned = self.follower(feed, |own| own.answered(changes.version));
+                if returned {
                     self.beliefs.borrow_mut().store_returned(Instant::now());
                 }
-                Some(changes)
+                let store_back_for = self.beliefs.borrow().store_back_for(Instant::now());
+                let news = known.map(|after| News {
+                    store_back_for,
+                    feed,
+                    after,
+                    version: changes.version,
+                    records: changes.records.clone(),
+                });
+                self.take(feed, changes);
+                news
             }
             Err(error) => {
-                reader.failed(&error);
+                self.follower(feed, |own| own.failed(&error));
                 if error != RecordError::HistoryGone {
                     sleep(AGAIN_AFTER).await;
                 }
@@ -80,37 +112,51 @@
             }
         }
     }
-}
 
-impl Reader {
-    fn new(feed: Feed) -> Self {
-        Reader {
-            feed,
-            version: None,
-            lost_since: None,
+    /// Takes what another host has learned of a feed.
+    pub(super) fn told(&self, from: &str, news: News) {
+        let feed = news.feed;
+        let now = Instant::now();
+        let used = self.follower(feed, |own| {
+            let used = Lead::judge(own.version, news.after, news.version);
+            match used {
+                Use::Gap => own.lead.ask_now(),
+                Use::Take | Use::Known => own.lead.told(now, from),
+            }
+            if used == Use::Take {
+                own.version = Some(news.version);
+            }
+            used
+        });
+        if used == Use::Take {
+            if let Some(back) = news.store_back_for.and_then(|ago| now.checked_sub(ago)) {
+                self.beliefs.borrow_mut().store_returned(back);
+            }
+            let changes = Changes {
+                whole: false,
+                records: news.records,
+                version: news.version,
+            };
+            self.take(feed, changes);
         }
     }
 
-    /// Takes an answer; true where the store had been away before it.
-    fn answered(&mut self, version: FeedVersion) -> bool {
-        self.version = Some(version);
-        let Some(since) = self.lost_since.take() else {
-            return false;
+    fn take(&self, feed: Feed, changes: Changes) {
+        let now = Instant::now();
+        let changed = match feed {
+            Feed::Routes => self.beliefs.borrow_mut().take_routes(now, changes),
+            Feed::Upstreams => self.beliefs.borrow_mut().take_upstreams(now, changes),
         };
-        let away_ms = since.elapsed().as_millis() as u64;
-        tracing::info!(event = "store_regained", feed = %self.feed, away_ms);
-        true
+        if changed {
+            self.publish();
+        }
     }
 
-    fn failed(&mut self, error: &RecordError) {
-        if *error == RecordError::HistoryGone {
-            tracing::info!(event = "history_gone", feed = %self.feed);
-            self.version = None;
-            return;
-        }
-        if self.lost_since.is_none() {
-            tracing::warn!(event = "store_lost", feed = %self.feed, %error);
-            self.lost_since = Some(Instant::now());
-        }
+    fn follower<T>(&self, feed: Feed, with: impl FnOnce(&mut Follower) -> T) -> T {
+        let follower = match feed {
+            Feed::Routes => &self.routes,
+            Feed::Upstreams => &self.upstreams,
+        };
+        with(&mut follower.borrow_mut())
     }
 }
--- a/crates/gateway/src/control/hosts.rs
+++ b/crates/gateway/src/control/hosts.rs
@@ -9,10 +9,11 @@
 use peer::{Beat, Exchange, ExchangeReply, Local, PeerClient, PeerHandler, PeerServer};
 use rand::Rng;
 use steering::history::{Entry, Position};
-use steering::ids::{HostName, Revision};
+use steering::ids::{HostName, Incarnation, Revision};
 use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
 use steering::membership::{Heartbeat, HostEntry};
 use steering::rendezvous;
+use steering::route::News;
 use store::OwnRow;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
@@ -31,7 +32,7 @@
 const BEAT_EVERY: Duration = Duration::from_secs(1);
 /// Longest wait for the answer to a heartbeat: a round trip across regions takes some
 /// 80 ms, a new session four of them.
-const BEAT_LIMIT: Duration = Duration::from_millis(900);
+pub(super) const BEAT_LIMIT: Duration = Duration::from_millis(900);
 /// A pause of this host's own process: longer than three heartbeats.
 const PAUSED: Duration = Duration::from_secs(3);
 /// Time between two readings of the list: heartbeats tell sooner who has come.
@@ -65,7 +66,8 @@
         }
         spawn_local(Rc::clone(&self).be_listed());
         spawn_local(Rc::clone(&self).read_list());
-        self.beat(local).await;
+        self.local.replace(Some(local));
+        self.beat().await;
     }
 
     /// Tells others that this host leaves, and takes its row away.
@@ -153,7 +155,7 @@
     }
 
     /// Sends heartbeats for ever.
-    async fn beat(self: Rc<Self>, local: Local) {
+    async fn beat(self: Rc<Self>) {
         let mut last = Instant::now();
         loop {
             let now = Instant::now();
@@ -163,12 +165,13 @@
                 self.beliefs.borrow_mut().roll.resume(now);
             }
             last = now;
-            self.meet_partners(&local);
+            let partners = self.partners();
+            self.keep_clients(&partners);
             let beat = Rc::new(self.heartbeat(false));
-            for (name, client) in self.clients.borrow().iter() {
+            for host in &partners {
                 // One at a time: a host that does not answer is not asked twice at once.
-                if Rc::strong_count(client) == 1 {
-                    let told = Rc::clone(&self).tell(name.clone(), Rc::clone(client), beat.clone());
+                if let Some(client) = self.idle_client(host) {
+                    let told = Rc::clone(&self).tell(host.name.clone(), client, beat.clone());
                     spawn_local(told);
                 }
             }
@@ -176,25 +179,6 @@
         }
     }
 
-    /// Keeps a client for each host that gets heartbeats, and for no other.
-    fn meet_partners(&self, local: &Local) {
-        let partners = self.partners();
-        let mut clients = self.clients.borrow_mut();
-        clients.retain(|name, client| {
-            let host = partners.iter().find(|host| host.name == *name);
-            host.is_some_and(|host| host.peer_address == client.address())
-        });
-        for host in partners {
-            clients.entry(host.name).or_insert_with(|| {
-                Rc::new(PeerClient::new(
-                    host.peer_address,
-                    local.clone(),
-                    BEAT_LIMIT,
-                ))
-            });
-        }
-    }
-
     async fn tell(self: Rc<Self>, name: HostName, client: Rc<PeerClient>, beat: Rc<Beat>) {
         match client.heartbeat(&beat).await {
             Ok(_) => {
@@ -281,6 +265,14 @@
         Position::default()
     }
 
+    fn news(&self, from: &HostEntry, incarnation: Incarnation, news: News) {
+        let now = Instant::now();
+        let mut beliefs = self.0.beliefs.borrow_mut();
+        beliefs.roll.hear(now, from, incarnation, false);
+        drop(beliefs);
+        self.0.told(&from.name, news);
+    }
+
     fn borrow(&self, _: LimitKey, _: LoanRequest) -> Option<LoanGrant> {
         None
     }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod beliefs;
 mod feeds;
+mod group;
 mod hosts;
 
 use std::cell::{Cell, RefCell};
@@ -10,15 +11,17 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use peer::PeerClient;
+use peer::{Local, PeerClient};
 use steering::ids::{HostName, Incarnation};
 use steering::membership::HostEntry;
+use steering::route::Feed;
 use store::Records;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::host::{Common, Stage};
 use beliefs::Beliefs;
+use feeds::Follower;
 
 /// Pace at which what runs out by itself is looked at. A host that falls silent is
 /// noticed some seconds later, so this adds little.
@@ -31,7 +34,11 @@
     me: HostEntry,
     incarnation: Incarnation,
     beliefs: RefCell<Beliefs>,
-    /// Clients of the hosts that get heartbeats.
+    routes: RefCell<Follower>,
+    upstreams: RefCell<Follower>,
+    /// What hosts need to call each other; none before the shared key is known.
+    local: RefCell<Option<Local>>,
+    /// Clients of hosts that get heartbeats or news.
     clients: RefCell<BTreeMap<HostName, Rc<PeerClient>>>,
     /// Heartbeats sent so far.
     beats: Cell<u64>,
@@ -53,13 +60,16 @@
         beliefs: RefCell::new(Beliefs::new(&common)),
         incarnation: rand::random(),
         me,
+        routes: RefCell::new(Follower::new(Feed::Routes, &common.settings)),
+        upstreams: RefCell::new(Follower::new(Feed::Upstreams, &common.settings)),
+        local: RefCell::default(),
         clients: RefCell::default(),
         beats: Cell::default(),
         records,
         common,
     });
-    spawn_local(Rc::clone(&control).follow_routes());
-    spawn_local(Rc::clone(&control).follow_upstreams());
+    spawn_local(Rc::clone(&control).follow(Feed::Routes));
+    spawn_local(Rc::clone(&control).follow(Feed::Upstreams));
     spawn_local(Rc::clone(&control).look_at_times());
     let hosts = spawn_local(Rc::clone(&control).meet_hosts(peers));
     let mut stage = control.common.stage.clone();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -40,6 +40,10 @@
 pub struct Bounds {
     /// Time between the signal to stop and the end.
     pub grace: Duration,
+    /// Time after which an upstream that drains gets nothing.
+    pub drain: Duration,
+    /// Time after which a document is in force on every host.
+    pub apply: Duration,
     /// Repeats for each request to a service, over all hosts.
     pub repeat_ratio: f64,
     /// Span over which repeats are counted.
@@ -61,6 +65,8 @@
     fn default() -> Self {
         Bounds {
             grace: Duration::from_secs(6),
+            drain: Duration::from_secs(2),
+            apply: Duration::from_secs(2),
             repeat_ratio: 0.1,
             repeat_window: Duration::from_secs(10),
             repeat_spare: 10.0,
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -14,6 +14,7 @@
 use steering::history::{Entry, Position};
 use steering::ids::Revision;
 use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
+use steering::route::News;
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::timeout;
@@ -128,6 +129,22 @@
         .await
     }
 
+    /// Passes on a part of a feed.
+    pub async fn news(&self, news: &News) -> Result<(), PeerError> {
+        self.call(async |session| {
+            let mut request = session.news_request();
+            let mut params = request.get();
+            params.set_feed(&write_json(&news.feed));
+            params.set_after(news.after);
+            params.set_version(news.version);
+            params.set_records(&write_json(&news.records));
+            params.set_store_back(&write_json(&news.store_back_for));
+            request.send().promise.await?;
+            Ok(())
+        })
+        .await
+    }
+
     /// Asks for a part of a limit, or gives it back.
     pub async fn borrow(
         &self,
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -14,6 +14,7 @@
 use steering::ids::{HostName, Incarnation, Revision};
 use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
 use steering::membership::HostEntry;
+use steering::route::News;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio_util::compat::TokioAsyncReadCompatExt;
@@ -38,6 +39,9 @@
     fn exchange(&self, from: &HostEntry, exchange: Exchange) -> ExchangeReply;
     /// Takes an accepted change from another host.
     fn push(&self, from: &HostName, entry: Entry) -> Position;
+    /// Takes a part of a feed of the store. A host that serves no routes has no use
+    /// for it.
+    fn news(&self, _from: &HostEntry, _incarnation: Incarnation, _news: News) {}
     /// Lends a part of a limit.
     fn borrow(&self, limit: LimitKey, request: LoanRequest) -> Option<LoanGrant>;
 }
@@ -213,6 +217,23 @@
         Ok(())
     }
 
+    async fn news(
+        self: Rc<Self>,
+        params: session::NewsParams,
+        _: session::NewsResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let news = News {
+            feed: read_json(params.get_feed()?)?,
+            after: params.get_after(),
+            version: params.get_version(),
+            records: read_json(params.get_records()?)?,
+            store_back_for: read_json(params.get_store_back()?)?,
+        };
+        self.handler.news(&self.host, self.incarnation, news);
+        Ok(())
+    }
+
     async fn borrow(
         self: Rc<Self>,
         params: session::BorrowParams,
--- a/crates/steering/src/route/catalog.rs
+++ b/crates/steering/src/route/catalog.rs
@@ -33,9 +33,14 @@
 }
 
 impl Catalog {
-    /// Notes that the store answers again after an outage.
-    pub fn store_returned(&mut self, now: Instant) {
-        self.store_back = Some(now);
+    /// Notes that the store answers again after an outage, since `at`.
+    pub fn store_returned(&mut self, at: Instant) {
+        self.store_back = self.store_back.max(Some(at));
+    }
+
+    /// When the store answered again, if it was ever away.
+    pub fn store_back(&self) -> Option<Instant> {
+        self.store_back
     }
 
     /// Takes a report; true where anything but its age has changed.
--- a/crates/steering/src/route/choice.rs
+++ b/crates/steering/src/route/choice.rs
@@ -65,47 +65,54 @@
 pub fn choose(pool: &RegionPool, wish: &Wish<'_>, now: Instant) -> Result<Choice, NoRoom> {
     let members = pool.upstreams.iter();
     let members = members.map(|upstream| (upstream.hash, f64::from(upstream.report.slots)));
-    let ranked: Vec<Choice> = rank(wish.object, members)
-        .into_iter()
-        .enumerate()
-        .filter_map(|(rank, place)| usable(&pool.upstreams[place], rank, wish, now))
-        .collect();
-    let healthy = |choice: &&Choice| !choice.upstream.condition().is_slow(now);
-    let slow = |choice: &&Choice| choice.upstream.condition().is_slow(now);
-    let ordered: Vec<&Choice> = ranked
-        .iter()
-        .filter(healthy)
-        .chain(ranked.iter().filter(slow))
-        .take(HOMES)
-        .collect();
-    let room = ordered.iter().enumerate().find(|(place, choice)| {
-        wait(choice, wish) <= tolerated(*place, wish) && take_cold(choice, wish, now)
-    });
-    if let Some((_, choice)) = room {
-        return Ok((*choice).clone());
-    }
-    let least = ordered.iter().min_by_key(|choice| wait(choice, wish));
-    match least {
-        Some(choice) if wait(choice, wish) <= wish.goal.mul_f64(WAIT_MOST * wish.urgency) => {
-            match take_cold(choice, wish, now) {
-                true => Ok((*choice).clone()),
-                false => Err(no_room(wish, Some(choice))),
-            }
+    let ranked = rank(wish.object, members).into_iter().enumerate();
+    let usable = ranked.filter_map(|(rank, at)| usable(&pool.upstreams[at], rank, wish, now));
+    let (slow, healthy): (Vec<Home>, Vec<Home>) = usable.partition(|home| home.is_slow);
+    let homes: Vec<Home> = healthy.into_iter().chain(slow).take(HOMES).collect();
+    let waits: Vec<Duration> = homes.iter().map(|home| wait(&home.choice, wish)).collect();
+    let room = (0..homes.len()).find(|place| waits[*place] <= tolerated(*place, wish));
+    let least = (0..homes.len()).min_by_key(|place| waits[*place]);
+    let enough = wish.goal.mul_f64(WAIT_MOST * wish.urgency);
+    match room.or(least.filter(|place| waits[*place] <= enough)) {
+        Some(place) => {
+            let choice = &homes[place].choice;
+            choice.upstream.condition().cold_part.take(now);
+            Ok(choice.clone())
         }
-        least => Err(no_room(wish, least.copied())),
+        None => Err(NoRoom {
+            reachable: least.is_some(),
+            come_back: least.map_or(COME_BACK_LEAST, |place| waits[place].max(COME_BACK_LEAST)),
+        }),
     }
 }
 
-fn usable(upstream: &Arc<Upstream>, rank: usize, wish: &Wish<'_>, now: Instant) -> Option<Choice> {
-    let condition = upstream.condition();
-    let tried = wish.tried.contains(&upstream.report.id);
-    if tried || !condition.is_usable(now) {
+/// An upstream that can take the request.
+struct Home {
+    choice: Choice,
+    is_slow: bool,
+}
+
+/// The upstream as a home, where it can be sent the request. A cold one whose part of
+/// this host is used up can't.
+fn usable(upstream: &Arc<Upstream>, rank: usize, wish: &Wish<'_>, now: Instant) -> Option<Home> {
+    let mut condition = upstream.condition();
+    if wish.tried.contains(&upstream.report.id) || !condition.is_usable(now) {
         return None;
     }
-    Some(Choice {
-        upstream: Arc::clone(upstream),
-        rank,
-        load: condition.load(now),
+    let bears = wish.terms.and_then(|terms| terms.cold_per_s);
+    if let Some(bears) = bears.filter(|_| upstream.is_cold(now)) {
+        let most = (wish.cold_bound)(bears);
+        if !condition.cold_part.has_room(now, most, wish.sharers) {
+            return None;
+        }
+    }
+    Some(Home {
+        is_slow: condition.is_slow(now),
+        choice: Choice {
+            upstream: Arc::clone(upstream),
+            rank,
+            load: condition.load(now),
+        },
     })
 }
 
@@ -122,23 +129,3 @@
         _ => Duration::ZERO,
     }
 }
-
-/// True where the upstream is warm, or this host's part of its bound has room.
-fn take_cold(choice: &Choice, wish: &Wish<'_>, now: Instant) -> bool {
-    if !choice.upstream.is_cold(now) {
-        return true;
-    }
-    let bears = wish.terms.map_or(0.0, |terms| terms.cold_per_s);
-    let most = (wish.cold_bound)(bears);
-    let mut condition = choice.upstream.condition();
-    condition.cold_part.take(now, most, wish.sharers)
-}
-
-fn no_room(wish: &Wish<'_>, least: Option<&Choice>) -> NoRoom {
-    NoRoom {
-        reachable: least.is_some(),
-        come_back: least.map_or(COME_BACK_LEAST, |choice| {
-            wait(choice, wish).max(COME_BACK_LEAST)
-        }),
-    }
-}
--- a/crates/steering/src/route/document.rs
+++ b/crates/steering/src/route/document.rs
@@ -3,10 +3,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids::{RegionName, RuleName, ServiceName};
 
 /// A whole set of routes, as one version of it.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct RouteDocument {
     /// Rises with each document; a lower one never replaces a higher one.
     pub version: u64,
@@ -19,7 +21,7 @@
 }
 
 /// Bounds on what a caller may send, and how slowly.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Largest head of a request, in bytes.
     pub head_bytes: usize,
@@ -44,7 +46,7 @@
 }
 
 /// Where requests for a domain and a path prefix go.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// Its name.
     pub name: RuleName,
@@ -69,7 +71,7 @@
 }
 
 /// A service's share in a route.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Part {
     /// The service.
     pub service: ServiceName,
@@ -78,12 +80,13 @@
 }
 
 /// What an operator says of a service.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ServiceTerms {
     /// Most connections to one upstream from all hosts together.
     pub connections: u32,
     /// Time for which an upstream counts as cold after its start.
     pub warm_up: Duration,
-    /// Requests a second that a cold upstream bears, from all hosts together.
-    pub cold_per_s: f64,
+    /// Requests a second that a cold upstream bears, from all hosts together; none where
+    /// the operator sets no bound.
+    pub cold_per_s: Option<f64>,
 }
--- /dev/null
+++ b/crates/steering/src/route/feed.rs
@@ -0,0 +1,76 @@
+//! What operators and upstreams say, as it comes from a store or from another host.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use super::document::RouteDocument;
+use super::upstream::{ReportedUpstream, UpstreamId};
+use crate::ids::ZoneName;
+
+/// Place in a feed; rises with each change.
+pub type FeedVersion = u64;
+
+/// What a feed is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
+pub enum Feed {
+    /// Operators' documents and evacuations.
+    #[display("routes")]
+    Routes,
+    /// Upstreams' reports.
+    #[display("upstreams")]
+    Upstreams,
+}
+
+/// One thing that a feed says.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Record {
+    /// A new document.
+    Document(Box<RouteDocument>),
+    /// A zone is to get no work, or may get it again.
+    Evacuation {
+        /// The zone.
+        zone: ZoneName,
+        /// Whether it is to get none.
+        wanted: bool,
+    },
+    /// An upstream's report.
+    Upstream(ReportedUpstream),
+    /// An upstream's report is no longer there.
+    UpstreamGone(UpstreamId),
+    /// Something that can't be used; what it replaces stays in force.
+    Unusable {
+        /// Where it stands.
+        key: String,
+        /// Why.
+        reason: String,
+    },
+}
+
+/// Part of a feed, or all of it as of one moment.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Changes {
+    /// Whether these are all records, so that what is lacking is gone.
+    pub whole: bool,
+    /// The records, in order.
+    pub records: Vec<Record>,
+    /// Where to go on.
+    pub version: FeedVersion,
+}
+
+/// A part of a feed that one host passes on to others, so that not all of them ask
+/// the store.
+#[derive(Debug, Clone, PartialEq)]
+pub struct News {
+    /// The feed.
+    pub feed: Feed,
+    /// Where the part begins; it is of use only to who stands there or beyond.
+    pub after: FeedVersion,
+    /// Where it ends.
+    pub version: FeedVersion,
+    /// Time since the store answered the teller again after it had been away, if it was.
+    pub store_back_for: Option<Duration>,
+    /// The records between the two, in order.
+    pub records: Vec<Record>,
+}
--- /dev/null
+++ b/crates/steering/src/route/lead.rs
@@ -0,0 +1,95 @@
+//! Which host of a group asks the store for all.
+
+use std::time::{Duration, Instant};
+
+use super::feed::FeedVersion;
+use crate::ids::HostName;
+use crate::rendezvous;
+
+/// Share of the tightest bound after which a host that is told nothing asks for itself.
+const STALE_SHARE: f64 = 0.6;
+/// Share of the tightest bound between two questions of the leader.
+const PACE_SHARE: f64 = 0.25;
+/// Share of the tightest bound for which a question waits for news.
+const WAIT_SHARE: f64 = 0.2;
+
+/// A host's place in following one feed.
+///
+/// No host is elected. Who is told nothing for a while asks the store, and tells the
+/// others what it learns; who is told by a host that ranks before it only listens. So
+/// the first in rank that reaches the store ends up as the only one that asks, and
+/// where it vanishes the others ask within [`Lead::stale_after`].
+#[derive(Debug)]
+pub struct Lead {
+    me: HostName,
+    feed: String,
+    tightest: Duration,
+    told: Option<Instant>,
+}
+
+/// What to do with a part of a feed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Use {
+    /// It continues what is known.
+    Take,
+    /// All of it is known already.
+    Known,
+    /// Something before it is missing.
+    Gap,
+}
+
+impl Lead {
+    /// A host that has been told nothing yet. `tightest` is the shortest time in which
+    /// what the feed says must be heeded.
+    pub fn new(me: &str, feed: &str, tightest: Duration) -> Self {
+        Lead {
+            me: me.to_owned(),
+            feed: feed.to_owned(),
+            tightest,
+            told: None,
+        }
+    }
+
+    /// Time without being told after which this host asks for itself.
+    pub fn stale_after(&self) -> Duration {
+        self.tightest.mul_f64(STALE_SHARE)
+    }
+
+    /// Time between two questions.
+    pub fn pace(&self) -> Duration {
+        self.tightest.mul_f64(PACE_SHARE)
+    }
+
+    /// Time for which a question waits for news.
+    pub fn wait(&self) -> Duration {
+        self.tightest.mul_f64(WAIT_SHARE)
+    }
+
+    /// Time for which it need not ask; zero where it must.
+    pub fn rests(&self, now: Instant) -> Duration {
+        let until = self.told.map(|at| at + self.stale_after());
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
+    /// Notes that `from` has told something; this host listens only to who ranks first.
+    pub fn told(&mut self, now: Instant, from: &str) {
+        let first = rendezvous::owner(&self.feed, [self.me.as_str(), from]);
+        if first == Some(from) {
+            self.told = Some(now);
+        }
+    }
+
+    /// Forgets that it was told, so that it asks at once.
+    pub fn ask_now(&mut self) {
+        self.told = None;
+    }
+
+    /// What to do with a part from `after` to `version`, where this host stands at `at`.
+    pub fn judge(at: Option<FeedVersion>, after: FeedVersion, version: FeedVersion) -> Use {
+        match at {
+            Some(at) if version <= at => Use::Known,
+            Some(at) if after <= at => Use::Take,
+            _ => Use::Gap,
+        }
+    }
+}
--- a/crates/steering/src/route/pace.rs
+++ b/crates/steering/src/route/pace.rs
@@ -39,9 +39,9 @@
 }
 
 impl ColdPart {
-    /// Takes one request from the part; `most_per_s` is what the upstream may receive in
-    /// a second from all `hosts` together.
-    pub fn take(&mut self, now: Instant, most_per_s: f64, hosts: usize) -> bool {
+    /// Whether the part has room for a request; `most_per_s` is what the upstream may
+    /// receive in a second from all `hosts` together.
+    pub fn has_room(&mut self, now: Instant, most_per_s: f64, hosts: usize) -> bool {
         let part = most_per_s * USED_SHARE / hosts.max(1) as f64;
         if part <= 0.0 {
             return false;
@@ -51,11 +51,12 @@
             true => (part.floor() as usize, COLD_WINDOW),
             false => (1, COLD_WINDOW.div_f64(part)),
         };
-        if self.sent.count(now, window) >= most {
-            return false;
-        }
+        self.sent.count(now, window) < most
+    }
+
+    /// Counts a request.
+    pub fn take(&mut self, now: Instant) {
         self.sent.add(now);
-        true
     }
 }
 
--- a/crates/steering/src/route/upstream.rs
+++ b/crates/steering/src/route/upstream.rs
@@ -3,13 +3,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids::{ServiceName, ZoneName};
 
 /// Identity of one start of an upstream; a restart has another.
 pub type UpstreamId = String;
 
 /// An upstream's own report.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ReportedUpstream {
     /// This start of it. An address may pass on to another start.
     pub id: UpstreamId,
--- a/crates/steering/src/route/view.rs
+++ b/crates/steering/src/route/view.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::catalog::Catalog;
 use super::condition::Condition;
@@ -97,6 +97,27 @@
     pub sharers: usize,
 }
 
+/// Zones that are, or were, to get no work.
+#[derive(Debug, Default, Clone, PartialEq)]
+pub struct Evacuations {
+    /// Those that are to get none now.
+    pub wanted: BTreeSet<ZoneName>,
+    /// When an evacuation ended. Upstreams may have turned cold shortly before, and say
+    /// so only in their next report: until their warm-up would be over they count as cold.
+    pub ended: BTreeMap<ZoneName, Instant>,
+}
+
+impl Evacuations {
+    /// Takes what is wanted now; true where it has changed.
+    pub fn take(&mut self, now: Instant, wanted: BTreeSet<ZoneName>) -> bool {
+        let ended: Vec<ZoneName> = self.wanted.difference(&wanted).cloned().collect();
+        let changed = self.wanted != wanted;
+        self.ended.extend(ended.into_iter().map(|zone| (zone, now)));
+        self.wanted = wanted;
+        changed
+    }
+}
+
 /// Conditions outlive views: each start of an upstream keeps its own.
 pub type Conditions = HashMap<UpstreamId, Arc<Mutex<Condition>>>;
 
@@ -106,7 +127,7 @@
     pub fn pools(
         document: &RouteDocument,
         catalog: &Catalog,
-        evacuated: &BTreeSet<ZoneName>,
+        evacuations: &Evacuations,
         regions: &BTreeMap<ZoneName, RegionName>,
         conditions: &mut Conditions,
     ) -> HashMap<ServiceName, ServicePool> {
@@ -117,12 +138,15 @@
             let Some(region) = regions.get(&report.zone) else {
                 continue;
             };
-            if report.draining || evacuated.contains(&report.zone) {
+            if report.draining || evacuations.wanted.contains(&report.zone) {
                 continue;
             }
+            let warm_up = document.services.get(&report.service);
+            let warm_up = warm_up.map_or(Duration::ZERO, |terms| terms.warm_up);
+            let taken_back = evacuations.ended.get(&report.zone).map(|at| *at + warm_up);
             let upstream = Upstream {
                 hash: crate::rendezvous::hash(report.id.as_bytes()),
-                cold_until: listed.cold_until,
+                cold_until: listed.cold_until.max(taken_back),
                 condition: Arc::clone(condition),
                 report: report.clone(),
             };
--- a/crates/store/src/records.rs
+++ b/crates/store/src/records.rs
@@ -6,62 +6,11 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
-use steering::ids::ZoneName;
-use steering::route::{ReportedUpstream, RouteDocument, UpstreamId};
+use steering::route::{Changes, Feed, FeedVersion};
 
 /// A call in progress; calls are made on one thread.
 pub type Call<'a, T> = Pin<Box<dyn Future<Output = Result<T, RecordError>> + 'a>>;
 
-/// Place in a feed; rises with each change.
-pub type FeedVersion = u64;
-
-/// What a feed is about.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
-pub enum Feed {
-    /// Operators' documents and evacuations.
-    #[display("routes")]
-    Routes,
-    /// Upstreams' reports.
-    #[display("upstreams")]
-    Upstreams,
-}
-
-/// One thing that a feed says.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Record {
-    /// A new document.
-    Document(Box<RouteDocument>),
-    /// A zone is to get no work, or may get it again.
-    Evacuation {
-        /// The zone.
-        zone: ZoneName,
-        /// Whether it is to get none.
-        wanted: bool,
-    },
-    /// An upstream's report.
-    Upstream(ReportedUpstream),
-    /// An upstream's report is no longer there.
-    UpstreamGone(UpstreamId),
-    /// Something that can't be used; what it replaces stays in force.
-    Unusable {
-        /// Where it stands.
-        key: String,
-        /// Why.
-        reason: String,
-    },
-}
-
-/// Part of a feed, or all of it as of one moment.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Changes {
-    /// Whether these are all records, so that what is lacking is gone.
-    pub whole: bool,
-    /// The records, in order.
-    pub records: Vec<Record>,
-    /// Where to go on.
-    pub version: FeedVersion,
-}
-
 /// A row of the system's own.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OwnRow {
