--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -13,6 +13,10 @@
 /// Time before a call that failed is made again.
 const AGAIN_AFTER: Duration = Duration::from_millis(400);
 
+/// Least absence of the store in which reports may lapse: an upstream's report goes
+/// after three heartbeats, a second or more each.
+const LAPSE_LEAST: Duration = Duration::from_secs(1);
+
 /// How far this host has come in a feed, and who asks for it.
 pub(super) struct Follower {
     feed: Feed,
@@ -37,18 +41,21 @@
         }
     }
 
-    /// Takes an answer; true where the store had been away before it.
+    /// Takes an answer; true where the store had been away before it for so long that
+    /// reports may have lapsed.
     fn answered(&mut self, version: FeedVersion) -> bool {
         self.version = Some(version);
         let Some(since) = self.lost_since.take() else {
             return false;
         };
-        let away_ms = since.elapsed().as_millis() as u64;
+        let away = since.elapsed();
+        let away_ms = away.as_millis() as u64;
         tracing::info!(event = "store_regained", feed = %self.feed, away_ms);
-        true
+        away >= LAPSE_LEAST
     }
 
-    fn failed(&mut self, error: &RecordError) {
+    /// Takes the failure of a call that began at `begun`.
+    fn failed(&mut self, begun: Instant, error: &RecordError) {
         if *error == RecordError::HistoryGone {
             tracing::info!(event = "history_gone", feed = %self.feed);
             self.version = None;
@@ -56,7 +63,7 @@
         }
         if self.lost_since.is_none() {
             tracing::warn!(event = "store_lost", feed = %self.feed, %error);
-            self.lost_since = Some(Instant::now());
+            self.lost_since = Some(begun);
         }
     }
 }
@@ -82,6 +89,7 @@
     /// Asks the store; what follows what was known, where anything was.
     async fn ask(&self, feed: Feed) -> Option<News> {
         let (known, wait) = self.follower(feed, |own| (own.version, own.lead.wait()));
+        let begun = Instant::now();
         let called = match known {
             Some(after) => self.records.watch(feed, after, wait).await,
             None => self.records.read(feed).await,
@@ -104,7 +112,7 @@
                 news
             }
             Err(error) => {
-                self.follower(feed, |own| own.failed(&error));
+                self.follower(feed, |own| own.failed(begun, &error));
                 if error != RecordError::HistoryGone {
                     sleep(AGAIN_AFTER).await;
                 }
@@ -121,7 +129,11 @@
             let used = Lead::judge(own.version, news.after, news.version);
             match used {
                 Use::Gap => own.lead.ask_now(),
-                Use::Take | Use::Known => own.lead.told(now, from),
+                Use::Take | Use::Known => {
+                    own.lead.told(now, from);
+                    // The teller reaches the store, and says itself if it was away.
+                    own.lost_since = None;
+                }
             }
             if used == Use::Take {
                 own.version = Some(news.version);
