--- a/crates/gateway/src/control/beliefs.rs
+++ b/crates/gateway/src/control/beliefs.rs
@@ -24,7 +24,7 @@
     pub roll: Roll,
     /// Hosts named in the last view, to see when time alone has changed them.
     named: BTreeMap<RegionName, Vec<SocketAddr>>,
-    sharers: usize,
+    sharers: Option<usize>,
 }
 
 impl Beliefs {
@@ -38,7 +38,7 @@
             conditions: Conditions::default(),
             roll: Roll::default(),
             named: BTreeMap::new(),
-            sharers: 1,
+            sharers: None,
         }
     }
 
--- a/crates/gateway/src/control/hosts.rs
+++ b/crates/gateway/src/control/hosts.rs
@@ -152,6 +152,9 @@
                 }
             }
         }
+        beliefs.roll.list_read();
+        drop(beliefs);
+        self.publish();
     }
 
     /// Sends heartbeats for ever.
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -1,7 +1,6 @@
 //! A request's way: route, part, region, upstream, and what follows a miss.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use http_body_util::BodyExt;
@@ -13,7 +12,7 @@
     CallerLimits, Choice, Fate, NoRoom, RegionPool, Route, RouteView, Sent, ServicePool,
     UpstreamId, Wish, after, choose, object_hash, place,
 };
-use upstream::{Body, BoundError, Bounded, Holding, WorkBody, hold};
+use upstream::{Body, BoundError, Bounded, WorkBody, hold};
 
 use super::Traffic;
 use super::answers::Refusal;
@@ -34,33 +33,15 @@
 /// Share that each rank of urgency costs.
 const URGENCY_STEP: f64 = 0.2;
 
-/// Counts a request until its answer has ended.
-struct InFlight(Arc<Traffic>);
-
-impl InFlight {
-    fn new(traffic: &Arc<Traffic>) -> Self {
-        traffic.in_flight.fetch_add(1, Ordering::Relaxed);
-        InFlight(Arc::clone(traffic))
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Answers a caller's request.
 pub(super) async fn answer(traffic: &Arc<Traffic>, request: Request<Incoming>) -> Response<Body> {
-    let in_flight = InFlight::new(traffic);
     let head = Head::read(&request, traffic.dialect.headers(), Instant::now());
     let answered = route_and_run(traffic, &head, request).await;
-    let answer = answered.unwrap_or_else(|refusal| {
+    answered.unwrap_or_else(|refusal| {
         let ms = head.arrived.elapsed().as_millis() as u64;
         tracing::debug!(event = "refused", id = head.id, ?refusal, ms);
         refusal.answer()
-    });
-    answer.map(|body| Holding::new(body, in_flight).boxed_unsync())
+    })
 }
 
 async fn route_and_run(
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -34,10 +34,9 @@
     dialect: Arc<dyn Dialect>,
     connections: Connections,
     shares: Mutex<Shares>,
-    /// Callers' connections that are open.
+    /// Callers' connections that are open. One ends only when its last answer has been
+    /// written whole.
     open: AtomicU32,
-    /// Requests whose answers have not ended.
-    in_flight: AtomicU32,
 }
 
 impl Traffic {
@@ -50,7 +49,7 @@
     }
 }
 
-/// Serves until the host leaves and the last request has been answered.
+/// Serves until the host leaves and the last connection has ended.
 pub(crate) async fn run(common: Common, sockets: Sockets, dialect: Arc<dyn Dialect>) {
     let mut stage = common.stage.clone();
     let takes_new_for = TAKES_NEW_FOR.min(common.settings.bounds.grace / 2);
@@ -58,7 +57,6 @@
         shares: Mutex::new(Shares::new(&common.settings)),
         connections: Connections::default(),
         open: AtomicU32::default(),
-        in_flight: AtomicU32::default(),
         dialect,
         common,
     });
@@ -70,7 +68,7 @@
     let _ = stage.wait_for(|stage| *stage != Stage::Serving).await;
     sleep(takes_new_for).await;
     callers.abort();
-    while traffic.in_flight.load(Ordering::Relaxed) > 0 {
+    while traffic.open.load(Ordering::Relaxed) > 0 {
         sleep(LAST_POLL).await;
     }
 }
--- a/crates/gateway/src/traffic/server.rs
+++ b/crates/gateway/src/traffic/server.rs
@@ -53,7 +53,10 @@
         loop {
             match listener.accept().await {
                 // Closed unread, so that the caller may go elsewhere.
-                Ok(_) if f64::from(traffic.open.load(Ordering::Relaxed)) >= most => {
+                Ok(_)
+                    if side == Side::Callers
+                        && f64::from(traffic.open.load(Ordering::Relaxed)) >= most =>
+                {
                     tracing::warn!(
                         event = "connection_refused",
                         open = traffic.open.load(Ordering::Relaxed)
@@ -72,7 +75,7 @@
     })
 }
 
-/// Counts an open connection.
+/// Counts a caller's open connection.
 struct Open(Arc<Traffic>);
 
 impl Open {
@@ -89,7 +92,7 @@
 }
 
 async fn serve(traffic: Arc<Traffic>, stream: TcpStream, side: Side) {
-    let _open = Open::new(&traffic);
+    let _open = (side == Side::Callers).then(|| Open::new(&traffic));
     let limits = traffic.common.view.load().limits;
     let mut stage = traffic.common.stage.clone();
     let leaving = Arc::clone(&traffic);
--- a/crates/gateway/src/traffic/shares.rs
+++ b/crates/gateway/src/traffic/shares.rs
@@ -65,7 +65,7 @@
     }
 
     /// Takes a repeat from the service's budget.
-    pub fn repeat(&mut self, service: &str, sharers: usize, now: Instant) -> bool {
+    pub fn repeat(&mut self, service: &str, sharers: Option<usize>, now: Instant) -> bool {
         self.repeat_part(service).repeat(now, sharers)
     }
 
--- a/crates/steering/src/route/choice.rs
+++ b/crates/steering/src/route/choice.rs
@@ -37,8 +37,8 @@
     /// Requests in a second that a cold upstream may receive from all hosts, given
     /// what it bears.
     pub cold_bound: &'a dyn Fn(f64) -> f64,
-    /// Hosts that share the bounds.
-    pub sharers: usize,
+    /// Hosts that share the bounds, where they are known.
+    pub sharers: Option<usize>,
 }
 
 /// An upstream, and how it came to be chosen.
--- a/crates/steering/src/route/pace.rs
+++ b/crates/steering/src/route/pace.rs
@@ -32,6 +32,12 @@
     }
 }
 
+/// A host's part of a bound. While the hosts are not known it has none: after a restart
+/// of all each would take the whole.
+fn part(whole: f64, hosts: Option<usize>) -> f64 {
+    hosts.map_or(0.0, |hosts| whole / hosts.max(1) as f64)
+}
+
 /// The part of requests a second that this host may send to a cold upstream.
 #[derive(Debug, Default)]
 pub struct ColdPart {
@@ -41,8 +47,8 @@
 impl ColdPart {
     /// Whether the part has room for a request; `most_per_s` is what the upstream may
     /// receive in a second from all `hosts` together.
-    pub fn has_room(&mut self, now: Instant, most_per_s: f64, hosts: usize) -> bool {
-        let part = most_per_s * USED_SHARE / hosts.max(1) as f64;
+    pub fn has_room(&mut self, now: Instant, most_per_s: f64, hosts: Option<usize>) -> bool {
+        let part = part(most_per_s * USED_SHARE, hosts);
         if part <= 0.0 {
             return false;
         }
@@ -92,9 +98,9 @@
     }
 
     /// Takes one repeat, where the part allows it.
-    pub fn repeat(&mut self, now: Instant, hosts: usize) -> bool {
+    pub fn repeat(&mut self, now: Instant, hosts: Option<usize>) -> bool {
         let firsts = self.firsts.count(now, self.window) as f64;
-        let most = (firsts * self.ratio + self.spare / hosts.max(1) as f64) * USED_SHARE;
+        let most = (firsts * self.ratio + part(self.spare, hosts)) * USED_SHARE;
         if (self.repeats.count(now, self.window) + 1) as f64 > most {
             return false;
         }
--- a/crates/steering/src/route/roll.rs
+++ b/crates/steering/src/route/roll.rs
@@ -29,6 +29,8 @@
 #[derive(Debug, Default)]
 pub struct Roll {
     hosts: BTreeMap<HostName, KnownHost>,
+    /// Whether the store's list has been read.
+    listed: bool,
 }
 
 impl Roll {
@@ -89,12 +91,18 @@
         self.hosts.values()
     }
 
-    /// Hosts that may use a part of a shared bound, this one included.
-    pub fn sharers(&self, now: Instant) -> usize {
+    /// Notes that the store's list has been read whole.
+    pub fn list_read(&mut self) {
+        self.listed = true;
+    }
+
+    /// Hosts that may use a part of a shared bound, this one included; none before the
+    /// store's list has been read.
+    pub fn sharers(&self, now: Instant) -> Option<usize> {
         let others = self.hosts.values();
-        1 + others
-            .filter(|host| now.saturating_duration_since(host.noted) < COUNTED_WITHIN)
-            .count()
+        let counted =
+            others.filter(|host| now.saturating_duration_since(host.noted) < COUNTED_WITHIN);
+        self.listed.then(|| 1 + counted.count())
     }
 
     /// Gives every host a new chance to be heard: after a pause of this host the
--- a/crates/steering/src/route/view.rs
+++ b/crates/steering/src/route/view.rs
@@ -93,8 +93,8 @@
     pub services: HashMap<ServiceName, ServicePool>,
     /// Addresses for callers of the hosts that are there, by region.
     pub hosts: BTreeMap<RegionName, Vec<SocketAddr>>,
-    /// Hosts that share the bounds, this one included; at least 1.
-    pub sharers: usize,
+    /// Hosts that share the bounds, this one included; none while they are not known.
+    pub sharers: Option<usize>,
 }
 
 /// Zones that are, or were, to get no work.
