--- a/crates/gateway/src/control/beliefs.rs
+++ b/crates/gateway/src/control/beliefs.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use steering::ids::{RegionName, ZoneName};
+use steering::ids::{HostName, RegionName, ZoneName};
 use steering::route::{
     Catalog, CatalogChange, Changes, Conditions, Evacuations, Record, Roll, RouteDocument,
     RouteTable, RouteView,
@@ -24,7 +24,10 @@
     pub roll: Roll,
     /// Hosts named in the last view, to see when time alone has changed them.
     named: BTreeMap<RegionName, Vec<SocketAddr>>,
+    near_hosts: Option<Vec<HostName>>,
     sharers: Option<usize>,
+    me: HostName,
+    region: RegionName,
 }
 
 impl Beliefs {
@@ -38,7 +41,10 @@
             conditions: Conditions::default(),
             roll: Roll::default(),
             named: BTreeMap::new(),
+            near_hosts: None,
             sharers: None,
+            me: common.settings.host.clone(),
+            region: common.settings.region.clone(),
         }
     }
 
@@ -108,7 +114,9 @@
     /// Drops what has run out; true where the next view will differ.
     pub fn expire(&mut self, now: Instant) -> bool {
         let dropped = self.catalog.expire(now);
-        dropped || self.named(now) != self.named || self.roll.sharers(now) != self.sharers
+        let (sharers, near_hosts) = self.count(now);
+        let counted = sharers != self.sharers || near_hosts != self.near_hosts;
+        dropped || counted || self.named(now) != self.named
     }
 
     /// The view that follows.
@@ -118,7 +126,7 @@
             tracing::info!(event = "hosts_named", hosts = ?named);
         }
         self.named = named;
-        self.sharers = self.roll.sharers(now);
+        (self.sharers, self.near_hosts) = self.count(now);
         RouteView {
             version: self.document.version,
             limits: self.document.limits,
@@ -132,9 +140,26 @@
             ),
             hosts: self.named.clone(),
             sharers: self.sharers,
+            near_hosts: self.near_hosts.clone(),
         }
     }
 
+    /// Hosts that share bounds, and the names of those in the own region.
+    fn count(&self, now: Instant) -> (Option<usize>, Option<Vec<HostName>>) {
+        let Some(others) = self.roll.sharers(now) else {
+            return (None, None);
+        };
+        let mut near = vec![self.me.clone()];
+        let mut count = 1;
+        for host in others {
+            count += 1;
+            if self.regions.get(&host.zone) == Some(&self.region) {
+                near.push(host.name.clone());
+            }
+        }
+        (Some(count), Some(near))
+    }
+
     /// Version of the document in force.
     pub fn version(&self) -> u64 {
         self.document.version
--- a/crates/gateway/src/control/hosts.rs
+++ b/crates/gateway/src/control/hosts.rs
@@ -19,6 +19,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::Control;
+use crate::host::Stage;
 
 /// Table with a row for each host: its entry as JSON.
 const HOSTS_TABLE: &str = "hosts";
@@ -111,7 +112,7 @@
     /// Writes this host's row, again until the store has taken it.
     async fn be_listed(self: Rc<Self>) {
         let value = serde_json::to_vec(&self.me).expect("entries are valid JSON");
-        loop {
+        while *self.common.stage.borrow() == Stage::Serving {
             let row = OwnRow {
                 key: self.me.name.clone(),
                 value: value.clone(),
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -103,12 +103,6 @@
     stage: watch::Sender<Stage>,
     traffic: JoinHandle<()>,
     control: JoinHandle<()>,
-    /// Where callers reach it.
-    pub caller_address: SocketAddr,
-    /// Where look-ups reach it.
-    pub look_up_address: SocketAddr,
-    /// Where checks whether it is ready reach it.
-    pub ready_address: SocketAddr,
 }
 
 impl GatewayHost {
@@ -118,14 +112,16 @@
     ///
     /// An address that can't be listened on, or a thread that can't be started.
     pub fn start(
-        settings: GatewaySettings,
+        mut settings: GatewaySettings,
         dialect: Arc<dyn Dialect>,
         records: MakeRecords,
     ) -> Result<GatewayHost, GatewayError> {
         let sockets = Sockets::bind(&settings)?;
-        let caller_address = sockets.callers.local_addr()?;
-        let look_up_address = sockets.look_ups.local_addr()?;
-        let ready_address = sockets.ready.local_addr()?;
+        // Port 0 takes a free port; others must be told which.
+        settings.caller_address = sockets.callers.local_addr()?;
+        settings.look_up_address = sockets.look_ups.local_addr()?;
+        settings.ready_address = sockets.ready.local_addr()?;
+        settings.peer_address = sockets.peers.local_addr()?;
         let peers = sockets.peers.try_clone()?;
         let settings = Arc::new(settings);
         let (stage, watched) = watch::channel(Stage::Serving);
@@ -146,12 +142,14 @@
             stage,
             traffic,
             control,
-            caller_address,
-            look_up_address,
-            ready_address,
         })
     }
 
+    /// Its settings, with the addresses that it listens on.
+    pub fn settings(&self) -> &GatewaySettings {
+        &self.settings
+    }
+
     /// Stops the host: it is named to nobody from now on, finishes what it has begun,
     /// and ends before its grace does.
     pub fn stop(self) {
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -196,9 +196,10 @@
         let Some(pool) = view.services.get(service) else {
             return Err(self.given_up(Some(nowhere)));
         };
-        let bounds = &self.traffic.common.settings.bounds;
         let usual = self.traffic.shares().usual(service);
-        let wish = Wish {
+        let settings = &self.traffic.common.settings;
+        let bounds = &settings.bounds;
+        let mut wish = Wish {
             object,
             goal: self.route.goal,
             urgency: self.urgency(&view),
@@ -206,11 +207,14 @@
             usual: usual.unwrap_or(self.route.goal.mul_f64(USUAL_AT_FIRST)),
             terms: pool.terms.as_ref(),
             cold_bound: &|bears| Shares::cold_bound(bounds, bears),
-            sharers: view.sharers,
+            me: &settings.host,
+            near_hosts: None,
         };
         let mut no_room = nowhere;
-        for region in self.regions_to_ask(pool, region) {
-            match choose(region, &wish, now) {
+        for (region, pool) in self.regions_to_ask(pool, region) {
+            let near = *region == settings.region;
+            wish.near_hosts = view.near_hosts.as_deref().filter(|_| near);
+            match choose(pool, &wish, now) {
                 Ok(choice) => return Ok(choice),
                 Err(refused) => no_room = refused,
             }
@@ -227,13 +231,13 @@
         &self,
         pool: &'p ServicePool,
         chosen: Option<&RegionName>,
-    ) -> Vec<&'p RegionPool> {
+    ) -> Vec<(&'p RegionName, &'p RegionPool)> {
         let homes = &self.route.home_regions;
         let may = |region: &RegionName| homes.is_empty() || homes.contains(region);
         let allowed = pool.regions.iter().filter(|(region, _)| may(region));
         let mut allowed: Vec<(&RegionName, &RegionPool)> = allowed.collect();
         allowed.sort_by_key(|(region, _)| Some(*region) != chosen);
-        allowed.into_iter().map(|(_, pool)| pool).collect()
+        allowed
     }
 
     /// More urgent requests accept longer waits, so that they are refused last.
--- a/crates/steering/src/route/choice.rs
+++ b/crates/steering/src/route/choice.rs
@@ -5,8 +5,10 @@
 
 use super::document::ServiceTerms;
 use super::homes::rank;
+use super::pace::cold_share;
 use super::upstream::UpstreamId;
 use super::view::{RegionPool, Upstream};
+use crate::ids::HostName;
 
 /// Homes of an object: the first so many upstreams that are usable. Nobody else gets
 /// it, since work at an upstream that does not hold the object takes three times as
@@ -37,8 +39,11 @@
     /// Requests in a second that a cold upstream may receive from all hosts, given
     /// what it bears.
     pub cold_bound: &'a dyn Fn(f64) -> f64,
-    /// Hosts that share the bounds, where they are known.
-    pub sharers: Option<usize>,
+    /// This host.
+    pub me: &'a str,
+    /// Hosts that may send to cold upstreams of the pool, this one among them; none
+    /// where this host may not, or while they are not known.
+    pub near_hosts: Option<&'a [HostName]>,
 }
 
 /// An upstream, and how it came to be chosen.
@@ -102,7 +107,8 @@
     let bears = wish.terms.and_then(|terms| terms.cold_per_s);
     if let Some(bears) = bears.filter(|_| upstream.is_cold(now)) {
         let most = (wish.cold_bound)(bears);
-        if !condition.cold_part.has_room(now, most, wish.sharers) {
+        let share = cold_share(most, &upstream.report.id, wish.me, wish.near_hosts);
+        if !condition.cold_part.has_room(now, share) {
             return None;
         }
     }
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -27,7 +27,7 @@
 pub use feed::{Changes, Feed, FeedVersion, News, Record};
 pub use homes::{object_hash, place, rank};
 pub use lead::{Lead, Use};
-pub use pace::{ColdPart, RepeatPart};
+pub use pace::{ColdPart, RepeatPart, cold_share};
 pub use roll::{KnownHost, Roll};
 pub use spread::{PartSpread, RegionSpread};
 pub use table::RouteTable;
--- a/crates/steering/src/route/pace.rs
+++ b/crates/steering/src/route/pace.rs
@@ -6,6 +6,9 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use crate::ids::HostName;
+use crate::rendezvous;
+
 /// Share of a bound that is used: what is sent in one window may arrive in another.
 const USED_SHARE: f64 = 0.85;
 /// Window over which a cold upstream's requests are counted.
@@ -38,26 +41,33 @@
     hosts.map_or(0.0, |hosts| whole / hosts.max(1) as f64)
 }
 
-/// The part of requests a second that this host may send to a cold upstream.
+/// Requests that the host `me` may send to a cold upstream in a window, of the
+/// `most_per_s` that it may receive in a second. `hosts` are those that may send to it,
+/// `me` among them; none while they are not known.
+///
+/// Where there are more hosts than requests, each request goes to one host, by the
+/// upstream's own ranking.
+pub fn cold_share(most_per_s: f64, upstream: &str, me: &str, hosts: Option<&[HostName]>) -> usize {
+    let Some(hosts) = hosts else { return 0 };
+    let most = (most_per_s * USED_SHARE).floor().max(0.0) as usize;
+    let each = most / hosts.len().max(1);
+    if each > 0 {
+        return each;
+    }
+    let ranked = rendezvous::rank(upstream, hosts.iter().map(String::as_str));
+    usize::from(ranked.iter().take(most).any(|host| *host == me))
+}
+
+/// Requests that this host has sent to a cold upstream.
 #[derive(Debug, Default)]
 pub struct ColdPart {
     sent: Recent,
 }
 
 impl ColdPart {
-    /// Whether the part has room for a request; `most_per_s` is what the upstream may
-    /// receive in a second from all `hosts` together.
-    pub fn has_room(&mut self, now: Instant, most_per_s: f64, hosts: Option<usize>) -> bool {
-        let part = part(most_per_s * USED_SHARE, hosts);
-        if part <= 0.0 {
-            return false;
-        }
-        // Less than one a window: one in a longer window.
-        let (most, window) = match part >= 1.0 {
-            true => (part.floor() as usize, COLD_WINDOW),
-            false => (1, COLD_WINDOW.div_f64(part)),
-        };
-        self.sent.count(now, window) < most
+    /// Whether one more fits into this host's share of a window.
+    pub fn has_room(&mut self, now: Instant, share: usize) -> bool {
+        self.sent.count(now, COLD_WINDOW) < share
     }
 
     /// Counts a request.
--- a/crates/steering/src/route/roll.rs
+++ b/crates/steering/src/route/roll.rs
@@ -96,13 +96,14 @@
         self.listed = true;
     }
 
-    /// Hosts that may use a part of a shared bound, this one included; none before the
-    /// store's list has been read.
-    pub fn sharers(&self, now: Instant) -> Option<usize> {
-        let others = self.hosts.values();
-        let counted =
-            others.filter(|host| now.saturating_duration_since(host.noted) < COUNTED_WITHIN);
-        self.listed.then(|| 1 + counted.count())
+    /// Other hosts that may use a part of a shared bound; none before the store's list
+    /// has been read.
+    pub fn sharers(&self, now: Instant) -> Option<impl Iterator<Item = &HostEntry>> {
+        let counted = self
+            .hosts
+            .values()
+            .filter(move |host| now.saturating_duration_since(host.noted) < COUNTED_WITHIN);
+        self.listed.then(|| counted.map(|host| &host.entry))
     }
 
     /// Gives every host a new chance to be heard: after a pause of this host the
--- a/crates/steering/src/route/view.rs
+++ b/crates/steering/src/route/view.rs
@@ -10,7 +10,7 @@
 use super::document::{RouteDocument, ServiceTerms};
 use super::table::RouteTable;
 use super::upstream::{ReportedUpstream, UpstreamId};
-use crate::ids::{RegionName, ServiceName, ZoneName};
+use crate::ids::{HostName, RegionName, ServiceName, ZoneName};
 
 /// An upstream that requests may go to.
 #[derive(Debug)]
@@ -95,6 +95,9 @@
     pub hosts: BTreeMap<RegionName, Vec<SocketAddr>>,
     /// Hosts that share the bounds, this one included; none while they are not known.
     pub sharers: Option<usize>,
+    /// Hosts of the own region, this one included; none while they are not known. Only
+    /// they may send to the region's cold upstreams.
+    pub near_hosts: Option<Vec<HostName>>,
 }
 
 /// Zones that are, or were, to get no work.
--- /dev/null
+++ b/crates/steering/tests/route_hosts.rs
@@ -0,0 +1,134 @@
+//! Which hosts are named, counted, and ask the store.
+
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use steering::membership::HostEntry;
+use steering::rendezvous;
+use steering::route::{Lead, Roll, Use};
+
+fn host(name: &str) -> HostEntry {
+    let address = "127.0.0.1:1".parse().unwrap();
+    HostEntry {
+        name: name.to_owned(),
+        zone: "duran".to_owned(),
+        caller_address: address,
+        relay_address: address,
+        peer_address: address,
+        operator_address: address,
+    }
+}
+
+fn named(roll: &Roll, now: Instant) -> Vec<String> {
+    let named = roll.named(now);
+    named.map(|host| host.entry.name.clone()).collect()
+}
+
+#[test]
+fn only_hosts_that_are_heard_are_named() {
+    let now = Instant::now();
+    let later = |ms| now + Duration::from_millis(ms);
+    let mut roll = Roll::default();
+    roll.list(now, host("dead"));
+    roll.list(now, host("alive"));
+    assert!(named(&roll, now).is_empty());
+    assert!(roll.hear(later(100), &host("alive"), 1, false));
+    assert_eq!(named(&roll, later(200)), ["alive"]);
+    assert!(named(&roll, later(3_700)).is_empty(), "silent for too long");
+    roll.answered(later(3_800), "alive");
+    assert_eq!(named(&roll, later(3_900)), ["alive"]);
+    assert!(roll.hear(later(4_000), &host("alive"), 1, true));
+    assert!(named(&roll, later(4_000)).is_empty(), "it leaves");
+}
+
+#[test]
+fn a_pause_of_this_host_is_not_the_others_silence() {
+    let now = Instant::now();
+    let mut roll = Roll::default();
+    roll.hear(now, &host("other"), 1, false);
+    let after_pause = now + Duration::from_secs(8);
+    assert!(named(&roll, after_pause).is_empty());
+    roll.resume(after_pause);
+    assert_eq!(named(&roll, after_pause), ["other"]);
+}
+
+#[test]
+fn every_host_that_may_be_there_counts() {
+    let now = Instant::now();
+    let mut roll = Roll::default();
+    roll.list(now, host("a"));
+    assert!(
+        roll.sharers(now).is_none(),
+        "the list has not been read whole"
+    );
+    roll.list_read();
+    roll.hear(now, &host("b"), 1, false);
+    let count = |now| roll.sharers(now).map(|others| others.count());
+    assert_eq!(count(now), Some(2));
+    assert_eq!(count(now + Duration::from_secs(60)), Some(0));
+}
+
+#[rstest]
+#[case::nothing_known(None, 5, 9, Use::Gap)]
+#[case::continues(Some(5), 5, 9, Use::Take)]
+#[case::overlaps(Some(7), 5, 9, Use::Take)]
+#[case::known(Some(9), 5, 9, Use::Known)]
+#[case::older(Some(12), 5, 9, Use::Known)]
+#[case::gap(Some(4), 5, 9, Use::Gap)]
+fn parts_of_a_feed_are_judged(
+    #[case] at: Option<u64>,
+    #[case] after: u64,
+    #[case] version: u64,
+    #[case] used: Use,
+) {
+    assert_eq!(Lead::judge(at, after, version), used);
+}
+
+/// Of hosts that all ask and tell at first, only one is left that asks; when it is
+/// lost, all are up to date again within the bound.
+#[test]
+fn one_host_ends_up_asking() {
+    let names = ["a", "b", "c", "d", "e"];
+    let bound = Duration::from_secs(2);
+    let begun = Instant::now();
+    let mut leads: Vec<Lead> = names
+        .iter()
+        .map(|me| Lead::new(me, "upstreams", bound))
+        .collect();
+    let mut last_known = vec![begun; names.len()];
+    let first = rendezvous::owner("upstreams", names).unwrap();
+    let first = names.iter().position(|name| *name == first).unwrap();
+    let mut asked = vec![0u32; names.len()];
+    for tick in 0..200u32 {
+        let now = begun + Duration::from_millis(100) * tick;
+        let gone = |host: usize| host == first && tick >= 100;
+        for host in 0..names.len() {
+            let due = leads[host].rests(now).is_zero() && tick % 5 == 0;
+            if gone(host) || !due {
+                continue;
+            }
+            asked[host] += u32::from((20..100).contains(&tick));
+            last_known[host] = now;
+            for other in (0..names.len()).filter(|other| *other != host) {
+                leads[other].told(now, names[host]);
+                last_known[other] = now;
+            }
+        }
+        for host in (0..names.len()).filter(|host| !gone(*host)) {
+            let age = now - last_known[host];
+            assert!(
+                age < bound,
+                "{} knows nothing newer than {age:?}",
+                names[host]
+            );
+        }
+    }
+    for (host, count) in asked.iter().enumerate() {
+        assert_eq!(
+            *count > 0,
+            host == first,
+            "{} asked {count} times",
+            names[host]
+        );
+    }
+}
--- /dev/null
+++ b/crates/steering/tests/route_pace.rs
@@ -0,0 +1,84 @@
+//! This host's parts of shared bounds.
+
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use steering::route::{ColdPart, RepeatPart, cold_share};
+
+/// Sends as many as every host's part allows for 10 s, one try each millisecond, and
+/// gives the most that arrive in any second, each up to `late_ms` late.
+fn most_in_a_second(hosts: usize, bound: f64, late_ms: u64) -> usize {
+    let begun = Instant::now();
+    let mut arrivals = Vec::new();
+    let names: Vec<String> = (0..hosts).map(|host| format!("host-{host}")).collect();
+    for (host, name) in names.iter().enumerate() {
+        let mut part = ColdPart::default();
+        let share = cold_share(bound, "upstream-1", name, Some(&names));
+        for ms in 0..10_000u64 {
+            let now = begun + Duration::from_millis(ms);
+            if part.has_room(now, share) {
+                part.take(now);
+                let late = (host as u64 * 31 + ms * 17) % (late_ms + 1);
+                arrivals.push(ms + late);
+            }
+        }
+    }
+    arrivals.sort_unstable();
+    let in_second = |from: u64| {
+        let within = arrivals
+            .iter()
+            .filter(|at| (from..from + 1_000).contains(*at));
+        within.count()
+    };
+    let counts = arrivals.iter().map(|from| in_second(*from));
+    counts.max().unwrap_or(0)
+}
+
+#[rstest]
+#[case::railway(9, 26.0)]
+#[case::tax_platform(9, 10.25)]
+#[case::grown(80, 16.4)]
+#[case::alone(1, 26.0)]
+#[case::one_each(10, 12.0)]
+#[case::aim_of_a_zone(42, 10.0)]
+fn parts_never_sum_to_more_than_the_bound(#[case] hosts: usize, #[case] bound: f64) {
+    let most = most_in_a_second(hosts, bound, 90);
+    assert!(most as f64 <= bound, "{most} of {bound}");
+    assert!(most > 0, "nothing could be sent at all");
+}
+
+/// Found by a hunt: after a restart of all hosts each took the whole bound, since none
+/// knew of the others yet.
+#[test]
+fn no_part_while_the_hosts_are_not_known() {
+    let now = Instant::now();
+    assert_eq!(cold_share(26.0, "upstream-1", "host-1", None), 0);
+    let mut repeats = RepeatPart::new(0.2, 58.0, Duration::from_secs(10));
+    assert!(!repeats.repeat(now, None));
+}
+
+#[rstest]
+#[case::only_spare(0, 58.0, 9, 5)]
+#[case::ratio_and_spare(100, 58.0, 9, 22)]
+#[case::no_spare(100, 0.0, 9, 17)]
+#[case::too_few(4, 0.0, 9, 0)]
+#[case::many_hosts(10, 200.0, 80, 3)]
+fn repeats_stay_in_their_part(
+    #[case] firsts: usize,
+    #[case] spare: f64,
+    #[case] hosts: usize,
+    #[case] repeats: usize,
+) {
+    let now = Instant::now();
+    let mut part = RepeatPart::new(0.2, spare, Duration::from_secs(10));
+    for _ in 0..firsts {
+        part.first(now);
+    }
+    let taken = (0..1_000).filter(|_| part.repeat(now, Some(hosts))).count();
+    assert_eq!(taken, repeats);
+    let later = now + Duration::from_secs(11);
+    assert_eq!(
+        part.repeat(later, Some(hosts)),
+        spare / hosts as f64 * 0.85 >= 1.0
+    );
+}
--- /dev/null
+++ b/crates/steering/tests/route_shares.rs
@@ -0,0 +1,110 @@
+//! Shares of services and regions, and what follows a miss.
+
+use rstest::rstest;
+use steering::route::{Fate, Part, PartSpread, RegionSpread, Sent, after, object_hash, place};
+
+fn parts(weights: &[f64]) -> Vec<Part> {
+    let part = |(i, weight): (usize, &f64)| Part {
+        service: format!("s{i}"),
+        weight: *weight,
+    };
+    weights.iter().enumerate().map(part).collect()
+}
+
+#[rstest]
+#[case::ten_percent(&[90.0, 10.0])]
+#[case::halves(&[1.0, 1.0])]
+#[case::thirds(&[1.0, 1.0, 1.0])]
+#[case::one_gets_none(&[5.0, 0.0])]
+#[case::alone(&[3.0])]
+fn services_get_their_weights(#[case] weights: &[f64]) {
+    let parts = parts(weights);
+    let total: f64 = weights.iter().sum();
+    let mut spread = PartSpread::default();
+    let mut counts = vec![0u32; weights.len()];
+    for sent in 1..=1_000u32 {
+        counts[spread.pick(&parts)] += 1;
+        for (count, weight) in counts.iter().zip(weights) {
+            let owed = f64::from(sent) * weight / total;
+            assert!(
+                (f64::from(*count) - owed).abs() <= 1.0 + 1e-9,
+                "{counts:?} after {sent}"
+            );
+        }
+    }
+}
+
+#[test]
+fn new_weights_are_heeded_at_once() {
+    let mut spread = PartSpread::default();
+    let mut before = parts(&[1.0, 0.0]);
+    for _ in 0..500 {
+        spread.pick(&before);
+    }
+    before[0].weight = 0.0;
+    before[1].weight = 1.0;
+    let second = (0..100).filter(|_| spread.pick(&before) == 1).count();
+    assert!(second >= 99, "{second} of 100");
+}
+
+#[rstest]
+#[case::small_region(18, 216, 3, 0.25)]
+#[case::large_region(108, 216, 3, 1.0)]
+#[case::no_upstream(0, 216, 3, 0.0)]
+#[case::alone(18, 18, 1, 1.0)]
+#[case::nothing_known(0, 0, 0, 1.0)]
+fn a_region_begins_with_its_slots(
+    #[case] own: u32,
+    #[case] all: u32,
+    #[case] regions: usize,
+    #[case] share: f64,
+) {
+    assert_eq!(RegionSpread::new(own, all, regions).own(), share);
+}
+
+#[test]
+fn the_share_holds_for_uneven_objects_too() {
+    let mut spread = RegionSpread::new(40, 300, 3);
+    let own = spread.own();
+    // One object makes up half of the requests.
+    let object = |i: u64| {
+        object_hash(
+            "surcos",
+            &(if i.is_multiple_of(2) { 7 } else { i % 40 }).to_le_bytes(),
+        )
+    };
+    let stayed = (0..2_000)
+        .filter(|i| spread.stays(place(object(*i))))
+        .count();
+    let share = stayed as f64 / 2_000.0;
+    assert!((share - own).abs() < 0.02, "{share} instead of {own}");
+}
+
+#[rstest]
+#[case::crowded(0.95, 0.3, -0.03)]
+#[case::crowded_but_others_more(0.95, 1.2, 0.0)]
+#[case::between(0.7, 0.3, 0.0)]
+#[case::roomy(0.4, 0.9, 0.03)]
+fn the_share_moves_by_steps(#[case] own_use: f64, #[case] others_use: f64, #[case] moved: f64) {
+    let mut spread = RegionSpread::new(36, 216, 3);
+    let before = spread.own();
+    spread.adapt(0.03, own_use, others_use);
+    assert!((spread.own() - before - moved).abs() < 1e-9);
+}
+
+#[rstest]
+#[case::not_sent(&[Sent::Not], false, true, Fate::SendAgain)]
+#[case::refused(&[Sent::Refused], false, true, Fate::SendAgain)]
+#[case::refused_no_budget(&[Sent::Refused], false, false, Fate::NotRun)]
+#[case::lost_repeatable(&[Sent::Perhaps], true, true, Fate::SendAgain)]
+#[case::lost_not_repeatable(&[Sent::Perhaps], false, true, Fate::MayHaveRun)]
+#[case::lost_then_refused(&[Sent::Perhaps, Sent::Refused], true, false, Fate::MayHaveRun)]
+#[case::nothing_tried(&[], false, false, Fate::NotRun)]
+fn only_what_surely_did_not_run_is_called_so(
+    #[case] sends: &[Sent],
+    #[case] repeatable: bool,
+    #[case] may_send_again: bool,
+    #[case] fate: Fate,
+) {
+    assert_eq!(after(sends, repeatable, may_send_again), fate);
+}
