--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -100,6 +100,9 @@
             Some(after) => self.records.watch(feed, after, wait).await,
             None => self.records.read(feed).await,
         };
+        let outcome = if called.is_ok() { "done" } else { "failed" };
+        metrics::counter!("stagedeck_store_calls_total", "feed" => feed.to_string(), "outcome" => outcome)
+            .increment(1);
         match called {
             Ok(changes) => {
                 let returned = self.follower(feed, |own| own.answered(changes.version));
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -22,6 +22,9 @@
 /// Makes a client of the store, on the thread that will use it.
 pub type MakeRecords = Box<dyn FnOnce() -> Box<dyn Records> + Send>;
 
+/// Renders the process's metrics as text.
+pub type RenderMetrics = fn() -> String;
+
 /// Time before the end of the grace at which a stopping host ends in any case.
 const END_BEFORE: Duration = Duration::from_millis(300);
 
@@ -50,6 +53,7 @@
     pub ready: TcpListener,
     pub look_ups: TcpListener,
     pub peers: TcpListener,
+    pub metrics: Option<TcpListener>,
 }
 
 impl Sockets {
@@ -71,6 +75,10 @@
             ready: bind("ready_address", settings.ready_address)?,
             look_ups: bind("look_up_address", settings.look_up_address)?,
             peers: bind("peer_address", settings.peer_address)?,
+            metrics: settings
+                .metrics_address
+                .map(|address| bind("metrics_address", address))
+                .transpose()?,
         })
     }
 }
@@ -115,6 +123,7 @@
         mut settings: GatewaySettings,
         dialect: Arc<dyn Dialect>,
         records: MakeRecords,
+        render_metrics: RenderMetrics,
     ) -> Result<GatewayHost, GatewayError> {
         let sockets = Sockets::bind(&settings)?;
         // Port 0 takes a free port; others must be told which.
@@ -135,7 +144,7 @@
             control::run(shared, peers, records()).await;
         })?;
         let traffic = spawn("traffic", move || async move {
-            traffic::run(common, sockets, dialect).await;
+            traffic::run(common, sockets, dialect, render_metrics).await;
         })?;
         Ok(GatewayHost {
             settings,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,5 +10,5 @@
 mod traffic;
 
 pub use dialect::{Dialect, HeaderNames, LoadNote, LookUp};
-pub use host::{GatewayError, GatewayHost, MakeRecords};
+pub use host::{GatewayError, GatewayHost, MakeRecords, RenderMetrics};
 pub use settings::{Bounds, GatewaySettings};
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -25,6 +25,8 @@
     pub look_up_address: SocketAddr,
     /// For messages of other hosts.
     pub peer_address: SocketAddr,
+    /// For whoever reads the metrics; none where nobody may.
+    pub metrics_address: Option<SocketAddr>,
     /// Peer addresses of some hosts; may be stale.
     pub seeds: Vec<SocketAddr>,
     /// Of the store.
@@ -91,6 +93,7 @@
             ready_address: free,
             look_up_address: free,
             peer_address: free,
+            metrics_address: None,
             seeds: Vec::new(),
             store_address: free,
             open_files: 1_024,
--- a/crates/gateway/src/traffic/answers.rs
+++ b/crates/gateway/src/traffic/answers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use upstream::{Body, full};
@@ -13,28 +14,54 @@
     NoRoute,
     /// The caller sent what can't be read, or too much of it, or too slowly.
     BadRequest(StatusCode),
-    /// It has not run and never will; the caller may come back after this time.
-    NotRun(Duration),
+    /// It has not run and never will.
+    NotRun {
+        /// Why.
+        cause: Cause,
+        /// When the caller may come back.
+        come_back: Duration,
+    },
     /// It may have run; no whole answer came.
     MayHaveRun,
     /// It may have run; the time was over.
     TooLate,
 }
 
+/// Why a request has not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub(super) enum Cause {
+    /// The host holds no document yet.
+    #[display("no_document")]
+    NoDocument,
+    /// No upstream that may serve it is known, or none can be used now.
+    #[display("no_upstream")]
+    NoUpstream,
+    /// The object's homes are full.
+    #[display("no_room")]
+    NoRoom,
+    /// Every upstream that was asked refused it or could not be reached, and it may be
+    /// sent to no other.
+    #[display("refused_there")]
+    RefusedThere,
+    /// The time was over before anything was sent.
+    #[display("no_time")]
+    NoTime,
+}
+
 impl Refusal {
     /// The refusal as an answer. Only 503 says that the request has not run.
     pub fn answer(self) -> Response<Body> {
         let (status, text) = match self {
             Refusal::NoRoute => (StatusCode::NOT_FOUND, "no route"),
             Refusal::BadRequest(status) => (status, "the request can't be taken"),
-            Refusal::NotRun(_) => (StatusCode::SERVICE_UNAVAILABLE, "not run"),
+            Refusal::NotRun { .. } => (StatusCode::SERVICE_UNAVAILABLE, "not run"),
             Refusal::MayHaveRun => (StatusCode::BAD_GATEWAY, "it may have run"),
             Refusal::TooLate => (StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
         };
         let mut answer = Response::new(full(text));
         *answer.status_mut() = status;
-        if let Refusal::NotRun(after) = self {
-            let seconds = format!("{:.3}", after.as_secs_f64());
+        if let Refusal::NotRun { come_back, .. } = self {
+            let seconds = format!("{:.3}", come_back.as_secs_f64());
             if let Ok(seconds) = HeaderValue::from_str(&seconds) {
                 answer.headers_mut().insert(RETRY_AFTER, seconds);
             }
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -15,10 +15,11 @@
 use upstream::{Body, BoundError, Bounded, WorkBody, hold};
 
 use super::Traffic;
-use super::answers::Refusal;
+use super::answers::{Cause, Refusal};
 use super::head::Head;
 use super::send::{Work, send};
 use super::shares::Shares;
+use super::trail::Trail;
 
 /// Bodies up to this size are held, so that they can be sent again.
 const HELD_BODY_BYTES: usize = 64 << 10;
@@ -36,25 +37,29 @@
 /// Answers a caller's request.
 pub(super) async fn answer(traffic: &Arc<Traffic>, request: Request<Incoming>) -> Response<Body> {
     let head = Head::read(&request, traffic.dialect.headers(), Instant::now());
-    let answered = route_and_run(traffic, &head, request).await;
-    answered.unwrap_or_else(|refusal| {
-        let ms = head.arrived.elapsed().as_millis() as u64;
-        tracing::debug!(event = "refused", id = head.id, ?refusal, ms);
-        refusal.answer()
-    })
+    let mut trail = Trail::default();
+    let answered = route_and_run(traffic, &head, &mut trail, request).await;
+    trail.end(&head, &answered);
+    answered.unwrap_or_else(Refusal::answer)
 }
 
 async fn route_and_run(
     traffic: &Arc<Traffic>,
     head: &Head,
+    trail: &mut Trail,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Refusal> {
     let view = traffic.common.view.load_full();
     if view.version == 0 {
-        return Err(Refusal::NotRun(NO_DOCUMENT_WAIT));
+        return Err(Refusal::NotRun {
+            cause: Cause::NoDocument,
+            come_back: NO_DOCUMENT_WAIT,
+        });
     }
+    trail.version = view.version;
     let route = view.table.find(&head.domain, request.uri().path());
     let route = Arc::clone(route.ok_or(Refusal::NoRoute)?);
+    trail.route.clone_from(&route.name);
     let (parts, body) = request.into_parts();
     let body = read(body, view.limits).await?;
     let deadline = match route.timeout {
@@ -64,6 +69,7 @@
     let mut run = Run {
         traffic,
         head,
+        trail,
         route: &route,
         parts,
         body,
@@ -94,6 +100,7 @@
 struct Run<'a> {
     traffic: &'a Arc<Traffic>,
     head: &'a Head,
+    trail: &'a mut Trail,
     route: &'a Route,
     parts: Parts,
     body: WorkBody,
@@ -114,16 +121,12 @@
         };
         self.traffic.shares().first(&service, Instant::now());
         let region = self.region(&service, object);
+        self.trail.service.clone_from(&service);
+        self.trail.region = region.clone().unwrap_or_default();
         loop {
             let choice = self.choose(&service, object, region.as_ref())?;
             let upstream = Arc::clone(&choice.upstream);
-            tracing::debug!(
-                event = "sent",
-                id = self.head.id,
-                upstream = upstream.report.id,
-                rank = choice.rank,
-                load = choice.load
-            );
+            self.trail.chose(&choice);
             self.tried.push(upstream.report.id.clone());
             // A send that is cut short by the deadline may have run.
             self.sends.push(Sent::Perhaps);
@@ -144,10 +147,11 @@
                 Ok(answer) => return Ok(answer),
                 Err(missed) => missed,
             };
-            tracing::info!(
-                event = "missed",
+            tracing::warn!(
+                event = "send_missed",
                 id = self.head.id,
                 upstream = upstream.report.id,
+                address = %upstream.report.address,
                 sent = ?missed.sent,
                 reason = missed.reason
             );
@@ -260,21 +264,33 @@
     fn take_repeat(&self, service: &ServiceName) -> bool {
         let sharers = self.traffic.common.view.load().sharers;
         let now = Instant::now();
-        self.traffic.shares().repeat(service, sharers, now)
+        let allowed = self.traffic.shares().repeat(service, sharers, now);
+        metrics::counter!("stagedeck_repeats_total", "allowed" => allowed.to_string()).increment(1);
+        allowed
     }
 
     fn given_up(&self, no_room: Option<NoRoom>) -> Refusal {
         match after(&self.sends, self.route.repeatable, false) {
-            Fate::NotRun => {
-                Refusal::NotRun(no_room.map_or(NO_DOCUMENT_WAIT, |no_room| no_room.come_back))
-            }
+            Fate::NotRun => Refusal::NotRun {
+                cause: match no_room {
+                    Some(NoRoom {
+                        reachable: true, ..
+                    }) => Cause::NoRoom,
+                    Some(_) => Cause::NoUpstream,
+                    None => Cause::RefusedThere,
+                },
+                come_back: no_room.map_or(NO_DOCUMENT_WAIT, |no_room| no_room.come_back),
+            },
             _ => Refusal::MayHaveRun,
         }
     }
 
     fn out_of_time(&self) -> Refusal {
         match after(&self.sends, self.route.repeatable, false) {
-            Fate::NotRun => Refusal::NotRun(NO_DOCUMENT_WAIT),
+            Fate::NotRun => Refusal::NotRun {
+                cause: Cause::NoTime,
+                come_back: NO_DOCUMENT_WAIT,
+            },
             _ => Refusal::TooLate,
         }
     }
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -7,6 +7,7 @@
 mod send;
 mod server;
 mod shares;
+mod trail;
 
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -17,7 +18,7 @@
 use upstream::Connections;
 
 use crate::dialect::Dialect;
-use crate::host::{Common, Sockets, Stage};
+use crate::host::{Common, RenderMetrics, Sockets, Stage};
 use shares::Shares;
 
 /// Time for which a leaving host still takes new connections: callers hold its address
@@ -33,6 +34,7 @@
     common: Common,
     dialect: Arc<dyn Dialect>,
     connections: Connections,
+    render_metrics: RenderMetrics,
     shares: Mutex<Shares>,
     /// Callers' connections that are open. One ends only when its last answer has been
     /// written whole.
@@ -50,7 +52,12 @@
 }
 
 /// Serves until the host leaves and the last connection has ended.
-pub(crate) async fn run(common: Common, sockets: Sockets, dialect: Arc<dyn Dialect>) {
+pub(crate) async fn run(
+    common: Common,
+    sockets: Sockets,
+    dialect: Arc<dyn Dialect>,
+    render_metrics: RenderMetrics,
+) {
     let mut stage = common.stage.clone();
     let takes_new_for = TAKES_NEW_FOR.min(common.settings.bounds.grace / 2);
     let traffic = Arc::new(Traffic {
@@ -58,11 +65,15 @@
         connections: Connections::default(),
         open: AtomicU32::default(),
         dialect,
+        render_metrics,
         common,
     });
     let callers = server::accept(&traffic, sockets.callers, server::Side::Callers);
     server::accept(&traffic, sockets.ready, server::Side::Checks);
     server::accept(&traffic, sockets.look_ups, server::Side::Checks);
+    if let Some(metrics) = sockets.metrics {
+        server::accept(&traffic, metrics, server::Side::Metrics);
+    }
     spawn_local(adapt(Arc::clone(&traffic)));
     // The sender ends with the host.
     let _ = stage.wait_for(|stage| *stage != Stage::Serving).await;
@@ -81,5 +92,9 @@
         let view = traffic.common.view.load_full();
         traffic.shares().adapt(&view, now, now - last);
         last = now;
+        let open = traffic.open.load(Ordering::Relaxed);
+        metrics::gauge!("stagedeck_caller_connections").set(open);
+        metrics::gauge!("stagedeck_document_version").set(view.version as f64);
+        metrics::gauge!("stagedeck_sharers").set(view.sharers.unwrap_or(0) as f64);
     }
 }
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -103,7 +103,15 @@
     let sent = traffic
         .connections
         .send(address, connections, reuse, request, work.deadline);
-    match sent.await {
+    let answered = sent.await;
+    let outcome = match &answered {
+        Ok(_) => "answered",
+        Err(SendError::NotSent { .. }) => "not_sent",
+        Err(SendError::Lost { .. }) => "lost",
+        Err(SendError::Late) => "late",
+    };
+    metrics::counter!("stagedeck_sends_total", "outcome" => outcome).increment(1);
+    match answered {
         Ok(answer) => take(traffic, answer, work, flight),
         Err(SendError::NotSent { reason, request }) => {
             flight.judge(Answered::Failed);
--- a/crates/gateway/src/traffic/server.rs
+++ b/crates/gateway/src/traffic/server.rs
@@ -36,6 +36,8 @@
     Callers,
     /// Callers that ask for hosts, and checks whether this one is ready.
     Checks,
+    /// Whoever reads the metrics.
+    Metrics,
 }
 
 /// Accepts connections until aborted.
@@ -102,6 +104,7 @@
             let mut answer = match side {
                 Side::Callers => forward::answer(&traffic, request).await,
                 Side::Checks => check(&traffic, &request),
+                Side::Metrics => Response::new(full((traffic.render_metrics)())),
             };
             if traffic.is_leaving() {
                 let close = HeaderValue::from_static("close");
--- a/crates/gateway/src/traffic/shares.rs
+++ b/crates/gateway/src/traffic/shares.rs
@@ -120,8 +120,10 @@
             spread.adapt(step, own_use, others_use.fold(f64::INFINITY, f64::min));
             if before != spread.own() {
                 let own = spread.own();
-                tracing::debug!(event = "region_share", service, own, own_use);
+                tracing::info!(event = "region_share", service, own, own_use);
             }
+            metrics::gauge!("stagedeck_region_share", "service" => service.clone())
+                .set(spread.own());
         }
     }
 }
--- a/crates/steering/src/route/choice.rs
+++ b/crates/steering/src/route/choice.rs
@@ -55,6 +55,10 @@
     pub rank: usize,
     /// Load that it was believed to have.
     pub load: f64,
+    /// Age of its own report of load, where it is still believed.
+    pub load_age: Option<Duration>,
+    /// Whether it was believed to be cold.
+    pub cold: bool,
 }
 
 /// No upstream can take the request now.
@@ -118,6 +122,8 @@
             upstream: Arc::clone(upstream),
             rank,
             load: condition.load(now),
+            load_age: condition.load_age(now),
+            cold: upstream.is_cold(now),
         },
     })
 }
--- a/crates/steering/src/route/condition.rs
+++ b/crates/steering/src/route/condition.rs
@@ -94,10 +94,14 @@
 
     /// Requests running and waiting there, as far as known.
     pub fn load(&self, now: Instant) -> f64 {
-        let believed = self
-            .others
-            .filter(|(_, at)| now.saturating_duration_since(*at) < REPORT_HOLDS);
-        f64::from(self.in_flight) + believed.map_or(0.0, |(others, _)| others)
+        let others = self.others.filter(|_| self.load_age(now).is_some());
+        f64::from(self.in_flight) + others.map_or(0.0, |(others, _)| others)
+    }
+
+    /// Age of its last report of load, where it is still believed.
+    pub fn load_age(&self, now: Instant) -> Option<Duration> {
+        let age = self.others.map(|(_, at)| now.saturating_duration_since(at));
+        age.filter(|age| *age < REPORT_HOLDS)
     }
 
     /// Whether it may be sent a request.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -44,6 +44,18 @@
         /// the platform whose settings file the environment names.
         #[arg(long)]
         settings: Option<PathBuf>,
+        /// Port at which a host on the platform tells its metrics, beside its own
+        /// address for callers.
+        #[arg(long, conflicts_with = "settings")]
+        metrics_port: Option<u16>,
+    },
+    /// Tell the story of a request from the logs of hosts.
+    Explain {
+        /// Identity of the request.
+        id: String,
+        /// Log files.
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
     },
     /// Check a settings file or a configuration file, and list all problems.
     Check {
--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -1,5 +1,6 @@
 //! `serve` on the platform: runs a host that serves the operator's routes.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 
@@ -8,34 +9,38 @@
 
 use super::outcome::{BAD_INPUT, Outcome, UNAVAILABLE};
 use super::signals::wait_to_stop;
-use crate::logging;
+use crate::{logging, metrics_text};
 
 /// What is logged where the environment says nothing else.
 const LOG_DEFAULT: &str = "info";
 /// Variable with a `tracing` filter.
 const LOG_VARIABLE: &str = "STAGEDECK_LOG";
 
-pub fn run() -> Outcome {
+pub fn run(metrics_port: Option<u16>) -> Outcome {
     let Some(path) = std::env::var_os(PATH_VARIABLE).map(PathBuf::from) else {
         let reason = format!("either --settings or the variable {PATH_VARIABLE} is needed");
         return Outcome::failed(BAD_INPUT, reason);
     };
-    let settings = match load(&path) {
+    let mut settings = match load(&path) {
         Ok(settings) => settings,
         Err(reason) => return Outcome::failed(BAD_INPUT, reason),
     };
     let filter = std::env::var(LOG_VARIABLE).unwrap_or_else(|_| LOG_DEFAULT.to_owned());
-    let _writer = logging::start_unblocked(&filter);
+    let _writer = logging::start_unblocked(&filter, &settings.host);
     let store = settings.store_address;
-    let host = settings.host.clone();
-    tracing::info!(
-        event = "start",
-        host,
-        zone = settings.zone,
-        version = env!("CARGO_PKG_VERSION")
-    );
+    let ip = settings.caller_address.ip();
+    settings.metrics_address = metrics_port.map(|port| SocketAddr::new(ip, port));
+    let version = env!("CARGO_PKG_VERSION");
+    tracing::info!(event = "start", zone = settings.zone, version, filter);
+    // The recorder must be there before the first metric is counted.
+    metrics_text::handle();
     let records = Box::new(move || Box::new(PlatformStore::new(store)) as _);
-    let host = match GatewayHost::start(settings, Arc::new(PlatformDialect), records) {
+    let host = match GatewayHost::start(
+        settings,
+        Arc::new(PlatformDialect),
+        records,
+        metrics_text::render,
+    ) {
         Ok(host) => host,
         Err(error) => return Outcome::failed(UNAVAILABLE, error),
     };
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod change;
 mod check;
 mod drain;
+mod explain;
 mod gateway;
 mod outcome;
 mod serve;
@@ -21,10 +22,14 @@
 pub fn run_with(cli: &Cli, progress: &mut dyn FnMut(&str)) -> Outcome {
     let output = cli.output;
     match &cli.command {
-        Command::Serve { settings } => match settings {
+        Command::Serve {
+            settings,
+            metrics_port,
+        } => match settings {
             Some(settings) => serve::run(settings),
-            None => gateway::run(),
+            None => gateway::run(*metrics_port),
         },
+        Command::Explain { id, logs } => explain::run(id, logs, output),
         Command::Check { file } => check::run(file, output),
         Command::Apply { file, change } => change::apply(file, change, output),
         Command::Label {
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -14,16 +14,15 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::channel;
-use std::sync::{Arc, OnceLock};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use ::caller::{Listeners, Shared, SharedConfig};
 use ::operator::OperatorServer;
 use derive_more::{Display, Error, From};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use rand::Rng;
 use steering::ids::Incarnation;
 use steering::membership::HostEntry;
@@ -34,6 +33,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::config::Config;
+use crate::metrics_text;
 use control::{Control, ControlParts};
 use state::Command;
 
@@ -121,6 +121,8 @@
     ///
     /// It serves callers once it has a configuration from the platform or a peer.
     pub fn start(config: Config, sockets: Sockets) -> Result<Host, HostError> {
+        // The recorder must be there before the first metric is counted.
+        metrics_text::handle();
         let addresses = sockets.addresses()?;
         let incarnation: Incarnation = rand::rng().random();
         let me = HostEntry {
@@ -192,7 +194,6 @@
         ));
         let handler = operator::Handler {
             commands: commands.clone(),
-            metrics: metrics_handle(),
         };
         let operator = OperatorServer::start(sockets.operators, Arc::new(handler))?;
         tracing::info!(
@@ -287,17 +288,3 @@
         ticket_ttl: config.ticket_ttl(),
     }
 }
-
-/// The process's metrics; hosts of one process share them.
-fn metrics_handle() -> PrometheusHandle {
-    static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
-    HANDLE
-        .get_or_init(|| {
-            let recorder = PrometheusBuilder::new().build_recorder();
-            let handle = recorder.handle();
-            // Another recorder of the embedding process stays in place.
-            drop(metrics::set_global_recorder(recorder));
-            handle
-        })
-        .clone()
-}
--- a/src/host/operator.rs
+++ b/src/host/operator.rs
@@ -1,18 +1,16 @@
 //! Between the operators' endpoint and the control thread.
 
 use ::operator::{InForce, OperatorHandler, Status};
-use metrics_exporter_prometheus::PrometheusHandle;
 use steering::document::{Proposal, Verdict};
 use tokio::sync::{mpsc, oneshot};
 
 use super::state::Command;
+use crate::metrics_text;
 
 /// Passes operators' requests to the control thread.
 pub struct Handler {
     /// To the control thread.
     pub commands: mpsc::UnboundedSender<Command>,
-    /// The process's metrics.
-    pub metrics: PrometheusHandle,
 }
 
 impl Handler {
@@ -37,8 +35,7 @@
     }
 
     fn metrics(&self) -> String {
-        self.metrics.run_upkeep();
-        self.metrics.render()
+        metrics_text::render()
     }
 
     fn propose(&self, proposal: Proposal) -> Verdict {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,8 +11,10 @@
 pub mod cli;
 mod commands;
 mod config;
+pub mod explain;
 mod host;
-mod logging;
+pub mod logging;
+mod metrics_text;
 
 pub use cli::Cli;
 pub use commands::{Outcome, run};
