Tell small news only; say "may have run" only of what left the host

Change: news are encoded once; above 8 KiB only their version is told, and who is told asks the store, without passing it on. A request that was still connecting when its time ended is answered 503, not 504. Answers are read into 8 KiB buffers.

--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -49,6 +49,7 @@
     /// reports may have lapsed.
     fn answered(&mut self, version: FeedVersion) -> bool {
         self.version = Some(version);
+        self.lead.asked();
         let Some(since) = self.lost_since.take() else {
             return false;
         };
@@ -84,7 +85,8 @@
                 let _ = timeout(rests, gap.notified()).await;
                 continue;
             }
-            if let Some(news) = self.ask(feed).await {
+            let tells = self.follower(feed, |own| own.lead.tells(Instant::now()));
+            if let Some(news) = self.ask(feed).await.filter(|_| tells) {
                 self.tell_group(&news);
             }
             let pace = self.follower(feed, |own| own.lead.pace());
@@ -136,16 +138,11 @@
         let now = Instant::now();
         let used = self.follower(feed, |own| {
             let used = Lead::judge(own.version, news.after, news.version);
-            match used {
-                Use::Gap => {
-                    own.lead.ask_now();
-                    own.gap.notify_one();
-                }
-                Use::Take | Use::Known => {
-                    own.lead.told(now, from);
-                    // The teller reaches the store, and says itself if it was away.
-                    own.lost_since = None;
-                }
+            own.lead.told(now, from, used);
+            // The teller reaches the store, and says itself if it was away.
+            own.lost_since = None;
+            if used == Use::Gap {
+                own.gap.notify_one();
             }
             if used == Use::Take {
                 own.version = Some(news.version);
--- a/crates/gateway/src/control/group.rs
+++ b/crates/gateway/src/control/group.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use peer::PeerClient;
+use peer::{EncodedNews, PeerClient};
 use steering::membership::HostEntry;
 use steering::route::News;
 use tokio::task::spawn_local;
@@ -14,10 +14,15 @@
 /// them some four small messages a second.
 const GROUP_MOST: usize = 32;
 
+/// Largest records that are told, in bytes. A large document is read by each host for
+/// itself: the links of some hosts carry 10 Mbit/s, on which a group of 32 would wait
+/// seconds for a document of 400 KB. So much takes 0.2 s.
+const NEWS_MOST_BYTES: usize = 8 << 10;
+
 impl Control {
     /// Tells every host of the group that is not busy with an earlier message.
     pub(super) fn tell_group(&self, news: &News) {
-        let news = Rc::new(news.clone());
+        let news = Rc::new(EncodedNews::new(news, NEWS_MOST_BYTES));
         for host in self.group() {
             if let Some(client) = self.idle_client(&host) {
                 let news = Rc::clone(&news);
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -128,8 +128,8 @@
             let upstream = Arc::clone(&choice.upstream);
             self.trail.chose(&choice);
             self.tried.push(upstream.report.id.clone());
-            // A send that is cut short by the deadline may have run.
-            self.sends.push(Sent::Perhaps);
+            self.sends.push(Sent::Not);
+            let sent = self.sends.last_mut().expect("it was just pushed");
             let view = self.traffic.common.view.load_full();
             let terms = view
                 .services
@@ -143,7 +143,7 @@
                 deadline: self.deadline,
             };
             let connections = terms.map(|terms| terms.connections);
-            let missed = match send(self.traffic, &upstream, &mut work, connections).await {
+            let missed = match send(self.traffic, &upstream, &mut work, connections, sent).await {
                 Ok(answer) => return Ok(answer),
                 Err(missed) => missed,
             };
@@ -155,9 +155,7 @@
                 sent = ?missed.sent,
                 reason = missed.reason
             );
-            if let Some(last) = self.sends.last_mut() {
-                *last = missed.sent;
-            }
+            *sent = missed.sent;
             if self.after_miss(&service) != Fate::SendAgain {
                 return Err(self.given_up(None));
             }
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -83,16 +83,15 @@
     pub deadline: Instant,
 }
 
-/// Sends a request once, and passes the answer on if it is one.
+/// Sends a request once, and passes the answer on if it is one. `sent` is told as soon
+/// as anything of the request may have left this host.
 pub(super) async fn send(
     traffic: &Arc<Traffic>,
     upstream: &Arc<Upstream>,
     work: &mut Work<'_>,
     connections: Option<u32>,
+    sent: &mut Sent,
 ) -> Result<Response<Body>, Missed> {
-    let Some(request) = request(traffic, upstream, work) else {
-        return Err(Missed::new(Sent::Perhaps, "the body can't be sent again"));
-    };
     let reuse = match work.repeatable {
         true => Reuse::Any,
         false => Reuse::Recent,
@@ -100,20 +99,28 @@
     let flight = Flight::begin(traffic, upstream);
     let connections = connections.unwrap_or(CONNECTIONS_DEFAULT);
     let address = upstream.report.address;
-    let sent = traffic
+    let connected = traffic
         .connections
-        .send(address, connections, reuse, request, work.deadline);
-    let answered = sent.await;
-    let outcome = match &answered {
-        Ok(_) => "answered",
-        Err(SendError::NotSent { .. }) => "not_sent",
-        Err(SendError::Lost { .. }) => "lost",
-        Err(SendError::Late) => "late",
+        .connect(address, connections, reuse, work.deadline);
+    let lease = match connected.await {
+        Ok(lease) => lease,
+        Err(reason) => {
+            count_send("not_sent");
+            flight.judge(Answered::Failed);
+            return Err(Missed::new(Sent::Not, reason));
+        }
     };
-    metrics::counter!("stagedeck_sends_total", "outcome" => outcome).increment(1);
-    match answered {
-        Ok(answer) => take(traffic, answer, work, flight),
+    let Some(request) = request(traffic, upstream, work) else {
+        return Err(Missed::new(Sent::Perhaps, "the body can't be sent again"));
+    };
+    *sent = Sent::Perhaps;
+    match lease.send(request, work.deadline).await {
+        Ok(answer) => {
+            count_send("answered");
+            take(traffic, answer, work, flight)
+        }
         Err(SendError::NotSent { reason, request }) => {
+            count_send("not_sent");
             flight.judge(Answered::Failed);
             if let Some(request) = request {
                 work.body.put_back(request.into_body());
@@ -121,13 +128,21 @@
             Err(Missed::new(Sent::Not, reason))
         }
         Err(SendError::Lost { reason }) => {
+            count_send("lost");
             flight.judge(Answered::Failed);
             Err(Missed::new(Sent::Perhaps, reason))
         }
-        Err(SendError::Late) => Err(Missed::new(Sent::Perhaps, "late")),
+        Err(SendError::Late) => {
+            count_send("late");
+            Err(Missed::new(Sent::Perhaps, "late"))
+        }
     }
 }
 
+fn count_send(outcome: &'static str) {
+    metrics::counter!("stagedeck_sends_total", "outcome" => outcome).increment(1);
+}
+
 fn request(traffic: &Traffic, upstream: &Upstream, work: &mut Work<'_>) -> Option<Request<Body>> {
     let names = traffic.dialect.headers();
     let path = work.parts.uri.path_and_query();
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -14,7 +14,6 @@
 use steering::history::{Entry, Position};
 use steering::ids::Revision;
 use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
-use steering::route::News;
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::timeout;
@@ -24,7 +23,7 @@
     read_grant, read_json, read_position, read_summaries, write_beat, write_host, write_json,
     write_position, write_request, write_summaries,
 };
-use crate::messages::{Beat, Exchange, ExchangeReply, Local};
+use crate::messages::{Beat, EncodedNews, Exchange, ExchangeReply, Local};
 use crate::peer_capnp::{PROTOCOL_VERSION, gate, session};
 use crate::traffic::Counted;
 use crate::{ENTRIES_LIMIT, reader_options, tag};
@@ -130,15 +129,15 @@
     }
 
     /// Passes on a part of a feed.
-    pub async fn news(&self, news: &News) -> Result<(), PeerError> {
+    pub async fn news(&self, news: &EncodedNews) -> Result<(), PeerError> {
         self.call(async |session| {
             let mut request = session.news_request();
             let mut params = request.get();
-            params.set_feed(&write_json(&news.feed));
+            params.set_feed(&news.feed);
             params.set_after(news.after);
             params.set_version(news.version);
-            params.set_records(&write_json(&news.records));
-            params.set_store_back(&write_json(&news.store_back_for));
+            params.set_records(&news.records);
+            params.set_store_back(&news.store_back);
             request.send().promise.await?;
             Ok(())
         })
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -24,7 +24,7 @@
 mod peer_capnp;
 
 pub use client::{PeerClient, PeerError};
-pub use messages::{Beat, Exchange, ExchangeReply, Local};
+pub use messages::{Beat, EncodedNews, Exchange, ExchangeReply, Local};
 pub use names::{ServiceId, ServiceNames, service_id};
 pub use server::{PeerHandler, PeerServer};
 pub use traffic::PeerTraffic;
--- a/crates/peer/src/messages.rs
+++ b/crates/peer/src/messages.rs
@@ -6,7 +6,9 @@
 use steering::history::{Entry, Position, Snapshot};
 use steering::ids::{Incarnation, Revision};
 use steering::membership::{Heartbeat, HostEntry};
+use steering::route::{FeedVersion, News, Record};
 
+use crate::codec::write_json;
 use crate::names::ServiceNames;
 use crate::traffic::PeerTraffic;
 
@@ -66,3 +68,33 @@
     /// What the answerer knows of zones.
     pub summaries: Vec<ZoneSummary>,
 }
+
+/// A part of a feed, encoded once for all who are told.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EncodedNews {
+    pub(crate) feed: Vec<u8>,
+    pub(crate) after: FeedVersion,
+    pub(crate) version: FeedVersion,
+    pub(crate) store_back: Vec<u8>,
+    pub(crate) records: Vec<u8>,
+}
+
+impl EncodedNews {
+    /// Encodes news. Where the records take more than `most_bytes` they are left out:
+    /// whoever is told then finds a gap, and asks the store.
+    pub fn new(news: &News, most_bytes: usize) -> Self {
+        let mut records = write_json(&news.records);
+        let mut after = news.after;
+        if records.len() > most_bytes {
+            records = write_json(&Vec::<Record>::new());
+            after = news.version;
+        }
+        EncodedNews {
+            feed: write_json(&news.feed),
+            after,
+            version: news.version,
+            store_back: write_json(&news.store_back_for),
+            records,
+        }
+    }
+}
--- a/crates/steering/src/route/lead.rs
+++ b/crates/steering/src/route/lead.rs
@@ -25,6 +25,8 @@
     feed: String,
     tightest: Duration,
     told: Option<Instant>,
+    /// Whether something is missing between what is known and what was told.
+    gap: bool,
 }
 
 /// What to do with a part of a feed.
@@ -47,6 +49,7 @@
             feed: feed.to_owned(),
             tightest,
             told: None,
+            gap: false,
         }
     }
 
@@ -67,21 +70,34 @@
 
     /// Time for which it need not ask; zero where it must.
     pub fn rests(&self, now: Instant) -> Duration {
+        match self.gap {
+            true => Duration::ZERO,
+            false => self.listens_for(now),
+        }
+    }
+
+    /// Whether it tells others what it learns. A host that only fills a gap does not.
+    pub fn tells(&self, now: Instant) -> bool {
+        self.listens_for(now).is_zero()
+    }
+
+    fn listens_for(&self, now: Instant) -> Duration {
         let until = self.told.map(|at| at + self.stale_after());
         until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
     /// Notes that `from` has told something; this host listens only to who ranks first.
-    pub fn told(&mut self, now: Instant, from: &str) {
+    pub fn told(&mut self, now: Instant, from: &str, used: Use) {
         let first = rendezvous::owner(&self.feed, [self.me.as_str(), from]);
         if first == Some(from) {
             self.told = Some(now);
         }
+        self.gap |= used == Use::Gap;
     }
 
-    /// Forgets that it was told, so that it asks at once.
-    pub fn ask_now(&mut self) {
-        self.told = None;
+    /// Notes that it has asked, so that nothing is missing any more.
+    pub fn asked(&mut self) {
+        self.gap = false;
     }
 
     /// What to do with a part from `after` to `version`, where this host stands at `at`.
--- a/crates/steering/tests/route_hosts.rs
+++ b/crates/steering/tests/route_hosts.rs
@@ -110,7 +110,7 @@
             asked[host] += u32::from((20..100).contains(&tick));
             last_known[host] = now;
             for other in (0..names.len()).filter(|other| *other != host) {
-                leads[other].told(now, names[host]);
+                leads[other].told(now, names[host], Use::Take);
                 last_known[other] = now;
             }
         }
@@ -132,3 +132,22 @@
         );
     }
 }
+
+#[test]
+fn a_gap_is_filled_at_once_and_not_passed_on() {
+    let now = Instant::now();
+    let names = ["a", "b"];
+    let first = rendezvous::owner("upstreams", names).unwrap();
+    let second = if first == "a" { "b" } else { "a" };
+    let mut lead = Lead::new(second, "upstreams", Duration::from_secs(2));
+    assert!(lead.tells(now), "nobody has told it anything");
+    lead.told(now, first, Use::Take);
+    assert!(!lead.rests(now).is_zero() && !lead.tells(now));
+    lead.told(now, first, Use::Gap);
+    assert!(lead.rests(now).is_zero(), "it asks");
+    assert!(!lead.tells(now), "and keeps what it learns to itself");
+    lead.asked();
+    assert!(!lead.rests(now).is_zero());
+    let later = now + lead.stale_after();
+    assert!(lead.tells(later), "the first is silent");
+}
--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -21,6 +21,9 @@
 const IDLE_LIMIT: Duration = Duration::from_secs(10);
 const RECENT: Duration = Duration::from_millis(500);
 const MAX_HEADERS: usize = 128;
+/// Buffer for what is read, in bytes. hyper's own grows with large answers, and hosts
+/// pay for their peak of memory.
+const READ_BYTES: usize = 8 << 10;
 
 /// Which idle connections a request may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -96,8 +99,8 @@
     peers: Arc<Mutex<HashMap<SocketAddr, Peer>>>,
 }
 
-/// A connection in use.
-pub(crate) struct Lease {
+/// A connection in use, on which nothing of the next request has been sent yet.
+pub struct Lease {
     connections: Connections,
     address: SocketAddr,
     sender: SendRequest<Body>,
@@ -105,6 +108,25 @@
 }
 
 impl Lease {
+    /// Sends a request, and waits for the head of its answer.
+    pub async fn send(
+        mut self,
+        request: Request<Body>,
+        deadline: Instant,
+    ) -> Result<Response<TrackedBody>, SendError> {
+        let answer = timeout_at(deadline.into(), self.sender.try_send_request(request)).await;
+        match answer {
+            Ok(Ok(answer)) => Ok(answer.map(|body| TrackedBody::new(body, self))),
+            Ok(Err(mut error)) => match error.take_message() {
+                Some(request) => Err(SendError::not_sent(error.error(), request)),
+                None => Err(SendError::Lost {
+                    reason: error.into_error().to_string(),
+                }),
+            },
+            Err(_) => Err(SendError::Late),
+        }
+    }
+
     /// Gives the connection back for the next request.
     pub(crate) fn finish(self) {
         let idle = Idle {
@@ -130,22 +152,24 @@
         request: Request<Body>,
         deadline: Instant,
     ) -> Result<Response<TrackedBody>, SendError> {
+        match self.connect(address, limit, reuse, deadline).await {
+            Ok(lease) => lease.send(request, deadline).await,
+            Err(reason) => Err(SendError::not_sent(reason, request)),
+        }
+    }
+
+    /// A connection for one request; why there is none, where there is none.
+    pub async fn connect(
+        &self,
+        address: SocketAddr,
+        limit: u32,
+        reuse: Reuse,
+        deadline: Instant,
+    ) -> Result<Lease, String> {
         let lease = timeout_at(deadline.into(), self.lease(address, limit, reuse)).await;
-        let mut lease = match lease {
-            Ok(Ok(lease)) => lease,
-            Ok(Err(reason)) => return Err(SendError::not_sent(reason, request)),
-            Err(_) => return Err(SendError::not_sent("connecting took too long", request)),
-        };
-        let answer = timeout_at(deadline.into(), lease.sender.try_send_request(request)).await;
-        match answer {
-            Ok(Ok(answer)) => Ok(answer.map(|body| TrackedBody::new(body, lease))),
-            Ok(Err(mut error)) => match error.take_message() {
-                Some(request) => Err(SendError::not_sent(error.error(), request)),
-                None => Err(SendError::Lost {
-                    reason: error.into_error().to_string(),
-                }),
-            },
-            Err(_) => Err(SendError::Late),
+        match lease {
+            Ok(lease) => lease.map_err(|error| error.to_string()),
+            Err(_) => Err("connecting took too long".to_owned()),
         }
     }
 
@@ -225,6 +249,7 @@
     stream.set_nodelay(true)?;
     let (sender, connection) = http1::Builder::new()
         .max_headers(MAX_HEADERS)
+        .read_buf_exact_size(Some(READ_BYTES))
         .handshake(TokioIo::new(stream))
         .await
         .map_err(std::io::Error::other)?;
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -10,7 +10,7 @@
 mod tracked;
 
 pub use body::{BoundError, Bounded, Held, Holding, WorkBody, hold};
-pub use connections::{Connections, Reuse, SendError};
+pub use connections::{Connections, Lease, Reuse, SendError};
 pub use headers::end_to_end;
 pub use probe::{LOAD_PATH, ProbeError, probe};
 pub use tracked::TrackedBody;
