A randomized soak of real hosts, and a line for callers that leave

Real processes on loopback; signals, store faults at each host's own door, upstreams that misbehave, a proxy that delays, resets, cuts one way or silences; what callers were told is compared with what upstreams ran. A request whose caller left had no line in the log; it has one now.

--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -37,7 +37,7 @@
 /// Answers a caller's request.
 pub(super) async fn answer(traffic: &Arc<Traffic>, request: Request<Incoming>) -> Response<Body> {
     let head = Head::read(&request, traffic.dialect.headers(), Instant::now());
-    let mut trail = Trail::default();
+    let mut trail = Trail::new(&head);
     let answered = route_and_run(traffic, &head, &mut trail, request).await;
     trail.end(&head, &answered);
     answered.unwrap_or_else(Refusal::answer)
@@ -124,7 +124,13 @@
         self.trail.service.clone_from(&service);
         self.trail.region = region.clone().unwrap_or_default();
         loop {
-            let choice = self.choose(&service, object, region.as_ref())?;
+            let choice = match self.choose(&service, object, region.as_ref()) {
+                Ok(choice) => choice,
+                Err(refusal) => {
+                    self.trail.refused(&refusal);
+                    return Err(refusal);
+                }
+            };
             let upstream = Arc::clone(&choice.upstream);
             self.trail.chose(&choice);
             self.tried.push(upstream.report.id.clone());
--- a/crates/gateway/src/traffic/trail.rs
+++ b/crates/gateway/src/traffic/trail.rs
@@ -1,16 +1,23 @@
 //! What decided a request's way, for the log and the metrics.
 
+use std::time::Instant;
+
 use hyper::Response;
-use steering::ids::{RegionName, RuleName, ServiceName};
+use steering::ids::{RegionName, RequestId, RuleName, ServiceName};
 use steering::route::{Choice, UpstreamId};
 use upstream::Body;
 
-use super::answers::Refusal;
+use super::answers::{Cause, Refusal};
 use super::head::Head;
 
 /// The inputs of a request's last decision, with their age or version.
-#[derive(Debug, Default)]
+///
+/// Dropped before its end was noted, it tells that the caller has left.
+#[derive(Debug)]
 pub(super) struct Trail {
+    id: RequestId,
+    arrived: Instant,
+    ended: bool,
     /// Version of the document that named the route.
     pub version: u64,
     pub route: RuleName,
@@ -29,9 +36,31 @@
     pub cold: bool,
     /// Sends so far.
     pub sends: usize,
+    /// Wait at the emptiest of the object's homes, where all were too full.
+    pub least_wait_ms: Option<u64>,
 }
 
 impl Trail {
+    /// Of a request that nothing was decided on yet.
+    pub fn new(head: &Head) -> Self {
+        Trail {
+            id: head.id.clone(),
+            arrived: head.arrived,
+            ended: false,
+            version: 0,
+            route: RuleName::new(),
+            service: ServiceName::new(),
+            region: RegionName::new(),
+            upstream: UpstreamId::new(),
+            rank: 0,
+            load: 0.0,
+            load_age_ms: None,
+            cold: false,
+            sends: 0,
+            least_wait_ms: None,
+        }
+    }
+
     /// Notes a choice.
     pub fn chose(&mut self, choice: &Choice) {
         self.upstream.clone_from(&choice.upstream.report.id);
@@ -42,9 +71,21 @@
         self.sends += 1;
     }
 
+    /// Notes that no upstream could be chosen.
+    pub fn refused(&mut self, refusal: &Refusal) {
+        if let Refusal::NotRun {
+            cause: Cause::NoRoom,
+            come_back,
+        } = refusal
+        {
+            self.least_wait_ms = Some(come_back.as_millis() as u64);
+        }
+    }
+
     /// Writes the line of an answered or refused request, and counts it.
-    pub fn end(&self, head: &Head, answered: &Result<Response<Body>, Refusal>) {
-        let took = head.arrived.elapsed();
+    pub fn end(&mut self, head: &Head, answered: &Result<Response<Body>, Refusal>) {
+        self.ended = true;
+        let took = self.arrived.elapsed();
         let outcome = outcome(answered);
         metrics::counter!("stagedeck_requests_total", "outcome" => outcome).increment(1);
         metrics::histogram!("stagedeck_request_latency_seconds", "outcome" => outcome)
@@ -61,8 +102,10 @@
             load_age_ms,
             cold,
             sends,
-        } = self;
-        let id = &head.id;
+            least_wait_ms,
+            id,
+            ..
+        } = &*self;
         match answered {
             Ok(answer) => tracing::info!(
                 event = "request",
@@ -94,8 +137,7 @@
                     service,
                     region,
                     upstream,
-                    load,
-                    load_age_ms,
+                    least_wait_ms,
                     sends
                 );
             }
@@ -128,6 +170,30 @@
     }
 }
 
+impl Drop for Trail {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        metrics::counter!("stagedeck_requests_total", "outcome" => "left").increment(1);
+        tracing::info!(
+            event = "request_left",
+            id = self.id,
+            ms = self.arrived.elapsed().as_millis() as u64,
+            route = self.route,
+            version = self.version,
+            service = self.service,
+            region = self.region,
+            upstream = self.upstream,
+            rank = self.rank,
+            load = self.load,
+            load_age_ms = self.load_age_ms,
+            cold = self.cold,
+            sends = self.sends
+        );
+    }
+}
+
 fn outcome(answered: &Result<Response<Body>, Refusal>) -> &'static str {
     match answered {
         Ok(answer) if answer.status().is_success() => "answered",
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -25,7 +25,7 @@
 const LINES_WAITING: usize = 4_096;
 /// Lines of one kind in a second, by level. Failures have kinds of their own, so that a
 /// storm of ordinary lines takes nothing from them.
-const LINES_PER_S: u32 = 100;
+const LINES_PER_S: u32 = 200;
 /// Lines of one kind of warning or error in a second.
 const WARNINGS_PER_S: u32 = 300;
 /// Time between two looks for dropped lines.
--- /dev/null
+++ b/tests/soak.rs
@@ -0,0 +1,24 @@
+//! A short soak of real hosts with fixed seeds; `platform/standin` has the long one.
+
+use std::path::Path;
+
+use platform_standin::{SoakPlan, soak};
+use rstest::rstest;
+
+/// Seeds that failed once stay here, each with its cause.
+#[rstest]
+#[case::short(1)]
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_under_faults(#[case] seed: u64) {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+    std::fs::create_dir_all(&folder).unwrap();
+    let plan = SoakPlan {
+        stagedeck: env!("CARGO_BIN_EXE_stagedeck").into(),
+        folder,
+        seed,
+        steps: 25,
+    };
+    let report = soak(&plan).await.unwrap();
+    assert!(report.broken.is_empty(), "{report:#?}");
+    assert!(report.answered > 0, "{report:#?}");
+}
