Count every listed host in shared bounds; keep the list true

Ruled out: late reports (the upstream's own report came 0.1 s after its start). Change: whoever is in the list that was last read counts. A host that others took for lost puts its row back; rows of partners silent for 60 s are removed. Tests: route_hosts.rs.

--- a/crates/gateway/src/control/hosts.rs
+++ b/crates/gateway/src/control/hosts.rs
@@ -65,7 +65,6 @@
             }
             Err(error) => tracing::error!(event = "peers_failed", %error),
         }
-        spawn_local(Rc::clone(&self).be_listed());
         spawn_local(Rc::clone(&self).read_list());
         self.local.replace(Some(local));
         self.beat().await;
@@ -79,7 +78,7 @@
         let removed = self.records.remove(HOSTS_TABLE, &self.me.name);
         let (_, removed) = futures::join!(told, timeout(FAREWELL_LIMIT, removed));
         if !matches!(removed, Ok(Ok(()))) {
-            tracing::warn!(event = "row_not_removed", host = self.me.name);
+            tracing::warn!(event = "own_row_not_removed");
         }
     }
 
@@ -110,7 +109,7 @@
     }
 
     /// Writes this host's row, again until the store has taken it.
-    async fn be_listed(self: Rc<Self>) {
+    async fn be_listed(&self) {
         let value = serde_json::to_vec(&self.me).expect("entries are valid JSON");
         while *self.common.stage.borrow() == Stage::Serving {
             let row = OwnRow {
@@ -125,12 +124,18 @@
         }
     }
 
-    /// Reads the list of hosts now and then.
+    /// Reads the list of hosts now and then, and keeps it true: this host's row is put
+    /// back where another host took it for lost, and rows of lost hosts are removed.
     async fn read_list(self: Rc<Self>) {
         loop {
             match self.records.rows(HOSTS_TABLE).await {
                 Ok(rows) => {
+                    let is_listed = rows.iter().any(|row| row.key == self.me.name);
                     self.take_list(&rows);
+                    if !is_listed {
+                        self.be_listed().await;
+                    }
+                    self.remove_lost().await;
                     sleep(LIST_EVERY).await;
                 }
                 Err(error) => {
@@ -142,22 +147,37 @@
     }
 
     fn take_list(&self, rows: &[OwnRow]) {
-        let now = Instant::now();
-        let mut beliefs = self.beliefs.borrow_mut();
+        let mut entries = Vec::new();
         for row in rows {
             match serde_json::from_slice::<HostEntry>(&row.value) {
-                Ok(entry) if entry.name != self.me.name => beliefs.roll.list(now, entry),
+                Ok(entry) if entry.name != self.me.name => entries.push(entry),
                 Ok(_) => {}
                 Err(error) => {
-                    tracing::warn!(event = "row_refused", host = row.key, %error);
+                    tracing::warn!(event = "row_refused", row = row.key, %error);
                 }
             }
         }
-        beliefs.roll.list_read();
-        drop(beliefs);
+        let now = Instant::now();
+        self.beliefs.borrow_mut().roll.list(now, entries);
         self.publish();
     }
 
+    async fn remove_lost(&self) {
+        let partners = self.partners();
+        let now = Instant::now();
+        let lost: Vec<HostName> = {
+            let beliefs = self.beliefs.borrow();
+            let lost = beliefs.roll.lost(now, &partners);
+            lost.into_iter().cloned().collect()
+        };
+        for name in lost {
+            tracing::info!(event = "host_lost", lost = name);
+            if let Err(error) = self.records.remove(HOSTS_TABLE, &name).await {
+                tracing::warn!(event = "row_not_removed", lost = name, %error);
+            }
+        }
+    }
+
     /// Sends heartbeats for ever.
     async fn beat(self: Rc<Self>) {
         let mut last = Instant::now();
--- a/crates/steering/src/route/roll.rs
+++ b/crates/steering/src/route/roll.rs
@@ -12,6 +12,9 @@
 /// Silence after which a host no longer counts in shared bounds.
 const COUNTED_WITHIN: Duration = Duration::from_secs(20);
 
+/// Silence of a partner after which its row may be taken out of the store's list.
+const LOST_AFTER: Duration = Duration::from_secs(60);
+
 /// Another host.
 #[derive(Debug, Clone, PartialEq)]
 pub struct KnownHost {
@@ -20,8 +23,10 @@
     /// Its start, where it has been heard.
     pub incarnation: Option<Incarnation>,
     heard: Option<Instant>,
-    /// When it was last heard or newly listed.
+    /// Since when it is known, or when it was last heard.
     noted: Instant,
+    /// Whether the store's list had it when it was last read.
+    listed: bool,
     leaving: bool,
 }
 
@@ -30,27 +35,37 @@
 pub struct Roll {
     hosts: BTreeMap<HostName, KnownHost>,
     /// Whether the store's list has been read.
-    listed: bool,
+    list_read: bool,
 }
 
 impl Roll {
-    /// Takes a host from the store's list or from another host; it is named to
-    /// callers only once it is heard.
-    pub fn list(&mut self, now: Instant, entry: HostEntry) {
-        let known = self.hosts.get_mut(&entry.name);
-        match known {
-            Some(known) if known.entry.peer_address == entry.peer_address => {}
-            _ => {
-                let host = KnownHost {
-                    incarnation: None,
-                    heard: None,
-                    noted: now,
-                    leaving: false,
-                    entry,
-                };
-                self.hosts.insert(host.entry.name.clone(), host);
+    /// Takes the store's whole list. A host is named to callers only once it is heard.
+    pub fn list(&mut self, now: Instant, entries: Vec<HostEntry>) {
+        self.list_read = true;
+        for host in self.hosts.values_mut() {
+            host.listed = false;
+        }
+        for entry in entries {
+            let known = self.hosts.get_mut(&entry.name);
+            match known {
+                Some(known) if known.entry.peer_address == entry.peer_address => {
+                    known.listed = true;
+                }
+                _ => {
+                    let host = KnownHost {
+                        incarnation: None,
+                        heard: None,
+                        noted: now,
+                        listed: true,
+                        leaving: false,
+                        entry,
+                    };
+                    self.hosts.insert(host.entry.name.clone(), host);
+                }
             }
         }
+        self.hosts
+            .retain(|_, host| host.listed || is_recent(host, now));
     }
 
     /// Takes a sign of life; true where it changes which hosts are named.
@@ -62,7 +77,9 @@
         leaving: bool,
     ) -> bool {
         let before = self.is_named(now, &entry.name);
+        let known = self.hosts.get(&entry.name);
         let host = KnownHost {
+            listed: known.is_some_and(|known| known.listed),
             entry: entry.clone(),
             incarnation: Some(incarnation),
             heard: Some(now),
@@ -91,19 +108,23 @@
         self.hosts.values()
     }
 
-    /// Notes that the store's list has been read whole.
-    pub fn list_read(&mut self) {
-        self.listed = true;
+    /// Other hosts that may use a part of a shared bound: all of the list, and those
+    /// that were heard lately. None before the store's list has been read.
+    pub fn sharers(&self, now: Instant) -> Option<impl Iterator<Item = &HostEntry>> {
+        let hosts = self.hosts.values();
+        let counted = hosts.filter(move |host| host.listed || is_recent(host, now));
+        self.list_read.then(|| counted.map(|host| &host.entry))
     }
 
-    /// Other hosts that may use a part of a shared bound; none before the store's list
-    /// has been read.
-    pub fn sharers(&self, now: Instant) -> Option<impl Iterator<Item = &HostEntry>> {
-        let counted = self
-            .hosts
-            .values()
-            .filter(move |host| now.saturating_duration_since(host.noted) < COUNTED_WITHIN);
-        self.listed.then(|| counted.map(|host| &host.entry))
+    /// Which of the hosts that get heartbeats of this one have been silent for so long
+    /// that they are lost.
+    pub fn lost<'a>(&self, now: Instant, partners: &'a [HostEntry]) -> Vec<&'a HostName> {
+        let is_lost = |name: &HostName| {
+            let host = self.hosts.get(name);
+            host.is_some_and(|host| now.saturating_duration_since(host.noted) > LOST_AFTER)
+        };
+        let names = partners.iter().map(|partner| &partner.name);
+        names.filter(|name| is_lost(name)).collect()
     }
 
     /// Gives every host a new chance to be heard: after a pause of this host the
@@ -122,6 +143,10 @@
     }
 }
 
+fn is_recent(host: &KnownHost, now: Instant) -> bool {
+    now.saturating_duration_since(host.noted) < COUNTED_WITHIN
+}
+
 fn is_named(host: &KnownHost, now: Instant) -> bool {
     let heard = host.heard;
     let recently = heard.is_some_and(|at| now.saturating_duration_since(at) < NAMED_WITHIN);
--- a/crates/steering/tests/route_hosts.rs
+++ b/crates/steering/tests/route_hosts.rs
@@ -29,8 +29,7 @@
     let now = Instant::now();
     let later = |ms| now + Duration::from_millis(ms);
     let mut roll = Roll::default();
-    roll.list(now, host("dead"));
-    roll.list(now, host("alive"));
+    roll.list(now, vec![host("dead"), host("alive")]);
     assert!(named(&roll, now).is_empty());
     assert!(roll.hear(later(100), &host("alive"), 1, false));
     assert_eq!(named(&roll, later(200)), ["alive"]);
@@ -52,20 +51,38 @@
     assert_eq!(named(&roll, after_pause), ["other"]);
 }
 
+/// Found by a hunt: hosts that no heartbeat went to were no longer counted after a
+/// while, and each host took too large a part of a cold upstream's bound.
 #[test]
 fn every_host_that_may_be_there_counts() {
     let now = Instant::now();
+    let later = |s| now + Duration::from_secs(s);
     let mut roll = Roll::default();
-    roll.list(now, host("a"));
-    assert!(
-        roll.sharers(now).is_none(),
-        "the list has not been read whole"
+    roll.hear(now, &host("heard"), 1, false);
+    assert!(roll.sharers(now).is_none(), "the list has not been read");
+    roll.list(now, vec![host("listed")]);
+    let count = |roll: &Roll, now| roll.sharers(now).map(|others| others.count());
+    assert_eq!(count(&roll, now), Some(2));
+    assert_eq!(
+        count(&roll, later(60)),
+        Some(1),
+        "a listed host may be there, heard or not"
     );
-    roll.list_read();
-    roll.hear(now, &host("b"), 1, false);
-    let count = |now| roll.sharers(now).map(|others| others.count());
-    assert_eq!(count(now), Some(2));
-    assert_eq!(count(now + Duration::from_secs(60)), Some(0));
+    roll.list(later(60), Vec::new());
+    assert_eq!(count(&roll, later(60)), Some(0));
+}
+
+#[test]
+fn a_partner_that_stays_silent_is_lost() {
+    let now = Instant::now();
+    let later = |s| now + Duration::from_secs(s);
+    let mut roll = Roll::default();
+    roll.list(now, vec![host("a"), host("b"), host("c")]);
+    roll.hear(later(50), &host("b"), 1, false);
+    let partners = [host("a"), host("b")];
+    assert!(roll.lost(later(50), &partners).is_empty());
+    // Nothing is known of a host that this one sends no heartbeats to.
+    assert_eq!(roll.lost(later(70), &partners), ["a"]);
 }
 
 #[rstest]
