--- a/crates/steering/src/route/choice.rs
+++ b/crates/steering/src/route/choice.rs
@@ -13,7 +13,7 @@
 /// Homes of an object: the first so many upstreams that are usable. Nobody else gets
 /// it, since work at an upstream that does not hold the object takes three times as
 /// long, and makes that upstream forget another object.
-const HOMES: usize = 3;
+const HOMES: usize = 2;
 /// Share of the goal that may be spent waiting at an object's first home: waiting
 /// there is shorter than doing the work at an upstream that does not hold the object.
 const WAIT_SHARE: f64 = 0.4;
