--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -1,38 +1,24 @@
-//! A request's way: route, part, region, upstream, and what follows a miss.
+//! A request's way in: its route and body, then its run.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
-use steering::ids::{RegionName, ServiceName};
-use steering::route::{
-    CallerLimits, Choice, Fate, NoRoom, RegionPool, Route, RouteView, Sent, ServicePool,
-    UpstreamId, Wish, after, choose, object_hash, place,
-};
+use steering::route::CallerLimits;
 use upstream::{Body, BoundError, Bounded, WorkBody, hold};
 
 use super::Traffic;
 use super::answers::{Cause, Refusal};
 use super::head::Head;
-use super::send::{Work, send};
-use super::shares::Shares;
+use super::run::Run;
 use super::trail::Trail;
 
 /// Bodies up to this size are held, so that they can be sent again.
 const HELD_BODY_BYTES: usize = 64 << 10;
 /// Time after which a caller may come back to a host that holds no document yet.
-const NO_DOCUMENT_WAIT: Duration = Duration::from_millis(500);
-/// Time left below which nothing is sent: no answer could come back.
-const TIME_LEAST: Duration = Duration::from_millis(5);
-/// Usual time of a service that has not answered yet, as a share of the goal.
-const USUAL_AT_FIRST: f64 = 0.5;
-/// Share of a wait at a full upstream that the least urgent requests accept.
-const URGENCY_LEAST: f64 = 0.6;
-/// Share that each rank of urgency costs.
-const URGENCY_STEP: f64 = 0.2;
+pub(super) const NO_DOCUMENT_WAIT: Duration = Duration::from_millis(500);
 
 /// Answers a caller's request.
 pub(super) async fn answer(traffic: &Arc<Traffic>, request: Request<Incoming>) -> Response<Body> {
@@ -95,222 +81,3 @@
         })
     })
 }
-
-/// A request on its way.
-struct Run<'a> {
-    traffic: &'a Arc<Traffic>,
-    head: &'a Head,
-    trail: &'a mut Trail,
-    route: &'a Route,
-    parts: Parts,
-    body: WorkBody,
-    deadline: Instant,
-    /// How far each send got.
-    sends: Vec<Sent>,
-    /// Upstreams that are not asked again.
-    tried: Vec<UpstreamId>,
-}
-
-impl Run<'_> {
-    async fn run(&mut self) -> Result<Response<Body>, Refusal> {
-        let service = self.traffic.shares().part(self.route).clone();
-        let object = match &self.head.object {
-            Some(object) => object_hash(&service, object),
-            // Any upstream does for work on no object.
-            None => rand::random(),
-        };
-        self.traffic.shares().first(&service, Instant::now());
-        let region = self.region(&service, object);
-        self.trail.service.clone_from(&service);
-        self.trail.region = region.clone().unwrap_or_default();
-        loop {
-            let choice = match self.choose(&service, object, region.as_ref()) {
-                Ok(choice) => choice,
-                Err(refusal) => {
-                    self.trail.refused(&refusal);
-                    return Err(refusal);
-                }
-            };
-            let upstream = Arc::clone(&choice.upstream);
-            self.trail.chose(&choice);
-            self.tried.push(upstream.report.id.clone());
-            self.sends.push(Sent::Not);
-            let sent = self.sends.last_mut().expect("it was just pushed");
-            let view = self.traffic.common.view.load_full();
-            let terms = view
-                .services
-                .get(&service)
-                .and_then(|pool| pool.terms.as_ref());
-            let mut work = Work {
-                head: self.head,
-                parts: &self.parts,
-                body: &mut self.body,
-                repeatable: self.route.repeatable,
-                deadline: self.deadline,
-            };
-            let connections = terms.map(|terms| terms.connections);
-            let missed = match send(self.traffic, &upstream, &mut work, connections, sent).await {
-                Ok(answer) => return Ok(answer),
-                Err(missed) => missed,
-            };
-            tracing::warn!(
-                event = "send_missed",
-                id = self.head.id,
-                upstream = upstream.report.id,
-                address = %upstream.report.address,
-                sent = ?missed.sent,
-                reason = missed.reason
-            );
-            *sent = missed.sent;
-            if self.after_miss(&service) != Fate::SendAgain {
-                return Err(self.given_up(None));
-            }
-        }
-    }
-
-    /// The region that serves the request; none where no region may or can.
-    fn region(&self, service: &ServiceName, object: u64) -> Option<RegionName> {
-        let view = self.traffic.common.view.load();
-        let pool = view.services.get(service)?;
-        let own = &self.traffic.common.settings.region;
-        let homes = &self.route.home_regions;
-        let may = |region: &RegionName| homes.is_empty() || homes.contains(region);
-        let has = |region: &RegionName| pool.regions.contains_key(region) && may(region);
-        let place = place(object);
-        if has(own) && self.traffic.shares().stays(service, pool, place) {
-            return Some(own.clone());
-        }
-        let others = pool.regions.iter();
-        let others = others.filter(|(region, _)| *region != own && may(region));
-        let far = far_region(object, others);
-        far.or_else(|| has(own).then(|| own.clone()))
-    }
-
-    fn choose(
-        &self,
-        service: &ServiceName,
-        object: u64,
-        region: Option<&RegionName>,
-    ) -> Result<Choice, Refusal> {
-        let now = Instant::now();
-        if self.deadline.saturating_duration_since(now) < TIME_LEAST {
-            return Err(self.out_of_time());
-        }
-        let view = self.traffic.common.view.load_full();
-        let nowhere = NoRoom {
-            reachable: false,
-            come_back: NO_DOCUMENT_WAIT,
-        };
-        let Some(pool) = view.services.get(service) else {
-            return Err(self.given_up(Some(nowhere)));
-        };
-        let usual = self.traffic.shares().usual(service);
-        let settings = &self.traffic.common.settings;
-        let bounds = &settings.bounds;
-        let mut wish = Wish {
-            object,
-            goal: self.route.goal,
-            urgency: self.urgency(&view),
-            tried: &self.tried,
-            usual: usual.unwrap_or(self.route.goal.mul_f64(USUAL_AT_FIRST)),
-            terms: pool.terms.as_ref(),
-            cold_bound: &|bears| Shares::cold_bound(bounds, bears),
-            me: &settings.host,
-            near_hosts: None,
-        };
-        let mut no_room = nowhere;
-        for (region, pool) in self.regions_to_ask(pool, region) {
-            let near = *region == settings.region;
-            wish.near_hosts = view.near_hosts.as_deref().filter(|_| near);
-            match choose(pool, &wish, now) {
-                Ok(choice) => return Ok(choice),
-                Err(refused) => no_room = refused,
-            }
-            // A full region is not left at once: shares between regions move slowly.
-            if no_room.reachable {
-                break;
-            }
-        }
-        Err(self.given_up(Some(no_room)))
-    }
-
-    /// The chosen region first, then the others that may serve.
-    fn regions_to_ask<'p>(
-        &self,
-        pool: &'p ServicePool,
-        chosen: Option<&RegionName>,
-    ) -> Vec<(&'p RegionName, &'p RegionPool)> {
-        let homes = &self.route.home_regions;
-        let may = |region: &RegionName| homes.is_empty() || homes.contains(region);
-        let allowed = pool.regions.iter().filter(|(region, _)| may(region));
-        let mut allowed: Vec<(&RegionName, &RegionPool)> = allowed.collect();
-        allowed.sort_by_key(|(region, _)| Some(*region) != chosen);
-        allowed
-    }
-
-    /// More urgent requests accept longer waits, so that they are refused last.
-    fn urgency(&self, _: &RouteView) -> f64 {
-        let rank = f64::from(self.route.priority.saturating_sub(1));
-        (1.0 - URGENCY_STEP * rank).max(URGENCY_LEAST)
-    }
-
-    fn after_miss(&self, service: &ServiceName) -> Fate {
-        let reached = self.sends.iter().filter(|sent| **sent != Sent::Not);
-        let reached = reached.count() as u32;
-        let may_have_run = self.sends.contains(&Sent::Perhaps);
-        let pointless = may_have_run && !self.route.repeatable;
-        let may_send_again = !pointless
-            && reached < self.route.attempts
-            && (reached == 0 || self.take_repeat(service));
-        after(&self.sends, self.route.repeatable, may_send_again)
-    }
-
-    fn take_repeat(&self, service: &ServiceName) -> bool {
-        let sharers = self.traffic.common.view.load().sharers;
-        let now = Instant::now();
-        let allowed = self.traffic.shares().repeat(service, sharers, now);
-        metrics::counter!("stagedeck_repeats_total", "allowed" => allowed.to_string()).increment(1);
-        allowed
-    }
-
-    fn given_up(&self, no_room: Option<NoRoom>) -> Refusal {
-        match after(&self.sends, self.route.repeatable, false) {
-            Fate::NotRun => Refusal::NotRun {
-                cause: match no_room {
-                    Some(NoRoom {
-                        reachable: true, ..
-                    }) => Cause::NoRoom,
-                    Some(_) => Cause::NoUpstream,
-                    None => Cause::RefusedThere,
-                },
-                come_back: no_room.map_or(NO_DOCUMENT_WAIT, |no_room| no_room.come_back),
-            },
-            _ => Refusal::MayHaveRun,
-        }
-    }
-
-    fn out_of_time(&self) -> Refusal {
-        match after(&self.sends, self.route.repeatable, false) {
-            Fate::NotRun => Refusal::NotRun {
-                cause: Cause::NoTime,
-                come_back: NO_DOCUMENT_WAIT,
-            },
-            _ => Refusal::TooLate,
-        }
-    }
-}
-
-/// The region besides the own that an object goes to, by the regions' slots.
-fn far_region<'a>(
-    object: u64,
-    regions: impl Iterator<Item = (&'a RegionName, &'a RegionPool)>,
-) -> Option<RegionName> {
-    let regions: Vec<(&RegionName, &RegionPool)> = regions.collect();
-    let members = regions.iter();
-    let members = members.map(|(name, pool)| {
-        let hash = steering::rendezvous::hash(name.as_bytes());
-        (hash, f64::from(pool.slots()))
-    });
-    let ranked = steering::route::rank(object, members);
-    ranked.first().map(|first| regions[*first].0.clone())
-}
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -4,6 +4,7 @@
 mod forward;
 mod head;
 mod look_up;
+mod run;
 mod send;
 mod server;
 mod shares;
--- a/crates/gateway/src/traffic/trail.rs
+++ b/crates/gateway/src/traffic/trail.rs
@@ -1,6 +1,6 @@
 //! What decided a request's way, for the log and the metrics.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hyper::Response;
 use steering::ids::{RegionName, RequestId, RuleName, ServiceName};
@@ -10,6 +10,28 @@
 use super::answers::{Cause, Refusal};
 use super::head::Head;
 
+/// Writes a request's line: an event of its own, then what decided its way.
+macro_rules! tell {
+    ($level:ident, $event:literal, $trail:expr $(, $($more:tt)+)?) => {
+        tracing::$level!(
+            event = $event,
+            id = $trail.id,
+            $($($more)+,)?
+            ms = $trail.arrived.elapsed().as_millis() as u64,
+            route = $trail.route,
+            version = $trail.version,
+            service = $trail.service,
+            region = $trail.region,
+            upstream = $trail.upstream,
+            rank = $trail.rank,
+            load = $trail.load,
+            load_age_ms = $trail.load_age_ms,
+            cold = $trail.cold,
+            sends = $trail.sends
+        )
+    };
+}
+
 /// The inputs of a request's last decision, with their age or version.
 ///
 /// Dropped before its end was noted, it tells that the caller has left.
@@ -85,112 +107,48 @@
     /// Writes the line of an answered or refused request, and counts it.
     pub fn end(&mut self, head: &Head, answered: &Result<Response<Body>, Refusal>) {
         self.ended = true;
-        let took = self.arrived.elapsed();
         let outcome = outcome(answered);
-        metrics::counter!("stagedeck_requests_total", "outcome" => outcome).increment(1);
+        let took = self.count(outcome);
         metrics::histogram!("stagedeck_request_latency_seconds", "outcome" => outcome)
             .record(took.as_secs_f64());
-        let ms = took.as_millis() as u64;
-        let Trail {
-            version,
-            route,
-            service,
-            region,
-            upstream,
-            rank,
-            load,
-            load_age_ms,
-            cold,
-            sends,
-            least_wait_ms,
-            id,
-            ..
-        } = &*self;
         match answered {
-            Ok(answer) => tracing::info!(
-                event = "request",
-                id,
-                status = answer.status().as_u16(),
-                ms,
-                route,
-                version,
-                service,
-                region,
-                upstream,
-                rank,
-                load,
-                load_age_ms,
-                cold,
-                sends
-            ),
+            Ok(answer) => {
+                let status = answer.status().as_u16();
+                tell!(info, "request", self, status);
+            }
             Err(Refusal::NotRun { cause, come_back }) => {
                 metrics::counter!("stagedeck_refusals_total", "cause" => cause.to_string())
                     .increment(1);
-                tracing::info!(
-                    event = "request_refused",
-                    id,
-                    %cause,
-                    come_back_ms = come_back.as_millis() as u64,
-                    ms,
-                    route,
-                    version,
-                    service,
-                    region,
-                    upstream,
-                    least_wait_ms,
-                    sends
-                );
+                let come_back_ms = come_back.as_millis() as u64;
+                let least_wait_ms = self.least_wait_ms;
+                tell!(info, "request_refused", self, %cause, come_back_ms, least_wait_ms);
             }
             Err(Refusal::NoRoute) => {
+                let (id, version) = (&self.id, self.version);
                 tracing::info!(
                     event = "request_unrouted",
                     id,
                     domain = head.domain,
-                    version,
-                    ms
+                    version
                 );
             }
-            Err(_) => tracing::warn!(
-                event = "request_failed",
-                id,
-                outcome,
-                ms,
-                route,
-                version,
-                service,
-                region,
-                upstream,
-                rank,
-                load,
-                load_age_ms,
-                cold,
-                sends
-            ),
+            Err(_) => tell!(warn, "request_failed", self, outcome),
         }
     }
+
+    /// Counts the request; the time since it came.
+    fn count(&self, outcome: &'static str) -> Duration {
+        metrics::counter!("stagedeck_requests_total", "outcome" => outcome).increment(1);
+        self.arrived.elapsed()
+    }
 }
 
 impl Drop for Trail {
     fn drop(&mut self) {
-        if self.ended {
-            return;
+        if !self.ended {
+            self.count("left");
+            tell!(info, "request_left", self);
         }
-        metrics::counter!("stagedeck_requests_total", "outcome" => "left").increment(1);
-        tracing::info!(
-            event = "request_left",
-            id = self.id,
-            ms = self.arrived.elapsed().as_millis() as u64,
-            route = self.route,
-            version = self.version,
-            service = self.service,
-            region = self.region,
-            upstream = self.upstream,
-            rank = self.rank,
-            load = self.load,
-            load_age_ms = self.load_age_ms,
-            cold = self.cold,
-            sends = self.sends
-        );
     }
 }
 
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -10,6 +10,8 @@
     "src/commands/gateway.rs",
     "src/logging.rs",
 ];
+/// What stands before an event's name.
+const STARTS: &[&str] = &["event = \"", "tell!(info, \"", "tell!(warn, \""];
 const TABLE: &str = "### Events on the platform";
 
 fn events_of(path: &Path, events: &mut BTreeSet<String>) {
@@ -20,8 +22,10 @@
         return;
     }
     let text = fs::read_to_string(path).unwrap();
-    let named = text.split("event = \"").skip(1);
-    events.extend(named.map(|rest| rest.split('"').next().unwrap_or("").to_owned()));
+    for start in STARTS {
+        let named = text.split(start).skip(1);
+        events.extend(named.map(|rest| rest.split('"').next().unwrap_or("").to_owned()));
+    }
 }
 
 fn events_in_table(page: &str) -> BTreeSet<String> {
