Show that an unread log delays no request

A real host whose standard output nobody reads answers 1,000 requests whose lines fill the pipe several times; what the pipe held shows that it did log.

--- /dev/null
+++ b/tests/log_reader.rs
@@ -0,0 +1,75 @@
+//! A reader of the log that stops reading delays no request.
+
+use std::fs;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+
+use platform_standin::{Manner, RouteSketch, StandInStore, StandInUpstream, document};
+use upstream::{Connections, Reuse, full};
+
+/// Requests whose lines, some 300 bytes each, fill the 64 KiB of a pipe several times.
+const REQUESTS: usize = 1_000;
+/// Longest wait for one answer; no verdict hangs on it but that it comes at all.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// An address of loopback that no other test uses, and ports below those that Linux
+/// gives to connections: the program takes no port 0 from its settings.
+const IP: &str = "127.44.0.9";
+
+async fn status(connections: &Connections, at: SocketAddr, path: &str, id: &str) -> Option<u16> {
+    let request = hyper::Request::get(path)
+        .header("host", "site.example")
+        .header("attempt-id", id)
+        .body(full(""))
+        .unwrap();
+    let deadline = Instant::now() + PATIENCE;
+    let sent = connections.send(at, 4, Reuse::Recent, request, deadline);
+    sent.await.ok().map(|answer| answer.status().as_u16())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unread_log_delays_nothing() {
+    let store = StandInStore::start(1).await.unwrap();
+    let upstream = StandInUpstream::start("i-1", Manner::Answers(Duration::ZERO)).await;
+    let upstream = upstream.unwrap();
+    store.put_report("i-1", &upstream.report("work", "east", "ready", 0));
+    store.put_document(&document(1, &[RouteSketch::new("/a/", "work")]));
+    let settings = Path::new(env!("CARGO_TARGET_TMPDIR")).join("log-reader.toml");
+    let text = format!(
+        "[self]\nnode = \"h1\"\nzone = \"east\"\nregion = \"north\"\n[network.listen]\n\
+         front = \"{IP}:20001\"\nready = \"{IP}:20002\"\ncontrol = \"{IP}:20003\"\n\
+         directory = \"{IP}:20004\"\n[network.zones]\neast = \"north\"\n\
+         [provider.provider]\naddress = \"{}\"\n",
+        store.address(0)
+    );
+    fs::write(&settings, text).unwrap();
+    let mut host = Command::new(env!("CARGO_BIN_EXE_stagedeck"))
+        .arg("serve")
+        .env(platform::PATH_VARIABLE, &settings)
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let front: SocketAddr = format!("{IP}:20001").parse().unwrap();
+    let connections = Connections::default();
+    while status(&connections, front, "/a/x", "first").await != Some(200) {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    for number in 0..REQUESTS {
+        let id = format!("r{number}");
+        let got = status(&connections, front, "/a/x", &id).await;
+        assert_eq!(got, Some(200), "request {number}");
+    }
+    host.kill().unwrap();
+    let mut log = String::new();
+    host.stdout
+        .take()
+        .unwrap()
+        .read_to_string(&mut log)
+        .unwrap();
+    host.wait().unwrap();
+    assert!(log.contains("event=request "), "it did log: {log}");
+}
