--- a/tests/log_reader.rs
+++ b/tests/log_reader.rs
@@ -2,13 +2,16 @@
 
 use std::fs;
 use std::io::Read;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
-use platform_standin::{Manner, RouteSketch, StandInStore, StandInUpstream, document};
-use upstream::{Connections, Reuse, full};
+use hyper::Method;
+use platform_standin::{
+    Manner, RouteSketch, StandInStore, StandInUpstream, document, request, settings_file,
+};
+use upstream::{Connections, Reuse};
 
 /// Requests whose lines, some 300 bytes each, fill the 64 KiB of a pipe several times.
 const REQUESTS: usize = 1_000;
@@ -16,14 +19,10 @@
 const PATIENCE: Duration = Duration::from_secs(60);
 /// An address of loopback that no other test uses, and ports below those that Linux
 /// gives to connections: the program takes no port 0 from its settings.
-const IP: &str = "127.44.0.9";
+const IP: Ipv4Addr = Ipv4Addr::new(127, 44, 0, 9);
 
 async fn status(connections: &Connections, at: SocketAddr, path: &str, id: &str) -> Option<u16> {
-    let request = hyper::Request::get(path)
-        .header("host", "site.example")
-        .header("attempt-id", id)
-        .body(full(""))
-        .unwrap();
+    let request = request(Method::GET, path, id, "17", PATIENCE);
     let deadline = Instant::now() + PATIENCE;
     let sent = connections.send(at, 4, Reuse::Recent, request, deadline);
     sent.await.ok().map(|answer| answer.status().as_u16())
@@ -37,13 +36,10 @@
     store.put_report("i-1", &upstream.report("work", "east", "ready", 0));
     store.put_document(&document(1, &[RouteSketch::new("/a/", "work")]));
     let settings = Path::new(env!("CARGO_TARGET_TMPDIR")).join("log-reader.toml");
-    let text = format!(
-        "[self]\nnode = \"h1\"\nzone = \"east\"\nregion = \"north\"\n[network.listen]\n\
-         front = \"{IP}:20001\"\nready = \"{IP}:20002\"\ncontrol = \"{IP}:20003\"\n\
-         directory = \"{IP}:20004\"\n[network.zones]\neast = \"north\"\n\
-         [provider.provider]\naddress = \"{}\"\n",
-        store.address(0)
-    );
+    let address = |port: u16| SocketAddr::from((IP, port));
+    let addresses = [20_001, 20_002, 20_003, 20_004].map(address);
+    let zones = [("east", "north")];
+    let text = settings_file("h1", zones[0], &zones, addresses, store.address(0));
     fs::write(&settings, text).unwrap();
     let mut host = Command::new(env!("CARGO_BIN_EXE_stagedeck"))
         .arg("serve")
@@ -53,7 +49,7 @@
         .stderr(Stdio::null())
         .spawn()
         .unwrap();
-    let front: SocketAddr = format!("{IP}:20001").parse().unwrap();
+    let front = addresses[0];
     let connections = Connections::default();
     while status(&connections, front, "/a/x", "first").await != Some(200) {
         tokio::time::sleep(Duration::from_millis(20)).await;
