Send work on no object to the less loaded of two upstreams

Cause: routes say whether an upstream that has lately seen an object does its work faster. The product did not read that, and gave all work one home; work on no object went to one upstream by chance and waited there although others were idle.

Change: routes tell `by_object`; other work goes to the less loaded of the first two upstreams of a random ranking, else to any with a free slot, else to the least wait, within the same bound.

--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -59,6 +59,7 @@
         route: &route,
         parts,
         body,
+        by_object: false,
         deadline,
         sends: Vec::new(),
         tried: Vec::new(),
--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -37,6 +37,8 @@
     pub route: &'a Route,
     pub parts: Parts,
     pub body: WorkBody,
+    /// Whether it is sent by its object; set when it runs.
+    pub by_object: bool,
     /// When it must be answered, whatever with.
     pub deadline: Instant,
     /// How far each send got.
@@ -49,11 +51,9 @@
     /// Sends it until it is answered or given up.
     pub async fn run(&mut self) -> Result<Response<Body>, Refusal> {
         let service = self.traffic.shares().part(self.route).clone();
-        let object = match &self.head.object {
-            Some(object) => object_hash(&service, object),
-            // Any upstream does for work on no object.
-            None => rand::random(),
-        };
+        let object = self.head.object.as_ref().filter(|_| self.route.by_object);
+        self.by_object = object.is_some();
+        let object = object.map_or_else(rand::random, |object| object_hash(&service, object));
         self.traffic.shares().first(&service, Instant::now());
         let region = self.region(&service, object);
         self.trail.service.clone_from(&service);
@@ -144,6 +144,7 @@
         let bounds = &settings.bounds;
         let mut wish = Wish {
             object,
+            by_object: self.by_object,
             goal: self.route.goal,
             urgency: self.urgency(),
             tried: &self.tried,
--- a/crates/steering/src/route/choice.rs
+++ b/crates/steering/src/route/choice.rs
@@ -24,8 +24,10 @@
 
 /// What a request wants of a service.
 pub struct Wish<'a> {
-    /// Hash of its object.
+    /// Hash of its object; any number where it has none.
     pub object: u64,
+    /// Whether upstreams that have lately seen the object do its work faster.
+    pub by_object: bool,
     /// Time within which its answer is worth most.
     pub goal: Duration,
     /// 1 for the most urgent requests of the service, less for others.
@@ -71,33 +73,74 @@
 }
 
 /// Chooses among a region's upstreams, and takes from a cold one's part where needed.
-///
-/// An object's home is the first usable upstream in its ranking. Where it is too full,
-/// the next one helps if it is idle.
 pub fn choose(pool: &RegionPool, wish: &Wish<'_>, now: Instant) -> Result<Choice, NoRoom> {
     let members = pool.upstreams.iter();
     let members = members.map(|upstream| (upstream.hash, f64::from(upstream.report.slots)));
     let ranked = rank(wish.object, members).into_iter().enumerate();
     let usable = ranked.filter_map(|(rank, at)| usable(&pool.upstreams[at], rank, wish, now));
     let (slow, healthy): (Vec<Home>, Vec<Home>) = usable.partition(|home| home.is_slow);
-    let mut homes = healthy.into_iter().chain(slow).map(|home| home.choice);
-    let Some(first) = homes.next() else {
-        return Err(NoRoom {
-            reachable: false,
-            come_back: COME_BACK_LEAST,
-        });
-    };
+    let ranked = healthy.into_iter().chain(slow).map(|home| home.choice);
+    let choice = match wish.by_object {
+        true => at_home(ranked, wish),
+        false => least_loaded(ranked.collect(), wish),
+    }?;
+    choice.upstream.condition().cold_part.take(now);
+    Ok(choice)
+}
+
+const UNREACHABLE: NoRoom = NoRoom {
+    reachable: false,
+    come_back: COME_BACK_LEAST,
+};
+
+/// An object's home is the first usable upstream in its ranking. Where it is too full,
+/// the next one helps if it is idle.
+fn at_home(mut ranked: impl Iterator<Item = Choice>, wish: &Wish<'_>) -> Result<Choice, NoRoom> {
+    let first = ranked.next().ok_or(UNREACHABLE)?;
     let wait = wait(&first, wish);
-    let choice = match wait <= wish.goal.mul_f64(WAIT_MOST * wish.urgency) {
+    let choice = match is_bearable(wait, wish) {
         true => Some(first),
-        false => homes.next().filter(is_idle),
+        false => ranked.next().filter(is_idle),
     };
-    let choice = choice.ok_or(NoRoom {
+    choice.ok_or(full(wait))
+}
+
+/// Work on no object goes to the less loaded of the first two. Its ranking is by chance:
+/// two choices balance nearly as well as all, and hosts that know the same loads do not
+/// all run to the same upstream (Mitzenmacher, "The power of two choices in randomized
+/// load balancing", IEEE Transactions on Parallel and Distributed Systems 12(10), 2001).
+/// Where both are full, any upstream with a free slot does, else the least wait.
+fn least_loaded(mut ranked: Vec<Choice>, wish: &Wish<'_>) -> Result<Choice, NoRoom> {
+    let by_use = |a: &Choice, b: &Choice| use_of_slots(a).total_cmp(&use_of_slots(b));
+    if ranked.len() >= 2 && by_use(&ranked[1], &ranked[0]).is_lt() {
+        ranked.swap(0, 1);
+    }
+    let free = ranked
+        .iter()
+        .position(|choice| wait(choice, wish).is_zero());
+    let least = || (0..ranked.len()).min_by_key(|at| wait(&ranked[*at], wish));
+    let at = free.or_else(least).ok_or(UNREACHABLE)?;
+    let choice = ranked.swap_remove(at);
+    let wait = wait(&choice, wish);
+    match is_bearable(wait, wish) {
+        true => Ok(choice),
+        false => Err(full(wait)),
+    }
+}
+
+fn is_bearable(wait: Duration, wish: &Wish<'_>) -> bool {
+    wait <= wish.goal.mul_f64(WAIT_MOST * wish.urgency)
+}
+
+fn full(wait: Duration) -> NoRoom {
+    NoRoom {
         reachable: true,
         come_back: wait.max(COME_BACK_LEAST),
-    })?;
-    choice.upstream.condition().cold_part.take(now);
-    Ok(choice)
+    }
+}
+
+fn use_of_slots(choice: &Choice) -> f64 {
+    choice.load / f64::from(choice.upstream.report.slots)
 }
 
 /// An upstream that can take the request.
@@ -141,5 +184,5 @@
 }
 
 fn is_idle(choice: &Choice) -> bool {
-    choice.load <= f64::from(choice.upstream.report.slots) * IDLE
+    use_of_slots(choice) <= IDLE
 }
--- a/crates/steering/src/route/document.rs
+++ b/crates/steering/src/route/document.rs
@@ -56,6 +56,8 @@
     pub prefix: String,
     /// Whether a request may run more than once.
     pub repeatable: bool,
+    /// Whether upstreams that have lately seen a request's object do its work faster.
+    pub by_object: bool,
     /// Rank of its requests; 0 is the most urgent.
     pub priority: u32,
     /// Time within which an answer is worth all that it can be worth.
--- a/crates/steering/tests/route_choice.rs
+++ b/crates/steering/tests/route_choice.rs
@@ -56,6 +56,7 @@
 fn wish<'a>(service: &'a ServicePool, hosts: Option<&'a [String]>) -> Wish<'a> {
     Wish {
         object: 42,
+        by_object: true,
         goal: Duration::from_millis(400),
         urgency: 1.0,
         tried: &[],
@@ -125,6 +126,39 @@
     }
 }
 
+/// Loads of the first, the second and all further upstreams in the ranking.
+#[rstest]
+#[case::all_idle([0, 0, 0], Some(0))]
+#[case::less_loaded_of_two([2, 1, 0], Some(1))]
+#[case::both_full([3, 3, 1], Some(2))]
+#[case::all_full([8, 4, 9], Some(1))]
+#[case::no_bearable_wait([12, 12, 13], None)]
+fn work_on_no_object_goes_where_least_is_to_do(
+    #[case] loads: [u32; 3],
+    #[case] rank: Option<usize>,
+) {
+    let now = Instant::now();
+    let service = service(3, Duration::ZERO, now);
+    let (first, second) = homes(&service, now);
+    for upstream in &pool(&service).upstreams {
+        let place = [&first, &second]
+            .iter()
+            .position(|id| **id == upstream.report.id);
+        load(
+            &service,
+            &upstream.report.id,
+            loads[place.unwrap_or(2)],
+            now,
+        );
+    }
+    let wish = Wish {
+        by_object: false,
+        ..wish(&service, None)
+    };
+    let choice = choose(pool(&service), &wish, now);
+    assert_eq!(choice.map(|choice| choice.rank).ok(), rank);
+}
+
 #[test]
 fn a_home_that_can_not_be_used_is_passed_over() {
     let now = Instant::now();
--- a/crates/steering/tests/route_table.rs
+++ b/crates/steering/tests/route_table.rs
@@ -19,6 +19,7 @@
             service: "surcos".to_owned(),
             weight: 1.0,
         }],
+        by_object: true,
         home_regions: Vec::new(),
     }
 }
