Tell listeners only what has changed, with a digest

A leader passed on every row of the feed, and heartbeats change every upstream's row each 1.5 s; so much is larger than what may be passed on, and each listener read the store itself.

Ruled out: passing on larger news (a group's leader has 10 Mbit/s).

Change: a host passes on only the records that changed something in what it knows, with a digest of all it has taken. A listener that took them compares its own digest: where it differs it asks the store, and where it still differs after that it reads all again. So a lost message costs nothing unless something was in it. Protocol version 4 of peers. A warm-up that begins again while reports were missed is seen too (its end moves by more than a second).

--- a/crates/gateway/src/control/beliefs.rs
+++ b/crates/gateway/src/control/beliefs.rs
@@ -7,8 +7,8 @@
 
 use steering::ids::{HostName, RegionName, ZoneName};
 use steering::route::{
-    Catalog, CatalogChange, Changes, Conditions, Evacuations, Record, Roll, RouteDocument,
-    RouteTable, RouteView,
+    Catalog, CatalogChange, Changes, Conditions, Evacuations, Feed, FeedDigest, Record, Roll,
+    RouteDocument, RouteTable, RouteView,
 };
 
 use crate::host::Common;
@@ -59,46 +59,61 @@
         back.map(|at| now.saturating_duration_since(at))
     }
 
-    /// Takes what operators say; true where anything has changed.
-    pub fn take_routes(&mut self, now: Instant, changes: Changes) -> bool {
-        let mut changed = false;
+    /// Takes a part of a feed, or all of it; what is worth telling others, in order.
+    pub fn take(&mut self, now: Instant, feed: Feed, changes: Changes) -> Vec<Record> {
+        match feed {
+            Feed::Routes => self.take_routes(now, changes),
+            Feed::Upstreams => self.take_upstreams(now, &changes),
+        }
+    }
+
+    /// Digest of all that was taken from a feed.
+    pub fn digest(&self, feed: Feed) -> FeedDigest {
+        match feed {
+            Feed::Routes => self.evacuations.digest() ^ self.document.version,
+            Feed::Upstreams => self.catalog.digest(),
+        }
+    }
+
+    fn take_routes(&mut self, now: Instant, changes: Changes) -> Vec<Record> {
+        let mut news = Vec::new();
         let mut evacuated = match changes.whole {
             true => BTreeSet::new(),
             false => self.evacuations.wanted.clone(),
         };
         for record in changes.records {
             match record {
-                Record::Document(document) => changed |= self.take_document(*document),
+                Record::Document(document) if document.version > self.document.version => {
+                    self.take_document(&document);
+                    news.push(Record::Document(document));
+                }
                 Record::Evacuation { zone, wanted: true } => drop(evacuated.insert(zone)),
                 Record::Evacuation { zone, .. } => drop(evacuated.remove(&zone)),
                 Record::Unusable { key, reason } => {
                     let version = self.document.version;
                     tracing::warn!(event = "document_refused", key, reason, in_force = version);
+                    news.push(Record::Unusable { key, reason });
                 }
-                Record::Upstream(_) | Record::UpstreamGone(_) => {}
+                Record::Document(_) | Record::Upstream(_) | Record::UpstreamGone(_) => {}
             }
         }
-        if self.evacuations.take(now, evacuated) {
+        let turned = self.evacuations.take(now, evacuated);
+        if !turned.is_empty() {
             tracing::info!(event = "evacuations", zones = ?self.evacuations.wanted);
-            changed = true;
         }
-        changed
+        news.extend(turned);
+        news
     }
 
-    fn take_document(&mut self, document: RouteDocument) -> bool {
-        let (version, in_force) = (document.version, self.document.version);
-        if version <= in_force {
-            return false;
-        }
+    fn take_document(&mut self, document: &RouteDocument) {
+        let (version, before) = (document.version, self.document.version);
         let routes = document.routes.len();
-        tracing::info!(event = "document_taken", version, before = in_force, routes);
-        self.table = Arc::new(RouteTable::new(&document));
-        self.document = Arc::new(document);
-        true
+        tracing::info!(event = "document_taken", version, before, routes);
+        self.table = Arc::new(RouteTable::new(document));
+        self.document = Arc::new(document.clone());
     }
 
-    /// Takes what upstreams say; true where anything but an age has changed.
-    pub fn take_upstreams(&mut self, now: Instant, changes: &Changes) -> bool {
+    fn take_upstreams(&mut self, now: Instant, changes: &Changes) -> Vec<Record> {
         for record in &changes.records {
             if let Record::Unusable { key, reason } = record {
                 tracing::warn!(event = "report_refused", upstream = key, reason);
@@ -108,7 +123,7 @@
         for change in &taken {
             note(change);
         }
-        !taken.is_empty()
+        taken.iter().map(Record::from).collect()
     }
 
     /// Drops what has run out; true where the next view will differ.
--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use steering::route::{Changes, Feed, FeedVersion, Lead, News, Use};
+use steering::route::{Changes, Feed, FeedVersion, Lead, News, Record, Use};
 use store::RecordError;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
@@ -26,8 +26,11 @@
     /// Since when nothing has been heard from the store.
     lost_since: Option<Instant>,
     lead: Lead,
-    /// Told when something is missing between what is known and what was told.
+    /// Told when something is missing.
     gap: Rc<Notify>,
+    /// Whether something was missing when this host was last told. Where it still is
+    /// after this host has asked, all is read again.
+    lacks: bool,
 }
 
 impl Follower {
@@ -42,6 +45,7 @@
             lost_since: None,
             lead: Lead::new(&settings.host, &feed.to_string(), tightest),
             gap: Rc::default(),
+            lacks: false,
         }
     }
 
@@ -59,6 +63,27 @@
         away >= LAPSE_LEAST
     }
 
+    /// Takes what `from` has told, which goes up to `version`.
+    fn told(&mut self, now: Instant, from: &str, used: Use, version: FeedVersion) {
+        self.lead.told(now, from, used);
+        // The teller reaches the store, and says itself if it was away.
+        self.lost_since = None;
+        match used {
+            Use::Known => {}
+            Use::Take => {
+                self.version = Some(version);
+                self.lacks = false;
+            }
+            Use::Gap => {
+                tracing::debug!(event = "feed_gap", feed = %self.feed, from, again = self.lacks);
+                if std::mem::replace(&mut self.lacks, true) {
+                    self.version = None;
+                }
+                self.gap.notify_one();
+            }
+        }
+    }
+
     /// Takes the failure of a call that began at `begun`.
     fn failed(&mut self, begun: Instant, error: &RecordError) {
         if *error == RecordError::HistoryGone {
@@ -106,22 +131,7 @@
         metrics::counter!("stagedeck_store_calls_total", "feed" => feed.to_string(), "outcome" => outcome)
             .increment(1);
         match called {
-            Ok(changes) => {
-                let returned = self.follower(feed, |own| own.answered(changes.version));
-                if returned {
-                    self.beliefs.borrow_mut().store_returned(Instant::now());
-                }
-                let store_back_for = self.beliefs.borrow().store_back_for(Instant::now());
-                let news = known.map(|after| News {
-                    store_back_for,
-                    feed,
-                    after,
-                    version: changes.version,
-                    records: changes.records.clone(),
-                });
-                self.take(feed, changes);
-                news
-            }
+            Ok(changes) => Some(self.asked(feed, changes)),
             Err(error) => {
                 self.follower(feed, |own| own.failed(begun, &error));
                 if error != RecordError::HistoryGone {
@@ -132,23 +142,32 @@
         }
     }
 
-    /// Takes what another host has learned of a feed.
+    /// Takes an answer of the store; what others may be told.
+    fn asked(&self, feed: Feed, changes: Changes) -> News {
+        let now = Instant::now();
+        let version = changes.version;
+        let returned = self.follower(feed, |own| own.answered(version));
+        if returned {
+            self.beliefs.borrow_mut().store_returned(now);
+        }
+        let records = self.take(feed, changes);
+        let beliefs = self.beliefs.borrow();
+        News {
+            feed,
+            version,
+            digest: beliefs.digest(feed),
+            store_back_for: beliefs.store_back_for(now),
+            records,
+        }
+    }
+
+    /// Takes what another host has learned of a feed. Where something is missing then,
+    /// this host asks the store itself.
     pub(super) fn told(&self, from: &str, news: News) {
         let feed = news.feed;
         let now = Instant::now();
-        let used = self.follower(feed, |own| {
-            let used = Lead::judge(own.version, news.after, news.version);
-            own.lead.told(now, from, used);
-            // The teller reaches the store, and says itself if it was away.
-            own.lost_since = None;
-            if used == Use::Gap {
-                own.gap.notify_one();
-            }
-            if used == Use::Take {
-                own.version = Some(news.version);
-            }
-            used
-        });
+        let at = self.follower(feed, |own| own.version);
+        let mut used = Lead::judge(at, news.version);
         if used == Use::Take {
             if let Some(back) = news.store_back_for.and_then(|ago| now.checked_sub(ago)) {
                 self.beliefs.borrow_mut().store_returned(back);
@@ -159,18 +178,22 @@
                 version: news.version,
             };
             self.take(feed, changes);
+            if self.beliefs.borrow().digest(feed) != news.digest {
+                used = Use::Gap;
+            }
         }
+        self.follower(feed, |own| own.told(now, from, used, news.version));
     }
 
-    fn take(&self, feed: Feed, changes: Changes) {
+    /// Takes a part of a feed, or all of it; what is worth telling others.
+    fn take(&self, feed: Feed, changes: Changes) -> Vec<Record> {
         let now = Instant::now();
-        let changed = match feed {
-            Feed::Routes => self.beliefs.borrow_mut().take_routes(now, changes),
-            Feed::Upstreams => self.beliefs.borrow_mut().take_upstreams(now, &changes),
-        };
-        if changed {
+        let news = self.beliefs.borrow_mut().take(now, feed, changes);
+        let heeded = |record: &Record| !matches!(record, Record::Unusable { .. });
+        if news.iter().any(heeded) {
             self.publish();
         }
+        news
     }
 
     fn follower<T>(&self, feed: Feed, with: impl FnOnce(&mut Follower) -> T) -> T {
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -4,7 +4,7 @@
 # change is not understood by older hosts. Version 1, in which each heartbeat
 # named its host and each load its service, was never released.
 
-const protocolVersion :UInt16 = 3;
+const protocolVersion :UInt16 = 4;
 
 interface Gate {
   # What a host offers before it knows who calls.
@@ -19,8 +19,9 @@
   exchange @1 (position :Position, summaries :List(Summary))
       -> (position :Position, entries :List(Data), snapshot :Data, summaries :List(Summary));
   push @2 (entry :Data) -> (position :Position);
-  news @4 (feed :Data, after :UInt64, version :UInt64, records :Data, storeBack :Data) -> ();
-  # A part of a feed of the store. Data fields are JSON. Version 2 of the protocol did not have it.
+  news @4 (feed :Data, version :UInt64, digest :UInt64, records :Data, storeBack :Data) -> ();
+  # What is new in a feed of the store. Data fields are JSON. Version 2 of the protocol did not
+  # have it; version 3 had all records since a position in place of a digest.
   borrow @3 (limit :Data, request :LoanRequest) -> (granted :Bool, grant :LoanGrant);
 }
 
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -134,8 +134,8 @@
             let mut request = session.news_request();
             let mut params = request.get();
             params.set_feed(&news.feed);
-            params.set_after(news.after);
             params.set_version(news.version);
+            params.set_digest(news.digest);
             params.set_records(&news.records);
             params.set_store_back(&news.store_back);
             request.send().promise.await?;
--- a/crates/peer/src/messages.rs
+++ b/crates/peer/src/messages.rs
@@ -6,7 +6,7 @@
 use steering::history::{Entry, Position, Snapshot};
 use steering::ids::{Incarnation, Revision};
 use steering::membership::{Heartbeat, HostEntry};
-use steering::route::{FeedVersion, News, Record};
+use steering::route::{FeedDigest, FeedVersion, News, Record};
 
 use crate::codec::write_json;
 use crate::names::ServiceNames;
@@ -73,26 +73,24 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct EncodedNews {
     pub(crate) feed: Vec<u8>,
-    pub(crate) after: FeedVersion,
     pub(crate) version: FeedVersion,
+    pub(crate) digest: FeedDigest,
     pub(crate) store_back: Vec<u8>,
     pub(crate) records: Vec<u8>,
 }
 
 impl EncodedNews {
     /// Encodes news. Where the records take more than `most_bytes` they are left out:
-    /// whoever is told then finds a gap, and asks the store.
+    /// whoever lacks them sees it by the digest, and asks the store.
     pub fn new(news: &News, most_bytes: usize) -> Self {
         let mut records = write_json(&news.records);
-        let mut after = news.after;
         if records.len() > most_bytes {
             records = write_json(&Vec::<Record>::new());
-            after = news.version;
         }
         EncodedNews {
             feed: write_json(&news.feed),
-            after,
             version: news.version,
+            digest: news.digest,
             store_back: write_json(&news.store_back_for),
             records,
         }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -225,8 +225,8 @@
         let params = params.get()?;
         let news = News {
             feed: read_json(params.get_feed()?)?,
-            after: params.get_after(),
             version: params.get_version(),
+            digest: params.get_digest(),
             records: read_json(params.get_records()?)?,
             store_back_for: read_json(params.get_store_back()?)?,
         };
--- a/crates/steering/src/route/catalog.rs
+++ b/crates/steering/src/route/catalog.rs
@@ -3,13 +3,17 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use super::feed::{Changes, Record};
+use super::feed::{Changes, FeedDigest, Record};
 use super::upstream::{ReportedUpstream, UpstreamId};
 
 /// Time after the store's return in which live upstreams report themselves again;
 /// the operators give about 2 s.
 const REPORT_AGAIN_WITHIN: Duration = Duration::from_millis(2_200);
 
+/// Difference between two ends of the same warm-up: reports are read up to a second
+/// after they were written.
+const COLD_JITTER: Duration = Duration::from_secs(1);
+
 /// A report with what was learned around it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Listed {
@@ -19,6 +23,8 @@
     pub cold_until: Option<Instant>,
     /// When it is dropped, where its report has vanished around an outage of the store.
     drop_at: Option<Instant>,
+    /// Hash of the report, without what changes with time.
+    fingerprint: u64,
 }
 
 /// What a part of the feed has changed.
@@ -47,6 +53,15 @@
     store_back: Option<Instant>,
 }
 
+impl From<&CatalogChange> for Record {
+    fn from(change: &CatalogChange) -> Self {
+        match change {
+            CatalogChange::Reported(report) => Record::Upstream(report.clone()),
+            CatalogChange::Gone { id, .. } => Record::UpstreamGone(id.clone()),
+        }
+    }
+}
+
 impl Catalog {
     /// Notes that the store answers again after an outage, since `at`.
     pub fn store_returned(&mut self, at: Instant) {
@@ -100,16 +115,17 @@
     /// Takes a report; true where anything but its age has changed.
     fn put(&mut self, now: Instant, report: ReportedUpstream) -> bool {
         let cold_until = (!report.cold_for.is_zero()).then(|| now + report.cold_for);
+        let fingerprint = report.fingerprint();
         let known = self.listed.get(&report.id);
         let changed = known.is_none_or(|known| {
-            known.report.draining != report.draining
-                || known.report.address != report.address
-                || known.report.slots != report.slots
-                || known.cold_until.is_some() != cold_until.is_some()
+            known.fingerprint != fingerprint
+                || known.drop_at.is_some()
+                || has_turned(known.cold_until, cold_until)
         });
         let listed = Listed {
             cold_until,
             drop_at: None,
+            fingerprint,
             report,
         };
         self.listed.insert(listed.report.id.clone(), listed);
@@ -138,8 +154,23 @@
         before != self.listed.len()
     }
 
+    /// Digest of the reports that are there now, the same wherever they were learned.
+    pub fn digest(&self) -> FeedDigest {
+        let there = self.listed.values().filter(|l| l.drop_at.is_none());
+        // The order in which they were learned must not matter.
+        there.fold(0, |digest, listed| digest ^ listed.fingerprint)
+    }
+
     /// Every listed upstream.
     pub fn listed(&self) -> impl Iterator<Item = &Listed> {
         self.listed.values()
     }
 }
+
+/// Whether a warm-up has begun, ended, or begun again since it was last known.
+fn has_turned(known: Option<Instant>, reported: Option<Instant>) -> bool {
+    match (known, reported) {
+        (Some(known), Some(reported)) => reported > known + COLD_JITTER,
+        (known, reported) => known.is_some() != reported.is_some(),
+    }
+}
--- a/crates/steering/src/route/feed.rs
+++ b/crates/steering/src/route/feed.rs
@@ -12,6 +12,10 @@
 /// Place in a feed; rises with each change.
 pub type FeedVersion = u64;
 
+/// Hash of all that a host has taken from a feed. Two hosts with the same digest have
+/// taken the same.
+pub type FeedDigest = u64;
+
 /// What a feed is about.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
 pub enum Feed {
@@ -59,18 +63,20 @@
     pub version: FeedVersion,
 }
 
-/// A part of a feed that one host passes on to others, so that not all of them ask
-/// the store.
+/// What one host has learned from a feed and passes on, so that not all ask the store.
+///
+/// Only what has changed is told: most records repeat what is known. Whether nothing
+/// is missing shows in the digest.
 #[derive(Debug, Clone, PartialEq)]
 pub struct News {
     /// The feed.
     pub feed: Feed,
-    /// Where the part begins; it is of use only to who stands there or beyond.
-    pub after: FeedVersion,
-    /// Where it ends.
+    /// Place in the feed up to which the teller has come.
     pub version: FeedVersion,
+    /// Digest of all that the teller has taken up to there.
+    pub digest: FeedDigest,
     /// Time since the store answered the teller again after it had been away, if it was.
     pub store_back_for: Option<Duration>,
-    /// The records between the two, in order.
+    /// What has changed, in order.
     pub records: Vec<Record>,
 }
--- a/crates/steering/src/route/lead.rs
+++ b/crates/steering/src/route/lead.rs
@@ -29,14 +29,14 @@
     gap: bool,
 }
 
-/// What to do with a part of a feed.
+/// What to do with news of a feed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Use {
-    /// It continues what is known.
+    /// They go beyond what is known.
     Take,
-    /// All of it is known already.
+    /// Nothing in them is newer than what is known.
     Known,
-    /// Something before it is missing.
+    /// Something else is missing.
     Gap,
 }
 
@@ -100,12 +100,13 @@
         self.gap = false;
     }
 
-    /// What to do with a part from `after` to `version`, where this host stands at `at`.
-    pub fn judge(at: Option<FeedVersion>, after: FeedVersion, version: FeedVersion) -> Use {
+    /// What to do with news up to `version`, where this host stands at `at`. A gap also
+    /// shows where the digests differ after the news are taken.
+    pub fn judge(at: Option<FeedVersion>, version: FeedVersion) -> Use {
         match at {
             Some(at) if version <= at => Use::Known,
-            Some(at) if after <= at => Use::Take,
-            _ => Use::Gap,
+            Some(_) => Use::Take,
+            None => Use::Gap,
         }
     }
 }
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -24,7 +24,7 @@
 pub use condition::{Answered, Condition};
 pub use document::{CallerLimits, Part, Route, RouteDocument, ServiceTerms};
 pub use fate::{Fate, Sent, after};
-pub use feed::{Changes, Feed, FeedVersion, News, Record};
+pub use feed::{Changes, Feed, FeedDigest, FeedVersion, News, Record};
 pub use homes::{object_hash, place, rank};
 pub use lead::{Lead, Use};
 pub use pace::{ColdPart, RepeatPart, cold_share};
--- a/crates/steering/src/route/upstream.rs
+++ b/crates/steering/src/route/upstream.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use twox_hash::XxHash3_64;
 
 use crate::ids::{ServiceName, ZoneName};
 
@@ -28,3 +29,20 @@
     /// Time for which it stays cold, from the report on; zero where it is warm.
     pub cold_for: Duration,
 }
+
+impl ReportedUpstream {
+    /// Hash of the report without what changes with time, the same on every host.
+    pub fn fingerprint(&self) -> u64 {
+        let ReportedUpstream {
+            id,
+            service,
+            address,
+            zone,
+            slots,
+            draining,
+            ..
+        } = self;
+        let text = format!("{id}\n{service}\n{address}\n{zone}\n{slots}\n{draining}");
+        XxHash3_64::oneshot(text.as_bytes())
+    }
+}
--- a/crates/steering/src/route/view.rs
+++ b/crates/steering/src/route/view.rs
@@ -8,6 +8,7 @@
 use super::catalog::Catalog;
 use super::condition::Condition;
 use super::document::{RouteDocument, ServiceTerms};
+use super::feed::{FeedDigest, Record};
 use super::table::RouteTable;
 use super::upstream::{ReportedUpstream, UpstreamId};
 use crate::ids::{HostName, RegionName, ServiceName, ZoneName};
@@ -111,13 +112,26 @@
 }
 
 impl Evacuations {
-    /// Takes what is wanted now; true where it has changed.
-    pub fn take(&mut self, now: Instant, wanted: BTreeSet<ZoneName>) -> bool {
+    /// Takes what is wanted now; what has changed.
+    pub fn take(&mut self, now: Instant, wanted: BTreeSet<ZoneName>) -> Vec<Record> {
         let ended: Vec<ZoneName> = self.wanted.difference(&wanted).cloned().collect();
-        let changed = self.wanted != wanted;
+        let turned = wanted.symmetric_difference(&self.wanted);
+        let turned = turned.map(|zone| Record::Evacuation {
+            zone: zone.clone(),
+            wanted: wanted.contains(zone),
+        });
+        let turned = turned.collect();
         self.ended.extend(ended.into_iter().map(|zone| (zone, now)));
         self.wanted = wanted;
-        changed
+        turned
+    }
+
+    /// Digest of the zones that are to get no work now.
+    pub fn digest(&self) -> FeedDigest {
+        let zones = self.wanted.iter();
+        zones.fold(0, |digest, zone| {
+            digest ^ crate::rendezvous::hash(zone.as_bytes())
+        })
     }
 }
 
--- a/crates/steering/tests/route_catalog.rs
+++ b/crates/steering/tests/route_catalog.rs
@@ -104,3 +104,88 @@
     let taken = catalog.take(now, &part(vec![Record::Upstream(draining)]));
     assert_eq!(taken.len(), 1);
 }
+
+/// What a host that asks tells one that listens.
+fn told(teller: &mut Catalog, now: Instant, records: Vec<Record>) -> Vec<Record> {
+    let changes = teller.take(now, &part(records));
+    changes.iter().map(Record::from).collect()
+}
+
+#[rstest]
+#[case::all_told(&[], true)]
+#[case::missed_what_changed_nothing(&[1], true)]
+#[case::missed_a_new_one(&[2], false)]
+#[case::missed_an_end(&[3], false)]
+#[case::missed_that_one_drains(&[4], false)]
+#[case::missed_a_coming_and_going(&[5, 6], true)]
+#[case::missed_a_going(&[6], false)]
+fn a_digest_shows_what_is_missing(#[case] missed: &[usize], #[case] same: bool) {
+    let now = Instant::now();
+    let draining = Record::Upstream(ReportedUpstream {
+        draining: true,
+        ..report("a")
+    });
+    let parts = [
+        vec![there("a"), there("b")],
+        vec![there("a"), there("b")],
+        vec![there("c"), there("a")],
+        vec![gone("b")],
+        vec![draining],
+        vec![there("d")],
+        vec![gone("d")],
+    ];
+    let (mut teller, mut listener) = (Catalog::default(), Catalog::default());
+    for (place, records) in parts.into_iter().enumerate() {
+        let news = told(&mut teller, now, records);
+        assert_eq!(news.is_empty(), place == 1, "only what has changed is told");
+        if !missed.contains(&place) {
+            listener.take(now, &part(news));
+        }
+    }
+    assert_eq!(listener.digest() == teller.digest(), same);
+}
+
+#[test]
+fn a_report_that_came_back_in_time_is_told() {
+    let now = Instant::now();
+    let later = |ms| now + Duration::from_millis(ms);
+    let (mut teller, mut listener) = (Catalog::default(), Catalog::default());
+    for catalog in [&mut teller, &mut listener] {
+        catalog.take(now, &part(vec![there("a"), there("b")]));
+        catalog.store_returned(now);
+    }
+    let news = told(&mut teller, later(100), vec![gone("a"), gone("b")]);
+    listener.take(later(100), &part(news));
+    let news = told(&mut teller, later(1_000), vec![there("b")]);
+    listener.take(later(1_000), &part(news));
+    assert_eq!(listener.digest(), teller.digest());
+    for catalog in [&mut teller, &mut listener] {
+        catalog.expire(later(2_300));
+        assert_eq!(ids(catalog), ["b"]);
+    }
+}
+
+/// Reports in between may be missed while the store is away.
+#[rstest]
+#[case::same_warm_up(2_500, 500, 0)]
+#[case::again(4_000, 3_000, 1)]
+#[case::again_before_its_end(2_000, 3_000, 1)]
+fn a_warm_up_that_begins_again_is_seen(
+    #[case] after_ms: u64,
+    #[case] left_ms: u64,
+    #[case] changes: usize,
+) {
+    let now = Instant::now();
+    let cold = |left_ms| {
+        let cold_for = Duration::from_millis(left_ms);
+        Record::Upstream(ReportedUpstream {
+            cold_for,
+            ..report("a")
+        })
+    };
+    let mut catalog = Catalog::default();
+    catalog.take(now, &part(vec![cold(3_000)]));
+    let later = now + Duration::from_millis(after_ms);
+    let taken = catalog.take(later, &part(vec![cold(left_ms)]));
+    assert_eq!(taken.len(), changes);
+}
