Follow the list of hosts as a feed; tell documents as what they change

Of 1,946 store calls some 340 read the list of hosts, each host every 10 s (at 3,700 hosts 74 KB/s a host, of 11 that operators allow); and until it was read again, 10 s after the start, a group's asking host did not know whom to tell, so that all asked. Each document over 8 KiB was read by each host, whatever it changed.

Ruled out: heartbeats that carry the list (their size grows with the hosts); reading it again sooner (as many calls).

Change: the list is a third feed, told and compared by digest as the others. A document is passed on as what it changes in the one before, of use only to who has that one in force. Beside these: an answer of the store older than what was seen is not taken (a whole read may be seconds old after the history is dropped; the new test showed a drained upstream served again); a host is ready only once it has read the upstreams' reports too (seen once in the suite: ready, and 503).

--- a/crates/gateway/src/control/beliefs.rs
+++ b/crates/gateway/src/control/beliefs.rs
@@ -7,8 +7,8 @@
 
 use steering::ids::{HostName, RegionName, ZoneName};
 use steering::route::{
-    Catalog, CatalogChange, Changes, Conditions, Evacuations, Feed, FeedDigest, Record, Roll,
-    RouteDocument, RouteTable, RouteView,
+    Catalog, CatalogChange, Changes, Conditions, DocumentChange, Evacuations, Feed, FeedDigest,
+    Record, Roll, RouteDocument, RouteTable, RouteView,
 };
 
 use crate::host::Common;
@@ -22,6 +22,8 @@
     catalog: Catalog,
     conditions: Conditions,
     pub roll: Roll,
+    /// Whether upstreams' reports had been read at the last view.
+    upstreams_known: bool,
     /// Hosts named in the last view, to see when time alone has changed them.
     named: BTreeMap<RegionName, Vec<SocketAddr>>,
     near_hosts: Option<Vec<HostName>>,
@@ -39,7 +41,8 @@
             evacuations: Evacuations::default(),
             catalog: Catalog::default(),
             conditions: Conditions::default(),
-            roll: Roll::default(),
+            roll: Roll::new(&common.settings.host),
+            upstreams_known: false,
             named: BTreeMap::new(),
             near_hosts: None,
             sharers: None,
@@ -64,6 +67,7 @@
         match feed {
             Feed::Routes => self.take_routes(now, changes),
             Feed::Upstreams => self.take_upstreams(now, &changes),
+            Feed::Hosts => self.take_hosts(now, &changes),
         }
     }
 
@@ -72,6 +76,7 @@
         match feed {
             Feed::Routes => self.evacuations.digest() ^ self.document.version,
             Feed::Upstreams => self.catalog.digest(),
+            Feed::Hosts => self.roll.list().digest(),
         }
     }
 
@@ -83,9 +88,10 @@
         };
         for record in changes.records {
             match record {
-                Record::Document(document) if document.version > self.document.version => {
-                    self.take_document(&document);
-                    news.push(Record::Document(document));
+                Record::Document(document) => news.extend(self.take_document(*document)),
+                Record::DocumentChange(change) => {
+                    let document = change.apply(&self.document);
+                    news.extend(document.and_then(|document| self.take_document(document)));
                 }
                 Record::Evacuation { zone, wanted: true } => drop(evacuated.insert(zone)),
                 Record::Evacuation { zone, .. } => drop(evacuated.remove(&zone)),
@@ -94,7 +100,7 @@
                     tracing::warn!(event = "document_refused", key, reason, in_force = version);
                     news.push(Record::Unusable { key, reason });
                 }
-                Record::Document(_) | Record::Upstream(_) | Record::UpstreamGone(_) => {}
+                _ => {}
             }
         }
         let turned = self.evacuations.take(now, evacuated);
@@ -105,12 +111,18 @@
         news
     }
 
-    fn take_document(&mut self, document: &RouteDocument) {
+    /// Takes a document that is newer than the one in force; what others are told then.
+    fn take_document(&mut self, document: RouteDocument) -> Option<Record> {
         let (version, before) = (document.version, self.document.version);
+        if version <= before {
+            return None;
+        }
         let routes = document.routes.len();
         tracing::info!(event = "document_taken", version, before, routes);
-        self.table = Arc::new(RouteTable::new(document));
-        self.document = Arc::new(document.clone());
+        let change = DocumentChange::between(&self.document, &document);
+        self.table = Arc::new(RouteTable::new(&document));
+        self.document = Arc::new(document);
+        Some(Record::DocumentChange(Box::new(change)))
     }
 
     fn take_upstreams(&mut self, now: Instant, changes: &Changes) -> Vec<Record> {
@@ -126,12 +138,22 @@
         taken.iter().map(Record::from).collect()
     }
 
+    fn take_hosts(&mut self, now: Instant, changes: &Changes) -> Vec<Record> {
+        for record in &changes.records {
+            if let Record::Unusable { key, reason } = record {
+                tracing::warn!(event = "row_refused", row = key, reason);
+            }
+        }
+        self.roll.take(now, changes)
+    }
+
     /// Drops what has run out; true where the next view will differ.
     pub fn expire(&mut self, now: Instant) -> bool {
         let dropped = self.catalog.expire(now);
         let (sharers, near_hosts) = self.count(now);
         let counted = sharers != self.sharers || near_hosts != self.near_hosts;
-        dropped || counted || self.named(now) != self.named
+        let read = self.catalog.is_read() != self.upstreams_known;
+        dropped || counted || read || self.named(now) != self.named
     }
 
     /// The view that follows.
@@ -142,10 +164,12 @@
         }
         self.named = named;
         (self.sharers, self.near_hosts) = self.count(now);
+        self.upstreams_known = self.catalog.is_read();
         RouteView {
             version: self.document.version,
             limits: self.document.limits,
             table: Arc::clone(&self.table),
+            upstreams_known: self.upstreams_known,
             services: RouteView::pools(
                 &self.document,
                 &self.catalog,
--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -18,11 +18,17 @@
 /// after three heartbeats, a second or more each.
 const LAPSE_LEAST: Duration = Duration::from_secs(1);
 
+/// Time in which every host should know of a new one, which takes a part of shared
+/// bounds: some seconds after its start it gets requests.
+const HOSTS_WITHIN: Duration = Duration::from_secs(4);
+
 /// How far this host has come in a feed, and who asks for it.
 pub(super) struct Follower {
     feed: Feed,
     /// None before the first answer, and once the history is gone.
     version: Option<FeedVersion>,
+    /// Newest version that was ever seen. An answer of an earlier one is stale.
+    newest: FeedVersion,
     /// Since when nothing has been heard from the store.
     lost_since: Option<Instant>,
     lead: Lead,
@@ -38,10 +44,12 @@
         let tightest = match feed {
             Feed::Routes => settings.bounds.apply,
             Feed::Upstreams => settings.bounds.drain,
+            Feed::Hosts => HOSTS_WITHIN,
         };
         Follower {
             feed,
             version: None,
+            newest: 0,
             lost_since: None,
             lead: Lead::new(&settings.host, &feed.to_string(), tightest),
             gap: Rc::default(),
@@ -52,7 +60,7 @@
     /// Takes an answer; true where the store had been away before it for so long that
     /// reports may have lapsed.
     fn answered(&mut self, version: FeedVersion) -> bool {
-        self.version = Some(version);
+        self.advance(version);
         self.lead.asked();
         let Some(since) = self.lost_since.take() else {
             return false;
@@ -63,6 +71,11 @@
         away >= LAPSE_LEAST
     }
 
+    fn advance(&mut self, version: FeedVersion) {
+        self.version = Some(version);
+        self.newest = self.newest.max(version);
+    }
+
     /// Takes what `from` has told, which goes up to `version`.
     fn told(&mut self, now: Instant, from: &str, used: Use, version: FeedVersion) {
         self.lead.told(now, from, used);
@@ -71,7 +84,7 @@
         match used {
             Use::Known => {}
             Use::Take => {
-                self.version = Some(version);
+                self.advance(version);
                 self.lacks = false;
             }
             Use::Gap => {
@@ -130,16 +143,22 @@
         let outcome = if called.is_ok() { "done" } else { "failed" };
         metrics::counter!("stagedeck_store_calls_total", "feed" => feed.to_string(), "outcome" => outcome)
             .increment(1);
+        let newest = self.follower(feed, |own| own.newest);
         match called {
-            Ok(changes) => Some(self.asked(feed, changes)),
+            Ok(changes) if changes.version < newest => {
+                let version = changes.version;
+                tracing::warn!(event = "store_stale", feed = %feed, version, newest);
+            }
+            Ok(changes) => return Some(self.asked(feed, changes)),
             Err(error) => {
                 self.follower(feed, |own| own.failed(begun, &error));
-                if error != RecordError::HistoryGone {
-                    sleep(AGAIN_AFTER).await;
+                if error == RecordError::HistoryGone {
+                    return None;
                 }
-                None
             }
         }
+        sleep(AGAIN_AFTER).await;
+        None
     }
 
     /// Takes an answer of the store; what others may be told.
@@ -188,9 +207,12 @@
     /// Takes a part of a feed, or all of it; what is worth telling others.
     fn take(&self, feed: Feed, changes: Changes) -> Vec<Record> {
         let now = Instant::now();
-        let news = self.beliefs.borrow_mut().take(now, feed, changes);
+        let mut beliefs = self.beliefs.borrow_mut();
+        let news = beliefs.take(now, feed, changes);
         let heeded = |record: &Record| !matches!(record, Record::Unusable { .. });
-        if news.iter().any(heeded) {
+        let changed = news.iter().any(heeded) || beliefs.expire(now);
+        drop(beliefs);
+        if changed {
             self.publish();
         }
         news
@@ -200,6 +222,7 @@
         let follower = match feed {
             Feed::Routes => &self.routes,
             Feed::Upstreams => &self.upstreams,
+            Feed::Hosts => &self.hosts,
         };
         with(&mut follower.borrow_mut())
     }
--- a/crates/gateway/src/control/hosts.rs
+++ b/crates/gateway/src/control/hosts.rs
@@ -14,15 +14,13 @@
 use steering::membership::{Heartbeat, HostEntry};
 use steering::rendezvous;
 use steering::route::News;
-use store::OwnRow;
+use store::{HOSTS_TABLE, OwnRow};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 use super::Control;
 use crate::host::Stage;
 
-/// Table with a row for each host: its entry as JSON.
-const HOSTS_TABLE: &str = "hosts";
 /// Table with the key that hosts prove to each other.
 const KEYS_TABLE: &str = "keys";
 const PEER_KEY: &str = "peers";
@@ -36,8 +34,8 @@
 pub(super) const BEAT_LIMIT: Duration = Duration::from_millis(900);
 /// A pause of this host's own process: longer than three heartbeats.
 const PAUSED: Duration = Duration::from_secs(3);
-/// Time between two readings of the list: heartbeats tell sooner who has come.
-const LIST_EVERY: Duration = Duration::from_secs(10);
+/// Time between two looks whether the store's list is true.
+const LOOK_AT_LIST_EVERY: Duration = Duration::from_secs(10);
 /// Time before a call to the store that failed is made again.
 const AGAIN_AFTER: Duration = Duration::from_millis(500);
 /// Hosts of the own region that get heartbeats, where there are more.
@@ -65,7 +63,7 @@
             }
             Err(error) => tracing::error!(event = "peers_failed", %error),
         }
-        spawn_local(Rc::clone(&self).read_list());
+        spawn_local(Rc::clone(&self).keep_list());
         self.local.replace(Some(local));
         self.beat().await;
     }
@@ -108,6 +106,19 @@
         }
     }
 
+    /// Keeps the store's list true: this host's row is put back where another host took
+    /// it for lost, and rows of lost hosts are removed.
+    async fn keep_list(self: Rc<Self>) {
+        loop {
+            let is_listed = self.beliefs.borrow().roll.list().lists(&self.me);
+            if !is_listed {
+                self.be_listed().await;
+            }
+            self.remove_lost().await;
+            sleep(LOOK_AT_LIST_EVERY).await;
+        }
+    }
+
     /// Writes this host's row, again until the store has taken it.
     async fn be_listed(&self) {
         let value = serde_json::to_vec(&self.me).expect("entries are valid JSON");
@@ -124,44 +135,6 @@
         }
     }
 
-    /// Reads the list of hosts now and then, and keeps it true: this host's row is put
-    /// back where another host took it for lost, and rows of lost hosts are removed.
-    async fn read_list(self: Rc<Self>) {
-        loop {
-            match self.records.rows(HOSTS_TABLE).await {
-                Ok(rows) => {
-                    let is_listed = rows.iter().any(|row| row.key == self.me.name);
-                    self.take_list(&rows);
-                    if !is_listed {
-                        self.be_listed().await;
-                    }
-                    self.remove_lost().await;
-                    sleep(LIST_EVERY).await;
-                }
-                Err(error) => {
-                    tracing::debug!(event = "list_not_read", %error);
-                    sleep(AGAIN_AFTER).await;
-                }
-            }
-        }
-    }
-
-    fn take_list(&self, rows: &[OwnRow]) {
-        let mut entries = Vec::new();
-        for row in rows {
-            match serde_json::from_slice::<HostEntry>(&row.value) {
-                Ok(entry) if entry.name != self.me.name => entries.push(entry),
-                Ok(_) => {}
-                Err(error) => {
-                    tracing::warn!(event = "row_refused", row = row.key, %error);
-                }
-            }
-        }
-        let now = Instant::now();
-        self.beliefs.borrow_mut().roll.list(now, entries);
-        self.publish();
-    }
-
     async fn remove_lost(&self) {
         let partners = self.partners();
         let now = Instant::now();
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -36,6 +36,7 @@
     beliefs: RefCell<Beliefs>,
     routes: RefCell<Follower>,
     upstreams: RefCell<Follower>,
+    hosts: RefCell<Follower>,
     /// What hosts need to call each other; none before the shared key is known.
     local: RefCell<Option<Local>>,
     /// Clients of hosts that get heartbeats or news.
@@ -62,6 +63,7 @@
         me,
         routes: RefCell::new(Follower::new(Feed::Routes, &common.settings)),
         upstreams: RefCell::new(Follower::new(Feed::Upstreams, &common.settings)),
+        hosts: RefCell::new(Follower::new(Feed::Hosts, &common.settings)),
         local: RefCell::default(),
         clients: RefCell::default(),
         beats: Cell::default(),
@@ -70,6 +72,7 @@
     });
     spawn_local(Rc::clone(&control).follow(Feed::Routes));
     spawn_local(Rc::clone(&control).follow(Feed::Upstreams));
+    spawn_local(Rc::clone(&control).follow(Feed::Hosts));
     spawn_local(Rc::clone(&control).look_at_times());
     let hosts = spawn_local(Rc::clone(&control).meet_hosts(peers));
     let mut stage = control.common.stage.clone();
--- a/crates/gateway/src/traffic/answers.rs
+++ b/crates/gateway/src/traffic/answers.rs
@@ -30,7 +30,7 @@
 /// Why a request has not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub(super) enum Cause {
-    /// The host holds no document yet.
+    /// The host holds no document yet, or knows no upstreams.
     #[display("no_document")]
     NoDocument,
     /// No upstream that may serve it is known, or none can be used now.
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -36,7 +36,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Refusal> {
     let view = traffic.common.view.load_full();
-    if view.version == 0 {
+    if !view.is_ready() {
         return Err(Refusal::NotRun {
             cause: Cause::NoDocument,
             come_back: NO_DOCUMENT_WAIT,
--- a/crates/gateway/src/traffic/server.rs
+++ b/crates/gateway/src/traffic/server.rs
@@ -143,7 +143,7 @@
     let (method, uri) = (request.method(), request.uri());
     let view = traffic.common.view.load();
     let settings = &traffic.common.settings;
-    let serves = view.version > 0 && !traffic.is_leaving();
+    let serves = view.is_ready() && !traffic.is_leaving();
     if traffic.dialect.is_ready_call(method, uri) {
         return status(match serves {
             true => StatusCode::OK,
--- a/crates/steering/src/route/catalog.rs
+++ b/crates/steering/src/route/catalog.rs
@@ -49,6 +49,7 @@
 #[derive(Debug, Default)]
 pub struct Catalog {
     listed: BTreeMap<UpstreamId, Listed>,
+    is_read: bool,
     /// When the store answered again after it had been away.
     store_back: Option<Instant>,
 }
@@ -75,6 +76,7 @@
 
     /// Takes a part of the feed in its order, or all of it; says what has changed.
     pub fn take(&mut self, now: Instant, changes: &Changes) -> Vec<CatalogChange> {
+        self.is_read |= changes.whole;
         let mut taken = Vec::new();
         for id in self.lacking(changes) {
             let at_once = self.remove(now, &id);
@@ -154,6 +156,11 @@
         before != self.listed.len()
     }
 
+    /// Whether all reports have been read.
+    pub fn is_read(&self) -> bool {
+        self.is_read
+    }
+
     /// Digest of the reports that are there now, the same wherever they were learned.
     pub fn digest(&self) -> FeedDigest {
         let there = self.listed.values().filter(|l| l.drop_at.is_none());
--- a/crates/steering/src/route/feed.rs
+++ b/crates/steering/src/route/feed.rs
@@ -6,8 +6,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::document::RouteDocument;
+use super::document_change::DocumentChange;
 use super::upstream::{ReportedUpstream, UpstreamId};
-use crate::ids::ZoneName;
+use crate::ids::{HostName, ZoneName};
+use crate::membership::HostEntry;
 
 /// Place in a feed; rises with each change.
 pub type FeedVersion = u64;
@@ -25,6 +27,9 @@
     /// Upstreams' reports.
     #[display("upstreams")]
     Upstreams,
+    /// The list of hosts.
+    #[display("hosts")]
+    Hosts,
 }
 
 /// One thing that a feed says.
@@ -32,6 +37,8 @@
 pub enum Record {
     /// A new document.
     Document(Box<RouteDocument>),
+    /// What a new document changes; passed on by hosts, never in a store.
+    DocumentChange(Box<DocumentChange>),
     /// A zone is to get no work, or may get it again.
     Evacuation {
         /// The zone.
@@ -43,6 +50,10 @@
     Upstream(ReportedUpstream),
     /// An upstream's report is no longer there.
     UpstreamGone(UpstreamId),
+    /// A host's row.
+    Host(HostEntry),
+    /// A host's row is no longer there.
+    HostGone(HostName),
     /// Something that can't be used; what it replaces stays in force.
     Unusable {
         /// Where it stands.
--- a/crates/steering/src/route/roll.rs
+++ b/crates/steering/src/route/roll.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use super::feed::{Changes, Record};
+use super::host_list::HostList;
 use crate::ids::{HostName, Incarnation};
 use crate::membership::HostEntry;
 
@@ -25,8 +27,6 @@
     heard: Option<Instant>,
     /// Since when it is known, or when it was last heard.
     noted: Instant,
-    /// Whether the store's list had it when it was last read.
-    listed: bool,
     leaving: bool,
 }
 
@@ -34,38 +34,46 @@
 #[derive(Debug, Default)]
 pub struct Roll {
     hosts: BTreeMap<HostName, KnownHost>,
-    /// Whether the store's list has been read.
-    list_read: bool,
+    me: HostName,
+    list: HostList,
 }
 
 impl Roll {
-    /// Takes the store's whole list. A host is named to callers only once it is heard.
-    pub fn list(&mut self, now: Instant, entries: Vec<HostEntry>) {
-        self.list_read = true;
-        for host in self.hosts.values_mut() {
-            host.listed = false;
+    /// Nothing known yet but this host's own name.
+    pub fn new(me: &str) -> Self {
+        Roll {
+            me: me.to_owned(),
+            ..Roll::default()
         }
-        for entry in entries {
-            let known = self.hosts.get_mut(&entry.name);
-            match known {
-                Some(known) if known.entry.peer_address == entry.peer_address => {
-                    known.listed = true;
-                }
-                _ => {
-                    let host = KnownHost {
-                        incarnation: None,
-                        heard: None,
-                        noted: now,
-                        listed: true,
-                        leaving: false,
-                        entry,
-                    };
-                    self.hosts.insert(host.entry.name.clone(), host);
-                }
+    }
+
+    /// Takes a part of the store's list, or all of it; says what has changed. A host is
+    /// named to callers only once it is heard.
+    pub fn take(&mut self, now: Instant, changes: &Changes) -> Vec<Record> {
+        let news = self.list.take(changes);
+        for entry in self.list.rows().filter(|entry| entry.name != self.me) {
+            let known = self.hosts.get(&entry.name);
+            if known.is_some_and(|known| known.entry.peer_address == entry.peer_address) {
+                continue;
             }
+            let host = KnownHost {
+                incarnation: None,
+                heard: None,
+                noted: now,
+                leaving: false,
+                entry: entry.clone(),
+            };
+            self.hosts.insert(entry.name.clone(), host);
         }
+        let list = &self.list;
         self.hosts
-            .retain(|_, host| host.listed || is_recent(host, now));
+            .retain(|name, host| list.has(name) || is_recent(host, now));
+        news
+    }
+
+    /// The store's list.
+    pub fn list(&self) -> &HostList {
+        &self.list
     }
 
     /// Takes a sign of life; true where it changes which hosts are named.
@@ -77,9 +85,7 @@
         leaving: bool,
     ) -> bool {
         let before = self.is_named(now, &entry.name);
-        let known = self.hosts.get(&entry.name);
         let host = KnownHost {
-            listed: known.is_some_and(|known| known.listed),
             entry: entry.clone(),
             incarnation: Some(incarnation),
             heard: Some(now),
@@ -112,8 +118,9 @@
     /// that were heard lately. None before the store's list has been read.
     pub fn sharers(&self, now: Instant) -> Option<impl Iterator<Item = &HostEntry>> {
         let hosts = self.hosts.values();
-        let counted = hosts.filter(move |host| host.listed || is_recent(host, now));
-        self.list_read.then(|| counted.map(|host| &host.entry))
+        let counted =
+            hosts.filter(move |host| self.list.has(&host.entry.name) || is_recent(host, now));
+        self.list.is_read().then(|| counted.map(|host| &host.entry))
     }
 
     /// Which of the hosts that get heartbeats of this one have been silent for so long
--- a/crates/steering/src/route/view.rs
+++ b/crates/steering/src/route/view.rs
@@ -90,6 +90,8 @@
     pub limits: super::document::CallerLimits,
     /// The document's routes.
     pub table: Arc<RouteTable>,
+    /// Whether the upstreams' reports have been read.
+    pub upstreams_known: bool,
     /// Upstreams by service.
     pub services: HashMap<ServiceName, ServicePool>,
     /// Addresses for callers of the hosts that are there, by region.
@@ -139,6 +141,11 @@
 pub type Conditions = HashMap<UpstreamId, Arc<Mutex<Condition>>>;
 
 impl RouteView {
+    /// Whether requests can be served: a document is in force and upstreams are known.
+    pub fn is_ready(&self) -> bool {
+        self.version > 0 && self.upstreams_known
+    }
+
     /// Upstreams by service and region. Those that drain, stand in an evacuated zone or
     /// in a zone of no known region are left out.
     pub fn pools(
--- /dev/null
+++ b/crates/steering/tests/route_document.rs
@@ -0,0 +1,98 @@
+//! What one document changes in another.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rstest::rstest;
+use steering::route::{CallerLimits, DocumentChange, Part, Route, RouteDocument, ServiceTerms};
+
+const MANY: usize = 1_000;
+
+fn route(prefix: &str, service: &str) -> Route {
+    Route {
+        name: prefix.to_owned(),
+        domain: "a.example".to_owned(),
+        prefix: prefix.to_owned(),
+        repeatable: true,
+        by_object: true,
+        priority: 1,
+        goal: Duration::from_millis(400),
+        timeout: None,
+        attempts: 2,
+        parts: vec![Part {
+            service: service.to_owned(),
+            weight: 1.0,
+        }],
+        home_regions: Vec::new(),
+    }
+}
+
+fn terms(connections: u32) -> ServiceTerms {
+    ServiceTerms {
+        connections,
+        warm_up: Duration::from_secs(3),
+        cold_per_s: None,
+    }
+}
+
+fn document(version: u64, routes: &[(&str, &str)]) -> RouteDocument {
+    let services = routes.iter().map(|(_, s)| ((*s).to_owned(), terms(10)));
+    RouteDocument {
+        version,
+        limits: CallerLimits::default(),
+        routes: routes.iter().map(|(p, s)| route(p, s)).collect(),
+        services: services.collect::<BTreeMap<_, _>>(),
+    }
+}
+
+/// Routes stand in no order.
+fn sorted(mut document: RouteDocument) -> RouteDocument {
+    document.routes.sort_by(|a, b| a.prefix.cmp(&b.prefix));
+    document
+}
+
+#[rstest]
+#[case::nothing(&[("/a/", "s1")])]
+#[case::added(&[("/a/", "s1"), ("/b/", "s2")])]
+#[case::moved(&[("/a/", "s2")])]
+#[case::replaced(&[("/b/", "s1")])]
+#[case::emptied(&[])]
+fn a_change_leads_to_the_newer_document(#[case] routes: &[(&str, &str)]) {
+    let base = document(3, &[("/a/", "s1")]);
+    let newer = document(8, routes);
+    let change = DocumentChange::between(&base, &newer);
+    assert_eq!(change.apply(&base).map(sorted), Some(sorted(newer)));
+}
+
+#[test]
+fn limits_and_terms_change_too() {
+    let base = document(3, &[("/a/", "s1")]);
+    let mut newer = document(4, &[("/a/", "s1")]);
+    newer.limits.body_bytes += 1;
+    newer.services.insert("s1".to_owned(), terms(20));
+    let change = DocumentChange::between(&base, &newer);
+    assert_eq!(change.apply(&base), Some(newer));
+}
+
+#[test]
+fn a_change_of_another_document_is_of_no_use() {
+    let change = DocumentChange::between(&document(3, &[]), &document(4, &[]));
+    assert_eq!(change.apply(&document(2, &[])), None);
+    assert_eq!(change.apply(&document(4, &[])), None);
+}
+
+#[test]
+fn a_change_is_as_large_as_what_it_changes() {
+    let prefixes: Vec<String> = (0..MANY).map(|n| format!("/r{n}/")).collect();
+    let routes: Vec<(&str, &str)> = prefixes.iter().map(|p| (p.as_str(), "s1")).collect();
+    let base = document(1, &routes);
+    let mut newer = document(2, &routes);
+    newer.routes[7].attempts += 1;
+    let change = DocumentChange::between(&base, &newer);
+    let bytes = |text: serde_json::Result<String>| text.unwrap().len();
+    let (change, whole) = (
+        bytes(serde_json::to_string(&change)),
+        bytes(serde_json::to_string(&newer)),
+    );
+    assert!(change * 100 < whole, "{change} of {whole} bytes");
+}
--- a/crates/steering/tests/route_hosts.rs
+++ b/crates/steering/tests/route_hosts.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 use steering::membership::HostEntry;
 use steering::rendezvous;
-use steering::route::{Lead, Roll, Use};
+use steering::route::{Changes, Lead, Record, Roll, Use};
 
 fn host(name: &str) -> HostEntry {
     let address = "127.0.0.1:1".parse().unwrap();
@@ -19,6 +19,15 @@
     }
 }
 
+fn list(roll: &mut Roll, now: Instant, hosts: Vec<HostEntry>) {
+    let changes = Changes {
+        whole: true,
+        records: hosts.into_iter().map(Record::Host).collect(),
+        version: 1,
+    };
+    roll.take(now, &changes);
+}
+
 fn named(roll: &Roll, now: Instant) -> Vec<String> {
     let named = roll.named(now);
     named.map(|host| host.entry.name.clone()).collect()
@@ -29,7 +38,7 @@
     let now = Instant::now();
     let later = |ms| now + Duration::from_millis(ms);
     let mut roll = Roll::default();
-    roll.list(now, vec![host("dead"), host("alive")]);
+    list(&mut roll, now, vec![host("dead"), host("alive")]);
     assert!(named(&roll, now).is_empty());
     assert!(roll.hear(later(100), &host("alive"), 1, false));
     assert_eq!(named(&roll, later(200)), ["alive"]);
@@ -60,7 +69,7 @@
     let mut roll = Roll::default();
     roll.hear(now, &host("heard"), 1, false);
     assert!(roll.sharers(now).is_none(), "the list has not been read");
-    roll.list(now, vec![host("listed")]);
+    list(&mut roll, now, vec![host("listed")]);
     let count = |roll: &Roll, now| roll.sharers(now).map(|others| others.count());
     assert_eq!(count(&roll, now), Some(2));
     assert_eq!(
@@ -68,7 +77,7 @@
         Some(1),
         "a listed host may be there, heard or not"
     );
-    roll.list(later(60), Vec::new());
+    list(&mut roll, later(60), Vec::new());
     assert_eq!(count(&roll, later(60)), Some(0));
 }
 
@@ -77,7 +86,7 @@
     let now = Instant::now();
     let later = |s| now + Duration::from_secs(s);
     let mut roll = Roll::default();
-    roll.list(now, vec![host("a"), host("b"), host("c")]);
+    list(&mut roll, now, vec![host("a"), host("b"), host("c")]);
     roll.hear(later(50), &host("b"), 1, false);
     let partners = [host("a"), host("b")];
     assert!(roll.lost(later(50), &partners).is_empty());
--- a/crates/store/src/records.rs
+++ b/crates/store/src/records.rs
@@ -37,6 +37,10 @@
     Nonsense(#[error(not(source))] String),
 }
 
+/// Table behind [`Feed::Hosts`]: a row for each host under its name, its
+/// [`steering::membership::HostEntry`] as JSON.
+pub const HOSTS_TABLE: &str = "hosts";
+
 /// The store, as hosts that serve routes see it.
 pub trait Records {
     /// Reads a feed whole.
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -16,6 +16,7 @@
     "store_lost",
     "store_regained",
     "history_gone",
+    "store_stale",
     "paused",
     "leaving",
     "start",
