Estimate the load of upstreams that have not told it

Cause: some services tell no load; then only a host's own requests counted, and an upstream with requests of all hosts was taken for one with a third of them.

Change: where an upstream has not told for 2 s, the region's other hosts are taken to send it as much as this one, averaged over 1.5 s.

--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -51,7 +51,7 @@
         if !self.judged.get() {
             self.judge(Answered::Unknown);
         }
-        self.upstream.condition().ended();
+        self.upstream.condition().ended(Instant::now());
     }
 }
 
--- a/crates/gateway/src/traffic/shares.rs
+++ b/crates/gateway/src/traffic/shares.rs
@@ -112,10 +112,11 @@
                 continue;
             };
             let own = pool.regions.get(&self.region);
-            let own_use = own.map_or(f64::INFINITY, |own| own.use_of_slots(now));
+            let hosts = view.near_hosts.as_ref().map_or(1, Vec::len);
+            let own_use = own.map_or(f64::INFINITY, |own| own.use_of_slots(now, hosts));
             let others = pool.regions.iter();
             let others = others.filter(|(region, _)| **region != self.region);
-            let others_use = others.map(|(_, pool)| pool.use_of_slots(now));
+            let others_use = others.map(|(_, pool)| pool.use_of_slots(now, hosts));
             let before = spread.own();
             spread.adapt(step, own_use, others_use.fold(f64::INFINITY, f64::min));
             if before != spread.own() {
--- a/crates/steering/src/route/choice.rs
+++ b/crates/steering/src/route/choice.rs
@@ -169,7 +169,7 @@
         choice: Choice {
             upstream: Arc::clone(upstream),
             rank,
-            load: condition.load(now),
+            load: condition.load(now, wish.near_hosts.map_or(1, <[HostName]>::len)),
             load_age: condition.load_age(now),
             cold: upstream.is_cold(now),
         },
--- a/crates/steering/src/route/condition.rs
+++ b/crates/steering/src/route/condition.rs
@@ -2,10 +2,14 @@
 
 use std::time::{Duration, Instant};
 
+use super::average::Average;
 use super::pace::ColdPart;
 
 /// Time for which a report of load is believed.
 const REPORT_HOLDS: Duration = Duration::from_secs(2);
+/// Time over which this host's own requests are averaged, to tell from them those of
+/// other hosts: some answers of an upstream.
+const AVERAGED_OVER: Duration = Duration::from_millis(1_500);
 /// Silence on all requests in flight after which an upstream gets no more.
 const SILENT_AFTER: Duration = Duration::from_millis(1_200);
 /// Time for which an upstream is left alone after a failure; doubles with each.
@@ -37,6 +41,8 @@
 pub struct Condition {
     /// Requests of this host that are in flight there.
     in_flight: u32,
+    /// Average of these.
+    own: Average,
     /// Load by other hosts at the last report, and when that came.
     others: Option<(f64, Instant)>,
     failures: u32,
@@ -53,6 +59,7 @@
 impl Condition {
     /// Counts a request that is about to be sent.
     pub fn sent(&mut self, now: Instant) {
+        self.own.note(now, f64::from(self.in_flight), AVERAGED_OVER);
         self.in_flight += 1;
         if self.in_flight == 1 {
             self.unanswered_since = Some(now);
@@ -73,7 +80,8 @@
     }
 
     /// Counts a request whose answer has ended.
-    pub fn ended(&mut self) {
+    pub fn ended(&mut self, now: Instant) {
+        self.own.note(now, f64::from(self.in_flight), AVERAGED_OVER);
         self.in_flight = self.in_flight.saturating_sub(1);
         if self.in_flight == 0 {
             self.unanswered_since = None;
@@ -92,10 +100,19 @@
         self.gone = true;
     }
 
-    /// Requests running and waiting there, as far as known.
-    pub fn load(&self, now: Instant) -> f64 {
-        let others = self.others.filter(|_| self.load_age(now).is_some());
-        f64::from(self.in_flight) + others.map_or(0.0, |(others, _)| others)
+    /// Requests running and waiting there. Where it has not told lately, other hosts are
+    /// taken to send it as many requests each as this one; `hosts` of them do, this one
+    /// among them.
+    pub fn load(&self, now: Instant, hosts: usize) -> f64 {
+        let own = f64::from(self.in_flight);
+        let others = match self.others.filter(|_| self.load_age(now).is_some()) {
+            Some((others, _)) => others,
+            None => {
+                let average = self.own.at(now, own, AVERAGED_OVER);
+                average * hosts.saturating_sub(1) as f64
+            }
+        };
+        own + others
     }
 
     /// Age of its last report of load, where it is still believed.
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -4,6 +4,7 @@
 //! Every host computes the same homes of an object from the same view, so that no
 //! message is needed to agree on them.
 
+mod average;
 mod catalog;
 mod choice;
 mod condition;
--- a/crates/steering/src/route/view.rs
+++ b/crates/steering/src/route/view.rs
@@ -56,7 +56,8 @@
     }
 
     /// Load relative to slots; 1 is full. Unusable upstreams count as full.
-    pub fn use_of_slots(&self, now: Instant) -> f64 {
+    /// `hosts` are those that send to them.
+    pub fn use_of_slots(&self, now: Instant, hosts: usize) -> f64 {
         let slots = f64::from(self.slots());
         if slots == 0.0 {
             return f64::INFINITY;
@@ -64,7 +65,7 @@
         let load = |upstream: &Arc<Upstream>| {
             let condition = upstream.condition();
             match condition.is_usable(now) {
-                true => condition.load(now),
+                true => condition.load(now, hosts),
                 false => f64::from(upstream.report.slots),
             }
         };
