Rank only as many homes as a request needs

Each choice sorted all upstreams of the region, locked each and made a choice of each, and used one or two.

Change: the order is found as far as it is asked for (a heap), and only the first two usable upstreams are looked at; all where work on no object finds both full.

What is left is a hash and a logarithm for each upstream.

--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -248,6 +248,6 @@
         let hash = steering::rendezvous::hash(name.as_bytes());
         (hash, f64::from(pool.slots()))
     });
-    let ranked = rank(object, members);
-    ranked.first().map(|first| regions[*first].0.clone())
+    let first = rank(object, members).next();
+    first.map(|first| regions[first].0.clone())
 }
--- a/crates/steering/src/route/choice.rs
+++ b/crates/steering/src/route/choice.rs
@@ -74,20 +74,38 @@
 
 /// Chooses among a region's upstreams, and takes from a cold one's part where needed.
 pub fn choose(pool: &RegionPool, wish: &Wish<'_>, now: Instant) -> Result<Choice, NoRoom> {
-    let members = pool.upstreams.iter();
-    let members = members.map(|upstream| (upstream.hash, f64::from(upstream.report.slots)));
-    let ranked = rank(wish.object, members).into_iter().enumerate();
-    let usable = ranked.filter_map(|(rank, at)| usable(&pool.upstreams[at], rank, wish, now));
-    let (slow, healthy): (Vec<Home>, Vec<Home>) = usable.partition(|home| home.is_slow);
-    let ranked = healthy.into_iter().chain(slow).map(|home| home.choice);
+    let first_two = homes(pool, wish, now, 2);
     let choice = match wish.by_object {
-        true => at_home(ranked, wish),
-        false => least_loaded(ranked.collect(), wish),
+        true => at_home(first_two, wish),
+        false if first_two.iter().any(|choice| wait(choice, wish).is_zero()) => {
+            least_loaded(first_two, wish)
+        }
+        false => least_loaded(homes(pool, wish, now, usize::MAX), wish),
     }?;
     choice.upstream.condition().cold_part.take(now);
     Ok(choice)
 }
 
+/// The first usable upstreams in the object's ranking, `most` of them that are not
+/// slow; those that are come last.
+fn homes(pool: &RegionPool, wish: &Wish<'_>, now: Instant, most: usize) -> Vec<Choice> {
+    let members = pool.upstreams.iter();
+    let members = members.map(|upstream| (upstream.hash, f64::from(upstream.report.slots)));
+    let (mut healthy, mut slow) = (Vec::new(), Vec::new());
+    for (rank, at) in rank(wish.object, members).enumerate() {
+        match usable(&pool.upstreams[at], rank, wish, now) {
+            Some(home) if home.is_slow => slow.push(home.choice),
+            Some(home) => healthy.push(home.choice),
+            None => {}
+        }
+        if healthy.len() == most {
+            break;
+        }
+    }
+    healthy.append(&mut slow);
+    healthy
+}
+
 const UNREACHABLE: NoRoom = NoRoom {
     reachable: false,
     come_back: COME_BACK_LEAST,
@@ -95,7 +113,8 @@
 
 /// An object's home is the first usable upstream in its ranking. Where it is too full,
 /// the next one helps if it is idle.
-fn at_home(mut ranked: impl Iterator<Item = Choice>, wish: &Wish<'_>) -> Result<Choice, NoRoom> {
+fn at_home(ranked: Vec<Choice>, wish: &Wish<'_>) -> Result<Choice, NoRoom> {
+    let mut ranked = ranked.into_iter();
     let first = ranked.next().ok_or(UNREACHABLE)?;
     let wait = wait(&first, wish);
     let choice = match is_bearable(wait, wish) {
--- a/crates/steering/src/route/homes.rs
+++ b/crates/steering/src/route/homes.rs
@@ -5,6 +5,10 @@
 //! and Schomaker, "Weighted distributed hash tables", SPAA 2005. When a member
 //! comes or goes only its own objects move.
 
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+use std::iter;
+
 use twox_hash::XxHash3_64;
 
 /// A hash of an object of a service, the same on every host.
@@ -14,15 +18,45 @@
 
 /// Places of members in the order of their claim to an object, each given by its own
 /// hash and its weight. Members without weight come last.
-pub fn rank(object: u64, members: impl Iterator<Item = (u64, f64)>) -> Vec<usize> {
-    let mut ranked: Vec<(f64, usize)> = members
-        .enumerate()
-        .map(|(place, (hash, weight))| (claim(object, hash, weight), place))
-        .collect();
-    ranked.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-    ranked.into_iter().map(|(_, place)| place).collect()
+///
+/// The order is found as far as it is asked for: most requests need the first one or
+/// two of thousands.
+pub fn rank(object: u64, members: impl Iterator<Item = (u64, f64)>) -> impl Iterator<Item = usize> {
+    let claims = members.enumerate().map(|(place, (hash, weight))| Claim {
+        score: claim(object, hash, weight),
+        place,
+    });
+    let mut claims: BinaryHeap<Claim> = claims.collect();
+    iter::from_fn(move || claims.pop().map(|claim| claim.place))
+}
+
+/// A member's claim to an object.
+struct Claim {
+    score: f64,
+    place: usize,
+}
+
+impl Ord for Claim {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let by_score = self.score.total_cmp(&other.score);
+        by_score.then(other.place.cmp(&self.place))
+    }
 }
 
+impl PartialOrd for Claim {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Claim {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for Claim {}
+
 fn claim(object: u64, member: u64, weight: f64) -> f64 {
     let mixed = XxHash3_64::oneshot_with_seed(object, &member.to_le_bytes());
     weight / -unit(mixed).ln()
