Take up changed settings while running; tell the age of each belief

Cause: settings that changed were checked and not used until a restart, and a change without a signal was not seen at all. Nothing told how old what a host believes is, short of reading its log.

Change: bounds are held apart from the other settings and read where they are used; SIGHUP, or a look each 5 s, takes them; `reload` names what needs a restart. The rule for how long a leaving host takes new connections stands once now. Gauge `stagedeck_belief_age_seconds` for each feed.

--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -9,7 +9,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::Control;
-use crate::settings::GatewaySettings;
+use crate::settings::{Bounds, GatewaySettings};
 
 /// Time before a call that failed is made again.
 const AGAIN_AFTER: Duration = Duration::from_millis(400);
@@ -29,6 +29,8 @@
     version: Option<FeedVersion>,
     /// Newest version that was ever seen. An answer of an earlier one is stale.
     newest: FeedVersion,
+    /// When the store, or a host that had asked it, was last heard.
+    heard: Option<Instant>,
     /// Since when nothing has been heard from the store.
     lost_since: Option<Instant>,
     lead: Lead,
@@ -41,25 +43,31 @@
 
 impl Follower {
     pub fn new(feed: Feed, settings: &GatewaySettings) -> Self {
-        let tightest = match feed {
-            Feed::Routes => settings.bounds.apply,
-            Feed::Upstreams => settings.bounds.drain,
-            Feed::Hosts => HOSTS_WITHIN,
-        };
         Follower {
             feed,
             version: None,
             newest: 0,
+            heard: None,
             lost_since: None,
-            lead: Lead::new(&settings.host, &feed.to_string(), tightest),
+            lead: Lead::new(
+                &settings.host,
+                &feed.to_string(),
+                tightest(feed, &settings.bounds),
+            ),
             gap: Rc::default(),
             lacks: false,
         }
     }
 
+    /// Age of what is believed; none before anything is.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.heard.map(|at| now.saturating_duration_since(at))
+    }
+
     /// Takes an answer; true where the store had been away before it for so long that
     /// reports may have lapsed.
     fn answered(&mut self, version: FeedVersion) -> bool {
+        self.heard = Some(Instant::now());
         self.advance(version);
         self.lead.asked();
         let Some(since) = self.lost_since.take() else {
@@ -81,6 +89,9 @@
         self.lead.told(now, from, used);
         // The teller reaches the store, and says itself if it was away.
         self.lost_since = None;
+        if used != Use::Gap {
+            self.heard = Some(now);
+        }
         match used {
             Use::Known => {}
             Use::Take => {
@@ -111,11 +122,22 @@
     }
 }
 
+/// Shortest time in which what a feed says must be heeded.
+fn tightest(feed: Feed, bounds: &Bounds) -> Duration {
+    match feed {
+        Feed::Routes => bounds.apply,
+        Feed::Upstreams => bounds.drain,
+        Feed::Hosts => HOSTS_WITHIN,
+    }
+}
+
 impl Control {
     /// Follows a feed for ever: listens while a host that ranks first tells what is new,
     /// else asks the store and tells the others.
     pub(super) async fn follow(self: Rc<Self>, feed: Feed) {
         loop {
+            let tightest = tightest(feed, &self.common.bounds());
+            self.follower(feed, |own| own.lead.set_tightest(tightest));
             let rests = self.follower(feed, |own| own.lead.rests(Instant::now()));
             if !rests.is_zero() {
                 let gap = self.follower(feed, |own| Rc::clone(&own.gap));
@@ -218,7 +240,7 @@
         news
     }
 
-    fn follower<T>(&self, feed: Feed, with: impl FnOnce(&mut Follower) -> T) -> T {
+    pub(super) fn follower<T>(&self, feed: Feed, with: impl FnOnce(&mut Follower) -> T) -> T {
         let follower = match feed {
             Feed::Routes => &self.routes,
             Feed::Upstreams => &self.upstreams,
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -101,6 +101,17 @@
             if changed {
                 self.publish();
             }
+            self.count_ages();
+        }
+    }
+
+    fn count_ages(&self) {
+        let now = Instant::now();
+        for feed in [Feed::Routes, Feed::Upstreams, Feed::Hosts] {
+            if let Some(age) = self.follower(feed, |own| own.age(now)) {
+                metrics::gauge!("stagedeck_belief_age_seconds", "feed" => feed.to_string())
+                    .set(age.as_secs_f64());
+            }
         }
     }
 }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -16,7 +16,7 @@
 
 use crate::control;
 use crate::dialect::Dialect;
-use crate::settings::GatewaySettings;
+use crate::settings::{Bounds, GatewaySettings};
 use crate::traffic;
 
 /// Makes a client of the store, on the thread that will use it.
@@ -101,13 +101,22 @@
 #[derive(Clone)]
 pub(crate) struct Common {
     pub settings: Arc<GatewaySettings>,
+    /// Bounds in force; those of `settings` are the first ones.
+    pub bounds: Arc<ArcSwap<Bounds>>,
     pub view: Arc<ArcSwap<RouteView>>,
     pub stage: watch::Receiver<Stage>,
 }
 
+impl Common {
+    pub fn bounds(&self) -> Bounds {
+        **self.bounds.load()
+    }
+}
+
 /// A running host.
 pub struct GatewayHost {
     settings: Arc<GatewaySettings>,
+    bounds: Arc<ArcSwap<Bounds>>,
     stage: watch::Sender<Stage>,
     traffic: JoinHandle<()>,
     control: JoinHandle<()>,
@@ -136,9 +145,11 @@
         let (stage, watched) = watch::channel(Stage::Serving);
         let common = Common {
             settings: Arc::clone(&settings),
+            bounds: Arc::new(ArcSwap::from_pointee(settings.bounds)),
             view: Arc::default(),
             stage: watched,
         };
+        let bounds = Arc::clone(&common.bounds);
         let shared = common.clone();
         let control = spawn("control", move || async move {
             control::run(shared, peers, records()).await;
@@ -148,6 +159,7 @@
         })?;
         Ok(GatewayHost {
             settings,
+            bounds,
             stage,
             traffic,
             control,
@@ -159,6 +171,16 @@
         &self.settings
     }
 
+    /// Takes changed settings without ending anything: bounds are in force at once, for
+    /// requests under way too. All else takes a restart.
+    pub fn reload(&self, changed: &GatewaySettings) {
+        let before = **self.bounds.load();
+        self.bounds.store(Arc::new(changed.bounds));
+        let needs_restart = self.settings.fixed_changes(changed);
+        let bounds_changed = before != changed.bounds;
+        tracing::info!(event = "reload", bounds_changed, ?needs_restart);
+    }
+
     /// Stops the host: it is named to nobody from now on, finishes what it has begun,
     /// and ends before its grace does.
     pub fn stop(self) {
@@ -166,7 +188,7 @@
         tracing::info!(event = "leaving", host = self.settings.host);
         // Both threads may have ended already; then nobody is left to be told.
         let _ = self.stage.send(Stage::Leaving { since });
-        let end = since + self.settings.bounds.grace.saturating_sub(END_BEFORE);
+        let end = since + self.bounds.load().grace.saturating_sub(END_BEFORE);
         wait(&self.traffic, end);
         let _ = self.stage.send(Stage::Ended);
         wait(&self.control, end);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -63,6 +63,40 @@
     pub shift_most: f64,
 }
 
+impl GatewaySettings {
+    /// Names of the settings that differ in `other` and hold for the life of a process.
+    /// Addresses with port 0, and those that settings do not hold, differ from nothing.
+    pub fn fixed_changes(&self, other: &GatewaySettings) -> Vec<&'static str> {
+        let moved = |own: SocketAddr, other: SocketAddr| other.port() != 0 && own != other;
+        let changes = [
+            ("host", self.host != other.host),
+            ("zone", self.zone != other.zone),
+            ("region", self.region != other.region),
+            ("regions", self.regions != other.regions),
+            (
+                "caller_address",
+                moved(self.caller_address, other.caller_address),
+            ),
+            (
+                "ready_address",
+                moved(self.ready_address, other.ready_address),
+            ),
+            (
+                "look_up_address",
+                moved(self.look_up_address, other.look_up_address),
+            ),
+            ("peer_address", moved(self.peer_address, other.peer_address)),
+            (
+                "store_address",
+                moved(self.store_address, other.store_address),
+            ),
+            ("open_files", self.open_files != other.open_files),
+        ];
+        let changes = changes.into_iter().filter(|(_, differs)| *differs);
+        changes.map(|(name, _)| name).collect()
+    }
+}
+
 impl Default for Bounds {
     fn default() -> Self {
         Bounds {
--- a/crates/gateway/src/traffic/look_up.rs
+++ b/crates/gateway/src/traffic/look_up.rs
@@ -6,7 +6,7 @@
 use steering::route::RouteView;
 
 use crate::dialect::LookUp;
-use crate::settings::GatewaySettings;
+use crate::settings::{Bounds, GatewaySettings};
 
 /// Most hosts in an answer.
 const HOSTS_MOST: usize = 64;
@@ -15,8 +15,8 @@
 const TTL: Duration = Duration::from_secs(2);
 
 /// Time for which an answer holds.
-pub(super) fn ttl(settings: &GatewaySettings) -> Duration {
-    TTL.min(settings.bounds.look_up_ttl_most)
+pub(super) fn ttl(bounds: &Bounds) -> Duration {
+    TTL.min(bounds.look_up_ttl_most)
 }
 
 /// Hosts of the caller's region, else of any. `serving` is this host, where it serves.
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -47,6 +47,11 @@
         self.shares.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Time for which a leaving host still takes new connections.
+    fn takes_new_for(&self) -> Duration {
+        TAKES_NEW_FOR.min(self.common.bounds().grace / 2)
+    }
+
     fn is_leaving(&self) -> bool {
         *self.common.stage.borrow() != Stage::Serving
     }
@@ -60,7 +65,6 @@
     render_metrics: RenderMetrics,
 ) {
     let mut stage = common.stage.clone();
-    let takes_new_for = TAKES_NEW_FOR.min(common.settings.bounds.grace / 2);
     let traffic = Arc::new(Traffic {
         shares: Mutex::new(Shares::new(&common.settings)),
         connections: Connections::default(),
@@ -78,7 +82,7 @@
     spawn_local(adapt(Arc::clone(&traffic)));
     // The sender ends with the host.
     let _ = stage.wait_for(|stage| *stage != Stage::Serving).await;
-    sleep(takes_new_for).await;
+    sleep(traffic.takes_new_for()).await;
     callers.abort();
     while traffic.open.load(Ordering::Relaxed) > 0 {
         sleep(LAST_POLL).await;
@@ -91,7 +95,8 @@
         sleep(ADAPT_EVERY).await;
         let now = Instant::now();
         let view = traffic.common.view.load_full();
-        traffic.shares().adapt(&view, now, now - last);
+        let bounds = traffic.common.bounds();
+        traffic.shares().adapt(&view, &bounds, now, now - last);
         last = now;
         let open = traffic.open.load(Ordering::Relaxed);
         metrics::gauge!("stagedeck_caller_connections").set(open);
--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -54,7 +54,10 @@
         let object = self.head.object.as_ref().filter(|_| self.route.by_object);
         self.by_object = object.is_some();
         let object = object.map_or_else(rand::random, |object| object_hash(&service, object));
-        self.traffic.shares().first(&service, Instant::now());
+        let bounds = self.traffic.common.bounds();
+        self.traffic
+            .shares()
+            .first(&service, &bounds, Instant::now());
         let region = self.region(&service, object);
         self.trail.service.clone_from(&service);
         self.trail.region = region.clone().unwrap_or_default();
@@ -141,7 +144,7 @@
         };
         let usual = self.traffic.shares().usual(service);
         let settings = &self.traffic.common.settings;
-        let bounds = &settings.bounds;
+        let bounds = self.traffic.common.bounds();
         let mut wish = Wish {
             object,
             by_object: self.by_object,
@@ -150,7 +153,7 @@
             tried: &self.tried,
             usual: usual.unwrap_or(self.route.goal.mul_f64(USUAL_AT_FIRST)),
             terms: pool.terms.as_ref(),
-            cold_bound: &|bears| Shares::cold_bound(bounds, bears),
+            cold_bound: &|bears| Shares::cold_bound(&bounds, bears),
             me: &settings.host,
             near_hosts: None,
         };
@@ -204,7 +207,8 @@
     fn take_repeat(&self, service: &ServiceName) -> bool {
         let sharers = self.traffic.common.view.load().sharers;
         let now = Instant::now();
-        let allowed = self.traffic.shares().repeat(service, sharers, now);
+        let bounds = self.traffic.common.bounds();
+        let allowed = self.traffic.shares().repeat(service, &bounds, sharers, now);
         metrics::counter!("stagedeck_repeats_total", "allowed" => allowed.to_string()).increment(1);
         allowed
     }
--- a/crates/gateway/src/traffic/server.rs
+++ b/crates/gateway/src/traffic/server.rs
@@ -123,7 +123,7 @@
     let closing = async {
         // Idle connections of a leaving host are closed once it takes no new ones.
         let _ = stage.wait_for(|stage| *stage != Stage::Serving).await;
-        sleep(super::TAKES_NEW_FOR.min(leaving.common.settings.bounds.grace / 2)).await;
+        sleep(leaving.takes_new_for()).await;
     };
     tokio::select! {
         ended = connection.as_mut() => return note(ended),
@@ -160,7 +160,7 @@
     }
     let body = traffic
         .dialect
-        .look_up_answer(&hosts, look_up::ttl(settings));
+        .look_up_answer(&hosts, look_up::ttl(&traffic.common.bounds()));
     let mut answer = Response::new(full(body));
     let json = HeaderValue::from_static("application/json");
     answer.headers_mut().insert(CONTENT_TYPE, json);
--- a/crates/gateway/src/traffic/shares.rs
+++ b/crates/gateway/src/traffic/shares.rs
@@ -18,7 +18,6 @@
 /// Counts and shares of this host.
 pub(super) struct Shares {
     region: RegionName,
-    bounds: Bounds,
     repeats: HashMap<ServiceName, RepeatPart>,
     parts: HashMap<RuleName, PartSpread>,
     regions: HashMap<ServiceName, RegionSpread>,
@@ -30,7 +29,6 @@
     pub fn new(settings: &GatewaySettings) -> Self {
         Shares {
             region: settings.region.clone(),
-            bounds: settings.bounds,
             repeats: HashMap::new(),
             parts: HashMap::new(),
             regions: HashMap::new(),
@@ -60,27 +58,35 @@
     }
 
     /// Counts a request to a service.
-    pub fn first(&mut self, service: &str, now: Instant) {
-        self.repeat_part(service).first(now);
+    pub fn first(&mut self, service: &str, bounds: &Bounds, now: Instant) {
+        self.repeat_part(service, bounds).first(now);
     }
 
     /// Takes a repeat from the service's budget.
-    pub fn repeat(&mut self, service: &str, sharers: Option<usize>, now: Instant) -> bool {
-        self.repeat_part(service).repeat(now, sharers)
+    pub fn repeat(
+        &mut self,
+        service: &str,
+        bounds: &Bounds,
+        sharers: Option<usize>,
+        now: Instant,
+    ) -> bool {
+        self.repeat_part(service, bounds).repeat(now, sharers)
     }
 
-    fn repeat_part(&mut self, service: &str) -> &mut RepeatPart {
+    fn repeat_part(&mut self, service: &str, bounds: &Bounds) -> &mut RepeatPart {
         let Bounds {
             repeat_ratio,
             repeat_spare,
             repeat_window,
             ..
-        } = self.bounds;
+        } = *bounds;
         if !self.repeats.contains_key(service) {
-            let part = RepeatPart::new(repeat_ratio, repeat_spare, repeat_window);
-            self.repeats.insert(service.to_owned(), part);
+            self.repeats
+                .insert(service.to_owned(), RepeatPart::default());
         }
-        self.repeats.get_mut(service).expect("it was just inserted")
+        let part = self.repeats.get_mut(service).expect("it is there");
+        part.set_bound(repeat_ratio, repeat_spare, repeat_window);
+        part
     }
 
     /// Requests in a second that a cold upstream may receive, which bears `bears`.
@@ -104,9 +110,15 @@
     }
 
     /// Moves the regions' shares.
-    pub fn adapt(&mut self, view: &Arc<RouteView>, now: Instant, passed: Duration) {
+    pub fn adapt(
+        &mut self,
+        view: &Arc<RouteView>,
+        bounds: &Bounds,
+        now: Instant,
+        passed: Duration,
+    ) {
         // Half of what is allowed from one 2 s window to the next leaves room for chance.
-        let step = self.bounds.shift_most / 2.0 / 2.0 * passed.as_secs_f64().min(2.0);
+        let step = bounds.shift_most / 2.0 / 2.0 * passed.as_secs_f64().min(2.0);
         for (service, spread) in &mut self.regions {
             let Some(pool) = view.services.get(service) else {
                 continue;
--- a/crates/steering/src/route/lead.rs
+++ b/crates/steering/src/route/lead.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Changes the shortest time in which what the feed says must be heeded.
+    pub fn set_tightest(&mut self, tightest: Duration) {
+        self.tightest = tightest;
+    }
+
     /// Time without being told after which this host asks for itself.
     pub fn stale_after(&self) -> Duration {
         self.tightest.mul_f64(STALE_SHARE)
--- a/crates/steering/src/route/pace.rs
+++ b/crates/steering/src/route/pace.rs
@@ -77,7 +77,7 @@
 }
 
 /// The part of repeats that this host may send to a service.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct RepeatPart {
     /// Repeats allowed for each request.
     ratio: f64,
@@ -96,8 +96,7 @@
             ratio,
             spare,
             window,
-            firsts: Recent::default(),
-            repeats: Recent::default(),
+            ..RepeatPart::default()
         }
     }
 
@@ -107,6 +106,11 @@
         self.firsts.add(now);
     }
 
+    /// Changes the bound; what was counted stays.
+    pub fn set_bound(&mut self, ratio: f64, spare: f64, window: Duration) {
+        (self.ratio, self.spare, self.window) = (ratio, spare, window);
+    }
+
     /// Takes one repeat, where the part allows it.
     pub fn repeat(&mut self, now: Instant, hosts: Option<usize>) -> bool {
         let firsts = self.firsts.count(now, self.window) as f64;
--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -8,7 +8,7 @@
 use platform::{PATH_VARIABLE, PlatformDialect, PlatformStore, parse_settings};
 
 use super::outcome::{BAD_INPUT, Outcome, UNAVAILABLE};
-use super::signals::wait_to_stop;
+use super::signals::{Look, wait_to_stop};
 use crate::{logging, metrics_text};
 
 /// What is logged where the environment says nothing else.
@@ -44,11 +44,19 @@
         Ok(host) => host,
         Err(error) => return Outcome::failed(UNAVAILABLE, error),
     };
-    let reload = || match load(&path) {
-        Ok(_) => tracing::info!(event = "reload"),
-        Err(reason) => tracing::warn!(event = "reload_refused", reason),
+    // Read before the host began: what changes from now on is seen.
+    let mut text = std::fs::read_to_string(&path).unwrap_or_default();
+    let look = |look: Look| {
+        let read = std::fs::read_to_string(&path).unwrap_or_default();
+        if std::mem::replace(&mut text, read) == text && look == Look::Time {
+            return;
+        }
+        match load(&path) {
+            Ok(changed) => host.reload(&changed),
+            Err(reason) => tracing::warn!(event = "reload_refused", reason),
+        }
     };
-    if let Err(error) = wait_to_stop(reload) {
+    if let Err(error) = wait_to_stop(look) {
         return Outcome::failed(UNAVAILABLE, error);
     }
     host.stop();
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -20,7 +20,7 @@
         Ok(host) => host,
         Err(error) => return Outcome::failed(UNAVAILABLE, error),
     };
-    if let Err(error) = wait_to_stop(|| {}) {
+    if let Err(error) = wait_to_stop(|_| {}) {
         return Outcome::failed(UNAVAILABLE, error);
     }
     host.stop();
--- a/src/commands/signals.rs
+++ b/src/commands/signals.rs
@@ -1,11 +1,26 @@
 //! Signals that a host heeds.
 
+use std::time::Duration;
+
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::sleep;
+
+/// Time between two looks whether the settings have changed without a signal.
+const LOOK_EVERY: Duration = Duration::from_secs(5);
+
+/// Why settings are looked at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Look {
+    /// A signal says that they have changed.
+    Signal,
+    /// They may have changed without one.
+    Time,
+}
 
 /// Waits for the first signal to stop; a second one ends the process at once.
-/// `reload` is called at each SIGHUP before that.
-pub fn wait_to_stop(mut reload: impl FnMut()) -> std::io::Result<()> {
+/// `look` is called at each SIGHUP before that, and now and then.
+pub fn wait_to_stop(mut look: impl FnMut(Look)) -> std::io::Result<()> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(async {
         let mut terminate = signal(SignalKind::terminate())?;
@@ -15,7 +30,8 @@
             tokio::select! {
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
-                _ = hang_up.recv() => reload(),
+                _ = hang_up.recv() => look(Look::Signal),
+                () = sleep(LOOK_EVERY) => look(Look::Time),
             }
         }
         Ok::<(), std::io::Error>(())
