Learn from the settings' seeds where the store can't be reached

Cause: the settings name some hosts so that one that starts while the store is away can find peers. They were decoded and never used: such a host answered 503 until the store was back.

Ruled out: a key that follows from the settings, none of which is secret; asking callers' listeners of other hosts (they are open to everyone).

Change: while the key is not known, a failed question to the store is put to the seeds instead, which tell all that they have taken from the feed. Versions decide as with the store. With the key, hosts are told by the others as before.

--- a/crates/gateway/src/control/beliefs.rs
+++ b/crates/gateway/src/control/beliefs.rs
@@ -71,6 +71,23 @@
         }
     }
 
+    /// All that was taken from a feed and still holds.
+    pub fn state(&self, now: Instant, feed: Feed) -> Vec<Record> {
+        match feed {
+            Feed::Routes => {
+                let zones = self.evacuations.wanted.iter().cloned();
+                let evacuations = zones.map(|zone| Record::Evacuation { zone, wanted: true });
+                let document = Record::Document(Box::new((*self.document).clone()));
+                evacuations.chain([document]).collect()
+            }
+            Feed::Upstreams => self.catalog.state(now),
+            Feed::Hosts => {
+                let rows = self.roll.list().rows();
+                rows.cloned().map(Record::Host).collect()
+            }
+        }
+    }
+
     /// Digest of all that was taken from a feed.
     pub fn digest(&self, feed: Feed) -> FeedDigest {
         match feed {
--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use peer::ask_state;
 use steering::route::{Changes, Feed, FeedVersion, Lead, News, Record, Use};
 use store::RecordError;
 use tokio::sync::Notify;
@@ -22,6 +23,9 @@
 /// bounds: some seconds after its start it gets requests.
 const HOSTS_WITHIN: Duration = Duration::from_secs(4);
 
+/// Longest wait for a host that the settings name; it may be gone.
+const SEED_LIMIT: Duration = Duration::from_millis(900);
+
 /// How far this host has come in a feed, and who asks for it.
 pub(super) struct Follower {
     feed: Feed,
@@ -177,12 +181,46 @@
                 if error == RecordError::HistoryGone {
                     return None;
                 }
+                self.ask_seeds(feed).await;
             }
         }
         sleep(AGAIN_AFTER).await;
         None
     }
 
+    /// Learns from hosts that the settings name, where this host has started while the
+    /// store can't be reached: without the key no host tells it anything.
+    async fn ask_seeds(&self, feed: Feed) {
+        if self.local.borrow().is_some() {
+            return;
+        }
+        let settings = &self.common.settings;
+        let seeds = settings.seeds.iter();
+        for seed in seeds.filter(|seed| **seed != settings.peer_address) {
+            match ask_state(*seed, feed, SEED_LIMIT).await {
+                Ok(Some(state)) if self.follower(feed, |own| own.newest) <= state.version => {
+                    let version = state.version;
+                    tracing::info!(event = "learned_from_seed", feed = %feed, %seed, version);
+                    self.take(feed, state);
+                    self.follower(feed, |own| own.advance(version));
+                    return;
+                }
+                Ok(_) => {}
+                Err(error) => tracing::debug!(event = "seed_not_heard", %seed, %error),
+            }
+        }
+    }
+
+    /// All that this host has taken from a feed; none before it has read it.
+    pub(super) fn state(&self, feed: Feed) -> Option<Changes> {
+        let version = self.follower(feed, |own| own.version)?;
+        Some(Changes {
+            whole: true,
+            records: self.beliefs.borrow().state(Instant::now(), feed),
+            version,
+        })
+    }
+
     /// Takes an answer of the store; what others may be told.
     fn asked(&self, feed: Feed, changes: Changes) -> News {
         let now = Instant::now();
--- a/crates/gateway/src/control/hosts.rs
+++ b/crates/gateway/src/control/hosts.rs
@@ -13,7 +13,7 @@
 use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
 use steering::membership::{Heartbeat, HostEntry};
 use steering::rendezvous;
-use steering::route::News;
+use steering::route::{Changes, Feed, News};
 use store::{HOSTS_TABLE, OwnRow};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
@@ -270,6 +270,10 @@
         self.0.told(&from.name, news);
     }
 
+    fn state(&self, feed: Feed) -> Option<Changes> {
+        self.0.state(feed)
+    }
+
     fn borrow(&self, _: LimitKey, _: LoanRequest) -> Option<LoanGrant> {
         None
     }
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -11,6 +11,10 @@
   challenge @0 () -> (nonce :Data, version :UInt16);
   # Proves the shared key: the tag is an HMAC over the nonce and the name.
   open @1 (host :Host, incarnation :UInt64, tag :Data, version :UInt16) -> (session :Session);
+  # All that this host has taken from a feed of the store, as JSON; version 0 says nothing
+  # yet. For a host that can't reach the store and so doesn't hold the key; the store tells
+  # the same to whoever reaches it.
+  state @2 (feed :Data) -> (version :UInt64, records :Data);
 }
 
 interface Session {
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -14,6 +14,7 @@
 use steering::history::{Entry, Position};
 use steering::ids::Revision;
 use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
+use steering::route::{Changes, Feed};
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::timeout;
@@ -25,7 +26,7 @@
 };
 use crate::messages::{Beat, EncodedNews, Exchange, ExchangeReply, Local};
 use crate::peer_capnp::{PROTOCOL_VERSION, gate, session};
-use crate::traffic::Counted;
+use crate::traffic::{Counted, PeerTraffic};
 use crate::{ENTRIES_LIMIT, reader_options, tag};
 
 /// Why a call brought nothing.
@@ -191,19 +192,7 @@
     }
 
     async fn connect(&self) -> Result<Connection, PeerError> {
-        let stream = TcpStream::connect(self.address).await?;
-        stream.set_nodelay(true)?;
-        let (reader, writer) = stream.compat().split();
-        let reader = Counted::new(reader, &self.local.traffic);
-        let writer = Counted::new(writer, &self.local.traffic);
-        let network = twoparty::VatNetwork::new(reader, writer, Side::Client, reader_options());
-        let mut system = RpcSystem::new(Box::new(network), None);
-        let gate: gate::Client = system.bootstrap(Side::Server);
-        let task = spawn_local(async move {
-            // Its error reaches whoever waits for an answer.
-            let _ = system.await;
-        });
-        let mut task = AbortOnDrop(Some(task.abort_handle()));
+        let (gate, mut task) = open_gate(self.address, &self.local.traffic).await?;
         let challenge = gate.challenge_request().send().promise.await?;
         let nonce = challenge.get()?.get_nonce()?;
         let Local {
@@ -225,6 +214,59 @@
     }
 }
 
+/// Asks a host for all that it has taken from a feed, without the shared key; none where
+/// it has taken nothing yet.
+///
+/// # Errors
+///
+/// The host can't be reached, or does not answer within `deadline`.
+pub async fn ask_state(
+    address: SocketAddr,
+    feed: Feed,
+    deadline: Duration,
+) -> Result<Option<Changes>, PeerError> {
+    let call = async {
+        let (gate, _task) = open_gate(address, &Rc::default()).await?;
+        let mut request = gate.state_request();
+        request.get().set_feed(&write_json(&feed));
+        let answer = request.send().promise.await?;
+        let answer = answer.get()?;
+        let version = answer.get_version();
+        let changes = |records| Changes {
+            whole: true,
+            records,
+            version,
+        };
+        Ok(match version {
+            0 => None,
+            _ => Some(changes(read_json(answer.get_records()?)?)),
+        })
+    };
+    timeout(deadline, call)
+        .await
+        .unwrap_or(Err(PeerError::Late))
+}
+
+/// Connects to a host that does not know yet who calls.
+async fn open_gate(
+    address: SocketAddr,
+    traffic: &Rc<PeerTraffic>,
+) -> Result<(gate::Client, AbortOnDrop), PeerError> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (reader, writer) = stream.compat().split();
+    let reader = Counted::new(reader, traffic);
+    let writer = Counted::new(writer, traffic);
+    let network = twoparty::VatNetwork::new(reader, writer, Side::Client, reader_options());
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let gate: gate::Client = system.bootstrap(Side::Server);
+    let task = spawn_local(async move {
+        // Its error reaches whoever waits for an answer.
+        let _ = system.await;
+    });
+    Ok((gate, AbortOnDrop(Some(task.abort_handle()))))
+}
+
 /// Ends a task where connecting is given up.
 struct AbortOnDrop(Option<AbortHandle>);
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -23,7 +23,7 @@
 #[path = "generated/peer_capnp.rs"]
 mod peer_capnp;
 
-pub use client::{PeerClient, PeerError};
+pub use client::{PeerClient, PeerError, ask_state};
 pub use messages::{Beat, EncodedNews, Exchange, ExchangeReply, Local};
 pub use names::{ServiceId, ServiceNames, service_id};
 pub use server::{PeerHandler, PeerServer};
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -14,7 +14,7 @@
 use steering::ids::{HostName, Incarnation, Revision};
 use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
 use steering::membership::HostEntry;
-use steering::route::News;
+use steering::route::{Changes, Feed, News};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio_util::compat::TokioAsyncReadCompatExt;
@@ -42,6 +42,10 @@
     /// Takes a part of a feed of the store. A host that serves no routes has no use
     /// for it.
     fn news(&self, _from: &HostEntry, _incarnation: Incarnation, _news: News) {}
+    /// All that this host has taken from a feed of the store; none where that is nothing.
+    fn state(&self, _feed: Feed) -> Option<Changes> {
+        None
+    }
     /// Lends a part of a limit.
     fn borrow(&self, limit: LimitKey, request: LoanRequest) -> Option<LoanGrant>;
 }
@@ -160,6 +164,20 @@
         results.get().set_session(new_client(session));
         Ok(())
     }
+
+    async fn state(
+        self: Rc<Self>,
+        params: gate::StateParams,
+        mut results: gate::StateResults,
+    ) -> Result<(), Error> {
+        let feed: Feed = read_json(params.get()?.get_feed()?)?;
+        if let Some(state) = self.handler.state(feed) {
+            let mut results = results.get();
+            results.set_version(state.version);
+            results.set_records(&write_json(&state.records));
+        }
+        Ok(())
+    }
 }
 
 struct SessionServer {
--- a/crates/steering/src/route/catalog.rs
+++ b/crates/steering/src/route/catalog.rs
@@ -161,6 +161,18 @@
         self.is_read
     }
 
+    /// The reports that are there now, as if they were made now.
+    pub fn state(&self, now: Instant) -> Vec<Record> {
+        let there = self.listed.values().filter(|l| l.drop_at.is_none());
+        let reports = there.map(|listed| ReportedUpstream {
+            cold_for: listed
+                .cold_until
+                .map_or(Duration::ZERO, |until| until.saturating_duration_since(now)),
+            ..listed.report.clone()
+        });
+        reports.map(Record::Upstream).collect()
+    }
+
     /// Digest of the reports that are there now, the same wherever they were learned.
     pub fn digest(&self) -> FeedDigest {
         let there = self.listed.values().filter(|l| l.drop_at.is_none());
