Doubt a zone whose upstreams fail together

Cause: a zone without power says nothing; each of its upstreams cost each host a request that waited 0.3 s for a connection, again at each end of its rest. With 70 upstreams in a zone and 80 hosts that is thousands of requests.

Ruled out: shorter waits for connections (a region is 35 ms away and links lose packets); asking other hosts (they see it as late).

Change: two upstreams of a zone that fail with no answer from the zone in between put all of it after the others, for 0.5 s and twice as long each time, until anything there answers. One upstream that fails alone says nothing of its zone.

Tests: route_condition.rs (when a zone is doubted, and for how long), route_choice.rs (its upstreams come last; where all zones are doubted the order stays).

--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -40,8 +40,10 @@
     fn judge(&self, answered: Answered) {
         let service = &self.upstream.report.service;
         let usual = self.traffic.shares().usual(service);
-        let mut condition = self.upstream.condition();
-        condition.answered(Instant::now(), answered, usual);
+        let now = Instant::now();
+        self.upstream.condition().answered(now, answered, usual);
+        let id = &self.upstream.report.id;
+        self.upstream.zone().answered(now, id, answered);
         self.judged.set(true);
     }
 }
--- a/crates/steering/src/route/choice.rs
+++ b/crates/steering/src/route/choice.rs
@@ -86,15 +86,15 @@
     Ok(choice)
 }
 
-/// The first usable upstreams in the object's ranking, `most` of them that are not
-/// slow; those that are come last.
+/// The first usable upstreams in the object's ranking, `most` of them that are neither
+/// slow nor in a doubted zone; those that are come last.
 fn homes(pool: &RegionPool, wish: &Wish<'_>, now: Instant, most: usize) -> Vec<Choice> {
     let members = pool.upstreams.iter();
     let members = members.map(|upstream| (upstream.hash, f64::from(upstream.report.slots)));
-    let (mut healthy, mut slow) = (Vec::new(), Vec::new());
+    let (mut healthy, mut last) = (Vec::new(), Vec::new());
     for (rank, at) in rank(wish.object, members).enumerate() {
         match usable(&pool.upstreams[at], rank, wish, now) {
-            Some(home) if home.is_slow => slow.push(home.choice),
+            Some(home) if home.is_last => last.push(home.choice),
             Some(home) => healthy.push(home.choice),
             None => {}
         }
@@ -102,7 +102,7 @@
             break;
         }
     }
-    healthy.append(&mut slow);
+    healthy.append(&mut last);
     healthy
 }
 
@@ -165,7 +165,8 @@
 /// An upstream that can take the request.
 struct Home {
     choice: Choice,
-    is_slow: bool,
+    /// Whether it comes after all others.
+    is_last: bool,
 }
 
 /// The upstream as a home, where it can be sent the request. A cold one whose part of
@@ -184,7 +185,7 @@
         }
     }
     Some(Home {
-        is_slow: condition.is_slow(now),
+        is_last: condition.is_slow(now) || upstream.zone().is_doubted(now),
         choice: Choice {
             upstream: Arc::clone(upstream),
             rank,
--- a/crates/steering/src/route/condition.rs
+++ b/crates/steering/src/route/condition.rs
@@ -149,8 +149,7 @@
     }
 
     fn failed(&mut self, now: Instant) {
-        let doublings = self.failures.min(REST_DOUBLINGS);
-        self.rests_until = Some(now + REST_AFTER_FAILURE * 2u32.pow(doublings));
+        self.rests_until = Some(now + rest(self.failures));
         self.failures += 1;
     }
 
@@ -169,3 +168,8 @@
         }
     }
 }
+
+/// Time for which one that has failed `failures` times before is left alone.
+pub(super) fn rest(failures: u32) -> Duration {
+    REST_AFTER_FAILURE * 2u32.pow(failures.min(REST_DOUBLINGS))
+}
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -21,6 +21,7 @@
 mod table;
 mod upstream;
 mod view;
+mod zone_condition;
 
 pub use catalog::{Catalog, CatalogChange};
 pub use choice::{Choice, NoRoom, Wish, choose};
@@ -38,3 +39,4 @@
 pub use table::RouteTable;
 pub use upstream::{ReportedUpstream, UpstreamId};
 pub use view::{Conditions, Evacuations, RegionPool, RouteView, ServicePool, Upstream};
+pub use zone_condition::ZoneCondition;
--- a/crates/steering/src/route/view.rs
+++ b/crates/steering/src/route/view.rs
@@ -11,6 +11,7 @@
 use super::feed::{FeedDigest, Record};
 use super::table::RouteTable;
 use super::upstream::{ReportedUpstream, UpstreamId};
+use super::zone_condition::ZoneCondition;
 use crate::ids::{HostName, RegionName, ServiceName, ZoneName};
 
 /// An upstream that requests may go to.
@@ -23,6 +24,7 @@
     /// End of its warm-up, where it is cold.
     pub cold_until: Option<Instant>,
     condition: Arc<Mutex<Condition>>,
+    zone: Arc<Mutex<ZoneCondition>>,
 }
 
 impl Upstream {
@@ -33,6 +35,11 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What this host has seen of its zone.
+    pub fn zone(&self) -> MutexGuard<'_, ZoneCondition> {
+        self.zone.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether it is cold.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| until > now)
@@ -138,8 +145,13 @@
     }
 }
 
-/// Conditions outlive views: each start of an upstream keeps its own.
-pub type Conditions = HashMap<UpstreamId, Arc<Mutex<Condition>>>;
+/// What this host has seen; it outlives views.
+#[derive(Debug, Default)]
+pub struct Conditions {
+    /// Each start of an upstream has its own.
+    upstreams: HashMap<UpstreamId, Arc<Mutex<Condition>>>,
+    zones: HashMap<ZoneName, Arc<Mutex<ZoneCondition>>>,
+}
 
 impl RouteView {
     /// Whether requests can be served: a document is in force and upstreams are known.
@@ -159,7 +171,8 @@
         let mut pools: HashMap<ServiceName, ServicePool> = HashMap::new();
         for listed in catalog.listed() {
             let report = &listed.report;
-            let condition = conditions.entry(report.id.clone()).or_default();
+            let condition = conditions.upstreams.entry(report.id.clone()).or_default();
+            let zone = conditions.zones.entry(report.zone.clone()).or_default();
             let Some(region) = regions.get(&report.zone) else {
                 continue;
             };
@@ -173,6 +186,7 @@
                 hash: crate::rendezvous::hash(report.id.as_bytes()),
                 cold_until: listed.cold_until.max(taken_back),
                 condition: Arc::clone(condition),
+                zone: Arc::clone(zone),
                 report: report.clone(),
             };
             let pool = pools.entry(report.service.clone()).or_default();
@@ -183,7 +197,7 @@
             pool.terms = document.services.get(name).cloned();
         }
         let kept: BTreeSet<&UpstreamId> = catalog.listed().map(|l| &l.report.id).collect();
-        conditions.retain(|id, _| kept.contains(id));
+        conditions.upstreams.retain(|id, _| kept.contains(id));
         pools
     }
 }
--- a/crates/steering/tests/route_choice.rs
+++ b/crates/steering/tests/route_choice.rs
@@ -1,12 +1,13 @@
 //! Which upstream gets a request.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
 use steering::route::{
     Answered, Catalog, Changes, Conditions, Evacuations, Record, RegionPool, ReportedUpstream,
-    RouteDocument, RouteView, ServicePool, ServiceTerms, Wish, choose,
+    RouteDocument, RouteView, ServicePool, ServiceTerms, Upstream, Wish, choose,
 };
 
 const SLOTS: u32 = 3;
@@ -16,7 +17,7 @@
         id: format!("i-{number}"),
         service: "s1".to_owned(),
         address: "127.0.0.1:9".parse().unwrap(),
-        zone: "duran".to_owned(),
+        zone: ["duran", "puerto"][number % 2].to_owned(),
         slots: SLOTS,
         draining: false,
         cold_for,
@@ -42,7 +43,8 @@
         services: BTreeMap::from([("s1".to_owned(), terms)]),
         ..RouteDocument::default()
     };
-    let regions = BTreeMap::from([("duran".to_owned(), "costa".to_owned())]);
+    let regions = ["duran", "puerto"].map(|zone| (zone.to_owned(), "costa".to_owned()));
+    let regions = BTreeMap::from(regions);
     let mut pools = RouteView::pools(
         &document,
         &catalog,
@@ -175,6 +177,32 @@
     assert_eq!(choice.upstream.report.id, first, "it has rested");
 }
 
+/// A zone is lost: two of its upstreams have failed, and the object's home was not asked.
+#[test]
+fn upstreams_of_a_doubted_zone_come_last() {
+    let now = Instant::now();
+    let service = service(6, Duration::ZERO, now);
+    let (first, _) = homes(&service, now);
+    let pool = pool(&service);
+    let is_home = |upstream: &&Arc<Upstream>| upstream.report.id == first;
+    let home = pool.upstreams.iter().find(is_home).unwrap();
+    let others = pool.upstreams.iter();
+    let other = others
+        .into_iter()
+        .find(|o| o.report.zone != home.report.zone);
+    let lose = |upstream: &Upstream| {
+        for id in ["i-x", "i-y"] {
+            upstream.zone().answered(now, id, Answered::Failed);
+        }
+    };
+    lose(home);
+    let choice = choose(pool, &wish(&service, None), now).unwrap();
+    assert_ne!(choice.upstream.report.zone, home.report.zone);
+    lose(other.unwrap());
+    let choice = choose(pool, &wish(&service, None), now).unwrap();
+    assert_eq!(choice.upstream.report.id, first, "no zone is better");
+}
+
 #[test]
 fn other_upstreams_coming_and_going_move_few_objects() {
     let now = Instant::now();
--- a/crates/steering/tests/route_condition.rs
+++ b/crates/steering/tests/route_condition.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
-use steering::route::Condition;
+use steering::route::{Answered, Condition, ZoneCondition};
 
 /// Times as large as the span over which requests are averaged.
 const LONG: Duration = Duration::from_secs(60);
@@ -54,3 +54,46 @@
     assert!(close(condition.load(now, 3), 18.0));
     assert!(close(condition.load(now + LONG, 3), 0.0));
 }
+
+const SOON: Duration = Duration::from_millis(100);
+const FINE: Answered = Answered::After(SOON);
+
+#[rstest]
+#[case::one_alone(&[("a", Answered::Failed), ("a", Answered::Failed)], false)]
+#[case::two(&[("a", Answered::Failed), ("b", Answered::Failed)], true)]
+#[case::two_and_one_that_lives(&[("a", Answered::Failed), ("c", FINE), ("b", Answered::Failed)], false)]
+#[case::one_that_is_full_lives(&[("a", Answered::Failed), ("c", Answered::Refused), ("b", Answered::Failed)], false)]
+#[case::callers_that_leave(&[("a", Answered::Unknown), ("b", Answered::Unknown)], false)]
+fn a_zone_is_doubted_where_several_upstreams_fail(
+    #[case] seen: &[(&str, Answered)],
+    #[case] doubted: bool,
+) {
+    let now = Instant::now();
+    let mut zone = ZoneCondition::default();
+    for (upstream, answered) in seen {
+        zone.answered(now, upstream, *answered);
+    }
+    assert_eq!(zone.is_doubted(now + SOON), doubted);
+}
+
+#[test]
+fn a_doubted_zone_is_tried_again_ever_more_seldom_until_it_answers() {
+    let mut now = Instant::now();
+    let mut zone = ZoneCondition::default();
+    zone.answered(now, "a", Answered::Failed);
+    zone.answered(now, "b", Answered::Failed);
+    // What was under way fails too, and prolongs nothing.
+    zone.answered(now, "c", Answered::Failed);
+    let mut rests = Vec::new();
+    for _ in 0..3 {
+        let begun = now;
+        while zone.is_doubted(now) {
+            now += SOON;
+        }
+        rests.push(now - begun);
+        zone.answered(now, "a", Answered::Failed);
+    }
+    assert!(rests.is_sorted_by(|a, b| a < b), "{rests:?}");
+    zone.answered(now, "c", FINE);
+    assert!(!zone.is_doubted(now));
+}
