Split a request's run; build pools only when upstreams change

Left by earlier work: a request's run was one long function that looked up its service's terms again for each send; the rule of home regions stood twice, as did the fallback of a log filter; a function had no caller; every change of a host's state built all pools anew (3,000 upstreams in a large deployment).

Change: a destination is found once, a send is a function of its own, and takes its bound of connections with the choice. Pools are kept until a document, an evacuation or a report changes them. Behaviour stays.

--- a/crates/gateway/src/control/beliefs.rs
+++ b/crates/gateway/src/control/beliefs.rs
@@ -1,14 +1,14 @@
 //! Everything that the host believes, and the view that follows from it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use steering::ids::{HostName, RegionName, ZoneName};
+use steering::ids::{HostName, RegionName, ServiceName, ZoneName};
 use steering::route::{
     Catalog, CatalogChange, Changes, Conditions, DocumentChange, Evacuations, Feed, FeedDigest,
-    Record, Roll, RouteDocument, RouteTable, RouteView,
+    Record, Roll, RouteDocument, RouteTable, RouteView, ServicePool,
 };
 
 use crate::host::Common;
@@ -22,6 +22,8 @@
     catalog: Catalog,
     conditions: Conditions,
     pub roll: Roll,
+    /// Upstreams by service, until anything is learned that changes them.
+    pools: Option<Arc<HashMap<ServiceName, ServicePool>>>,
     /// Whether upstreams' reports had been read at the last view.
     upstreams_known: bool,
     /// Hosts named in the last view, to see when time alone has changed them.
@@ -42,6 +44,7 @@
             catalog: Catalog::default(),
             conditions: Conditions::default(),
             roll: Roll::new(&common.settings.host),
+            pools: None,
             upstreams_known: false,
             named: BTreeMap::new(),
             near_hosts: None,
@@ -64,11 +67,15 @@
 
     /// Takes a part of a feed, or all of it; what is worth telling others, in order.
     pub fn take(&mut self, now: Instant, feed: Feed, changes: Changes) -> Vec<Record> {
-        match feed {
+        let news = match feed {
             Feed::Routes => self.take_routes(now, changes),
             Feed::Upstreams => self.take_upstreams(now, &changes),
-            Feed::Hosts => self.take_hosts(now, &changes),
+            Feed::Hosts => return self.take_hosts(now, &changes),
+        };
+        if !news.is_empty() {
+            self.pools = None;
         }
+        news
     }
 
     /// All that was taken from a feed and still holds.
@@ -167,6 +174,9 @@
     /// Drops what has run out; true where the next view will differ.
     pub fn expire(&mut self, now: Instant) -> bool {
         let dropped = self.catalog.expire(now);
+        if dropped {
+            self.pools = None;
+        }
         let (sharers, near_hosts) = self.count(now);
         let counted = sharers != self.sharers || near_hosts != self.near_hosts;
         let read = self.catalog.is_read() != self.upstreams_known;
@@ -182,18 +192,22 @@
         self.named = named;
         (self.sharers, self.near_hosts) = self.count(now);
         self.upstreams_known = self.catalog.is_read();
-        RouteView {
-            version: self.document.version,
-            limits: self.document.limits,
-            table: Arc::clone(&self.table),
-            upstreams_known: self.upstreams_known,
-            services: RouteView::pools(
+        let pools = self.pools.get_or_insert_with(|| {
+            let pools = RouteView::pools(
                 &self.document,
                 &self.catalog,
                 &self.evacuations,
                 &self.regions,
                 &mut self.conditions,
-            ),
+            );
+            pools.into()
+        });
+        RouteView {
+            version: self.document.version,
+            limits: self.document.limits,
+            table: Arc::clone(&self.table),
+            upstreams_known: self.upstreams_known,
+            services: Arc::clone(pools),
             hosts: self.named.clone(),
             sharers: self.sharers,
             near_hosts: self.near_hosts.clone(),
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -59,7 +59,6 @@
         route: &route,
         parts,
         body,
-        by_object: false,
         deadline,
         sends: Vec::new(),
         tried: Vec::new(),
--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -37,8 +37,6 @@
     pub route: &'a Route,
     pub parts: Parts,
     pub body: WorkBody,
-    /// Whether it is sent by its object; set when it runs.
-    pub by_object: bool,
     /// When it must be answered, whatever with.
     pub deadline: Instant,
     /// How far each send got.
@@ -47,72 +45,88 @@
     pub tried: Vec<UpstreamId>,
 }
 
+/// Where a request goes.
+struct Destination {
+    service: ServiceName,
+    /// None where no region may serve it, or can.
+    region: Option<RegionName>,
+    /// Hash of its object, or any number.
+    object: u64,
+    by_object: bool,
+}
+
 impl Run<'_> {
     /// Sends it until it is answered or given up.
     pub async fn run(&mut self) -> Result<Response<Body>, Refusal> {
+        let destination = self.destination();
+        self.trail.service.clone_from(&destination.service);
+        self.trail.region = destination.region.clone().unwrap_or_default();
+        loop {
+            let choice = self.choose(&destination);
+            if let Err(refusal) = &choice {
+                self.trail.refused(refusal);
+            }
+            if let Some(answer) = self.send(&choice?).await {
+                return Ok(answer);
+            }
+            if self.after_miss(&destination.service) != Fate::SendAgain {
+                return Err(self.given_up(None));
+            }
+        }
+    }
+
+    fn destination(&self) -> Destination {
         let service = self.traffic.shares().part(self.route).clone();
         let object = self.head.object.as_ref().filter(|_| self.route.by_object);
-        self.by_object = object.is_some();
+        let by_object = object.is_some();
         let object = object.map_or_else(rand::random, |object| object_hash(&service, object));
         let bounds = self.traffic.common.bounds();
-        self.traffic
-            .shares()
-            .first(&service, &bounds, Instant::now());
-        let region = self.region(&service, object);
-        self.trail.service.clone_from(&service);
-        self.trail.region = region.clone().unwrap_or_default();
-        loop {
-            let choice = match self.choose(&service, object, region.as_ref()) {
-                Ok(choice) => choice,
-                Err(refusal) => {
-                    self.trail.refused(&refusal);
-                    return Err(refusal);
-                }
-            };
-            let upstream = Arc::clone(&choice.upstream);
-            self.trail.chose(&choice);
-            self.tried.push(upstream.report.id.clone());
-            self.sends.push(Sent::Not);
-            let sent = self.sends.last_mut().expect("it was just pushed");
-            let view = self.traffic.common.view.load_full();
-            let terms = view
-                .services
-                .get(&service)
-                .and_then(|pool| pool.terms.as_ref());
-            let mut work = Work {
-                head: self.head,
-                parts: &self.parts,
-                body: &mut self.body,
-                repeatable: self.route.repeatable,
-                deadline: self.deadline,
-            };
-            let connections = terms.map(|terms| terms.connections);
-            let missed = match send(self.traffic, &upstream, &mut work, connections, sent).await {
-                Ok(answer) => return Ok(answer),
-                Err(missed) => missed,
-            };
-            tracing::warn!(
-                event = "send_missed",
-                id = self.head.id,
-                upstream = upstream.report.id,
-                address = %upstream.report.address,
-                sent = ?missed.sent,
-                reason = missed.reason
-            );
-            *sent = missed.sent;
-            if self.after_miss(&service) != Fate::SendAgain {
-                return Err(self.given_up(None));
-            }
+        let now = Instant::now();
+        self.traffic.shares().first(&service, &bounds, now);
+        Destination {
+            region: self.region(&service, object),
+            service,
+            object,
+            by_object,
         }
     }
 
+    /// Sends it once; none where no answer came that may be passed on.
+    async fn send(&mut self, choice: &Choice) -> Option<Response<Body>> {
+        let report = &choice.upstream.report;
+        self.trail.chose(choice);
+        self.tried.push(report.id.clone());
+        self.sends.push(Sent::Not);
+        let sent = self.sends.last_mut().expect("it was just pushed");
+        let mut work = Work {
+            head: self.head,
+            parts: &self.parts,
+            body: &mut self.body,
+            repeatable: self.route.repeatable,
+            deadline: self.deadline,
+        };
+        let missed = match send(self.traffic, choice, &mut work, sent).await {
+            Ok(answer) => return Some(answer),
+            Err(missed) => missed,
+        };
+        tracing::warn!(
+            event = "send_missed",
+            id = self.head.id,
+            upstream = report.id,
+            address = %report.address,
+            sent = ?missed.sent,
+            reason = missed.reason
+        );
+        *sent = missed.sent;
+        None
+    }
+
     /// The region that serves the request; none where no region may or can.
     fn region(&self, service: &ServiceName, object: u64) -> Option<RegionName> {
         let view = self.traffic.common.view.load();
         let pool = view.services.get(service)?;
         let own = &self.traffic.common.settings.region;
-        let homes = &self.route.home_regions;
-        let may = |region: &RegionName| homes.is_empty() || homes.contains(region);
+        let may = |region: &RegionName| self.route.may_run_in(region);
         let has = |region: &RegionName| pool.regions.contains_key(region) && may(region);
         let place = place(object);
         if has(own) && self.traffic.shares().stays(service, pool, place) {
@@ -124,12 +138,8 @@
         far.or_else(|| has(own).then(|| own.clone()))
     }
 
-    fn choose(
-        &self,
-        service: &ServiceName,
-        object: u64,
-        region: Option<&RegionName>,
-    ) -> Result<Choice, Refusal> {
+    fn choose(&self, destination: &Destination) -> Result<Choice, Refusal> {
+        let service = &destination.service;
         let now = Instant::now();
         if self.deadline.saturating_duration_since(now) < TIME_LEAST {
             return Err(self.out_of_time());
@@ -146,8 +156,8 @@
         let settings = &self.traffic.common.settings;
         let bounds = self.traffic.common.bounds();
         let mut wish = Wish {
-            object,
-            by_object: self.by_object,
+            object: destination.object,
+            by_object: destination.by_object,
             goal: self.route.goal,
             urgency: self.urgency(),
             tried: &self.tried,
@@ -158,7 +168,7 @@
             near_hosts: None,
         };
         let mut no_room = nowhere;
-        for (region, pool) in self.regions_to_ask(pool, region) {
+        for (region, pool) in self.regions_to_ask(pool, destination.region.as_ref()) {
             let near = *region == settings.region;
             wish.near_hosts = view.near_hosts.as_deref().filter(|_| near);
             match choose(pool, &wish, now) {
@@ -179,9 +189,8 @@
         pool: &'p ServicePool,
         chosen: Option<&RegionName>,
     ) -> Vec<(&'p RegionName, &'p RegionPool)> {
-        let homes = &self.route.home_regions;
-        let may = |region: &RegionName| homes.is_empty() || homes.contains(region);
-        let allowed = pool.regions.iter().filter(|(region, _)| may(region));
+        let regions = pool.regions.iter();
+        let allowed = regions.filter(|(region, _)| self.route.may_run_in(region));
         let mut allowed: Vec<(&RegionName, &RegionPool)> = allowed.collect();
         allowed.sort_by_key(|(region, _)| Some(*region) != chosen);
         allowed
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -8,7 +8,7 @@
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
-use steering::route::{Answered, Sent, Upstream};
+use steering::route::{Answered, Choice, Sent, Upstream};
 use upstream::{Body, Holding, Reuse, SendError, TrackedBody, WorkBody, end_to_end};
 
 use super::Traffic;
@@ -89,17 +89,17 @@
 /// as anything of the request may have left this host.
 pub(super) async fn send(
     traffic: &Arc<Traffic>,
-    upstream: &Arc<Upstream>,
+    choice: &Choice,
     work: &mut Work<'_>,
-    connections: Option<u32>,
     sent: &mut Sent,
 ) -> Result<Response<Body>, Missed> {
     let reuse = match work.repeatable {
         true => Reuse::Any,
         false => Reuse::Recent,
     };
+    let upstream = &choice.upstream;
     let flight = Flight::begin(traffic, upstream);
-    let connections = connections.unwrap_or(CONNECTIONS_DEFAULT);
+    let connections = choice.connections.unwrap_or(CONNECTIONS_DEFAULT);
     let address = upstream.report.address;
     let connected = traffic
         .connections
--- a/crates/steering/src/route/choice.rs
+++ b/crates/steering/src/route/choice.rs
@@ -61,6 +61,8 @@
     pub load_age: Option<Duration>,
     /// Whether it was believed to be cold.
     pub cold: bool,
+    /// Most connections to it, where the operator bounds them.
+    pub connections: Option<u32>,
 }
 
 /// No upstream can take the request now.
@@ -192,6 +194,7 @@
             load: condition.load(now, wish.near_hosts.map_or(1, <[HostName]>::len)),
             load_age: condition.load_age(now),
             cold: upstream.is_cold(now),
+            connections: wish.terms.map(|terms| terms.connections),
         },
     })
 }
--- a/crates/steering/src/route/condition.rs
+++ b/crates/steering/src/route/condition.rs
@@ -132,11 +132,6 @@
         self.avoid_until.is_some_and(|until| until > now)
     }
 
-    /// Requests of this host in flight there.
-    pub fn in_flight(&self) -> u32 {
-        self.in_flight
-    }
-
     fn is_silent(&self, now: Instant) -> bool {
         let since = self.unanswered_since;
         since.is_some_and(|since| now.saturating_duration_since(since) > SILENT_AFTER)
--- a/crates/steering/src/route/document.rs
+++ b/crates/steering/src/route/document.rs
@@ -72,6 +72,14 @@
     pub home_regions: Vec<RegionName>,
 }
 
+impl Route {
+    /// Whether its requests may run in a region.
+    pub fn may_run_in(&self, region: &str) -> bool {
+        let homes = &self.home_regions;
+        homes.is_empty() || homes.iter().any(|home| home == region)
+    }
+}
+
 /// A service's share in a route.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Part {
--- a/crates/steering/src/route/view.rs
+++ b/crates/steering/src/route/view.rs
@@ -101,7 +101,7 @@
     /// Whether the upstreams' reports have been read.
     pub upstreams_known: bool,
     /// Upstreams by service.
-    pub services: HashMap<ServiceName, ServicePool>,
+    pub services: Arc<HashMap<ServiceName, ServicePool>>,
     /// Addresses for callers of the hosts that are there, by region.
     pub hosts: BTreeMap<RegionName, Vec<SocketAddr>>,
     /// Hosts that share the bounds, this one included; none while they are not known.
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -21,6 +21,8 @@
 use tracing_subscriber::util::SubscriberInitExt;
 use tracing_subscriber::{Layer, registry};
 
+/// What is logged where the filter can't be read.
+const FILTER_DEFAULT: &str = "info";
 /// Lines that wait for a slow reader of standard output; more are dropped and counted.
 const LINES_WAITING: usize = 4_096;
 /// Lines of one kind in a second, by level. Failures have kinds of their own, so that a
@@ -33,7 +35,7 @@
 
 /// Starts logging to standard error; a second start in the same process changes nothing.
 pub fn start(filter: &str) {
-    let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
+    let filter = filter_or_default(filter);
     let started = fmt()
         .with_env_filter(filter)
         .with_writer(std::io::stderr)
@@ -48,7 +50,7 @@
 /// delays nothing. Each line names the host. Lines are written until the returned guard
 /// is dropped.
 pub fn start_unblocked(filter: &str, host: &str) -> WorkerGuard {
-    let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
+    let filter = filter_or_default(filter);
     let (writer, guard) = NonBlockingBuilder::default()
         .lossy(true)
         .buffered_lines_limit(LINES_WAITING)
@@ -84,6 +86,11 @@
     guard
 }
 
+/// A filter that can't be read is no reason not to start.
+fn filter_or_default(filter: &str) -> EnvFilter {
+    EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new(FILTER_DEFAULT))
+}
+
 /// Bounds how many lines of each kind are written in a second. A kind is a place in the
 /// code: each event has one.
 pub struct RateLimit<Kind> {
