Do not write out news that are too large to be told

Peak memory and time at a start, for nothing; before news went with a digest a first read told nothing.

Change: records are written only up to the bound. What is told stays the same.

Test: messages.rs, over a real session: records of exactly the bound arrive, with one byte less allowed they are left out and the rest of the news arrives.

--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -1,6 +1,7 @@
 //! Between capnp messages and the types of `steering`.
 
 use std::collections::BTreeSet;
+use std::io;
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
 use std::time::Duration;
 
@@ -301,3 +302,34 @@
 pub fn write_json<T: serde::Serialize>(value: &T) -> Vec<u8> {
     serde_json::to_vec(value).expect("what travels is valid JSON")
 }
+
+/// The same, where it takes at most so many bytes. What is too large is not written to
+/// its end: a host that starts has megabytes of reports, and tells none of them.
+pub fn write_json_within<T: serde::Serialize>(value: &T, most_bytes: usize) -> Option<Vec<u8>> {
+    let mut writer = Within {
+        bytes: Vec::new(),
+        most_bytes,
+    };
+    serde_json::to_writer(&mut writer, value).ok()?;
+    Some(writer.bytes)
+}
+
+/// Refuses what goes beyond its bound.
+struct Within {
+    bytes: Vec<u8>,
+    most_bytes: usize,
+}
+
+impl io::Write for Within {
+    fn write(&mut self, part: &[u8]) -> io::Result<usize> {
+        if self.bytes.len() + part.len() > self.most_bytes {
+            return Err(io::ErrorKind::FileTooLarge.into());
+        }
+        self.bytes.extend_from_slice(part);
+        Ok(part.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
--- a/crates/peer/src/messages.rs
+++ b/crates/peer/src/messages.rs
@@ -8,7 +8,7 @@
 use steering::membership::{Heartbeat, HostEntry};
 use steering::route::{FeedDigest, FeedVersion, News, Record};
 
-use crate::codec::write_json;
+use crate::codec::{write_json, write_json_within};
 use crate::names::ServiceNames;
 use crate::traffic::PeerTraffic;
 
@@ -83,10 +83,8 @@
     /// Encodes news. Where the records take more than `most_bytes` they are left out:
     /// whoever lacks them sees it by the digest, and asks the store.
     pub fn new(news: &News, most_bytes: usize) -> Self {
-        let mut records = write_json(&news.records);
-        if records.len() > most_bytes {
-            records = write_json(&Vec::<Record>::new());
-        }
+        let records = write_json_within(&news.records, most_bytes);
+        let records = records.unwrap_or_else(|| write_json(&Vec::<Record>::new()));
         EncodedNews {
             feed: write_json(&news.feed),
             version: news.version,
--- a/crates/peer/tests/messages.rs
+++ b/crates/peer/tests/messages.rs
@@ -5,14 +5,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use peer::{Beat, Exchange, ExchangeReply, Local, PeerClient, PeerHandler, PeerServer};
+use peer::{
+    Beat, EncodedNews, Exchange, ExchangeReply, Local, PeerClient, PeerHandler, PeerServer,
+};
 use rstest::rstest;
 use steering::belief::{ServiceLoad, ZoneSummary};
 use steering::history::{Entry, Position};
-use steering::ids::{HostName, Revision, ServiceName};
+use steering::ids::{HostName, Incarnation, Revision, ServiceName};
 use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
 use steering::membership::{Heartbeat, HostEntry};
 use steering::pool::PoolLoad;
+use steering::route::{Feed, News, Record};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
@@ -26,6 +29,7 @@
     beats: RefCell<Vec<Beat>>,
     summaries: RefCell<Vec<ZoneSummary>>,
     from: RefCell<Option<HostEntry>>,
+    news: RefCell<Vec<News>>,
 }
 
 impl PeerHandler for Keeper {
@@ -48,6 +52,10 @@
         Position::default()
     }
 
+    fn news(&self, _: &HostEntry, _: Incarnation, news: News) {
+        self.news.borrow_mut().push(news);
+    }
+
     fn borrow(&self, _: LimitKey, _: LoanRequest) -> Option<LoanGrant> {
         None
     }
@@ -208,3 +216,30 @@
         assert_eq!(keeper.beats.borrow().len(), 3);
     });
 }
+
+/// Records as JSON take so many bytes; one more than may be told are left out.
+#[rstest]
+#[case::exactly_as_many(0, true)]
+#[case::one_too_many(1, false)]
+fn news_that_are_too_large_come_without_records(#[case] too_many: usize, #[case] told: bool) {
+    with_server(async |address, keeper| {
+        let me = host([v4(1), v4(2), v4(3), v4(4)]);
+        let gone = |name: &str| Record::HostGone(name.to_owned());
+        let news = News {
+            feed: Feed::Hosts,
+            version: 8,
+            digest: 9,
+            store_back_for: Some(Duration::from_millis(1_500)),
+            records: vec![gone("a"), gone("b")],
+        };
+        let bytes = serde_json::to_vec(&news.records).unwrap().len();
+        let encoded = EncodedNews::new(&news, bytes - too_many);
+        let client = PeerClient::new(address, local(me, "k", &["known"]), DEADLINE);
+        client.news(&encoded).await.unwrap();
+        let mut expected = news;
+        if !told {
+            expected.records.clear();
+        }
+        assert_eq!(*keeper.news.borrow(), vec![expected]);
+    });
+}
