Tell the hash of a request's object in its line

Cause: the lines of requests do not name the object, so that the first send of an object, one that was forgotten and a wait at a full upstream can't be told apart. Change: object=HASH on each line of a request with one; its own text is not written.

--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -61,6 +61,7 @@
         let destination = self.destination();
         self.trail.service.clone_from(&destination.service);
         self.trail.region = destination.region.clone().unwrap_or_default();
+        self.trail.object = destination.by_object.then_some(destination.object);
         loop {
             let choice = self.choose(&destination);
             if let Err(refusal) = &choice {
--- a/crates/gateway/src/traffic/trail.rs
+++ b/crates/gateway/src/traffic/trail.rs
@@ -22,6 +22,7 @@
             version = $trail.version,
             service = $trail.service,
             region = $trail.region,
+            object = $trail.object.map(|object| format!("{object:016x}")),
             upstream = $trail.upstream,
             rank = $trail.rank,
             load = $trail.load,
@@ -46,6 +47,9 @@
     pub service: ServiceName,
     /// Region that was to serve it.
     pub region: RegionName,
+    /// Hash of its object; none where it is about none. The object itself may say who
+    /// the caller is.
+    pub object: Option<u64>,
     /// Upstream that it was last sent to; empty where it was sent to none.
     pub upstream: UpstreamId,
     /// Place of that upstream among the object's homes.
@@ -73,6 +77,7 @@
             route: RuleName::new(),
             service: ServiceName::new(),
             region: RegionName::new(),
+            object: None,
             upstream: UpstreamId::new(),
             rank: 0,
             load: 0.0,
