Choose by expected worth; weigh slow upstreams by their speed

Hypothesis: an estimate of each answer's time (held or not, upstream's own speed, wait, cold) serves more within the goal than fixed thresholds. Change: Estimate learns a class's times on held and other objects and how often an object is found held; Speed an upstream's own ratio, pulled to usual, fading in 4 s; Holding what this host sent. An object's two homes are weighed by worth less what the work takes from others. The switch that left slow upstreams alone for 3 s, and the idle second home of a full first one, go: the first made healthy upstreams fetch what the slow one held, the second fetched objects for one answer.

--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -105,6 +105,7 @@
             body: &mut self.body,
             repeatable: self.route.repeatable,
             deadline: self.deadline,
+            route: &self.route.name,
         };
         let missed = match send(self.traffic, choice, &mut work, sent).await {
             Ok(answer) => return Some(answer),
@@ -153,7 +154,13 @@
         let Some(pool) = view.services.get(service) else {
             return Err(self.given_up(Some(nowhere)));
         };
-        let usual = self.traffic.shares().usual(service);
+        let (usual, estimate) = {
+            let mut shares = self.traffic.shares();
+            (
+                shares.usual(service),
+                shares.estimate(service, self.route).clone(),
+            )
+        };
         let settings = &self.traffic.common.settings;
         let bounds = self.traffic.common.bounds();
         let mut wish = Wish {
@@ -163,6 +170,8 @@
             urgency: self.urgency(),
             tried: &self.tried,
             usual: usual.unwrap_or(self.route.goal.mul_f64(USUAL_AT_FIRST)),
+            estimate: &estimate,
+            elapsed: now.saturating_duration_since(self.head.arrived),
             terms: pool.terms.as_ref(),
             cold_bound: &|bears| Shares::cold_bound(&bounds, bears),
             me: &settings.host,
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -20,28 +20,24 @@
 /// A request in flight at an upstream; ends when dropped.
 struct Flight {
     upstream: Arc<Upstream>,
-    traffic: Arc<Traffic>,
     begun: Instant,
     judged: Cell<bool>,
 }
 
 impl Flight {
-    fn begin(traffic: &Arc<Traffic>, upstream: &Arc<Upstream>) -> Self {
+    fn begin(upstream: &Arc<Upstream>) -> Self {
         let begun = Instant::now();
         upstream.condition().sent(begun);
         Flight {
             upstream: Arc::clone(upstream),
-            traffic: Arc::clone(traffic),
             begun,
             judged: Cell::new(false),
         }
     }
 
     fn judge(&self, answered: Answered) {
-        let service = &self.upstream.report.service;
-        let usual = self.traffic.shares().usual(service);
         let now = Instant::now();
-        self.upstream.condition().answered(now, answered, usual);
+        self.upstream.condition().answered(now, answered);
         let id = &self.upstream.report.id;
         self.upstream.zone().answered(now, id, answered);
         self.judged.set(true);
@@ -83,6 +79,8 @@
     pub repeatable: bool,
     /// When an answer is of no use any more.
     pub deadline: Instant,
+    /// Name of its route.
+    pub route: &'a str,
 }
 
 /// Sends a request once, and passes the answer on if it is one. `sent` is told as soon
@@ -98,7 +96,7 @@
         false => Reuse::Recent,
     };
     let upstream = &choice.upstream;
-    let flight = Flight::begin(traffic, upstream);
+    let flight = Flight::begin(upstream);
     let connections = choice.connections.unwrap_or(CONNECTIONS_DEFAULT);
     let address = upstream.report.address;
     let connected = traffic
@@ -119,7 +117,7 @@
     match lease.send(request, work.deadline).await {
         Ok(answer) => {
             count_send("answered");
-            take(traffic, answer, work, flight)
+            take(traffic, choice, answer, work, flight)
         }
         Err(SendError::NotSent { reason, request }) => {
             count_send("not_sent");
@@ -163,6 +161,7 @@
 /// Passes an answer on, where it is this request's own and the upstream's.
 fn take(
     traffic: &Arc<Traffic>,
+    choice: &Choice,
     answer: Response<TrackedBody>,
     work: &Work<'_>,
     flight: Flight,
@@ -198,8 +197,7 @@
     let took = flight.begun.elapsed();
     flight.judge(Answered::After(took));
     if status.is_success() {
-        let service = &flight.upstream.report.service;
-        traffic.shares().answered(service, took);
+        traffic.shares().learn(work.route, choice, took);
     }
     let (mut parts, body) = answer.into_parts();
     parts.headers = end_to_end(&parts.headers);
--- a/crates/gateway/src/traffic/shares.rs
+++ b/crates/gateway/src/traffic/shares.rs
@@ -5,12 +5,16 @@
 use std::time::{Duration, Instant};
 
 use steering::ids::{RegionName, RuleName, ServiceName};
-use steering::route::{PartSpread, RegionSpread, RepeatPart, Route, RouteView, ServicePool};
+use steering::route::{
+    Choice, Estimate, PartSpread, RegionSpread, RepeatPart, Route, RouteView, ServicePool,
+};
 
 use crate::settings::{Bounds, GatewaySettings};
 
 /// Weight of the newest answer in a service's usual time.
 const NEWEST_WEIGHT: f64 = 0.05;
+/// Share of an answer's time that is work at least, whatever wait was expected.
+const WORK_LEAST: f64 = 0.3;
 /// An answer counts at most as so many times the usual, so that few slow upstreams
 /// do not become the usual.
 const USUAL_CAP: f64 = 3.0;
@@ -23,6 +27,8 @@
     regions: HashMap<ServiceName, RegionSpread>,
     /// Usual time from a send to the head of its answer, in milliseconds.
     usual_ms: HashMap<ServiceName, f64>,
+    /// Times of each route's work at each service.
+    estimates: HashMap<(ServiceName, RuleName), Estimate>,
 }
 
 impl Shares {
@@ -33,6 +39,7 @@
             parts: HashMap::new(),
             regions: HashMap::new(),
             usual_ms: HashMap::new(),
+            estimates: HashMap::new(),
         }
     }
 
@@ -100,8 +107,32 @@
         usual.map(|ms| Duration::from_secs_f64(ms / 1_000.0))
     }
 
+    /// What is known of the times of a route's work at a service.
+    pub fn estimate(&mut self, service: &str, route: &Route) -> &Estimate {
+        let key = (service.to_owned(), route.name.clone());
+        let estimate = self.estimates.entry(key);
+        estimate.or_insert_with(|| Estimate::new(route.goal))
+    }
+
+    /// Takes how long a route's work took at an upstream.
+    pub fn learn(&mut self, route: &str, choice: &Choice, took: Duration) {
+        let service = &choice.upstream.report.service;
+        let expected = &choice.expectation;
+        let work = took
+            .saturating_sub(expected.wait)
+            .max(took.mul_f64(WORK_LEAST));
+        self.answered(service, work);
+        let key = (service.clone(), route.to_owned());
+        let Some(estimate) = self.estimates.get_mut(&key) else {
+            return;
+        };
+        let ratio = estimate.learn(expected.standing, choice.cold, expected.speed, work);
+        let mut condition = choice.upstream.condition();
+        condition.speed.take(Instant::now(), ratio);
+    }
+
     /// Takes the time of an answer.
-    pub fn answered(&mut self, service: &str, took: Duration) {
+    fn answered(&mut self, service: &str, took: Duration) {
         let took_ms = took.as_secs_f64() * 1_000.0;
         match self.usual_ms.get_mut(service) {
             Some(usual) => *usual += NEWEST_WEIGHT * (took_ms.min(*usual * USUAL_CAP) - *usual),
--- a/crates/gateway/src/traffic/trail.rs
+++ b/crates/gateway/src/traffic/trail.rs
@@ -28,6 +28,10 @@
             load = $trail.load,
             load_age_ms = $trail.load_age_ms,
             cold = $trail.cold,
+            expected_ms = $trail.expected_ms,
+            held = $trail.held,
+            speed = $trail.speed,
+            worth = $trail.worth,
             sends = $trail.sends
         )
     };
@@ -60,6 +64,14 @@
     pub load_age_ms: Option<u64>,
     /// Whether it was believed to be cold.
     pub cold: bool,
+    /// Time that its answer was expected to take.
+    pub expected_ms: u64,
+    /// Probability that its object was believed to be held there.
+    pub held: f64,
+    /// Times as long as usual that the upstream was believed to take.
+    pub speed: f64,
+    /// What sending it there was expected to be worth.
+    pub worth: f64,
     /// Sends so far.
     pub sends: usize,
     /// Wait at the emptiest of the object's homes, where all were too full.
@@ -83,6 +95,10 @@
             load: 0.0,
             load_age_ms: None,
             cold: false,
+            expected_ms: 0,
+            held: 0.0,
+            speed: 0.0,
+            worth: 0.0,
             sends: 0,
             least_wait_ms: None,
         }
@@ -95,6 +111,11 @@
         self.load = choice.load;
         self.load_age_ms = choice.load_age.map(|age| age.as_millis() as u64);
         self.cold = choice.cold;
+        let expected = &choice.expectation;
+        self.expected_ms = (expected.wait + expected.work.mean()).as_millis() as u64;
+        self.held = round(expected.work.held);
+        self.speed = round(expected.speed);
+        self.worth = round(expected.worth);
         self.sends += 1;
     }
 
@@ -157,6 +178,11 @@
     }
 }
 
+/// Two digits are enough for a reader.
+fn round(value: f64) -> f64 {
+    (value * 100.0).round() / 100.0
+}
+
 fn outcome(answered: &Result<Response<Body>, Refusal>) -> &'static str {
     match answered {
         Ok(answer) if answer.status().is_success() => "answered",
--- a/crates/steering/src/route/condition.rs
+++ b/crates/steering/src/route/condition.rs
@@ -3,6 +3,8 @@
 use std::time::{Duration, Instant};
 
 use super::average::Average;
+use super::estimate::Speed;
+use super::holding::Holding;
 use super::pace::ColdPart;
 
 /// Time for which a report of load is believed.
@@ -16,13 +18,6 @@
 const REST_AFTER_FAILURE: Duration = Duration::from_millis(500);
 /// Doublings of that time, at most.
 const REST_DOUBLINGS: u32 = 4;
-/// Answers that are compared with the service's usual time.
-const COMPARED: usize = 4;
-/// An upstream is slow where each of its last answers took so many times the usual.
-const SLOW_TIMES: f64 = 2.5;
-/// Time for which a slow upstream is avoided, then tried again.
-const AVOID_SLOW_FOR: Duration = Duration::from_secs(3);
-
 /// How a request ended, as far as it tells of the upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Answered {
@@ -49,9 +44,11 @@
     rests_until: Option<Instant>,
     /// Since when nothing has come back although something is in flight.
     unanswered_since: Option<Instant>,
-    recent: Vec<Duration>,
-    avoid_until: Option<Instant>,
     gone: bool,
+    /// How much longer than usual it takes.
+    pub speed: Speed,
+    /// What this host has lately sent it.
+    pub holding: Holding,
     /// This host's part of what the upstream bears while cold.
     pub cold_part: ColdPart,
 }
@@ -66,14 +63,10 @@
         }
     }
 
-    /// Takes the head of an answer, or its absence; `usual` is the service's usual time.
-    pub fn answered(&mut self, now: Instant, answered: Answered, usual: Option<Duration>) {
+    /// Takes the head of an answer, or its absence.
+    pub fn answered(&mut self, now: Instant, answered: Answered) {
         match answered {
-            Answered::After(took) => {
-                self.lives(now);
-                self.compare(now, took, usual);
-            }
-            Answered::Refused => self.lives(now),
+            Answered::After(_) | Answered::Refused => self.lives(now),
             Answered::Failed => self.failed(now),
             Answered::Unknown => {}
         }
@@ -127,11 +120,6 @@
         !self.gone && !rests && !self.is_silent(now)
     }
 
-    /// Whether it has lately been much slower than its service usually is.
-    pub fn is_slow(&self, now: Instant) -> bool {
-        self.avoid_until.is_some_and(|until| until > now)
-    }
-
     fn is_silent(&self, now: Instant) -> bool {
         let since = self.unanswered_since;
         since.is_some_and(|since| now.saturating_duration_since(since) > SILENT_AFTER)
@@ -147,21 +135,6 @@
         self.rests_until = Some(now + rest(self.failures));
         self.failures += 1;
     }
-
-    fn compare(&mut self, now: Instant, took: Duration, usual: Option<Duration>) {
-        self.recent.push(took);
-        if self.recent.len() > COMPARED {
-            self.recent.remove(0);
-        }
-        let fastest = self.recent.iter().min();
-        let (Some(fastest), Some(usual)) = (fastest, usual) else {
-            return;
-        };
-        if self.recent.len() == COMPARED && *fastest > usual.mul_f64(SLOW_TIMES) {
-            self.avoid_until = Some(now + AVOID_SLOW_FOR);
-            self.recent.clear();
-        }
-    }
 }
 
 /// Time for which one that has failed `failures` times before is left alone.
