Ask upstreams again that break off or refuse work now and then

Change: Answered::Broken apart from Failed. Only one that can't be reached, or breaks off four answers in a row, rests. A missed request may go to the same upstream once more where it has room and misses are an exception (4 whole answers or more in some 5 s, three tenths of all).

--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -7,8 +7,8 @@
 use hyper::http::request::Parts;
 use steering::ids::{RegionName, ServiceName};
 use steering::route::{
-    Choice, Fate, NoRoom, RegionPool, Route, Sent, ServicePool, UpstreamId, Wish, after, choose,
-    object_hash, place, rank,
+    Choice, Fate, NoRoom, RegionPool, Route, Sent, ServicePool, Upstream, UpstreamId, Wish, after,
+    choose, object_hash, place, rank,
 };
 use upstream::{Body, WorkBody};
 
@@ -41,7 +41,7 @@
     pub deadline: Instant,
     /// How far each send got.
     pub sends: Vec<Sent>,
-    /// Upstreams that are not asked again.
+    /// Upstreams that are not asked again: they were full, or could not be reached.
     pub tried: Vec<UpstreamId>,
 }
 
@@ -96,7 +96,6 @@
     async fn send(&mut self, choice: &Choice) -> Option<Response<Body>> {
         let report = &choice.upstream.report;
         self.trail.chose(choice);
-        self.tried.push(report.id.clone());
         self.sends.push(Sent::Not);
         let sent = self.sends.last_mut().expect("it was just pushed");
         let mut work = Work {
@@ -120,6 +119,9 @@
             reason = missed.reason
         );
         *sent = missed.sent;
+        if missed.sent == Sent::Not || !may_be_asked_again(&choice.upstream) {
+            self.tried.push(report.id.clone());
+        }
         None
     }
 
@@ -274,3 +276,12 @@
     let first = rank(object, members).next();
     first.map(|first| regions[first].0.clone())
 }
+
+/// Whether an upstream that refused a request or broke it off may get it once more: it has
+/// room, and seldom does so.
+fn may_be_asked_again(upstream: &Upstream) -> bool {
+    let now = Instant::now();
+    let condition = upstream.condition();
+    let has_room = condition.load(now, 1) < f64::from(upstream.report.slots);
+    has_room && condition.may_be_asked_again(now)
+}
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -129,7 +129,7 @@
         }
         Err(SendError::Lost { reason }) => {
             count_send("lost");
-            flight.judge(Answered::Failed);
+            flight.judge(Answered::Broken);
             Err(Missed::new(Sent::Perhaps, reason))
         }
         Err(SendError::Late) => {
@@ -172,7 +172,7 @@
         .get(&names.request_id)
         .is_some_and(|id| id.as_bytes() == work.head.id.as_bytes());
     if !is_own && !work.head.id.is_empty() {
-        flight.judge(Answered::Failed);
+        flight.judge(Answered::Broken);
         return Err(Missed::new(Sent::Perhaps, "an answer to another request"));
     }
     let status = answer.status();
@@ -191,7 +191,7 @@
         return Err(Missed::new(Sent::Refused, status));
     }
     if status.is_informational() || (status.is_success() && !headers.contains_key(&names.proof)) {
-        flight.judge(Answered::Failed);
+        flight.judge(Answered::Broken);
         return Err(Missed::new(Sent::Perhaps, "not an upstream's own answer"));
     }
     let took = flight.begun.elapsed();
--- a/crates/steering/src/route/condition.rs
+++ b/crates/steering/src/route/condition.rs
@@ -16,6 +16,16 @@
 const SILENT_AFTER: Duration = Duration::from_millis(1_200);
 /// Time for which an upstream is left alone after a failure; doubles with each.
 const REST_AFTER_FAILURE: Duration = Duration::from_millis(500);
+/// Broken answers in a row, with no whole one between, after which it counts as one that
+/// can't be reached: with half of the answers broken off, one run in sixteen is so long.
+const BROKEN_MOST: u32 = 4;
+/// Whole answers from which on misses can be told to be an exception.
+const KNOWN_FROM: f64 = 4.0;
+/// Share of whole answers from which on a request that was missed is worth another try at
+/// the same upstream; the work of another, which would have to fetch the object, is late.
+const WHOLE_SHARE_LEAST: f64 = 0.3;
+/// Time after which an answer counts a third in these.
+const COUNTED_OVER: Duration = Duration::from_secs(5);
 /// Doublings of that time, at most.
 const REST_DOUBLINGS: u32 = 4;
 /// How a request ended, as far as it tells of the upstream.
@@ -25,12 +35,34 @@
     After(Duration),
     /// It said that it is full or not the one that was meant; it lives.
     Refused,
-    /// Nothing came, or nothing that is an answer.
+    /// It could not be reached.
     Failed,
+    /// It was reached, and no answer came, or nothing that is one.
+    Broken,
     /// The caller left, or the time was over: nothing is learned.
     Unknown,
 }
 
+/// A count in which older events fade.
+#[derive(Debug, Default)]
+struct Faded {
+    count: f64,
+    at: Option<Instant>,
+}
+
+impl Faded {
+    fn add(&mut self, now: Instant) {
+        self.count = self.count(now) + 1.0;
+        self.at = Some(now);
+    }
+
+    fn count(&self, now: Instant) -> f64 {
+        let age = self.at.map(|at| now.saturating_duration_since(at));
+        let age = age.unwrap_or_default().as_secs_f64();
+        self.count * (-age / COUNTED_OVER.as_secs_f64()).exp()
+    }
+}
+
 /// Load and health of one start of an upstream, as this host sees them.
 #[derive(Debug, Default)]
 pub struct Condition {
@@ -41,6 +73,12 @@
     /// Load by other hosts at the last report, and when that came.
     others: Option<(f64, Instant)>,
     failures: u32,
+    /// Answers in a row that were broken off.
+    broken: u32,
+    /// Whole answers lately.
+    whole: Faded,
+    /// Requests lately that it refused or broke off.
+    missed: Faded,
     rests_until: Option<Instant>,
     /// Since when nothing has come back although something is in flight.
     unanswered_since: Option<Instant>,
@@ -66,8 +104,16 @@
     /// Takes the head of an answer, or its absence.
     pub fn answered(&mut self, now: Instant, answered: Answered) {
         match answered {
-            Answered::After(_) | Answered::Refused => self.lives(now),
+            Answered::After(_) => {
+                self.whole.add(now);
+                self.lives(now);
+            }
+            Answered::Refused => {
+                self.missed.add(now);
+                self.lives(now);
+            }
             Answered::Failed => self.failed(now),
+            Answered::Broken => self.broke(now),
             Answered::Unknown => {}
         }
     }
@@ -114,6 +160,13 @@
         age.filter(|age| *age < REPORT_HOLDS)
     }
 
+    /// Whether a request that it refused or broke off may be sent to it once more: such
+    /// misses are an exception there, and it holds the object.
+    pub fn may_be_asked_again(&self, now: Instant) -> bool {
+        let (whole, missed) = (self.whole.count(now), self.missed.count(now));
+        whole >= KNOWN_FROM && whole >= (whole + missed) * WHOLE_SHARE_LEAST
+    }
+
     /// Whether it may be sent a request.
     pub fn is_usable(&self, now: Instant) -> bool {
         let rests = self.rests_until.is_some_and(|until| until > now);
@@ -127,10 +180,21 @@
 
     fn lives(&mut self, now: Instant) {
         self.failures = 0;
+        self.broken = 0;
         self.rests_until = None;
         self.unanswered_since = (self.in_flight > 0).then_some(now);
     }
 
+    /// One that breaks off some answers still holds its objects, and serves most work on
+    /// them sooner than another could.
+    fn broke(&mut self, now: Instant) {
+        self.missed.add(now);
+        self.broken += 1;
+        if self.broken >= BROKEN_MOST {
+            self.failed(now);
+        }
+    }
+
     fn failed(&mut self, now: Instant) {
         self.rests_until = Some(now + rest(self.failures));
         self.failures += 1;
--- a/crates/steering/src/route/zone_condition.rs
+++ b/crates/steering/src/route/zone_condition.rs
@@ -27,7 +27,8 @@
         match answered {
             Answered::After(_) | Answered::Refused => *self = ZoneCondition::default(),
             Answered::Failed => self.failed(now, upstream),
-            Answered::Unknown => {}
+            // Whoever breaks off an answer can be reached.
+            Answered::Broken | Answered::Unknown => {}
         }
     }
 
--- a/crates/steering/tests/route_condition.rs
+++ b/crates/steering/tests/route_condition.rs
@@ -63,6 +63,7 @@
 #[case::two(&[("a", Answered::Failed), ("b", Answered::Failed)], true)]
 #[case::two_and_one_that_lives(&[("a", Answered::Failed), ("c", FINE), ("b", Answered::Failed)], false)]
 #[case::one_that_is_full_lives(&[("a", Answered::Failed), ("c", Answered::Refused), ("b", Answered::Failed)], false)]
+#[case::broken_answers(&[("a", Answered::Broken), ("b", Answered::Broken)], false)]
 #[case::callers_that_leave(&[("a", Answered::Unknown), ("b", Answered::Unknown)], false)]
 fn a_zone_is_doubted_where_several_upstreams_fail(
     #[case] seen: &[(&str, Answered)],
@@ -97,3 +98,46 @@
     zone.answered(now, "c", FINE);
     assert!(!zone.is_doubted(now));
 }
+
+/// Ends of requests to one upstream, and whether it may be sent another.
+#[rstest]
+#[case::not_reached(&[Answered::Failed], false)]
+#[case::one_broken(&[Answered::Broken], true)]
+#[case::half_broken(&[Answered::Broken, Answered::Broken, FINE, Answered::Broken, Answered::Broken], true)]
+#[case::none_whole(&[Answered::Broken, Answered::Broken, Answered::Broken, Answered::Broken], false)]
+#[case::refuses(&[Answered::Refused, Answered::Refused, Answered::Refused, Answered::Refused], true)]
+fn one_that_breaks_off_some_answers_is_asked_again(
+    #[case] ends: &[Answered],
+    #[case] usable: bool,
+) {
+    let now = Instant::now();
+    let mut condition = Condition::default();
+    for end in ends {
+        condition.sent(now);
+        condition.answered(now, *end);
+        condition.ended(now);
+    }
+    assert_eq!(condition.is_usable(now + SOON), usable);
+}
+
+/// Whole answers and misses, and whether what it missed is sent to it once more.
+#[rstest]
+#[case::nothing_known(0, 1, false)]
+#[case::little_known(1, 1, false)]
+#[case::an_exception(20, 1, true)]
+#[case::half(20, 20, true)]
+#[case::mostly(10, 40, false)]
+fn who_seldom_misses_is_asked_again(
+    #[case] whole: usize,
+    #[case] missed: usize,
+    #[case] again: bool,
+) {
+    let now = Instant::now();
+    for miss in [Answered::Refused, Answered::Broken] {
+        let mut condition = Condition::default();
+        (0..whole).for_each(|_| condition.answered(now, FINE));
+        (0..missed).for_each(|_| condition.answered(now, miss));
+        assert_eq!(condition.may_be_asked_again(now + SOON), again);
+        assert!(!condition.may_be_asked_again(now + LONG), "it is forgotten");
+    }
+}
