--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -197,7 +197,8 @@
     let took = flight.begun.elapsed();
     flight.judge(Answered::After(took));
     if status.is_success() {
-        traffic.shares().learn(work.route, choice, took);
+        let now = Instant::now();
+        traffic.shares().learn(now, work.route, choice, took);
     }
     let (mut parts, body) = answer.into_parts();
     parts.headers = end_to_end(&parts.headers);
--- a/crates/gateway/src/traffic/shares.rs
+++ b/crates/gateway/src/traffic/shares.rs
@@ -1,6 +1,6 @@
 //! What the traffic thread counts and adapts: budgets, shares, usual times.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -28,7 +28,9 @@
     /// Usual time from a send to the head of its answer, in milliseconds.
     usual_ms: HashMap<ServiceName, f64>,
     /// Times of each route's work at each service.
-    estimates: HashMap<(ServiceName, RuleName), Estimate>,
+    estimates: HashMap<ServiceName, HashMap<RuleName, Estimate>>,
+    /// Version of the document whose routes these are of.
+    version: u64,
 }
 
 impl Shares {
@@ -40,6 +42,7 @@
             regions: HashMap::new(),
             usual_ms: HashMap::new(),
             estimates: HashMap::new(),
+            version: 0,
         }
     }
 
@@ -108,27 +111,45 @@
     }
 
     /// What is known of the times of a route's work at a service.
-    pub fn estimate(&mut self, service: &str, route: &Route) -> &Estimate {
-        let key = (service.to_owned(), route.name.clone());
-        let estimate = self.estimates.entry(key);
-        estimate.or_insert_with(|| Estimate::new(route.goal))
+    pub fn estimate(&mut self, service: &str, route: &Route) -> Estimate {
+        if !self.estimates.contains_key(service) {
+            self.estimates.insert(service.to_owned(), HashMap::new());
+        }
+        let routes = self.estimates.get_mut(service).expect("it is there");
+        if !routes.contains_key(&route.name) {
+            routes.insert(route.name.clone(), Estimate::new(route.goal));
+        }
+        routes[&route.name].clone()
     }
 
     /// Takes how long a route's work took at an upstream.
-    pub fn learn(&mut self, route: &str, choice: &Choice, took: Duration) {
+    pub fn learn(&mut self, now: Instant, route: &str, choice: &Choice, took: Duration) {
         let service = &choice.upstream.report.service;
         let expected = &choice.expectation;
-        let work = took
-            .saturating_sub(expected.wait)
-            .max(took.mul_f64(WORK_LEAST));
+        let least = took.mul_f64(WORK_LEAST);
+        let work = took.saturating_sub(expected.wait).max(least);
         self.answered(service, work);
-        let key = (service.clone(), route.to_owned());
-        let Some(estimate) = self.estimates.get_mut(&key) else {
+        let routes = self.estimates.get_mut(service);
+        // A document that has taken the route away since is no reason to fail.
+        let Some(estimate) = routes.and_then(|routes| routes.get_mut(route)) else {
             return;
         };
         let ratio = estimate.learn(expected.standing, choice.cold, expected.speed, work);
-        let mut condition = choice.upstream.condition();
-        condition.speed.take(Instant::now(), ratio);
+        choice.upstream.condition().speed.take(now, ratio);
+    }
+
+    /// Forgets routes that a new document no longer has.
+    fn forget_routes(&mut self, view: &RouteView) {
+        if view.version == self.version {
+            return;
+        }
+        self.version = view.version;
+        let names: HashSet<&RuleName> = view.table.names().collect();
+        self.parts.retain(|name, _| names.contains(name));
+        for routes in self.estimates.values_mut() {
+            routes.retain(|name, _| names.contains(name));
+        }
+        self.estimates.retain(|_, routes| !routes.is_empty());
     }
 
     /// Takes the time of an answer.
@@ -140,7 +161,7 @@
         }
     }
 
-    /// Moves the regions' shares.
+    /// Moves the regions' shares, and forgets what no document names any more.
     pub fn adapt(
         &mut self,
         view: &Arc<RouteView>,
@@ -148,6 +169,7 @@
         now: Instant,
         passed: Duration,
     ) {
+        self.forget_routes(view);
         // Half of what is allowed from one 2 s window to the next leaves room for chance.
         let step = bounds.shift_most / 2.0 / 2.0 * passed.as_secs_f64().min(2.0);
         for (service, spread) in &mut self.regions {
--- a/crates/steering/src/route/table.rs
+++ b/crates/steering/src/route/table.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use super::document::{Route, RouteDocument};
+use crate::ids::RuleName;
 
 /// The routes of a document by domain and prefix.
 ///
@@ -27,6 +28,12 @@
         RouteTable { domains }
     }
 
+    /// Names of all routes.
+    pub fn names(&self) -> impl Iterator<Item = &RuleName> {
+        let routes = self.domains.values().flat_map(HashMap::values);
+        routes.map(|route| &route.name)
+    }
+
     /// The route with the longest prefix of `path`; `host` may carry a port.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let domain = host.split(':').next().unwrap_or(host);
