Leave homes that are too slow; silence until the deadline tells of speed

Hypothesis: an upstream twelve times slower is never left: its answers come after the deadline, so that nothing is learned, and a replica's price keeps its objects there.

--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -134,6 +134,7 @@
         }
         Err(SendError::Late) => {
             count_send("late");
+            choice.gave_no_answer(Instant::now(), flight.begun.elapsed());
             Err(Missed::new(Sent::Perhaps, "late"))
         }
     }
--- a/crates/steering/src/route/choice.rs
+++ b/crates/steering/src/route/choice.rs
@@ -46,6 +46,17 @@
     pub expectation: Expectation,
 }
 
+impl Choice {
+    /// Takes that no answer had come after `silent`: the upstream takes at least so long.
+    pub fn gave_no_answer(&self, now: Instant, silent: Duration) {
+        let expected = self.expectation.wait + self.expectation.work.if_fetched;
+        let times = self.expectation.speed * silent.as_secs_f64() / expected.as_secs_f64();
+        if times > 1.0 {
+            self.upstream.condition().speed.take(now, times);
+        }
+    }
+}
+
 /// No upstream can take the request now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NoRoom {
@@ -130,9 +141,13 @@
 /// for others it would fetch the object and forget another, and be full next.
 fn best(ranked: Vec<Choice>, wish: &Wish<'_>) -> Result<Choice, NoRoom> {
     let first_wait = ranked.first().ok_or(UNREACHABLE)?.expectation.wait;
-    let worth = |place: usize, choice: &Choice| match place > 0 && needs_replica(choice) {
-        true => choice.expectation.worth - REPLICA,
-        false => choice.expectation.worth,
+    // A home that is late whatever it holds is none: another takes its place for long.
+    let has_home = ranked
+        .first()
+        .is_some_and(|first| !first.expectation.too_slow);
+    let worth = |place: usize, choice: &Choice| {
+        let is_replica = place > 0 && has_home && needs_replica(choice);
+        choice.expectation.worth - if is_replica { REPLICA } else { 0.0 }
     };
     let ranked = ranked.into_iter().enumerate();
     let ranked = ranked.map(|(place, choice)| (worth(place, &choice), choice));
--- a/crates/steering/src/route/expectation.rs
+++ b/crates/steering/src/route/expectation.rs
@@ -30,6 +30,9 @@
     pub object_share: f64,
     /// Probability that the answer comes within the goal.
     pub timely: f64,
+    /// Whether the upstream is so slow that it would be late even with the object held
+    /// and a slot free.
+    pub too_slow: bool,
     /// Worth of the answer, less what the work takes from others; 1 at most.
     pub worth: f64,
 }
@@ -63,8 +66,9 @@
     let ahead = (load + 1.0 - slots).max(0.0);
     let wait = wish.usual.mul_f64(speed * ahead / slots);
     let work = wish.estimate.work(standing, cold).times(speed);
-    let in_time = |work: Duration| in_time(wish, wait + work);
-    let timely = work.held * in_time(work.if_held) + (1.0 - work.held) * in_time(work.if_fetched);
+    let after_wait = |work: Duration| in_time(wish, wait + work);
+    let timely =
+        work.held * after_wait(work.if_held) + (1.0 - work.held) * after_wait(work.if_fetched);
     let answer = LATE_WORTH + (1.0 - LATE_WORTH) * timely;
     let full = (load / slots / FULL).min(1.0);
     let amount = work.mean().as_secs_f64() / wish.usual.as_secs_f64().max(1e-6);
@@ -75,6 +79,7 @@
         speed,
         object_share: asked_per_s * work.if_held.as_secs_f64() / slots,
         timely,
+        too_slow: speed > 1.0 && in_time(wish, work.if_held) < 0.5,
         worth: wish.urgency * answer - PRICE * amount * full * full,
     }
 }
