Tell a slow home by the whole goal; split how an answer is learned from

A request that is sent again has used a part of its goal: by the time left, any home but the quickest counted as too slow, and its object was fetched elsewhere.

--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -158,10 +158,7 @@
         };
         let (usual, estimate) = {
             let mut shares = self.traffic.shares();
-            (
-                shares.usual(service),
-                shares.estimate(service, self.route).clone(),
-            )
+            (shares.usual(service), shares.estimate(service, self.route))
         };
         let settings = &self.traffic.common.settings;
         let bounds = self.traffic.common.bounds();
--- a/crates/steering/src/route/estimate.rs
+++ b/crates/steering/src/route/estimate.rs
@@ -130,26 +130,19 @@
         speed: f64,
         took: Duration,
     ) -> f64 {
-        let usual = self.held.value().as_secs_f64();
         let was_cold = if cold { self.cold_times } else { 1.0 };
         let plain = took.div_f64((speed * was_cold).max(RATIO_BOUNDS.0));
-        let is_short = plain.as_secs_f64() < usual * FETCHED_FROM;
-        // Where objects seldom are forgotten, a long time tells of the upstream instead.
-        let surely = standing.is_none_or(|standing| {
-            standing.familiarity == Familiarity::Recent
-                && self.work(Some(standing), false).held > SURE
-        });
-        let was_held = is_short || surely;
-        let expected = match was_held {
-            true => usual,
-            false => self.fetched.value().as_secs_f64(),
-        };
-        let ratio = (took.as_secs_f64() / expected).clamp(RATIO_BOUNDS.0, RATIO_BOUNDS.1);
+        let is_short = plain < self.held.value().mul_f64(FETCHED_FROM);
+        let was_held = is_short || self.is_surely_held(standing);
         if let Some(standing) = standing {
-            let (familiarity, rank) = standing.cell();
-            let hits = &mut self.hits[familiarity][rank];
-            *hits += HIT_WEIGHT * (f64::from(u8::from(is_short)) - *hits);
+            self.count_hit(standing, is_short);
         }
+        let usual = match was_held {
+            true => self.held.value(),
+            false => self.fetched.value(),
+        };
+        let ratio = took.as_secs_f64() / usual.as_secs_f64();
+        let ratio = ratio.clamp(RATIO_BOUNDS.0, RATIO_BOUNDS.1);
         if cold {
             self.cold_times += COLD_WEIGHT * (ratio / speed - self.cold_times);
             return ratio / self.cold_times.max(RATIO_BOUNDS.0);
@@ -160,6 +153,21 @@
         }
         ratio
     }
+
+    /// Whether a long time tells of the upstream, not of the object: it was sent there a
+    /// moment ago, and such objects seldom are forgotten.
+    fn is_surely_held(&self, standing: Option<Standing>) -> bool {
+        standing.is_none_or(|standing| {
+            let (familiarity, rank) = standing.cell();
+            standing.familiarity == Familiarity::Recent && self.hits[familiarity][rank] > SURE
+        })
+    }
+
+    fn count_hit(&mut self, standing: Standing, hit: bool) {
+        let (familiarity, rank) = standing.cell();
+        let hits = &mut self.hits[familiarity][rank];
+        *hits += HIT_WEIGHT * (f64::from(u8::from(hit)) - *hits);
+    }
 }
 
 /// How much longer than usual one upstream takes, by its last answers.
--- a/crates/steering/src/route/expectation.rs
+++ b/crates/steering/src/route/expectation.rs
@@ -30,8 +30,8 @@
     pub object_share: f64,
     /// Probability that the answer comes within the goal.
     pub timely: f64,
-    /// Whether the upstream is so slow that it would be late even with the object held
-    /// and a slot free.
+    /// Whether the upstream is so slow that it would be late even with the object held,
+    /// a slot free and all of the goal's time left.
     pub too_slow: bool,
     /// Worth of the answer, less what the work takes from others; 1 at most.
     pub worth: f64,
@@ -79,7 +79,7 @@
         speed,
         object_share: asked_per_s * work.if_held.as_secs_f64() / slots,
         timely,
-        too_slow: speed > 1.0 && in_time(wish, work.if_held) < 0.5,
+        too_slow: speed > 1.0 && work.if_held > wish.goal.mul_f64(GOAL_USED),
         worth: wish.urgency * answer - PRICE * amount * full * full,
     }
 }
