Weigh a host's own sample of an upstream's load against what the region tells

Cause: where an upstream had not told its load for 2 s, a host took the others to send it as much as it did itself. Among 98 hosts one request in flight, by chance, stands for 97: homes were taken for full, their objects went to second homes (a fetch, 2.2 s of a goal of 1.5 s) or were refused. On the large deployment a host hears an upstream about once a minute, so that this was the usual case.

Ruled out: distance (35 ms); slots (0.2 of those of the other regions were in use).

Change: reports of load are averaged by service and region (RegionLoad, 2 s). An upstream that has not told is taken to have that load, moved by the own sample as a Poisson count with a Gamma prior.

--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -179,8 +179,8 @@
     let status = answer.status();
     let load = headers.get(&names.load).and_then(|load| load.to_str().ok());
     if let Some(load) = load.and_then(|load| traffic.dialect.load(load)) {
-        let mut condition = flight.upstream.condition();
-        condition.reported(Instant::now(), load.running, load.waiting);
+        let reporter = &flight.upstream;
+        reporter.reported(Instant::now(), load.running, load.waiting);
     }
     if status == StatusCode::MISDIRECTED_REQUEST {
         flight.judge(Answered::Refused);
--- a/crates/steering/src/route/choice.rs
+++ b/crates/steering/src/route/choice.rs
@@ -184,6 +184,8 @@
 /// The upstream as a home, where it can be sent the request. A cold one whose part of
 /// this host is used up can't.
 fn usable(upstream: &Arc<Upstream>, rank: usize, wish: &Wish<'_>, now: Instant) -> Option<Choice> {
+    let hosts = wish.near_hosts.map_or(1, <[HostName]>::len);
+    let load = upstream.load(now, hosts);
     let mut condition = upstream.condition();
     if wish.tried.contains(&upstream.report.id) || !condition.is_usable(now) {
         return None;
@@ -197,8 +199,6 @@
             return None;
         }
     }
-    let hosts = wish.near_hosts.map_or(1, <[HostName]>::len);
-    let load = condition.load(now, hosts);
     let standing = wish.by_object.then(|| Standing {
         familiarity: condition.holding.familiarity(now, wish.object),
         rank,
--- a/crates/steering/src/route/condition.rs
+++ b/crates/steering/src/route/condition.rs
@@ -12,6 +12,10 @@
 /// Time over which this host's own requests are averaged, to tell from them those of
 /// other hosts: some answers of an upstream.
 const AVERAGED_OVER: Duration = Duration::from_millis(1_500);
+/// How alike the loads of a region's upstreams are: the shape of their distribution. With 2
+/// an upstream's load lies off the usual by some 0.7 of it, as where each looks after a few
+/// objects.
+const USUAL_SHAPE: f64 = 2.0;
 /// Silence on all requests in flight after which an upstream gets no more.
 const SILENT_AFTER: Duration = Duration::from_millis(1_200);
 /// Time for which an upstream is left alone after a failure; doubles with each.
@@ -140,16 +144,14 @@
     }
 
     /// Requests running and waiting there. Where it has not told lately, other hosts are
-    /// taken to send it as many requests each as this one; `hosts` of them do, this one
-    /// among them.
-    pub fn load(&self, now: Instant, hosts: usize) -> f64 {
+    /// taken to send it what this one's own requests and the usual load together let
+    /// expect; `hosts` send to it, this one among them. `usual` is the load of such an
+    /// upstream, where it is known.
+    pub fn load(&self, now: Instant, hosts: usize, usual: Option<f64>) -> f64 {
         let own = f64::from(self.in_flight);
         let others = match self.others.filter(|_| self.load_age(now).is_some()) {
             Some((others, _)) => others,
-            None => {
-                let average = self.own.at(now, own, AVERAGED_OVER);
-                average * hosts.saturating_sub(1) as f64
-            }
+            None => others(self.own.at(now, own, AVERAGED_OVER), hosts, usual),
         };
         own + others
     }
@@ -201,6 +203,20 @@
     }
 }
 
+/// Requests of other hosts at an upstream to which this host has `own` on average.
+///
+/// What one host of many sends is a small sample: two of its requests at one upstream by
+/// chance would stand for two hundred. It is weighed against the usual load as in a Poisson
+/// count with a Gamma prior (Gelman et al., "Bayesian Data Analysis", section 2.6).
+fn others(own: f64, hosts: usize, usual: Option<f64>) -> f64 {
+    let sample = 1.0 / hosts.saturating_sub(1).max(1) as f64;
+    match usual.filter(|usual| *usual > 0.0) {
+        Some(usual) => (USUAL_SHAPE + own) / (USUAL_SHAPE / usual + sample),
+        None if hosts > 1 => own / sample,
+        None => 0.0,
+    }
+}
+
 /// Time for which one that has failed `failures` times before is left alone.
 pub(super) fn rest(failures: u32) -> Duration {
     REST_AFTER_FAILURE * 2u32.pow(failures.min(REST_DOUBLINGS))
--- a/crates/steering/src/route/view.rs
+++ b/crates/steering/src/route/view.rs
@@ -9,6 +9,7 @@
 use super::condition::Condition;
 use super::document::{RouteDocument, ServiceTerms};
 use super::feed::{FeedDigest, Record};
+use super::region_load::RegionLoad;
 use super::table::RouteTable;
 use super::upstream::{ReportedUpstream, UpstreamId};
 use super::zone_condition::ZoneCondition;
@@ -25,27 +26,39 @@
     pub cold_until: Option<Instant>,
     condition: Arc<Mutex<Condition>>,
     zone: Arc<Mutex<ZoneCondition>>,
+    region: Arc<Mutex<RegionLoad>>,
 }
 
 impl Upstream {
     /// What this host has seen of it.
     pub fn condition(&self) -> MutexGuard<'_, Condition> {
-        self.condition
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        lock(&self.condition)
     }
 
     /// What this host has seen of its zone.
     pub fn zone(&self) -> MutexGuard<'_, ZoneCondition> {
-        self.zone.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.zone)
+    }
+
+    /// Takes a report of all its load.
+    pub fn reported(&self, now: Instant, running: u32, waiting: u32) {
+        self.condition().reported(now, running, waiting);
+        let use_of_slots = f64::from(running + waiting) / f64::from(self.report.slots);
+        lock(&self.region).take(now, use_of_slots);
+    }
+
+    /// Requests running and waiting there, as far as can be known; `hosts` send to it.
+    pub fn load(&self, now: Instant, hosts: usize) -> f64 {
+        let usual = lock(&self.region).use_of_slots(now);
+        let usual = usual.map(|usual| usual * f64::from(self.report.slots));
+        self.condition().load(now, hosts, usual)
     }
 
     /// Whether a request that it refused or broke off may be sent to it once more: it has
     /// room, and seldom does so.
     pub fn may_be_asked_again(&self, now: Instant) -> bool {
-        let condition = self.condition();
-        let has_room = condition.load(now, 1) < f64::from(self.report.slots);
-        has_room && condition.may_be_asked_again(now)
+        let has_room = self.load(now, 1) < f64::from(self.report.slots);
+        has_room && self.condition().may_be_asked_again(now)
     }
 
     /// Whether it is cold.
@@ -54,6 +67,10 @@
     }
 }
 
+fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A service's upstreams in a region.
 #[derive(Debug, Default)]
 pub struct RegionPool {
@@ -78,9 +95,9 @@
             return f64::INFINITY;
         }
         let load = |upstream: &Arc<Upstream>| {
-            let condition = upstream.condition();
-            match condition.is_usable(now) {
-                true => condition.load(now, hosts),
+            let is_usable = upstream.condition().is_usable(now);
+            match is_usable {
+                true => upstream.load(now, hosts),
                 false => f64::from(upstream.report.slots),
             }
         };
@@ -159,6 +176,7 @@
     /// Each start of an upstream has its own.
     upstreams: HashMap<UpstreamId, Arc<Mutex<Condition>>>,
     zones: HashMap<ZoneName, Arc<Mutex<ZoneCondition>>>,
+    regions: HashMap<(ServiceName, RegionName), Arc<Mutex<RegionLoad>>>,
 }
 
 impl RouteView {
@@ -190,11 +208,13 @@
             let warm_up = document.services.get(&report.service);
             let warm_up = warm_up.map_or(Duration::ZERO, |terms| terms.warm_up);
             let taken_back = evacuations.ended.get(&report.zone).map(|at| *at + warm_up);
+            let at = (report.service.clone(), region.clone());
             let upstream = Upstream {
                 hash: crate::rendezvous::hash(report.id.as_bytes()),
                 cold_until: listed.cold_until.max(taken_back),
                 condition: Arc::clone(condition),
                 zone: Arc::clone(zone),
+                region: Arc::clone(conditions.regions.entry(at).or_default()),
                 report: report.clone(),
             };
             let pool = pools.entry(report.service.clone()).or_default();
@@ -204,6 +224,8 @@
         for (name, pool) in &mut pools {
             pool.terms = document.services.get(name).cloned();
         }
+        let regions = &mut conditions.regions;
+        regions.retain(|(service, _), _| pools.contains_key(service));
         let kept: BTreeSet<&UpstreamId> = catalog.listed().map(|l| &l.report.id).collect();
         conditions.upstreams.retain(|id, _| kept.contains(id));
         pools
--- a/crates/steering/tests/route_choice.rs
+++ b/crates/steering/tests/route_choice.rs
@@ -332,6 +332,46 @@
     assert!(choose(pool(&service), &wish, warm).is_ok());
 }
 
+/// One host of 98 has a request in flight at an object's home, by chance. Its sample alone
+/// would stand for 97 others; other upstreams' reports tell that little is to do.
+#[test]
+fn one_host_of_many_does_not_take_a_home_for_full_by_its_own_request() {
+    let now = Instant::now();
+    let service = service(5, Duration::ZERO, now);
+    let (first, _) = homes(5, now);
+    for upstream in &pool(&service).upstreams {
+        if upstream.report.id != first {
+            upstream.reported(now, 1, 0);
+        }
+    }
+    let home = member(&service, &first);
+    home.condition().sent(now);
+    home.condition().holding.sent(now, 42);
+    let hosts: Vec<String> = (1..=98).map(|n| format!("h{n}")).collect();
+    let soon = now + Duration::from_millis(600);
+    let choice = choose(pool(&service), &wish(&service, Some(&hosts)), soon).unwrap();
+    assert_eq!(choice.upstream.report.id, first, "{:?}", choice.expectation);
+    assert!(choice.load < f64::from(SLOTS), "{}", choice.load);
+}
+
+#[test]
+fn a_pool_is_used_as_its_upstreams_are() {
+    let now = Instant::now();
+    let service = service(4, Duration::ZERO, now);
+    for upstream in &pool(&service).upstreams {
+        upstream.reported(now, 1, 0);
+    }
+    let used = pool(&service).use_of_slots(now, 98);
+    assert!((used - 1.0 / f64::from(SLOTS)).abs() < 0.01, "{used}");
+    let lost = &pool(&service).upstreams[0];
+    lost.condition().answered(now, Answered::Failed);
+    let used = pool(&service).use_of_slots(now, 98);
+    assert!(
+        (used - 0.5).abs() < 0.01,
+        "an unusable one counts as full: {used}"
+    );
+}
+
 #[test]
 fn an_upstream_that_falls_silent_gets_no_more() {
     let now = Instant::now();
--- a/crates/steering/tests/route_condition.rs
+++ b/crates/steering/tests/route_condition.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
-use steering::route::{Answered, Condition, ZoneCondition};
+use steering::route::{Answered, Condition, RegionLoad, ZoneCondition};
 
 /// Times as large as the span over which requests are averaged.
 const LONG: Duration = Duration::from_secs(60);
@@ -18,9 +18,12 @@
     let mut condition = Condition::default();
     condition.sent(now);
     condition.reported(now, 3, 1);
-    assert!(close(condition.load(now, 9), 4.0));
+    assert!(close(condition.load(now, 9, None), 4.0));
     condition.sent(now);
-    assert!(close(condition.load(now, 9), 5.0), "its own are counted");
+    assert!(
+        close(condition.load(now, 9, None), 5.0),
+        "its own are counted"
+    );
 }
 
 #[rstest]
@@ -32,7 +35,7 @@
     let mut condition = Condition::default();
     condition.sent(now);
     condition.sent(now);
-    assert!(close(condition.load(now + LONG, hosts), load));
+    assert!(close(condition.load(now + LONG, hosts, None), load));
 }
 
 #[test]
@@ -41,9 +44,9 @@
     let mut condition = Condition::default();
     condition.sent(now);
     let soon = now + Duration::from_millis(100);
-    assert!(condition.load(soon, 30) < 4.0);
+    assert!(condition.load(soon, 30, None) < 4.0);
     condition.ended(soon);
-    assert!(close(condition.load(soon + LONG, 30), 0.0));
+    assert!(close(condition.load(soon + LONG, 30, None), 0.0));
 }
 
 #[test]
@@ -51,8 +54,42 @@
     let now = Instant::now();
     let mut condition = Condition::default();
     condition.reported(now, 9, 9);
-    assert!(close(condition.load(now, 3), 18.0));
-    assert!(close(condition.load(now + LONG, 3), 0.0));
+    assert!(close(condition.load(now, 3, None), 18.0));
+    assert!(close(condition.load(now + LONG, 3, None), 0.0));
+}
+
+/// An upstream with two own requests in flight, of which other hosts have told nothing.
+#[rstest]
+#[case::nothing_told(98, None, 196.0)]
+#[case::little_to_do_elsewhere(98, Some(0.5), 3.0)]
+#[case::usual_load(98, Some(4.0), 9.8)]
+#[case::few_hosts_see_much_themselves(3, Some(4.0), 6.0)]
+#[case::a_region_of_other_hosts(1, Some(4.0), 4.667)]
+fn a_small_sample_is_weighed_against_the_usual_load(
+    #[case] hosts: usize,
+    #[case] usual: Option<f64>,
+    #[case] load: f64,
+) {
+    let now = Instant::now();
+    let mut condition = Condition::default();
+    condition.sent(now);
+    condition.sent(now);
+    let believed = condition.load(now + LONG, hosts, usual);
+    assert!((believed - load).abs() < 0.05, "{believed}");
+}
+
+#[test]
+fn a_region_is_as_full_as_its_upstreams_tell() {
+    let now = Instant::now();
+    let mut region = RegionLoad::default();
+    region.take(now, 0.9);
+    assert_eq!(region.use_of_slots(now), None, "one says little of all");
+    region.take(now, 0.3);
+    assert!(close(region.use_of_slots(now).unwrap(), 0.6));
+    let later = now + Duration::from_secs(8);
+    assert_eq!(region.use_of_slots(later), None, "it is old");
+    (0..20).for_each(|_| region.take(later, 0.1));
+    assert!(close(region.use_of_slots(later).unwrap(), 0.1));
 }
 
 const SOON: Duration = Duration::from_millis(100);
