Learn from other hosts at a start, fill gaps from the teller; key in the hosts' table

Each host read 1,356 reports in three pages, some three times; hosts that were not told yet asked on each 1.8 s; 295 rows in 0.3 s went beyond the 300 writes a second that a part takes, so that 118 were written again; 97 hosts lost the race for the key. 690 calls when 356 upstreams joined: news over 8 KiB are not told, each host asked the store. The steady state needs 15 calls a second for all together.

Change: a host that starts reads the list of hosts and asks hosts of its group that rank before it (a tree, four children each) for documents and reports; the store only where none can tell within 1.5 s. The key stands in the hosts' table: one read brings both. Where all start for the first time their first calls are spread over 1.2 s. Failed calls are made again after 0.4 to 1.6 s with jitter; who can't reach the store listens to any host that can. Records travel in the postcard format (a third of the bytes); the protocol's version goes up to 5.

Ruled out: pushing large news to all (a document of 400 KB took a group 5 s on links of 10 Mbit/s).

--- /dev/null
+++ b/crates/gateway/src/control/follower.rs
@@ -0,0 +1,178 @@
+//! How far a host has come in a feed of the store.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use backon::ExponentialBackoff;
+use steering::route::{Feed, FeedDigest, FeedVersion, Lead, Recent, Use};
+use store::RecordError;
+use tokio::sync::Notify;
+
+use super::pauses;
+use crate::settings::{Bounds, GatewaySettings};
+
+/// Least absence of the store in which reports may lapse: an upstream's report goes
+/// after three heartbeats, a second or more each.
+const LAPSE_LEAST: Duration = Duration::from_secs(1);
+
+/// Time in which every host should know of a new one, which takes a part of shared
+/// bounds: some seconds after its start it gets requests.
+const HOSTS_WITHIN: Duration = Duration::from_secs(4);
+
+/// What another host has taken from a feed, and this one has not.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Missing {
+    /// Where the other host can be asked for it.
+    pub teller: SocketAddr,
+    /// Digest of all that it has taken.
+    pub digest: FeedDigest,
+}
+
+/// How far this host has come in a feed, and who asks for it.
+pub(super) struct Follower {
+    feed: Feed,
+    /// None before the first answer, and once the history is gone.
+    pub version: Option<FeedVersion>,
+    /// Newest version that was ever seen. An answer of an earlier one is stale.
+    pub newest: FeedVersion,
+    /// When the store, or a host that had asked it, was last heard.
+    heard: Option<Instant>,
+    /// Since when nothing has been heard from the store.
+    lost_since: Option<Instant>,
+    pub lead: Lead,
+    /// What was lately taken, for hosts that lack some of it.
+    pub recent: Recent,
+    /// Pauses between calls to the store that fail, since its last answer.
+    pub pauses: ExponentialBackoff,
+    /// Told when something is missing.
+    pub gap: Rc<Notify>,
+    /// Who told of what is missing.
+    missing: Option<Missing>,
+    /// Whether something was missing when this host was last told. Where it still is
+    /// after this host has asked, all is read again.
+    lacks: bool,
+}
+
+impl Follower {
+    pub fn new(feed: Feed, settings: &GatewaySettings) -> Self {
+        Follower {
+            feed,
+            version: None,
+            newest: 0,
+            heard: None,
+            lost_since: None,
+            recent: Recent::default(),
+            pauses: pauses(),
+            missing: None,
+            lead: Lead::new(
+                &settings.host,
+                &feed.to_string(),
+                tightest(feed, &settings.bounds),
+            ),
+            gap: Rc::default(),
+            lacks: false,
+        }
+    }
+
+    /// Age of what is believed; none before anything is.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.heard.map(|at| now.saturating_duration_since(at))
+    }
+
+    /// Takes an answer of the store; true where the store had been away before it for so long that
+    /// reports may have lapsed.
+    pub fn answered(&mut self, version: FeedVersion) -> bool {
+        self.heard = Some(Instant::now());
+        self.advance(version);
+        self.lead.asked();
+        self.missing = None;
+        self.pauses = pauses();
+        let Some(since) = self.lost_since.take() else {
+            return false;
+        };
+        let away = since.elapsed();
+        let away_ms = away.as_millis() as u64;
+        tracing::info!(event = "store_regained", feed = %self.feed, away_ms);
+        away >= LAPSE_LEAST
+    }
+
+    pub fn advance(&mut self, version: FeedVersion) {
+        self.version = Some(version);
+        self.newest = self.newest.max(version);
+    }
+
+    /// Notes that all was learned from another host, up to `version`.
+    pub fn learned(&mut self, now: Instant, version: FeedVersion) {
+        self.heard = Some(now);
+        self.advance(version);
+        self.lead.learned(now);
+    }
+
+    /// Notes that another host has told what was missing, up to `version`.
+    pub fn filled(&mut self, version: FeedVersion) {
+        self.advance(version);
+        self.lead.filled();
+        self.lacks = false;
+    }
+
+    /// What is missing, once.
+    pub fn take_missing(&mut self) -> Option<Missing> {
+        self.missing.take()
+    }
+
+    /// Takes what `from` has told, which goes up to `version`.
+    pub fn told(
+        &mut self,
+        now: Instant,
+        from: &str,
+        used: Use,
+        version: FeedVersion,
+        missing: Missing,
+    ) {
+        self.lead.told(now, from, used);
+        // The teller reaches the store, and says itself if it was away.
+        self.lost_since = None;
+        if used != Use::Gap {
+            self.heard = Some(now);
+        }
+        match used {
+            Use::Known => {}
+            Use::Take => {
+                self.advance(version);
+                self.lacks = false;
+            }
+            Use::Gap => {
+                tracing::debug!(event = "feed_gap", feed = %self.feed, from, again = self.lacks);
+                if std::mem::replace(&mut self.lacks, true) {
+                    self.version = None;
+                }
+                self.missing = Some(missing);
+                self.gap.notify_one();
+            }
+        }
+    }
+
+    /// Takes the failure of a call that began at `begun`.
+    pub fn failed(&mut self, begun: Instant, error: &RecordError) {
+        if *error == RecordError::HistoryGone {
+            tracing::info!(event = "history_gone", feed = %self.feed);
+            self.version = None;
+            return;
+        }
+        self.lead.failed();
+        if self.lost_since.is_none() {
+            tracing::warn!(event = "store_lost", feed = %self.feed, %error);
+            self.lost_since = Some(begun);
+        }
+    }
+}
+
+/// Shortest time in which what a feed says must be heeded.
+pub(super) fn tightest(feed: Feed, bounds: &Bounds) -> Duration {
+    match feed {
+        Feed::Routes => bounds.apply,
+        Feed::Upstreams => bounds.drain,
+        Feed::Hosts => HOSTS_WITHIN,
+    }
+}
--- a/crates/gateway/src/control/group.rs
+++ b/crates/gateway/src/control/group.rs
@@ -37,7 +37,7 @@
 
     /// The other hosts of the deployment where they are few, else those of the region,
     /// else those of the zone.
-    fn group(&self) -> Vec<HostEntry> {
+    pub(super) fn group(&self) -> Vec<HostEntry> {
         let settings = &self.common.settings;
         let beliefs = self.beliefs.borrow();
         let all = beliefs.roll.known().map(|host| &host.entry);
--- a/crates/gateway/src/control/hosts.rs
+++ b/crates/gateway/src/control/hosts.rs
@@ -6,24 +6,21 @@
 use std::time::{Duration, Instant};
 
 use futures::future::join_all;
-use peer::{Beat, Exchange, ExchangeReply, Local, PeerClient, PeerHandler, PeerServer};
+use peer::{Beat, Exchange, ExchangeReply, Local, PeerClient, PeerHandler, PeerServer, StateQuery};
 use rand::Rng;
 use steering::history::{Entry, Position};
 use steering::ids::{HostName, Incarnation, Revision};
 use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
 use steering::membership::{Heartbeat, HostEntry};
 use steering::rendezvous;
-use steering::route::{Changes, Feed, News};
-use store::{HOSTS_TABLE, OwnRow};
+use steering::route::{Changes, Feed, News, Record};
+use store::{HOSTS_TABLE, OwnRow, PEER_KEY_ROW};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-use super::Control;
+use super::{Control, PAUSE_MOST, pauses};
 use crate::host::Stage;
 
-/// Table with the key that hosts prove to each other.
-const KEYS_TABLE: &str = "keys";
-const PEER_KEY: &str = "peers";
 const PEER_KEY_BYTES: usize = 32;
 
 /// Time between two heartbeats to the same host; three of them are missed before it
@@ -36,8 +33,13 @@
 const PAUSED: Duration = Duration::from_secs(3);
 /// Time between two looks whether the store's list is true.
 const LOOK_AT_LIST_EVERY: Duration = Duration::from_secs(10);
-/// Time before a call to the store that failed is made again.
-const AGAIN_AFTER: Duration = Duration::from_millis(500);
+/// Time over which hosts that start with the whole deployment spread their first calls. A
+/// store of the users' takes 300 writes a second to a table's part: rows of 295 hosts in
+/// 0.3 s waited for over 0.8 s, and 118 of them were written again.
+const FIRST_START_SPREAD: Duration = Duration::from_millis(1_200);
+/// Longest pause of a host that finds no shared key, and that the settings do not name to
+/// others, before it makes one: those that they name come first.
+const KEY_PAUSE_MOST: Duration = Duration::from_millis(200);
 /// Hosts of the own region that get heartbeats, where there are more.
 const PARTNERS_NEAR: usize = 8;
 /// Hosts of each other region that get heartbeats, where there are more.
@@ -52,7 +54,7 @@
         let local = Local {
             host: self.me.clone(),
             incarnation: self.incarnation,
-            key: key.into(),
+            key,
             names: Rc::default(),
             traffic: Rc::default(),
         };
@@ -81,28 +83,61 @@
     }
 
     /// The key that all hosts share; whoever comes first makes it.
-    async fn peer_key(&self) -> Vec<u8> {
+    async fn peer_key(&self) -> Rc<[u8]> {
+        let mut list_asked = self.list_asked.subscribe();
+        // The sender lives as long as this host.
+        let _ = list_asked.wait_for(|asked| *asked).await;
+        if !self.is_seed() && self.key.borrow().is_none() {
+            sleep(rand::rng().random_range(Duration::ZERO..KEY_PAUSE_MOST)).await;
+            self.ask(Feed::Hosts).await;
+        }
+        let mut pauses = pauses();
         loop {
-            match self.records.rows(KEYS_TABLE).await {
-                Ok(rows) => {
-                    if let Some(row) = rows.into_iter().find(|row| row.key == PEER_KEY) {
-                        return row.value;
-                    }
-                    let mut value = vec![0; PEER_KEY_BYTES];
-                    rand::rng().fill(value.as_mut_slice());
-                    let row = OwnRow {
-                        key: PEER_KEY.to_owned(),
-                        value,
-                    };
-                    match self.records.create(KEYS_TABLE, row).await {
-                        // Read back in any case: another host may have been first.
-                        Ok(_) => continue,
-                        Err(error) => tracing::warn!(event = "peer_key_not_made", %error),
-                    }
-                }
-                Err(error) => tracing::warn!(event = "peer_key_not_read", %error),
+            if let Some(key) = &*self.key.borrow() {
+                return Rc::clone(key);
             }
-            sleep(AGAIN_AFTER).await;
+            self.make_key().await;
+            // Whoever was first, the list tells; also where the answer to this was lost.
+            self.ask(Feed::Hosts).await;
+            if self.key.borrow().is_none() {
+                sleep(pauses.next().unwrap_or(PAUSE_MOST)).await;
+            }
+        }
+    }
+
+    async fn make_key(&self) {
+        let mut value = vec![0; PEER_KEY_BYTES];
+        rand::rng().fill(value.as_mut_slice());
+        let row = OwnRow {
+            key: PEER_KEY_ROW.to_owned(),
+            value,
+        };
+        if let Err(error) = self.records.create(HOSTS_TABLE, row).await {
+            tracing::warn!(event = "peer_key_not_made", %error);
+        }
+    }
+
+    /// Takes the shared key, where the list of hosts brings it.
+    pub(super) fn take_peer_key(&self, changes: &Changes) {
+        let key = changes.records.iter().find_map(|record| match record {
+            Record::PeerKey(key) => Some(key),
+            _ => None,
+        });
+        if let Some(key) = key {
+            self.key.replace(Some(key.as_slice().into()));
+        }
+    }
+
+    /// Whether the settings name this host to others.
+    fn is_seed(&self) -> bool {
+        let settings = &self.common.settings;
+        settings.seeds.contains(&settings.peer_address)
+    }
+
+    /// Waits for this host's turn where all hosts start at once for the first time.
+    pub(super) async fn wait_for_turn(&self) {
+        if self.common.settings.first_start && !self.is_seed() {
+            sleep(rand::rng().random_range(Duration::ZERO..FIRST_START_SPREAD)).await;
         }
     }
 
@@ -122,6 +157,7 @@
     /// Writes this host's row, again until the store has taken it.
     async fn be_listed(&self) {
         let value = serde_json::to_vec(&self.me).expect("entries are valid JSON");
+        let mut pauses = pauses();
         while *self.common.stage.borrow() == Stage::Serving {
             let row = OwnRow {
                 key: self.me.name.clone(),
@@ -131,7 +167,7 @@
                 Ok(()) => return,
                 Err(error) => tracing::warn!(event = "row_not_written", %error),
             }
-            sleep(AGAIN_AFTER).await;
+            sleep(pauses.next().unwrap_or(PAUSE_MOST)).await;
         }
     }
 
@@ -267,11 +303,11 @@
         let mut beliefs = self.0.beliefs.borrow_mut();
         beliefs.roll.hear(now, from, incarnation, false);
         drop(beliefs);
-        self.0.told(&from.name, news);
+        self.0.told(from, news);
     }
 
-    fn state(&self, feed: Feed) -> Option<Changes> {
-        self.0.state(feed)
+    fn state(&self, query: StateQuery) -> Option<Changes> {
+        self.0.state(query)
     }
 
     fn borrow(&self, _: LimitKey, _: LoanRequest) -> Option<LoanGrant> {
--- /dev/null
+++ b/crates/gateway/src/control/learn.rs
@@ -0,0 +1,116 @@
+//! Learns from other hosts what the store says, so that few hosts ask it.
+//!
+//! Where all hosts of a large deployment start at once, a thousand rows for each of them
+//! would be most of what the store ever has to tell.
+
+use std::time::{Duration, Instant};
+
+use peer::{StateQuery, ask_state};
+use steering::membership::HostEntry;
+use steering::route::{Changes, Feed};
+use tokio::time::{sleep, timeout};
+
+use super::Control;
+use super::follower::Missing;
+
+/// Longest wait for another host's answer. Some hundred KB take 0.1 s on a link of
+/// 10 Mbit/s; a host that has lost its power answers nothing at all.
+const ANSWER_LIMIT: Duration = Duration::from_millis(500);
+/// Times the longest time without news up to which a host's knowledge is of use to one that
+/// could ask the store instead.
+const STATE_AGE_MOST: u32 = 2;
+/// Pause before a host that has nothing to tell yet is asked again.
+const AGAIN_AFTER: Duration = Duration::from_millis(100);
+/// Time after which a host that has started asks the store itself. Where all start at once
+/// three steps from host to host take less.
+const PATIENCE: Duration = Duration::from_millis(1_500);
+
+impl Control {
+    /// Learns all that a feed says from hosts of the own group, where any is there.
+    pub(super) async fn learn_at_start(&self, feed: Feed) {
+        // It ends without an answer too: then the store is asked, and tells it.
+        let _ = timeout(PATIENCE, self.learn(feed)).await;
+    }
+
+    async fn learn(&self, feed: Feed) {
+        let mut list_asked = self.list_asked.subscribe();
+        // The sender lives as long as this host.
+        let _ = list_asked.wait_for(|asked| *asked).await;
+        let most_age = self.follower(feed, |own| own.lead.stale_after()) * STATE_AGE_MOST;
+        let query = StateQuery {
+            feed,
+            after: None,
+            most_age: Some(most_age),
+        };
+        for elder in self.elders(feed) {
+            while let Ok(answer) = ask_state(elder.peer_address, query, ANSWER_LIMIT).await {
+                match answer.filter(|state| self.is_new(feed, state)) {
+                    Some(state) => return self.learned(feed, &elder, state),
+                    None => sleep(AGAIN_AFTER).await,
+                }
+            }
+        }
+    }
+
+    /// Hosts of the group to ask, in order.
+    fn elders(&self, feed: Feed) -> Vec<HostEntry> {
+        let group = self.group();
+        let names = group.iter().map(|host| host.name.as_str());
+        let elders: Vec<String> = self.follower(feed, |own| {
+            let elders = own.lead.elders(names);
+            elders.into_iter().map(str::to_owned).collect()
+        });
+        let find = |name: &String| group.iter().find(|host| host.name == *name).cloned();
+        elders.iter().filter_map(find).collect()
+    }
+
+    fn is_new(&self, feed: Feed, state: &Changes) -> bool {
+        self.follower(feed, |own| own.newest) <= state.version
+    }
+
+    fn learned(&self, feed: Feed, from: &HostEntry, state: Changes) {
+        let version = state.version;
+        tracing::info!(event = "learned_from_host", feed = %feed, from = from.name, version);
+        self.take(feed, state);
+        let now = Instant::now();
+        self.follower(feed, |own| {
+            own.learned(now, version);
+            own.recent.restart(version);
+        });
+    }
+
+    /// Asks the host that has told of something for what is missing here; true where
+    /// nothing is any more.
+    pub(super) async fn fill(&self, feed: Feed) -> bool {
+        let Some(Missing { teller, digest }) = self.follower(feed, |own| own.take_missing()) else {
+            return false;
+        };
+        let query = StateQuery {
+            feed,
+            after: self.follower(feed, |own| own.version),
+            most_age: None,
+        };
+        let state = match ask_state(teller, query, ANSWER_LIMIT).await {
+            Ok(Some(state)) if self.is_new(feed, &state) => state,
+            Ok(_) => return false,
+            Err(error) => {
+                tracing::debug!(event = "teller_not_heard", feed = %feed, %teller, %error);
+                return false;
+            }
+        };
+        let (version, whole) = (state.version, state.whole);
+        let records = self.take(feed, state);
+        // The teller may have gone on since: then its next news show whether all is there.
+        let is_filled = whole || self.beliefs.borrow().digest(feed) == digest;
+        if is_filled {
+            self.follower(feed, |own| {
+                own.filled(version);
+                match whole {
+                    true => own.recent.restart(version),
+                    false => own.recent.take(version, &records),
+                }
+            });
+        }
+        is_filled
+    }
+}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -2,8 +2,10 @@
 
 mod beliefs;
 mod feeds;
+mod follower;
 mod group;
 mod hosts;
+mod learn;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -11,22 +13,38 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use backon::{BackoffBuilder, ExponentialBackoff, ExponentialBuilder};
 use peer::{Local, PeerClient};
 use steering::ids::{HostName, Incarnation};
 use steering::membership::HostEntry;
 use steering::route::Feed;
 use store::Records;
+use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::host::{Common, Stage};
 use beliefs::Beliefs;
-use feeds::Follower;
+use follower::Follower;
 
 /// Pace at which what runs out by itself is looked at. A host that falls silent is
 /// noticed some seconds later, so this adds little.
 const LOOK_AT_TIMES_EVERY: Duration = Duration::from_millis(500);
 
+/// Pause after a first call to the store that fails, doubled after each further one.
+const PAUSE_FIRST: Duration = Duration::from_millis(400);
+/// Longest such pause: what a host that reaches the store again lacks is to be heeded
+/// within some 4 s.
+const PAUSE_MOST: Duration = Duration::from_millis(1_600);
+
+/// Pauses between calls to the store that fail. They vary by chance, so that hosts that were
+/// turned away together do not come back together.
+fn pauses() -> ExponentialBackoff {
+    let pauses = ExponentialBuilder::new().with_min_delay(PAUSE_FIRST);
+    let pauses = pauses.with_max_delay(PAUSE_MOST).without_max_times();
+    pauses.with_jitter().build()
+}
+
 /// The control thread's state.
 pub(crate) struct Control {
     common: Common,
@@ -37,6 +55,10 @@
     routes: RefCell<Follower>,
     upstreams: RefCell<Follower>,
     hosts: RefCell<Follower>,
+    /// Whether the store has been asked for the list of hosts, with or without success.
+    list_asked: watch::Sender<bool>,
+    /// Key that the deployment's hosts share, once it is known.
+    key: RefCell<Option<Rc<[u8]>>>,
     /// What hosts need to call each other; none before the shared key is known.
     local: RefCell<Option<Local>>,
     /// Clients of hosts that get heartbeats or news.
@@ -64,17 +86,16 @@
         routes: RefCell::new(Follower::new(Feed::Routes, &common.settings)),
         upstreams: RefCell::new(Follower::new(Feed::Upstreams, &common.settings)),
         hosts: RefCell::new(Follower::new(Feed::Hosts, &common.settings)),
+        list_asked: watch::Sender::default(),
+        key: RefCell::default(),
         local: RefCell::default(),
         clients: RefCell::default(),
         beats: Cell::default(),
         records,
         common,
     });
-    spawn_local(Rc::clone(&control).follow(Feed::Routes));
-    spawn_local(Rc::clone(&control).follow(Feed::Upstreams));
-    spawn_local(Rc::clone(&control).follow(Feed::Hosts));
     spawn_local(Rc::clone(&control).look_at_times());
-    let hosts = spawn_local(Rc::clone(&control).meet_hosts(peers));
+    let hosts = spawn_local(Rc::clone(&control).begin(peers));
     let mut stage = control.common.stage.clone();
     let leaving = |stage: &Stage| *stage != Stage::Serving;
     if stage.wait_for(leaving).await.is_ok() {
@@ -87,6 +108,15 @@
 }
 
 impl Control {
+    /// Follows the feeds and meets other hosts, for ever.
+    async fn begin(self: Rc<Self>, peers: TcpListener) {
+        self.wait_for_turn().await;
+        for feed in [Feed::Hosts, Feed::Routes, Feed::Upstreams] {
+            spawn_local(Rc::clone(&self).follow(feed));
+        }
+        self.meet_hosts(peers).await;
+    }
+
     /// Publishes what is believed now.
     fn publish(&self) {
         let view = self.beliefs.borrow_mut().view(Instant::now());
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -29,6 +29,9 @@
     pub metrics_address: Option<SocketAddr>,
     /// Peer addresses of some hosts; may be stale.
     pub seeds: Vec<SocketAddr>,
+    /// Whether the whole deployment starts for the first time, so that all its hosts start
+    /// at once and none is listed yet.
+    pub first_start: bool,
     /// Of the store.
     pub store_address: SocketAddr,
     /// Files and sockets that the process may have open.
@@ -129,6 +132,7 @@
             peer_address: free,
             metrics_address: None,
             seeds: Vec::new(),
+            first_start: false,
             store_address: free,
             open_files: 1_024,
             bounds: Bounds::default(),
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -4,17 +4,18 @@
 # change is not understood by older hosts. Version 1, in which each heartbeat
 # named its host and each load its service, was never released.
 
-const protocolVersion :UInt16 = 4;
+const protocolVersion :UInt16 = 5;
 
 interface Gate {
   # What a host offers before it knows who calls.
   challenge @0 () -> (nonce :Data, version :UInt16);
   # Proves the shared key: the tag is an HMAC over the nonce and the name.
   open @1 (host :Host, incarnation :UInt64, tag :Data, version :UInt16) -> (session :Session);
-  # All that this host has taken from a feed of the store, as JSON; version 0 says nothing
-  # yet. For a host that can't reach the store and so doesn't hold the key; the store tells
-  # the same to whoever reaches it.
-  state @2 (feed :Data) -> (version :UInt64, records :Data);
+  # All that this host has taken from a feed of the store, or what it took since a version;
+  # version 0 says that it can't tell. The query is JSON, the records are in the postcard
+  # format. Also for hosts that can't reach the store and so don't hold the key; the store
+  # tells the same to whoever reaches it.
+  state @2 (query :Data) -> (version :UInt64, records :Data);
 }
 
 interface Session {
@@ -24,8 +25,9 @@
       -> (position :Position, entries :List(Data), snapshot :Data, summaries :List(Summary));
   push @2 (entry :Data) -> (position :Position);
   news @4 (feed :Data, version :UInt64, digest :UInt64, records :Data, storeBack :Data) -> ();
-  # What is new in a feed of the store. Data fields are JSON. Version 2 of the protocol did not
-  # have it; version 3 had all records since a position in place of a digest.
+  # What is new in a feed of the store. Records are in the postcard format, the other data
+  # fields are JSON. Version 2 of the protocol did not have it; version 3 had all records since
+  # a position in place of a digest; version 4 had them as JSON.
   borrow @3 (limit :Data, request :LoanRequest) -> (granted :Bool, grant :LoanGrant);
 }
 
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -14,17 +14,17 @@
 use steering::history::{Entry, Position};
 use steering::ids::Revision;
 use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
-use steering::route::{Changes, Feed};
+use steering::route::Changes;
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::timeout;
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
 use crate::codec::{
-    read_grant, read_json, read_position, read_summaries, write_beat, write_host, write_json,
-    write_position, write_request, write_summaries,
+    read_grant, read_json, read_position, read_records, read_summaries, write_beat, write_host,
+    write_json, write_position, write_request, write_summaries,
 };
-use crate::messages::{Beat, EncodedNews, Exchange, ExchangeReply, Local};
+use crate::messages::{Beat, EncodedNews, Exchange, ExchangeReply, Local, StateQuery};
 use crate::peer_capnp::{PROTOCOL_VERSION, gate, session};
 use crate::traffic::{Counted, PeerTraffic};
 use crate::{ENTRIES_LIMIT, reader_options, tag};
@@ -214,33 +214,33 @@
     }
 }
 
-/// Asks a host for all that it has taken from a feed, without the shared key; none where
-/// it has taken nothing yet.
+/// Asks a host what it has taken from a feed, without the shared key; none where it can't
+/// tell.
 ///
 /// # Errors
 ///
 /// The host can't be reached, or does not answer within `deadline`.
 pub async fn ask_state(
     address: SocketAddr,
-    feed: Feed,
+    query: StateQuery,
     deadline: Duration,
 ) -> Result<Option<Changes>, PeerError> {
     let call = async {
         let (gate, _task) = open_gate(address, &Rc::default()).await?;
         let mut request = gate.state_request();
-        request.get().set_feed(&write_json(&feed));
+        request.get().set_query(&write_json(&query));
         let answer = request.send().promise.await?;
         let answer = answer.get()?;
         let version = answer.get_version();
-        let changes = |records| Changes {
-            whole: true,
+        if version == 0 {
+            return Ok(None);
+        }
+        let (whole, records) = read_records(answer.get_records()?)?;
+        Ok(Some(Changes {
+            whole,
             records,
             version,
-        };
-        Ok(match version {
-            0 => None,
-            _ => Some(changes(read_json(answer.get_records()?)?)),
-        })
+        }))
     };
     timeout(deadline, call)
         .await
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -303,15 +303,21 @@
     serde_json::to_vec(value).expect("what travels is valid JSON")
 }
 
-/// The same, where it takes at most so many bytes. What is too large is not written to
-/// its end: a host that starts has megabytes of reports, and tells none of them.
-pub fn write_json_within<T: serde::Serialize>(value: &T, most_bytes: usize) -> Option<Vec<u8>> {
-    let mut writer = Within {
+/// Reads records of a feed.
+pub fn read_records<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
+    postcard::from_bytes(bytes).map_err(|error| Error::failed(error.to_string()))
+}
+
+/// Writes records of a feed, where they take at most so many bytes; a third of what they
+/// take as JSON. What is too large is not written to its end: a host that starts has
+/// thousands of reports, and tells none of them.
+pub fn write_records<T: serde::Serialize>(value: &T, most_bytes: usize) -> Option<Vec<u8>> {
+    let writer = Within {
         bytes: Vec::new(),
         most_bytes,
     };
-    serde_json::to_writer(&mut writer, value).ok()?;
-    Some(writer.bytes)
+    let written = postcard::to_io(value, writer).ok()?;
+    Some(written.bytes)
 }
 
 /// Refuses what goes beyond its bound.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -24,7 +24,7 @@
 mod peer_capnp;
 
 pub use client::{PeerClient, PeerError, ask_state};
-pub use messages::{Beat, EncodedNews, Exchange, ExchangeReply, Local};
+pub use messages::{Beat, EncodedNews, Exchange, ExchangeReply, Local, StateQuery};
 pub use names::{ServiceId, ServiceNames, service_id};
 pub use server::{PeerHandler, PeerServer};
 pub use traffic::PeerTraffic;
--- a/crates/peer/src/messages.rs
+++ b/crates/peer/src/messages.rs
@@ -1,14 +1,16 @@
 //! What hosts tell each other.
 
 use std::rc::Rc;
+use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use steering::belief::{ServiceLoad, ZoneSummary};
 use steering::history::{Entry, Position, Snapshot};
 use steering::ids::{Incarnation, Revision};
 use steering::membership::{Heartbeat, HostEntry};
-use steering::route::{FeedDigest, FeedVersion, News, Record};
+use steering::route::{Feed, FeedDigest, FeedVersion, News, Record};
 
-use crate::codec::{write_json, write_json_within};
+use crate::codec::{write_json, write_records};
 use crate::names::ServiceNames;
 use crate::traffic::PeerTraffic;
 
@@ -81,16 +83,28 @@
 
 impl EncodedNews {
     /// Encodes news. Where the records take more than `most_bytes` they are left out:
-    /// whoever lacks them sees it by the digest, and asks the store.
+    /// whoever lacks them sees it by the digest, and asks for them.
     pub fn new(news: &News, most_bytes: usize) -> Self {
-        let records = write_json_within(&news.records, most_bytes);
-        let records = records.unwrap_or_else(|| write_json(&Vec::<Record>::new()));
+        let none = || write_records(&Vec::<Record>::new(), usize::MAX);
+        let records = write_records(&news.records, most_bytes).or_else(none);
         EncodedNews {
             feed: write_json(&news.feed),
             version: news.version,
             digest: news.digest,
             store_back: write_json(&news.store_back_for),
-            records,
+            records: records.expect("records can be written"),
         }
     }
 }
+
+/// Asks a host what it has taken from a feed of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StateQuery {
+    /// The feed.
+    pub feed: Feed,
+    /// Version that is known already; all is wanted where none is.
+    pub after: Option<FeedVersion>,
+    /// Time since the store was last heard beyond which an answer is of no use; none where
+    /// any answer is better than none.
+    pub most_age: Option<Duration>,
+}
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -14,22 +14,29 @@
 use steering::ids::{HostName, Incarnation, Revision};
 use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
 use steering::membership::HostEntry;
-use steering::route::{Changes, Feed, News};
+use steering::route::{Changes, News};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
 use crate::codec::{
-    read_beat, read_host, read_json, read_position, read_request, read_summaries, write_grant,
-    write_json, write_position, write_summaries,
+    read_beat, read_host, read_json, read_position, read_records, read_request, read_summaries,
+    write_grant, write_json, write_position, write_records, write_summaries,
 };
-use crate::messages::{Beat, Exchange, ExchangeReply, Local};
+use crate::messages::{Beat, Exchange, ExchangeReply, Local, StateQuery};
 use crate::names::ServiceNames;
 use crate::peer_capnp::{PROTOCOL_VERSION, gate, session};
 use crate::traffic::Counted;
 use crate::{NONCE_BYTES, reader_options, tag};
 
 const CONNECTIONS_LIMIT: usize = 512;
+/// Largest answer with what has changed since a version, in bytes. Hosts with links of
+/// 10 Mbit/s send some thirty of them at once, and changes must be heeded within seconds;
+/// who lacks more asks the store. So much takes 0.8 s there for all.
+const CHANGES_MOST_BYTES: usize = 32 << 10;
+/// Largest answer with all that a feed says, in bytes; reports of 12,000 upstreams take
+/// some 700 KB.
+const STATE_MOST_BYTES: usize = 2 << 20;
 
 /// What a host does with messages of other hosts; each call must be short.
 pub trait PeerHandler {
@@ -42,8 +49,8 @@
     /// Takes a part of a feed of the store. A host that serves no routes has no use
     /// for it.
     fn news(&self, _from: &HostEntry, _incarnation: Incarnation, _news: News) {}
-    /// All that this host has taken from a feed of the store; none where that is nothing.
-    fn state(&self, _feed: Feed) -> Option<Changes> {
+    /// What this host has taken from a feed of the store; none where it can't tell.
+    fn state(&self, _query: StateQuery) -> Option<Changes> {
         None
     }
     /// Lends a part of a limit.
@@ -170,11 +177,19 @@
         params: gate::StateParams,
         mut results: gate::StateResults,
     ) -> Result<(), Error> {
-        let feed: Feed = read_json(params.get()?.get_feed()?)?;
-        if let Some(state) = self.handler.state(feed) {
+        let query: StateQuery = read_json(params.get()?.get_query()?)?;
+        let most_bytes = match query.after {
+            Some(_) => CHANGES_MOST_BYTES,
+            None => STATE_MOST_BYTES,
+        };
+        let Some(state) = self.handler.state(query) else {
+            return Ok(());
+        };
+        let written = write_records(&(state.whole, &state.records), most_bytes);
+        if let Some(records) = written {
             let mut results = results.get();
             results.set_version(state.version);
-            results.set_records(&write_json(&state.records));
+            results.set_records(&records);
         }
         Ok(())
     }
@@ -245,7 +260,7 @@
             feed: read_json(params.get_feed()?)?,
             version: params.get_version(),
             digest: params.get_digest(),
-            records: read_json(params.get_records()?)?,
+            records: read_records(params.get_records()?)?,
             store_back_for: read_json(params.get_store_back()?)?,
         };
         self.handler.news(&self.host, self.incarnation, news);
--- a/crates/peer/tests/messages.rs
+++ b/crates/peer/tests/messages.rs
@@ -232,7 +232,7 @@
             store_back_for: Some(Duration::from_millis(1_500)),
             records: vec![gone("a"), gone("b")],
         };
-        let bytes = serde_json::to_vec(&news.records).unwrap().len();
+        let bytes = postcard::to_allocvec(&news.records).unwrap().len();
         let encoded = EncodedNews::new(&news, bytes - too_many);
         let client = PeerClient::new(address, local(me, "k", &["known"]), DEADLINE);
         client.news(&encoded).await.unwrap();
--- a/crates/steering/src/route/feed.rs
+++ b/crates/steering/src/route/feed.rs
@@ -54,6 +54,8 @@
     Host(HostEntry),
     /// A host's row is no longer there.
     HostGone(HostName),
+    /// The key that hosts prove to each other; never passed on by hosts.
+    PeerKey(Vec<u8>),
     /// Something that can't be used; what it replaces stays in force.
     Unusable {
         /// Where it stands.
--- a/crates/steering/src/route/lead.rs
+++ b/crates/steering/src/route/lead.rs
@@ -13,6 +13,11 @@
 /// Share of the tightest bound for which a question waits for news.
 const WAIT_SHARE: f64 = 0.2;
 
+/// Hosts that one host of a group gives all that it knows when all start at once. With 4 a
+/// zone of 40 is through in three steps; each host then sends four times some 70 KB, which
+/// takes 0.1 s on a link of 20 Mbit/s.
+const CHILDREN: usize = 4;
+
 /// A host's place in following one feed.
 ///
 /// No host is elected. Who is told nothing for a while asks the store, and tells the
@@ -25,6 +30,8 @@
     feed: String,
     tightest: Duration,
     told: Option<Instant>,
+    /// Whether this host's last question to the store was answered, as far as any was.
+    reaches_store: bool,
     /// Whether something is missing between what is known and what was told.
     gap: bool,
 }
@@ -49,6 +56,7 @@
             feed: feed.to_owned(),
             tightest,
             told: None,
+            reaches_store: true,
             gap: false,
         }
     }
@@ -91,20 +99,58 @@
         until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
-    /// Notes that `from` has told something; this host listens only to who ranks first.
+    /// Notes that `from` has told something. This host listens only to who ranks first; to
+    /// any while it can't reach the store itself.
     pub fn told(&mut self, now: Instant, from: &str, used: Use) {
         let first = rendezvous::owner(&self.feed, [self.me.as_str(), from]);
-        if first == Some(from) {
+        if first == Some(from) || !self.reaches_store {
             self.told = Some(now);
         }
         self.gap |= used == Use::Gap;
     }
 
-    /// Notes that it has asked, so that nothing is missing any more.
+    /// Notes that all was learned from another host; others are expected to tell more.
+    pub fn learned(&mut self, now: Instant) {
+        self.told = Some(now);
+        self.gap = false;
+    }
+
+    /// Notes that it has asked the store, so that nothing is missing any more.
     pub fn asked(&mut self) {
+        self.reaches_store = true;
+        self.gap = false;
+    }
+
+    /// Notes that nothing is missing any more, without a question to the store.
+    pub fn filled(&mut self) {
         self.gap = false;
     }
 
+    /// Notes that the store gave no answer.
+    pub fn failed(&mut self) {
+        self.reaches_store = false;
+    }
+
+    /// Whom this host, which has started and knows nothing, asks in place of the store:
+    /// hosts of its group that rank before it, the nearest first; none where it ranks
+    /// first. They form a tree, so that all of a group can start at once and no host
+    /// answers more than [`CHILDREN`] others.
+    pub fn elders<'a>(&self, group: impl IntoIterator<Item = &'a str>) -> Vec<&'a str> {
+        let ranked = rendezvous::rank(&self.feed, group);
+        let before =
+            |name: &&str| rendezvous::owner(&self.feed, [self.me.as_str(), *name]) == Some(*name);
+        let mut place = ranked
+            .iter()
+            .filter(|name| **name != self.me && before(name))
+            .count();
+        let mut elders = Vec::new();
+        while place > 0 {
+            place = (place - 1) / CHILDREN;
+            elders.push(ranked[place]);
+        }
+        elders
+    }
+
     /// What to do with news up to `version`, where this host stands at `at`. A gap also
     /// shows where the digests differ after the news are taken.
     pub fn judge(at: Option<FeedVersion>, version: FeedVersion) -> Use {
--- a/crates/steering/tests/route_hosts.rs
+++ b/crates/steering/tests/route_hosts.rs
@@ -170,3 +170,57 @@
     let later = now + lead.stale_after();
     assert!(lead.tells(later), "the first is silent");
 }
+
+/// Each host of a zone asks one that ranks before it, so that all are reached from the
+/// first, and none is asked by more than four.
+#[rstest]
+#[case::alone(1)]
+#[case::small(9)]
+#[case::zone(33)]
+#[case::large_zone(200)]
+fn hosts_that_start_ask_along_a_tree(#[case] count: usize) {
+    let names: Vec<String> = (0..count).map(|n| format!("h{n}")).collect();
+    let group = || names.iter().map(String::as_str);
+    let ranked = rendezvous::rank("upstreams", group());
+    let mut asked = vec![0; count];
+    for (place, me) in ranked.iter().enumerate() {
+        let lead = Lead::new(me, "upstreams", Duration::from_secs(4));
+        let others = group().filter(|name| name != me);
+        let elders = lead.elders(others);
+        let places: Vec<usize> = elders
+            .iter()
+            .map(|elder| ranked.iter().position(|name| name == elder).unwrap())
+            .collect();
+        assert_eq!(
+            places.is_empty(),
+            place == 0,
+            "only the first asks the store"
+        );
+        assert!(places.iter().all(|elder| *elder < place));
+        assert!(places.is_sorted_by(|near, far| near > far));
+        assert_eq!(places.last().copied(), (place > 0).then_some(0));
+        assert!(places.len() <= 5, "{} steps", places.len());
+        if let Some(nearest) = places.first() {
+            asked[*nearest] += 1;
+        }
+    }
+    assert!(asked.iter().all(|by| *by <= 4), "{asked:?}");
+}
+
+#[test]
+fn who_can_not_reach_the_store_listens_to_any_that_can() {
+    let now = Instant::now();
+    let tightest = Duration::from_secs(4);
+    let first = rendezvous::owner("routes", ["h1", "h2"]).unwrap();
+    let other = if first == "h1" { "h2" } else { "h1" };
+    let mut lead = Lead::new(first, "routes", tightest);
+    lead.told(now, other, Use::Take);
+    assert!(lead.rests(now).is_zero(), "it ranks first");
+    lead.failed();
+    lead.told(now, other, Use::Take);
+    assert_eq!(lead.rests(now), lead.stale_after());
+    lead.asked();
+    let later = now + lead.stale_after();
+    lead.told(later, other, Use::Take);
+    assert!(lead.rests(later).is_zero(), "it reaches the store again");
+}
--- a/crates/store/src/records.rs
+++ b/crates/store/src/records.rs
@@ -41,14 +41,16 @@
 /// [`steering::membership::HostEntry`] as JSON.
 pub const HOSTS_TABLE: &str = "hosts";
 
+/// Row of [`HOSTS_TABLE`] with the key that hosts prove to each other. It stands among the
+/// hosts so that one read brings a host that starts both; no host may be named so.
+pub const PEER_KEY_ROW: &str = "*peer-key";
+
 /// The store, as hosts that serve routes see it.
 pub trait Records {
     /// Reads a feed whole.
     fn read(&self, feed: Feed) -> Call<'_, Changes>;
     /// Waits for what follows `after`, at most for `wait`; the records may be none.
     fn watch(&self, feed: Feed, after: FeedVersion, wait: Duration) -> Call<'_, Changes>;
-    /// Reads the rows of a table of the system's own.
-    fn rows(&self, table: &'static str) -> Call<'_, Vec<OwnRow>>;
     /// Writes a row, whatever was there.
     fn put(&self, table: &'static str, row: OwnRow) -> Call<'_, ()>;
     /// Writes a row where there is none; false where there is one.
