Judge an upstream's silence by the answer that is expected of it

Cause: 1.2 s of silence on all requests in flight took an upstream for one that has vanished. Work on an object that is not held takes 2.2 to 2.9 s on the large deployment: an upstream with one first fetch in flight was left for 1 s or more, its objects were fetched by second homes.

Change: it is silent after twice the longest answer that is expected, at least after 1.2 s as before.

Small, but the old figure fits no deployment with long work.

--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -25,11 +25,14 @@
 }
 
 impl Flight {
-    fn begin(upstream: &Arc<Upstream>) -> Self {
+    fn begin(choice: &Choice) -> Self {
         let begun = Instant::now();
-        upstream.condition().sent(begun);
+        let mut condition = choice.upstream.condition();
+        condition.sent(begun);
+        condition.expects(choice.expectation.longest());
+        drop(condition);
         Flight {
-            upstream: Arc::clone(upstream),
+            upstream: Arc::clone(&choice.upstream),
             begun,
             judged: Cell::new(false),
         }
@@ -96,7 +99,7 @@
         false => Reuse::Recent,
     };
     let upstream = &choice.upstream;
-    let flight = Flight::begin(upstream);
+    let flight = Flight::begin(choice);
     let connections = choice.connections.unwrap_or(CONNECTIONS_DEFAULT);
     let address = upstream.report.address;
     let connected = traffic
--- a/crates/steering/src/route/choice.rs
+++ b/crates/steering/src/route/choice.rs
@@ -49,7 +49,7 @@
 impl Choice {
     /// Takes that no answer had come after `silent`: the upstream takes at least so long.
     pub fn gave_no_answer(&self, now: Instant, silent: Duration) {
-        let expected = self.expectation.wait + self.expectation.work.if_fetched;
+        let expected = self.expectation.longest();
         let times = self.expectation.speed * silent.as_secs_f64() / expected.as_secs_f64();
         if times > 1.0 {
             self.upstream.condition().speed.take(now, times);
--- a/crates/steering/src/route/condition.rs
+++ b/crates/steering/src/route/condition.rs
@@ -16,8 +16,11 @@
 /// an upstream's load lies off the usual by some 0.7 of it, as where each looks after a few
 /// objects.
 const USUAL_SHAPE: f64 = 2.0;
-/// Silence on all requests in flight after which an upstream gets no more.
+/// Least silence on all requests in flight after which an upstream gets no more.
 const SILENT_AFTER: Duration = Duration::from_millis(1_200);
+/// Times the longest answer that is expected of an upstream after which it is silent, where
+/// that is more: work of 2.2 s and more is no sign of one that has vanished.
+const SILENT_TIMES: f64 = 2.0;
 /// Time for which an upstream is left alone after a failure; doubles with each.
 const REST_AFTER_FAILURE: Duration = Duration::from_millis(500);
 /// Doublings of that time, at most.
@@ -86,6 +89,9 @@
     rests_until: Option<Instant>,
     /// Since when nothing has come back although something is in flight.
     unanswered_since: Option<Instant>,
+    /// Longest time that an answer to what is in flight was expected to take; zero where
+    /// nothing is.
+    expected: Duration,
     gone: bool,
     /// How much longer than usual it takes.
     pub speed: Speed,
@@ -105,6 +111,11 @@
         }
     }
 
+    /// Notes how long an answer to a request in flight may take.
+    pub fn expects(&mut self, answer: Duration) {
+        self.expected = self.expected.max(answer);
+    }
+
     /// Takes the head of an answer, or its absence.
     pub fn answered(&mut self, now: Instant, answered: Answered) {
         match answered {
@@ -128,6 +139,7 @@
         self.in_flight = self.in_flight.saturating_sub(1);
         if self.in_flight == 0 {
             self.unanswered_since = None;
+            self.expected = Duration::ZERO;
         }
     }
 
@@ -176,8 +188,9 @@
     }
 
     fn is_silent(&self, now: Instant) -> bool {
+        let patience = SILENT_AFTER.max(self.expected.mul_f64(SILENT_TIMES));
         let since = self.unanswered_since;
-        since.is_some_and(|since| now.saturating_duration_since(since) > SILENT_AFTER)
+        since.is_some_and(|since| now.saturating_duration_since(since) > patience)
     }
 
     fn lives(&mut self, now: Instant) {
--- a/crates/steering/src/route/expectation.rs
+++ b/crates/steering/src/route/expectation.rs
@@ -38,6 +38,13 @@
     pub worth: f64,
 }
 
+impl Expectation {
+    /// Time until the answer if the object is not held.
+    pub fn longest(&self) -> Duration {
+        self.wait + self.work.if_fetched
+    }
+}
+
 /// What is known of an upstream when a request is weighed.
 pub(super) struct Seen {
     /// Requests running and waiting there.
