One host asks the store for all groups; deployments of one group read it at a start

In deployments of one group learning from other hosts made starts later: an elder may be in a far region, and after a restart of all it knows nothing yet.

Change: who asks tells its group and one host of each other group (the first to ask there), which passes it on and only listens. Where all hosts are one group a host that starts reads the store.

--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -5,7 +5,7 @@
 
 use peer::{StateQuery, ask_state};
 use steering::membership::HostEntry;
-use steering::route::{Changes, Feed, Lead, News, Record, Use};
+use steering::route::{Changes, Feed, FeedVersion, Lead, News, Record, Use};
 use store::RecordError;
 use tokio::time::{sleep, timeout};
 
@@ -37,7 +37,7 @@
             }
             let tells = self.follower(feed, |own| own.lead.tells(Instant::now()));
             if let Some(news) = self.ask(feed).await.filter(|_| tells) {
-                self.tell_group(&news);
+                self.tell_all(&news);
             }
             let pace = self.follower(feed, |own| own.lead.pace());
             sleep(pace).await;
@@ -158,12 +158,17 @@
             true => own.recent.restart(version),
             false => own.recent.take(version, &records),
         });
+        self.news(feed, version, records)
+    }
+
+    /// What other hosts are told of this one's knowledge.
+    pub(super) fn news(&self, feed: Feed, version: FeedVersion, records: Vec<Record>) -> News {
         let beliefs = self.beliefs.borrow();
         News {
             feed,
             version,
             digest: beliefs.digest(feed),
-            store_back_for: beliefs.store_back_for(now),
+            store_back_for: beliefs.store_back_for(Instant::now()),
             records,
         }
     }
@@ -175,6 +180,7 @@
         let now = Instant::now();
         let at = self.follower(feed, |own| own.version);
         let mut used = Lead::judge(at, news.version);
+        let mut taken = Vec::new();
         if used == Use::Take {
             if let Some(back) = news.store_back_for.and_then(|ago| now.checked_sub(ago)) {
                 self.beliefs.borrow_mut().store_returned(back);
@@ -184,19 +190,22 @@
                 records: news.records,
                 version: news.version,
             };
-            let records = self.take(feed, changes);
+            taken = self.take(feed, changes);
             match self.beliefs.borrow().digest(feed) == news.digest {
-                true => self.follower(feed, |own| own.recent.take(news.version, &records)),
+                true => self.follower(feed, |own| own.recent.take(news.version, &taken)),
                 false => used = Use::Gap,
             }
         }
         let missing = Missing {
-            teller: from.peer_address,
+            teller: from.clone(),
             digest: news.digest,
         };
         self.follower(feed, |own| {
-            own.told(now, &from.name, used, news.version, missing)
+            own.told(now, used, news.version, missing);
         });
+        if used != Use::Gap {
+            self.pass_on(&from.name, feed, taken);
+        }
     }
 
     /// Takes a part of a feed, or all of it; what is worth telling others.
--- a/crates/gateway/src/control/follower.rs
+++ b/crates/gateway/src/control/follower.rs
@@ -1,10 +1,10 @@
 //! How far a host has come in a feed of the store.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use backon::ExponentialBackoff;
+use steering::membership::HostEntry;
 use steering::route::{Feed, FeedDigest, FeedVersion, Lead, Recent, Use};
 use store::RecordError;
 use tokio::sync::Notify;
@@ -21,10 +21,10 @@
 const HOSTS_WITHIN: Duration = Duration::from_secs(4);
 
 /// What another host has taken from a feed, and this one has not.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(super) struct Missing {
-    /// Where the other host can be asked for it.
-    pub teller: SocketAddr,
+    /// The other host.
+    pub teller: HostEntry,
     /// Digest of all that it has taken.
     pub digest: FeedDigest,
 }
@@ -121,15 +121,10 @@
         self.missing.take()
     }
 
-    /// Takes what `from` has told, which goes up to `version`.
-    pub fn told(
-        &mut self,
-        now: Instant,
-        from: &str,
-        used: Use,
-        version: FeedVersion,
-        missing: Missing,
-    ) {
+    /// Takes what another host has told, which goes up to `version`; it is what is missing
+    /// where there is a gap.
+    pub fn told(&mut self, now: Instant, used: Use, version: FeedVersion, missing: Missing) {
+        let from = &missing.teller.name;
         self.lead.told(now, from, used);
         // The teller reaches the store, and says itself if it was away.
         self.lost_since = None;
--- a/crates/gateway/src/control/group.rs
+++ b/crates/gateway/src/control/group.rs
@@ -3,57 +3,82 @@
 use std::rc::Rc;
 
 use peer::{EncodedNews, PeerClient};
+use steering::ids::HostName;
 use steering::membership::HostEntry;
-use steering::route::News;
+use steering::rendezvous;
+use steering::route::{Feed, News, Record, Roll, groups};
 use tokio::task::spawn_local;
 
 use super::Control;
 use super::hosts::BEAT_LIMIT;
 
-/// Most hosts of a group that is larger than a zone. A group's leader sends each of
-/// them some four small messages a second.
-const GROUP_MOST: usize = 32;
-
 /// Largest records that are told, in bytes. A large document is read by each host for
 /// itself: the links of some hosts carry 10 Mbit/s, on which a group of 32 would wait
 /// seconds for a document of 400 KB. So much takes 0.2 s.
 const NEWS_MOST_BYTES: usize = 8 << 10;
 
 impl Control {
-    /// Tells every host of the group that is not busy with an earlier message.
-    pub(super) fn tell_group(&self, news: &News) {
+    /// Tells every host of the group what the store has told this one, and one host of each
+    /// other group, which passes it on.
+    pub(super) fn tell_all(&self, news: &News) {
+        let mut audience = self.group();
+        audience.extend(self.firsts(news.feed));
+        self.send_news(news, &audience);
+    }
+
+    /// Passes on to the group what a host of another group has told.
+    pub(super) fn pass_on(&self, from: &HostName, feed: Feed, records: Vec<Record>) {
+        let group = self.group();
+        if group.iter().any(|host| host.name == *from) {
+            return;
+        }
+        if let Some(version) = self.follower(feed, |own| own.version) {
+            self.send_news(&self.news(feed, version, records), &group);
+        }
+    }
+
+    /// Tells those hosts that are not busy with an earlier message.
+    fn send_news(&self, news: &News, audience: &[HostEntry]) {
         let news = Rc::new(EncodedNews::new(news, NEWS_MOST_BYTES));
-        for host in self.group() {
-            if let Some(client) = self.idle_client(&host) {
+        for host in audience {
+            if let Some(client) = self.idle_client(host) {
                 let news = Rc::clone(&news);
+                let name = host.name.clone();
                 spawn_local(async move {
                     if let Err(error) = client.news(&news).await {
-                        tracing::debug!(event = "news_not_told", host = host.name, %error);
+                        tracing::debug!(event = "news_not_told", host = name, %error);
                     }
                 });
             }
         }
     }
 
-    /// The other hosts of the deployment where they are few, else those of the region,
-    /// else those of the zone.
+    /// The other hosts of this host's group.
     pub(super) fn group(&self) -> Vec<HostEntry> {
-        let settings = &self.common.settings;
         let beliefs = self.beliefs.borrow();
-        let all = beliefs.roll.known().map(|host| &host.entry);
-        let all: Vec<&HostEntry> = all.collect();
-        let in_region = |host: &&HostEntry| {
-            let region = settings.regions.get(&host.zone);
-            region == Some(&settings.region)
-        };
-        let region: Vec<&HostEntry> = all.iter().copied().filter(in_region).collect();
-        let in_zone = |host: &&HostEntry| host.zone == settings.zone;
-        let group = match () {
-            () if all.len() < GROUP_MOST => all,
-            () if region.len() < GROUP_MOST => region,
-            () => region.into_iter().filter(in_zone).collect(),
-        };
-        group.into_iter().cloned().collect()
+        let groups = self.groups(&beliefs.roll);
+        let own = groups.into_iter().find(|group| group.contains(&&self.me));
+        let others = own.into_iter().flatten();
+        let others = others.filter(|host| host.name != self.me.name);
+        others.cloned().collect()
+    }
+
+    /// The host of each other group that is the first to ask for a feed.
+    fn firsts(&self, feed: Feed) -> Vec<HostEntry> {
+        let beliefs = self.beliefs.borrow();
+        let groups = self.groups(&beliefs.roll).into_iter();
+        let others = groups.filter(|group| !group.contains(&&self.me));
+        others.filter_map(|group| first(feed, &group)).collect()
+    }
+
+    /// Whether all hosts are one group.
+    pub(super) fn is_one_group(&self) -> bool {
+        self.groups(&self.beliefs.borrow().roll).len() == 1
+    }
+
+    fn groups<'a>(&'a self, roll: &'a Roll) -> Vec<Vec<&'a HostEntry>> {
+        let others = roll.known().map(|host| &host.entry);
+        groups(others.chain([&self.me]), &self.common.settings.regions)
     }
 
     /// A client of a host, where no message to it is under way.
@@ -71,16 +96,26 @@
         (Rc::strong_count(client) == 1).then(|| Rc::clone(client))
     }
 
-    /// Drops clients of hosts that are neither partners nor in the group, or have moved.
+    /// Drops clients of hosts that are told nothing, or have moved.
     pub(super) fn keep_clients(&self, partners: &[HostEntry]) {
-        let group = self.group();
+        let feeds = [Feed::Routes, Feed::Upstreams, Feed::Hosts];
+        let firsts = feeds.into_iter().flat_map(|feed| self.firsts(feed));
+        let told: Vec<HostEntry> = self.group().into_iter().chain(firsts).collect();
         let mut clients = self.clients.borrow_mut();
         clients.retain(|name, client| {
-            let host = partners
-                .iter()
-                .chain(&group)
-                .find(|host| host.name == *name);
+            let mut hosts = partners.iter().chain(&told);
+            let host = hosts.find(|host| host.name == *name);
             host.is_some_and(|host| host.peer_address == client.address())
         });
     }
 }
+
+/// The first of a group to ask for a feed.
+fn first(feed: Feed, group: &[&HostEntry]) -> Option<HostEntry> {
+    let names = group.iter().map(|host| host.name.as_str());
+    let first = rendezvous::owner(&feed.to_string(), names)?;
+    let mut hosts = group.iter();
+    hosts
+        .find(|host| host.name == first)
+        .map(|host| (*host).clone())
+}
--- a/crates/gateway/src/control/learn.rs
+++ b/crates/gateway/src/control/learn.rs
@@ -52,8 +52,12 @@
         }
     }
 
-    /// Hosts of the group to ask, in order.
+    /// Hosts of the group to ask, in order; none in a deployment of one group, whose hosts
+    /// start faster where each reads the few rows itself.
     fn elders(&self, feed: Feed) -> Vec<HostEntry> {
+        if self.is_one_group() {
+            return Vec::new();
+        }
         let group = self.group();
         let names = group.iter().map(|host| host.name.as_str());
         let elders: Vec<String> = self.follower(feed, |own| {
@@ -90,11 +94,11 @@
             after: self.follower(feed, |own| own.version),
             most_age: None,
         };
-        let state = match ask_state(teller, query, ANSWER_LIMIT).await {
+        let state = match ask_state(teller.peer_address, query, ANSWER_LIMIT).await {
             Ok(Some(state)) if self.is_new(feed, &state) => state,
             Ok(_) => return false,
             Err(error) => {
-                tracing::debug!(event = "teller_not_heard", feed = %feed, %teller, %error);
+                tracing::debug!(event = "teller_not_heard", feed = %feed, teller = teller.name, %error);
                 return false;
             }
         };
@@ -110,6 +114,7 @@
                     false => own.recent.take(version, &records),
                 }
             });
+            self.pass_on(&teller.name, feed, records);
         }
         is_filled
     }
--- a/crates/steering/tests/route_hosts.rs
+++ b/crates/steering/tests/route_hosts.rs
@@ -1,11 +1,12 @@
 //! Which hosts are named, counted, and ask the store.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
 use steering::membership::HostEntry;
 use steering::rendezvous;
-use steering::route::{Changes, Lead, Record, Roll, Use};
+use steering::route::{Changes, Lead, Record, Roll, Use, groups};
 
 fn host(name: &str) -> HostEntry {
     let address = "127.0.0.1:1".parse().unwrap();
@@ -224,3 +225,46 @@
     lead.told(later, other, Use::Take);
     assert!(lead.rests(later).is_zero(), "it reaches the store again");
 }
+
+/// Hosts of zones `z0`, `z1` and so on, two zones a region.
+fn spread_out(hosts: usize, zones: usize) -> (Vec<HostEntry>, BTreeMap<String, String>) {
+    let in_zone = |number: usize| HostEntry {
+        zone: format!("z{}", number % zones),
+        ..host(&format!("h{number}"))
+    };
+    let region = |zone: usize| (format!("z{zone}"), format!("r{}", zone / 2));
+    (
+        (0..hosts).map(in_zone).collect(),
+        (0..zones).map(region).collect(),
+    )
+}
+
+/// Numbers of groups and of hosts in the largest of them.
+#[rstest]
+#[case::few(32, 4, 1, 32)]
+#[case::by_region(60, 4, 2, 30)]
+#[case::by_zone(120, 4, 4, 30)]
+#[case::hundreds(300, 8, 8, 38)]
+fn hosts_are_told_in_groups(
+    #[case] hosts: usize,
+    #[case] zones: usize,
+    #[case] count: usize,
+    #[case] largest: usize,
+) {
+    let (hosts, regions) = spread_out(hosts, zones);
+    let groups = groups(&hosts, &regions);
+    assert_eq!(groups.len(), count);
+    assert_eq!(groups.iter().map(Vec::len).max(), Some(largest));
+    assert_eq!(groups.iter().map(Vec::len).sum::<usize>(), hosts.len());
+    let backwards = steering::route::groups(hosts.iter().rev(), &regions);
+    let names = |groups: &[Vec<&HostEntry>]| {
+        let group = |group: &Vec<&HostEntry>| {
+            group
+                .iter()
+                .map(|host| host.name.clone())
+                .collect::<BTreeSet<_>>()
+        };
+        groups.iter().map(group).collect::<Vec<_>>()
+    };
+    assert_eq!(names(&groups), names(&backwards), "the same on every host");
+}
