Measure an upstream's silence by its work alone

Cause: twice the expected answer, its wait included, let a vanished upstream of the small deployments keep its requests for 2.4 s in place of 1.2 s.

Change: 1.5 times the longest work in flight if its object must be fetched, still 1.2 s at least: 3.4 to 4.4 s on the large deployment, about 1.2 s as before on the small ones.

--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -29,7 +29,7 @@
         let begun = Instant::now();
         let mut condition = choice.upstream.condition();
         condition.sent(begun);
-        condition.expects(choice.expectation.longest());
+        condition.works_for(choice.expectation.work.if_fetched);
         drop(condition);
         Flight {
             upstream: Arc::clone(&choice.upstream),
--- a/crates/steering/src/route/condition.rs
+++ b/crates/steering/src/route/condition.rs
@@ -18,9 +18,9 @@
 const USUAL_SHAPE: f64 = 2.0;
 /// Least silence on all requests in flight after which an upstream gets no more.
 const SILENT_AFTER: Duration = Duration::from_millis(1_200);
-/// Times the longest answer that is expected of an upstream after which it is silent, where
+/// Times the longest work that is in flight at an upstream after which it is silent, where
 /// that is more: work of 2.2 s and more is no sign of one that has vanished.
-const SILENT_TIMES: f64 = 2.0;
+const SILENT_TIMES: f64 = 1.5;
 /// Time for which an upstream is left alone after a failure; doubles with each.
 const REST_AFTER_FAILURE: Duration = Duration::from_millis(500);
 /// Doublings of that time, at most.
@@ -89,9 +89,8 @@
     rests_until: Option<Instant>,
     /// Since when nothing has come back although something is in flight.
     unanswered_since: Option<Instant>,
-    /// Longest time that an answer to what is in flight was expected to take; zero where
-    /// nothing is.
-    expected: Duration,
+    /// Longest work in flight, if its object is not held; zero where nothing is.
+    work: Duration,
     gone: bool,
     /// How much longer than usual it takes.
     pub speed: Speed,
@@ -111,9 +110,9 @@
         }
     }
 
-    /// Notes how long an answer to a request in flight may take.
-    pub fn expects(&mut self, answer: Duration) {
-        self.expected = self.expected.max(answer);
+    /// Notes how long the work of a request in flight may take.
+    pub fn works_for(&mut self, work: Duration) {
+        self.work = self.work.max(work);
     }
 
     /// Takes the head of an answer, or its absence.
@@ -139,7 +138,7 @@
         self.in_flight = self.in_flight.saturating_sub(1);
         if self.in_flight == 0 {
             self.unanswered_since = None;
-            self.expected = Duration::ZERO;
+            self.work = Duration::ZERO;
         }
     }
 
@@ -188,7 +187,7 @@
     }
 
     fn is_silent(&self, now: Instant) -> bool {
-        let patience = SILENT_AFTER.max(self.expected.mul_f64(SILENT_TIMES));
+        let patience = SILENT_AFTER.max(self.work.mul_f64(SILENT_TIMES));
         let since = self.unanswered_since;
         since.is_some_and(|since| now.saturating_duration_since(since) > patience)
     }
