Keep scarce repeats for callers that came before

Ruled out: more repeats (the bound is the operators'); holding requests back.

Change: the time that a caller states tells whether it came before (Patience, learned by route). Repeats of first tries leave as many as later tries have lately missed. The play in tests/route_pace.rs: 55 of 100 refused, callers that come back once, unserved 0.218 to 0.179; 35 of 100, 0.057 to 0.034; at 15 and below nothing changes.

--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -42,6 +42,8 @@
         Some(timeout) => head.deadline.min(head.arrived + timeout),
         None => head.deadline,
     };
+    let patience = head.deadline.saturating_duration_since(head.arrived);
+    let which_try = traffic.shares().which_try(&route.name, patience);
     let mut run = Run {
         traffic,
         head,
@@ -50,6 +52,7 @@
         parts,
         body,
         deadline,
+        which_try,
         sends: Vec::new(),
         tried: Vec::new(),
     };
--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -7,8 +7,8 @@
 use hyper::http::request::Parts;
 use steering::ids::{RegionName, ServiceName};
 use steering::route::{
-    Choice, Fate, NoRoom, RegionPool, Route, Sent, ServicePool, UpstreamId, Wish, after, choose,
-    object_hash, place, rank,
+    Choice, Fate, NoRoom, RegionPool, Route, Sent, ServicePool, Try, UpstreamId, Wish, after,
+    choose, object_hash, place, rank,
 };
 use upstream::{Body, WorkBody};
 
@@ -39,6 +39,8 @@
     pub body: WorkBody,
     /// When it must be answered, whatever with.
     pub deadline: Instant,
+    /// Whether its caller came before.
+    pub which_try: Try,
     /// How far each send got.
     pub sends: Vec<Sent>,
     /// Upstreams that are not asked again: they were full, or could not be reached.
@@ -83,7 +85,7 @@
         let object = object.map_or_else(rand::random, |object| object_hash(&service, object));
         let bounds = self.traffic.common.bounds();
         let now = Instant::now();
-        self.traffic.shares().first(&service, &bounds, now);
+        self.traffic.shares().request(&service, &bounds, now);
         Destination {
             region: self.region(&service, object),
             service,
@@ -226,7 +228,9 @@
         let sharers = self.traffic.common.view.load().sharers;
         let now = Instant::now();
         let bounds = self.traffic.common.bounds();
-        let allowed = self.traffic.shares().repeat(service, &bounds, sharers, now);
+        let mut shares = self.traffic.shares();
+        let allowed = shares.repeat(service, &bounds, sharers, self.which_try, now);
+        drop(shares);
         metrics::counter!("stagedeck_repeats_total", "allowed" => allowed.to_string()).increment(1);
         allowed
     }
--- a/crates/gateway/src/traffic/shares.rs
+++ b/crates/gateway/src/traffic/shares.rs
@@ -6,7 +6,8 @@
 
 use steering::ids::{RegionName, RuleName, ServiceName};
 use steering::route::{
-    Choice, Estimate, PartSpread, RegionSpread, RepeatPart, Route, RouteView, ServicePool,
+    Choice, Estimate, PartSpread, Patience, RegionSpread, RepeatPart, Route, RouteView,
+    ServicePool, Try,
 };
 
 use crate::settings::{Bounds, GatewaySettings};
@@ -29,6 +30,8 @@
     usual_ms: HashMap<ServiceName, f64>,
     /// Times of each route's work at each service.
     estimates: HashMap<ServiceName, HashMap<RuleName, Estimate>>,
+    /// How long callers of each route wait.
+    patience: HashMap<RuleName, Patience>,
     /// Version of the document whose routes these are of.
     version: u64,
 }
@@ -42,6 +45,7 @@
             regions: HashMap::new(),
             usual_ms: HashMap::new(),
             estimates: HashMap::new(),
+            patience: HashMap::new(),
             version: 0,
         }
     }
@@ -68,8 +72,17 @@
     }
 
     /// Counts a request to a service.
-    pub fn first(&mut self, service: &str, bounds: &Bounds, now: Instant) {
-        self.repeat_part(service, bounds).first(now);
+    pub fn request(&mut self, service: &str, bounds: &Bounds, now: Instant) {
+        self.repeat_part(service, bounds).request(now);
+    }
+
+    /// Whether a caller of a route came before, by the time that it will wait.
+    pub fn which_try(&mut self, route: &str, time: Duration) -> Try {
+        if !self.patience.contains_key(route) {
+            self.patience.insert(route.to_owned(), Patience::default());
+        }
+        let patience = self.patience.get_mut(route).expect("it is there");
+        patience.take(time)
     }
 
     /// Takes a repeat from the service's budget.
@@ -78,9 +91,10 @@
         service: &str,
         bounds: &Bounds,
         sharers: Option<usize>,
+        of: Try,
         now: Instant,
     ) -> bool {
-        self.repeat_part(service, bounds).repeat(now, sharers)
+        self.repeat_part(service, bounds).repeat(now, sharers, of)
     }
 
     fn repeat_part(&mut self, service: &str, bounds: &Bounds) -> &mut RepeatPart {
@@ -146,6 +160,7 @@
         self.version = view.version;
         let names: HashSet<&RuleName> = view.table.names().collect();
         self.parts.retain(|name, _| names.contains(name));
+        self.patience.retain(|name, _| names.contains(name));
         for routes in self.estimates.values_mut() {
             routes.retain(|name, _| names.contains(name));
         }
--- a/crates/steering/src/route/pace.rs
+++ b/crates/steering/src/route/pace.rs
@@ -85,8 +85,21 @@
     spare: f64,
     /// Span over which both are counted.
     window: Duration,
-    firsts: Recent,
+    requests: Recent,
     repeats: Recent,
+    /// Repeats of requests whose callers came for the first time.
+    early_repeats: Recent,
+    /// Misses of requests whose callers had come before, repeated or not.
+    late_misses: Recent,
+}
+
+/// Whether a request's caller was refused before, as far as can be known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Try {
+    /// It comes for the first time: refused, it comes back.
+    First,
+    /// It came before: refused again, it gives up.
+    Later,
 }
 
 impl RepeatPart {
@@ -101,9 +114,9 @@
     }
 
     /// Counts a request.
-    pub fn first(&mut self, now: Instant) {
-        self.firsts.count(now, self.window);
-        self.firsts.add(now);
+    pub fn request(&mut self, now: Instant) {
+        self.requests.count(now, self.window);
+        self.requests.add(now);
     }
 
     /// Changes the bound; what was counted stays.
@@ -111,14 +124,28 @@
         (self.ratio, self.spare, self.window) = (ratio, spare, window);
     }
 
-    /// Takes one repeat, where the part allows it.
-    pub fn repeat(&mut self, now: Instant, hosts: Option<usize>) -> bool {
-        let firsts = self.firsts.count(now, self.window) as f64;
-        let most = (firsts * self.ratio + part(self.spare, hosts)) * USED_SHARE;
-        if (self.repeats.count(now, self.window) + 1) as f64 > most {
+    /// Takes one repeat of a request that was missed, where the part allows it.
+    ///
+    /// Where repeats are scarce those go first whose callers came before: others come back
+    /// by themselves. With 55 of 100 requests refused by chance and callers that come back
+    /// once, 18 in place of 22 of 100 stay unserved (played in `tests/route_pace.rs`).
+    pub fn repeat(&mut self, now: Instant, hosts: Option<usize>, of: Try) -> bool {
+        let window = self.window;
+        let requests = self.requests.count(now, window) as f64;
+        let most = (requests * self.ratio + part(self.spare, hosts)) * USED_SHARE;
+        if of == Try::Later {
+            self.late_misses.add(now);
+        }
+        let late_misses = self.late_misses.count(now, window) as f64;
+        let early = (self.early_repeats.count(now, window) + 1) as f64;
+        let fits = (self.repeats.count(now, window) + 1) as f64 <= most;
+        if !fits || (of == Try::First && early > most - late_misses) {
             return false;
         }
         self.repeats.add(now);
+        if of == Try::First {
+            self.early_repeats.add(now);
+        }
         true
     }
 }
--- a/crates/steering/tests/route_pace.rs
+++ b/crates/steering/tests/route_pace.rs
@@ -1,9 +1,12 @@
 //! This host's parts of shared bounds.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use rstest::rstest;
-use steering::route::{ColdPart, RepeatPart, cold_share};
+use steering::route::{ColdPart, Patience, RepeatPart, Try, cold_share};
 
 /// Sends as many as every host's part allows for 10 s, one try each millisecond, and
 /// gives the most that arrive in any second, each up to `late_ms` late.
@@ -54,7 +57,7 @@
     let now = Instant::now();
     assert_eq!(cold_share(26.0, "upstream-1", "host-1", None), 0);
     let mut repeats = RepeatPart::new(0.2, 58.0, Duration::from_secs(10));
-    assert!(!repeats.repeat(now, None));
+    assert!(!repeats.repeat(now, None, Try::First));
 }
 
 #[rstest]
@@ -72,13 +75,86 @@
     let now = Instant::now();
     let mut part = RepeatPart::new(0.2, spare, Duration::from_secs(10));
     for _ in 0..firsts {
-        part.first(now);
+        part.request(now);
     }
-    let taken = (0..1_000).filter(|_| part.repeat(now, Some(hosts))).count();
+    let taken = (0..1_000)
+        .filter(|_| part.repeat(now, Some(hosts), Try::First))
+        .count();
     assert_eq!(taken, repeats);
     let later = now + Duration::from_secs(11);
     assert_eq!(
-        part.repeat(later, Some(hosts)),
+        part.repeat(later, Some(hosts), Try::First),
         spare / hosts as f64 * 0.85 >= 1.0
     );
 }
+
+/// Of a thousand callers a second, those that stay unserved while upstreams refuse `refused`
+/// of all that they get, by chance. A caller that is refused comes back once, half a second
+/// later. `known` says whether the host can tell that.
+fn unserved(refused: f64, known: bool) -> f64 {
+    const CALLERS: u64 = 20_000;
+    let begun = Instant::now();
+    let mut chance = StdRng::seed_from_u64(7);
+    let mut part = RepeatPart::new(0.2, 0.0, Duration::from_secs(10));
+    let mut returns: VecDeque<Instant> = VecDeque::new();
+    let mut lost = 0;
+    for ms in 0..CALLERS + 1_000 {
+        let now = begun + Duration::from_millis(ms);
+        let back = returns.front().is_some_and(|at| *at <= now);
+        let back = back
+            .then(|| returns.pop_front())
+            .flatten()
+            .map(|_| Try::Later);
+        let new = (ms < CALLERS).then_some(Try::First);
+        for came in [back, new].into_iter().flatten() {
+            part.request(now);
+            let told = if known { came } else { Try::First };
+            let mut is_served = !chance.random_bool(refused);
+            if !is_served && part.repeat(now, Some(1), told) {
+                is_served = !chance.random_bool(refused);
+            }
+            match came {
+                _ if is_served => {}
+                Try::First => returns.push_back(now + Duration::from_millis(500)),
+                Try::Later => lost += 1,
+            }
+        }
+    }
+    f64::from(lost) / CALLERS as f64
+}
+
+/// While the budget is scarce fewer callers stay unserved; else nothing changes.
+#[rstest]
+#[case::few_refused(0.1, 0.0, 0.0)]
+#[case::budget_just_enough(0.15, 0.001, 0.001)]
+#[case::a_third(0.35, 0.057, 0.034)]
+#[case::more_than_half(0.55, 0.218, 0.179)]
+fn callers_that_came_before_are_repeated_first(
+    #[case] refused: f64,
+    #[case] before: f64,
+    #[case] now: f64,
+) {
+    let (unknown, known) = (unserved(refused, false), unserved(refused, true));
+    assert!((unknown - before).abs() < 0.005, "{unknown} as before");
+    assert!((known - now).abs() < 0.005, "{known}");
+    assert!(known < unknown + 0.005, "{known}, {unknown} before");
+}
+
+#[test]
+fn callers_that_came_before_state_less_time() {
+    let mut patience = Patience::default();
+    let s = Duration::from_secs;
+    assert_eq!(patience.take(s(12)), Try::First);
+    assert_eq!(patience.take(s(11)), Try::Later);
+    assert_eq!(patience.take(s(12)), Try::First);
+    assert_eq!(
+        patience.take(s(100)),
+        Try::First,
+        "one that waits far longer"
+    );
+    assert_eq!(patience.take(s(12)), Try::Later);
+    for _ in 0..3_000 {
+        patience.take(s(12));
+    }
+    assert_eq!(patience.take(s(12)), Try::First, "the one is forgotten");
+}
