--- a/crates/steering/src/route/groups.rs
+++ b/crates/steering/src/route/groups.rs
@@ -30,10 +30,10 @@
     groups
 }
 
-fn split<'a, K: Ord>(
-    hosts: Vec<&'a HostEntry>,
+fn split<K: Ord>(
+    hosts: Vec<&HostEntry>,
     key: impl Fn(&HostEntry) -> K,
-) -> impl Iterator<Item = Vec<&'a HostEntry>> {
+) -> impl Iterator<Item = Vec<&HostEntry>> {
     let mut by_key: BTreeMap<K, Vec<&HostEntry>> = BTreeMap::new();
     for host in hosts {
         by_key.entry(key(host)).or_default().push(host);
