Ask a store that is away in turn, one feed after the other

While it is away for 8 s nobody tells anything, and each of 295 hosts asks for three feeds by itself.

Change: after a call that failed a host's feeds ask one at a time, at pauses of 0.4 to 1.6 s for all together; who is told meanwhile asks nothing. Hosts that start ask their seeds as before.

--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -9,9 +9,11 @@
 use store::RecordError;
 use tokio::time::{sleep, timeout};
 
+use super::Control;
 use super::follower::{Follower, Missing, tightest};
-use super::{Control, PAUSE_MOST};
 
+/// Pause after an answer that is older than what was seen before.
+const STALE_PAUSE: Duration = Duration::from_millis(400);
 /// Longest wait for a host that the settings name; it may be gone.
 const SEED_LIMIT: Duration = Duration::from_millis(900);
 
@@ -35,6 +37,18 @@
                 let _ = timeout(rests, gap.notified()).await;
                 continue;
             }
+            // A host that starts asks its seeds for each feed at once.
+            let has_met_hosts = self.local.borrow().is_some();
+            let _turn = match has_met_hosts {
+                true => self.outage.turn().await,
+                false => None,
+            };
+            if !self
+                .follower(feed, |own| own.lead.rests(Instant::now()))
+                .is_zero()
+            {
+                continue;
+            }
             let tells = self.follower(feed, |own| own.lead.tells(Instant::now()));
             if let Some(news) = self.ask(feed).await.filter(|_| tells) {
                 self.tell_all(&news);
@@ -63,8 +77,10 @@
             Ok(changes) if changes.version < newest => {
                 let version = changes.version;
                 tracing::warn!(event = "store_stale", feed = %feed, version, newest);
+                sleep(STALE_PAUSE).await;
             }
             Ok(changes) => {
+                self.outage.end();
                 let news = self.asked(feed, changes);
                 self.note_asked(feed);
                 return Some(news);
@@ -72,14 +88,12 @@
             Err(error) => {
                 self.follower(feed, |own| own.failed(begun, &error));
                 self.note_asked(feed);
-                if error == RecordError::HistoryGone {
-                    return None;
+                if error != RecordError::HistoryGone {
+                    self.outage.go_on();
+                    self.ask_seeds(feed).await;
                 }
-                self.ask_seeds(feed).await;
             }
         }
-        let pause = self.follower(feed, |own| own.pauses.next());
-        sleep(pause.unwrap_or(PAUSE_MOST)).await;
         None
     }
 
--- a/crates/gateway/src/control/follower.rs
+++ b/crates/gateway/src/control/follower.rs
@@ -3,13 +3,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use backon::ExponentialBackoff;
 use steering::membership::HostEntry;
 use steering::route::{Feed, FeedDigest, FeedVersion, Lead, Recent, Use};
 use store::RecordError;
 use tokio::sync::Notify;
 
-use super::pauses;
 use crate::settings::{Bounds, GatewaySettings};
 
 /// Least absence of the store in which reports may lapse: an upstream's report goes
@@ -43,8 +41,6 @@
     pub lead: Lead,
     /// What was lately taken, for hosts that lack some of it.
     pub recent: Recent,
-    /// Pauses between calls to the store that fail, since its last answer.
-    pub pauses: ExponentialBackoff,
     /// Told when something is missing.
     pub gap: Rc<Notify>,
     /// Who told of what is missing.
@@ -63,7 +59,6 @@
             heard: None,
             lost_since: None,
             recent: Recent::default(),
-            pauses: pauses(),
             missing: None,
             lead: Lead::new(
                 &settings.host,
@@ -87,7 +82,6 @@
         self.advance(version);
         self.lead.asked();
         self.missing = None;
-        self.pauses = pauses();
         let Some(since) = self.lost_since.take() else {
             return false;
         };
--- a/crates/gateway/src/control/hosts.rs
+++ b/crates/gateway/src/control/hosts.rs
@@ -18,7 +18,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-use super::{Control, PAUSE_MOST, pauses};
+use super::Control;
+use super::outage::{PAUSE_MOST, pauses};
 use crate::host::Stage;
 
 const PEER_KEY_BYTES: usize = 32;
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod group;
 mod hosts;
 mod learn;
+mod outage;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -13,7 +14,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use backon::{BackoffBuilder, ExponentialBackoff, ExponentialBuilder};
 use peer::{Local, PeerClient};
 use steering::ids::{HostName, Incarnation};
 use steering::membership::HostEntry;
@@ -26,25 +26,12 @@
 use crate::host::{Common, Stage};
 use beliefs::Beliefs;
 use follower::Follower;
+use outage::Outage;
 
 /// Pace at which what runs out by itself is looked at. A host that falls silent is
 /// noticed some seconds later, so this adds little.
 const LOOK_AT_TIMES_EVERY: Duration = Duration::from_millis(500);
 
-/// Pause after a first call to the store that fails, doubled after each further one.
-const PAUSE_FIRST: Duration = Duration::from_millis(400);
-/// Longest such pause: what a host that reaches the store again lacks is to be heeded
-/// within some 4 s.
-const PAUSE_MOST: Duration = Duration::from_millis(1_600);
-
-/// Pauses between calls to the store that fail. They vary by chance, so that hosts that were
-/// turned away together do not come back together.
-fn pauses() -> ExponentialBackoff {
-    let pauses = ExponentialBuilder::new().with_min_delay(PAUSE_FIRST);
-    let pauses = pauses.with_max_delay(PAUSE_MOST).without_max_times();
-    pauses.with_jitter().build()
-}
-
 /// The control thread's state.
 pub(crate) struct Control {
     common: Common,
@@ -55,6 +42,7 @@
     routes: RefCell<Follower>,
     upstreams: RefCell<Follower>,
     hosts: RefCell<Follower>,
+    outage: Outage,
     /// Whether the store has been asked for the list of hosts, with or without success.
     list_asked: watch::Sender<bool>,
     /// Key that the deployment's hosts share, once it is known.
@@ -86,6 +74,7 @@
         routes: RefCell::new(Follower::new(Feed::Routes, &common.settings)),
         upstreams: RefCell::new(Follower::new(Feed::Upstreams, &common.settings)),
         hosts: RefCell::new(Follower::new(Feed::Hosts, &common.settings)),
+        outage: Outage::default(),
         list_asked: watch::Sender::default(),
         key: RefCell::default(),
         local: RefCell::default(),
