Read once more: one way to keep what was taken, one wait for the list of hosts

How records are kept for other hosts was chosen in three places, and the wait for the list of hosts stood twice. Behaviour is meant to be the same. Clippy is clean; the tests of steering, peer, gateway and platform-standin pass.

--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -168,10 +168,7 @@
             self.beliefs.borrow_mut().store_returned(now);
         }
         let records = self.take(feed, changes);
-        self.follower(feed, |own| match whole {
-            true => own.recent.restart(version),
-            false => own.recent.take(version, &records),
-        });
+        self.follower(feed, |own| own.keep(version, whole, &records));
         self.news(feed, version, records)
     }
 
@@ -206,7 +203,7 @@
             };
             taken = self.take(feed, changes);
             match self.beliefs.borrow().digest(feed) == news.digest {
-                true => self.follower(feed, |own| own.recent.take(news.version, &taken)),
+                true => self.follower(feed, |own| own.keep(news.version, false, &taken)),
                 false => used = Use::Gap,
             }
         }
--- a/crates/gateway/src/control/follower.rs
+++ b/crates/gateway/src/control/follower.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use steering::membership::HostEntry;
-use steering::route::{Feed, FeedDigest, FeedVersion, Lead, Recent, Use};
+use steering::route::{Feed, FeedDigest, FeedVersion, Lead, Recent, Record, Use};
 use store::RecordError;
 use tokio::sync::Notify;
 
@@ -75,8 +75,8 @@
         self.heard.map(|at| now.saturating_duration_since(at))
     }
 
-    /// Takes an answer of the store; true where the store had been away before it for so long that
-    /// reports may have lapsed.
+    /// Takes an answer of the store; true where the store had been away before it for so
+    /// long that reports may have lapsed.
     pub fn answered(&mut self, version: FeedVersion) -> bool {
         self.heard = Some(Instant::now());
         self.advance(version);
@@ -110,6 +110,14 @@
         self.lacks = false;
     }
 
+    /// Keeps for others what was taken up to `version`, all of the feed or a part of it.
+    pub fn keep(&mut self, version: FeedVersion, whole: bool, records: &[Record]) {
+        match whole {
+            true => self.recent.restart(version),
+            false => self.recent.take(version, records),
+        }
+    }
+
     /// What is missing, once.
     pub fn take_missing(&mut self) -> Option<Missing> {
         self.missing.take()
--- a/crates/gateway/src/control/hosts.rs
+++ b/crates/gateway/src/control/hosts.rs
@@ -85,9 +85,7 @@
 
     /// The key that all hosts share; whoever comes first makes it.
     async fn peer_key(&self) -> Rc<[u8]> {
-        let mut list_asked = self.list_asked.subscribe();
-        // The sender lives as long as this host.
-        let _ = list_asked.wait_for(|asked| *asked).await;
+        self.until_list_asked().await;
         if !self.is_seed() && self.key.borrow().is_none() {
             sleep(rand::rng().random_range(Duration::ZERO..KEY_PAUSE_MOST)).await;
             self.ask(Feed::Hosts).await;
@@ -106,6 +104,13 @@
         }
     }
 
+    /// Waits until the store has been asked for the list of hosts.
+    pub(super) async fn until_list_asked(&self) {
+        let mut list_asked = self.list_asked.subscribe();
+        // The sender lives as long as this host.
+        let _ = list_asked.wait_for(|asked| *asked).await;
+    }
+
     async fn make_key(&self) {
         let mut value = vec![0; PEER_KEY_BYTES];
         rand::rng().fill(value.as_mut_slice());
--- a/crates/gateway/src/control/learn.rs
+++ b/crates/gateway/src/control/learn.rs
@@ -33,9 +33,7 @@
     }
 
     async fn learn(&self, feed: Feed) {
-        let mut list_asked = self.list_asked.subscribe();
-        // The sender lives as long as this host.
-        let _ = list_asked.wait_for(|asked| *asked).await;
+        self.until_list_asked().await;
         let most_age = self.follower(feed, |own| own.lead.stale_after()) * STATE_AGE_MOST;
         let query = StateQuery {
             feed,
@@ -75,11 +73,11 @@
     fn learned(&self, feed: Feed, from: &HostEntry, state: Changes) {
         let version = state.version;
         tracing::info!(event = "learned_from_host", feed = %feed, from = from.name, version);
-        self.take(feed, state);
+        let records = self.take(feed, state);
         let now = Instant::now();
         self.follower(feed, |own| {
             own.learned(now, version);
-            own.recent.restart(version);
+            own.keep(version, true, &records);
         });
     }
 
@@ -109,10 +107,7 @@
         if is_filled {
             self.follower(feed, |own| {
                 own.filled(version);
-                match whole {
-                    true => own.recent.restart(version),
-                    false => own.recent.take(version, &records),
-                }
+                own.keep(version, whole, &records);
             });
             self.pass_on(&teller.name, feed, records);
         }
