A feed whose history is gone waits for no other feed

Cause: feeds ask a store that is away in turn, and the turn was held over the feed's pace; an answer 'history gone' did not end the outage, though the store had given it. Change: a turn lasts for one call; any answer ends the outage; calls of an outage don't wait for news.

--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -37,20 +37,7 @@
                 let _ = timeout(rests, gap.notified()).await;
                 continue;
             }
-            // A host that starts asks its seeds for each feed at once.
-            let has_met_hosts = self.local.borrow().is_some();
-            let _turn = match has_met_hosts {
-                true => self.outage.turn().await,
-                false => None,
-            };
-            if !self
-                .follower(feed, |own| own.lead.rests(Instant::now()))
-                .is_zero()
-            {
-                continue;
-            }
-            let tells = self.follower(feed, |own| own.lead.tells(Instant::now()));
-            if let Some(news) = self.ask(feed).await.filter(|_| tells) {
+            if let Some(news) = self.ask_in_turn(feed).await {
                 self.tell_all(&news);
             }
             let pace = self.follower(feed, |own| own.lead.pace());
@@ -58,9 +45,32 @@
         }
     }
 
+    /// Asks the store once it is this feed's turn, where there still is anything to ask;
+    /// what others are to be told. The turn ends with the call.
+    async fn ask_in_turn(&self, feed: Feed) -> Option<News> {
+        // A host that starts asks its seeds for each feed at once.
+        let has_met_hosts = self.local.borrow().is_some();
+        let _turn = match has_met_hosts {
+            true => self.outage.turn().await,
+            false => None,
+        };
+        let now = Instant::now();
+        let (rests, tells) = self.follower(feed, |own| (own.lead.rests(now), own.lead.tells(now)));
+        if !rests.is_zero() {
+            return None;
+        }
+        self.ask(feed).await.filter(|_| tells)
+    }
+
     /// Asks the store; what follows what was known, where anything was.
     pub(super) async fn ask(&self, feed: Feed) -> Option<News> {
         let (version, wait) = self.follower(feed, |own| (own.version, own.lead.wait()));
+        // A call that waits for news would tell later whether the store is back.
+        let wait = if self.outage.is_on() {
+            Duration::ZERO
+        } else {
+            wait
+        };
         // What a host told of the list is without the key.
         let lacks_key = feed == Feed::Hosts && self.key.borrow().is_none();
         let known = version.filter(|_| !lacks_key);
@@ -77,6 +87,7 @@
             Ok(changes) if changes.version < newest => {
                 let version = changes.version;
                 tracing::warn!(event = "store_stale", feed = %feed, version, newest);
+                self.outage.end();
                 sleep(STALE_PAUSE).await;
             }
             Ok(changes) => {
@@ -88,7 +99,9 @@
             Err(error) => {
                 self.follower(feed, |own| own.failed(begun, &error));
                 self.note_asked(feed);
-                if error != RecordError::HistoryGone {
+                if error == RecordError::HistoryGone {
+                    self.outage.end();
+                } else {
                     self.outage.go_on();
                     self.ask_seeds(feed).await;
                 }
--- a/crates/gateway/src/control/outage.rs
+++ b/crates/gateway/src/control/outage.rs
@@ -23,6 +23,10 @@
 
 /// Whether the store is away, as this host sees it. While it is, one feed after the other
 /// asks, not all at once: each call of each host is in vain and paid for.
+///
+/// A turn lasts for one call. Any answer ends the outage for all feeds, also one that says
+/// only that the history is gone: a feed that waited on for the others' turns and paces was
+/// 4 s late with a document after 3 s without history.
 pub(super) struct Outage {
     /// When the store may be asked again; none while it answers.
     until: Cell<Option<Instant>>,
@@ -51,6 +55,11 @@
         Some(turn)
     }
 
+    /// Whether the store is away.
+    pub fn is_on(&self) -> bool {
+        self.until.get().is_some()
+    }
+
     /// Notes that the store has answered.
     pub fn end(&self) {
         if self.until.take().is_some() {
