Customers on the users' routes: keys, names for upstreams, homes, ranks; upstreams born again; foreign reports

Change: customers are part of the document, by hash of their keys, and travel between hosts as what changed; a request is recognised with its route, of one version; 401 for a key that is not in force; credentials and a caller's own claim of a name are not passed on; a customer's rank goes before the route's, homes of both bind. What a host does not know while it hears neither store nor tellers is 503, not 401 or 404. A report of the same identity with a later birth is another start: nothing learned holds for it; an earlier one that comes late is dropped; a report that can't be read takes its upstream out at once, and is logged once.

--- a/crates/gateway/src/control/beliefs.rs
+++ b/crates/gateway/src/control/beliefs.rs
@@ -7,17 +7,21 @@
 
 use steering::ids::{HostName, RegionName, ServiceName, ZoneName};
 use steering::route::{
-    Catalog, CatalogChange, Changes, Conditions, DocumentChange, Evacuations, Feed, FeedDigest,
-    Record, Roll, RouteDocument, RouteTable, RouteView, ServicePool,
+    Catalog, CatalogChange, Changes, Conditions, CustomerTable, DocumentChange, Evacuations, Feed,
+    FeedDigest, Record, Roll, RouteDocument, RouteTable, RouteView, ServicePool,
 };
 
 use crate::host::Common;
 
+/// Reports that can't be read of which the log tells; more are not kept in mind.
+const REFUSED_MOST: usize = 1_000;
+
 /// The control thread's beliefs.
 pub(super) struct Beliefs {
     regions: BTreeMap<ZoneName, RegionName>,
     document: Arc<RouteDocument>,
     table: Arc<RouteTable>,
+    customers: Arc<CustomerTable>,
     evacuations: Evacuations,
     catalog: Catalog,
     conditions: Conditions,
@@ -29,6 +33,8 @@
     /// Hosts named in the last view, to see when time alone has changed them.
     named: BTreeMap<RegionName, Vec<SocketAddr>>,
     near_hosts: Option<Vec<HostName>>,
+    /// Reports that could not be read, and were logged.
+    refused_reports: BTreeSet<String>,
     sharers: Option<usize>,
     me: HostName,
     region: RegionName,
@@ -40,6 +46,7 @@
             regions: common.settings.regions.clone(),
             document: Arc::default(),
             table: Arc::default(),
+            customers: Arc::default(),
             evacuations: Evacuations::default(),
             catalog: Catalog::default(),
             conditions: Conditions::default(),
@@ -48,6 +55,7 @@
             upstreams_known: false,
             named: BTreeMap::new(),
             near_hosts: None,
+            refused_reports: BTreeSet::new(),
             sharers: None,
             me: common.settings.host.clone(),
             region: common.settings.region.clone(),
@@ -145,6 +153,7 @@
         tracing::info!(event = "document_taken", version, before, routes);
         let change = DocumentChange::between(&self.document, &document);
         self.table = Arc::new(RouteTable::new(&document));
+        self.customers = Arc::new(CustomerTable::new(&document.customers));
         self.document = Arc::new(document);
         Some(Record::DocumentChange(Box::new(change)))
     }
@@ -152,7 +161,12 @@
     fn take_upstreams(&mut self, now: Instant, changes: &Changes) -> Vec<Record> {
         for record in &changes.records {
             if let Record::Unusable { key, reason } = record {
-                tracing::warn!(event = "report_refused", upstream = key, reason);
+                // Its writer may write it again with each of its heartbeats.
+                if self.refused_reports.len() < REFUSED_MOST
+                    && self.refused_reports.insert(key.clone())
+                {
+                    tracing::warn!(event = "report_refused", upstream = key, reason);
+                }
             }
         }
         let taken = self.catalog.take(now, changes);
@@ -206,6 +220,7 @@
             version: self.document.version,
             limits: self.document.limits,
             table: Arc::clone(&self.table),
+            customers: Arc::clone(&self.customers),
             upstreams_known: self.upstreams_known,
             services: Arc::clone(pools),
             hosts: self.named.clone(),
--- a/crates/gateway/src/control/follower.rs
+++ b/crates/gateway/src/control/follower.rs
@@ -1,6 +1,7 @@
 //! How far a host has come in a feed of the store.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use steering::membership::HostEntry;
@@ -8,6 +9,7 @@
 use store::RecordError;
 use tokio::sync::Notify;
 
+use super::heard::Heard;
 use crate::settings::{Bounds, GatewaySettings};
 
 /// Least absence of the store in which reports may lapse: an upstream's report goes
@@ -35,7 +37,7 @@
     /// Newest version that was ever seen. An answer of an earlier one is stale.
     pub newest: FeedVersion,
     /// When the store, or a host that had asked it, was last heard.
-    heard: Option<Instant>,
+    heard: Arc<Heard>,
     /// Since when nothing has been heard from the store.
     lost_since: Option<Instant>,
     pub lead: Lead,
@@ -51,12 +53,12 @@
 }
 
 impl Follower {
-    pub fn new(feed: Feed, settings: &GatewaySettings) -> Self {
+    pub fn new(feed: Feed, settings: &GatewaySettings, heard: Arc<Heard>) -> Self {
         Follower {
             feed,
             version: None,
             newest: 0,
-            heard: None,
+            heard,
             lost_since: None,
             recent: Recent::default(),
             missing: None,
@@ -72,13 +74,13 @@
 
     /// Age of what is believed; none before anything is.
     pub fn age(&self, now: Instant) -> Option<Duration> {
-        self.heard.map(|at| now.saturating_duration_since(at))
+        self.heard.age(now)
     }
 
     /// Takes an answer of the store; true where the store had been away before it for so
     /// long that reports may have lapsed.
     pub fn answered(&mut self, version: FeedVersion) -> bool {
-        self.heard = Some(Instant::now());
+        self.heard.note(Instant::now());
         self.advance(version);
         self.lead.asked();
         self.missing = None;
@@ -98,7 +100,7 @@
 
     /// Notes that all was learned from another host, up to `version`.
     pub fn learned(&mut self, now: Instant, version: FeedVersion) {
-        self.heard = Some(now);
+        self.heard.note(now);
         self.advance(version);
         self.lead.learned(now);
     }
@@ -131,7 +133,7 @@
         // The teller reaches the store, and says itself if it was away.
         self.lost_since = None;
         if used != Use::Gap {
-            self.heard = Some(now);
+            self.heard.note(now);
         }
         match used {
             Use::Known => {}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod feeds;
 mod follower;
 mod group;
+mod heard;
 mod hosts;
 mod learn;
 mod outage;
@@ -12,6 +13,7 @@
 use std::collections::BTreeMap;
 use std::net::TcpListener;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use peer::{Local, PeerClient};
@@ -26,6 +28,7 @@
 use crate::host::{Common, Stage};
 use beliefs::Beliefs;
 use follower::Follower;
+pub(crate) use heard::Heard;
 use outage::Outage;
 
 /// Pace at which what runs out by itself is looked at. A host that falls silent is
@@ -71,9 +74,17 @@
         beliefs: RefCell::new(Beliefs::new(&common)),
         incarnation: rand::random(),
         me,
-        routes: RefCell::new(Follower::new(Feed::Routes, &common.settings)),
-        upstreams: RefCell::new(Follower::new(Feed::Upstreams, &common.settings)),
-        hosts: RefCell::new(Follower::new(Feed::Hosts, &common.settings)),
+        routes: RefCell::new(Follower::new(
+            Feed::Routes,
+            &common.settings,
+            Arc::clone(&common.heard),
+        )),
+        upstreams: RefCell::new(Follower::new(
+            Feed::Upstreams,
+            &common.settings,
+            Arc::default(),
+        )),
+        hosts: RefCell::new(Follower::new(Feed::Hosts, &common.settings, Arc::default())),
         outage: Outage::default(),
         list_asked: watch::Sender::default(),
         key: RefCell::default(),
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -19,6 +19,8 @@
     pub deadline_ms: HeaderName,
     /// Start of an upstream that a request is meant for; any other refuses it.
     pub expected_upstream: HeaderName,
+    /// Name of the customer that a request is from, for its upstream.
+    pub customer: HeaderName,
     /// Proof that an answer is an upstream's own; every success has one.
     pub proof: HeaderName,
     /// Set where the upstream did not run the request and will not.
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -104,6 +104,8 @@
     /// Bounds in force; those of `settings` are the first ones.
     pub bounds: Arc<ArcSwap<Bounds>>,
     pub view: Arc<ArcSwap<RouteView>>,
+    /// When the document in force was last confirmed.
+    pub heard: Arc<control::Heard>,
     pub stage: watch::Receiver<Stage>,
 }
 
@@ -147,6 +149,7 @@
             settings: Arc::clone(&settings),
             bounds: Arc::new(ArcSwap::from_pointee(settings.bounds)),
             view: Arc::default(),
+            heard: Arc::default(),
             stage: watched,
         };
         let bounds = Arc::clone(&common.bounds);
--- a/crates/gateway/src/traffic/answers.rs
+++ b/crates/gateway/src/traffic/answers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use derive_more::Display;
-use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::header::{HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
 use hyper::{Response, StatusCode};
 use upstream::{Body, full};
 
@@ -12,6 +12,8 @@
 pub(super) enum Refusal {
     /// No route matches.
     NoRoute,
+    /// It has no key that is in force.
+    NoAccess,
     /// The caller sent what can't be read, or too much of it, or too slowly.
     BadRequest(StatusCode),
     /// It has not run and never will.
@@ -33,6 +35,10 @@
     /// The host holds no document yet, or knows no upstreams.
     #[display("no_document")]
     NoDocument,
+    /// What is asked for is not known here, and the host's knowledge is so old that it may be
+    /// new.
+    #[display("old_document")]
+    OldDocument,
     /// No upstream that may serve it is known, or none can be used now.
     #[display("no_upstream")]
     NoUpstream,
@@ -53,6 +59,7 @@
     pub fn answer(self) -> Response<Body> {
         let (status, text) = match self {
             Refusal::NoRoute => (StatusCode::NOT_FOUND, "no route"),
+            Refusal::NoAccess => (StatusCode::UNAUTHORIZED, "no key that is in force"),
             Refusal::BadRequest(status) => (status, "the request can't be taken"),
             Refusal::NotRun { .. } => (StatusCode::SERVICE_UNAVAILABLE, "not run"),
             Refusal::MayHaveRun => (StatusCode::BAD_GATEWAY, "it may have run"),
@@ -66,6 +73,10 @@
                 answer.headers_mut().insert(RETRY_AFTER, seconds);
             }
         }
+        if self == Refusal::NoAccess {
+            let scheme = HeaderValue::from_static("Bearer");
+            answer.headers_mut().insert(WWW_AUTHENTICATE, scheme);
+        }
         answer
     }
 }
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -5,13 +5,14 @@
 
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use hyper::header::HeaderMap;
 use hyper::{Request, Response, StatusCode};
-use steering::route::{CallerLimits, Route};
+use steering::route::{CallerLimits, NoAccess, Route, Sender};
 use upstream::{Body, BoundError, Bounded, WorkBody, hold};
 
 use super::Traffic;
 use super::answers::{Cause, Refusal};
-use super::head::Head;
+use super::head::{Head, credentials};
 use super::run::Run;
 use super::trail::Trail;
 
@@ -35,8 +36,12 @@
     trail: &mut Trail,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Refusal> {
-    let (route, limits) = find(traffic, head, trail, request.uri().path())?;
     let (parts, body) = request.into_parts();
+    let Found {
+        route,
+        sender,
+        limits,
+    } = find(traffic, head, trail, &parts.headers, parts.uri.path())?;
     let body = read(body, limits).await?;
     let deadline = match route.timeout {
         Some(timeout) => head.deadline.min(head.arrived + timeout),
@@ -49,6 +54,7 @@
         head,
         trail,
         route: &route,
+        sender: &sender,
         parts,
         body,
         deadline,
@@ -63,7 +69,15 @@
     }
 }
 
-/// The request's route, and the bounds on what its caller sends.
+/// What a request is to be served by.
+struct Found {
+    route: Arc<Route>,
+    sender: Sender,
+    /// Bounds on what its caller sends.
+    limits: CallerLimits,
+}
+
+/// The request's route and who sends it, of one version of the document.
 ///
 /// Holds no view while the request runs: with thousands of upstreams a view takes half a
 /// megabyte, and some twenty follow each other while one request waits.
@@ -71,8 +85,9 @@
     traffic: &Traffic,
     head: &Head,
     trail: &mut Trail,
+    headers: &HeaderMap,
     path: &str,
-) -> Result<(Arc<Route>, CallerLimits), Refusal> {
+) -> Result<Found, Refusal> {
     let view = traffic.common.view.load();
     if !view.is_ready() {
         return Err(Refusal::NotRun {
@@ -82,9 +97,34 @@
     }
     trail.version = view.version;
     let route = view.table.find(&head.domain, path);
-    let route = Arc::clone(route.ok_or(Refusal::NoRoute)?);
+    let route = route.ok_or_else(|| unknown(traffic, Refusal::NoRoute))?;
     trail.route.clone_from(&route.name);
-    Ok((route, view.limits))
+    let sender = view
+        .customers
+        .recognise(route.public, || credentials(headers));
+    let sender = sender.map_err(|error| match error {
+        NoAccess::UnknownKey => unknown(traffic, Refusal::NoAccess),
+        NoAccess::Ambiguous => Refusal::BadRequest(StatusCode::BAD_REQUEST),
+    })?;
+    trail.customer = sender.customer().map(|customer| customer.name.clone());
+    Ok(Found {
+        route: Arc::clone(route),
+        sender,
+        limits: view.limits,
+    })
+}
+
+/// The refusal of what the document in force does not have. A host that has heard neither the
+/// store nor its tellers for as long as a change may take does not know what is in force.
+fn unknown(traffic: &Traffic, refusal: Refusal) -> Refusal {
+    let age = traffic.common.heard.age(Instant::now());
+    match age.is_some_and(|age| age <= traffic.common.bounds().apply) {
+        true => refusal,
+        false => Refusal::NotRun {
+            cause: Cause::OldDocument,
+            come_back: NO_DOCUMENT_WAIT,
+        },
+    }
 }
 
 async fn read(body: Incoming, limits: CallerLimits) -> Result<WorkBody, Refusal> {
--- a/crates/gateway/src/traffic/head.rs
+++ b/crates/gateway/src/traffic/head.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use hyper::Request;
-use hyper::header::{HOST, HeaderMap};
+use hyper::header::{AUTHORIZATION, HOST, HeaderMap, HeaderValue};
+use steering::route::{Credentials, KeyHash};
 
 use crate::dialect::HeaderNames;
 
@@ -44,6 +45,30 @@
 /// A caller that says it waits longer is taken to wait so long.
 const DEADLINE_MOST: Duration = Duration::from_secs(3_600);
 
+/// Scheme of credentials that are a key.
+const KEY_SCHEME: &[u8] = b"bearer";
+/// Longest key, in bytes. Those of operators have some tens.
+const KEY_MOST_BYTES: usize = 1_024;
+
+/// What a request says of who sends it.
+pub(super) fn credentials(headers: &HeaderMap) -> Credentials {
+    let mut values = headers.get_all(AUTHORIZATION).iter();
+    match (values.next(), values.next()) {
+        (None, _) => Credentials::None,
+        (Some(value), None) => key(value).map_or(Credentials::NoKey, Credentials::Key),
+        (Some(_), Some(_)) => Credentials::Several,
+    }
+}
+
+fn key(value: &HeaderValue) -> Option<KeyHash> {
+    let bytes = value.as_bytes();
+    let at = bytes.iter().position(|byte| *byte == b' ')?;
+    let (scheme, key) = bytes.split_at(at);
+    let key = key.trim_ascii();
+    let is_one = !key.is_empty() && key.len() <= KEY_MOST_BYTES && !key.contains(&b' ');
+    (is_one && scheme.eq_ignore_ascii_case(KEY_SCHEME)).then(|| KeyHash::of(key))
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &hyper::header::HeaderName) -> Option<&'a str> {
     headers.get(name).and_then(|value| value.to_str().ok())
 }
--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -7,8 +7,8 @@
 use hyper::http::request::Parts;
 use steering::ids::{RegionName, ServiceName};
 use steering::route::{
-    Choice, Fate, NoRoom, RegionPool, Route, Sent, ServicePool, Try, UpstreamId, Wish, after,
-    choose, object_hash, place, rank,
+    Choice, Fate, NoRoom, RegionPool, Route, Sender, Sent, ServicePool, Try, UpstreamId, Wish,
+    after, choose, object_hash, place, rank,
 };
 use upstream::{Body, WorkBody};
 
@@ -35,6 +35,8 @@
     pub head: &'a Head,
     pub trail: &'a mut Trail,
     pub route: &'a Route,
+    /// Who sends it.
+    pub sender: &'a Sender,
     pub parts: Parts,
     pub body: WorkBody,
     /// When it must be answered, whatever with.
@@ -107,6 +109,7 @@
             repeatable: self.route.repeatable,
             deadline: self.deadline,
             route: &self.route.name,
+            sender: self.sender,
         };
         let missed = match send(self.traffic, choice, &mut work, sent).await {
             Ok(answer) => return Some(answer),
@@ -132,7 +135,7 @@
         let view = self.traffic.common.view.load();
         let pool = view.services.get(service)?;
         let own = &self.traffic.common.settings.region;
-        let may = |region: &RegionName| self.route.may_run_in(region);
+        let may = |region: &RegionName| self.may_run_in(region);
         let has = |region: &RegionName| pool.regions.contains_key(region) && may(region);
         let place = place(object);
         if has(own) && self.traffic.shares().stays(service, pool, place) {
@@ -201,15 +204,25 @@
         chosen: Option<&RegionName>,
     ) -> Vec<(&'p RegionName, &'p RegionPool)> {
         let regions = pool.regions.iter();
-        let allowed = regions.filter(|(region, _)| self.route.may_run_in(region));
+        let allowed = regions.filter(|(region, _)| self.may_run_in(region));
         let mut allowed: Vec<(&RegionName, &RegionPool)> = allowed.collect();
         allowed.sort_by_key(|(region, _)| Some(*region) != chosen);
         allowed
     }
 
+    /// Whether the homes of its route and of its customer both allow a region.
+    fn may_run_in(&self, region: &str) -> bool {
+        self.route.may_run_in(region) && self.sender.may_run_in(region)
+    }
+
     /// More urgent requests accept longer waits, so that they are refused last.
     fn urgency(&self) -> f64 {
-        let rank = f64::from(self.route.priority.saturating_sub(1));
+        let of_customer = self
+            .sender
+            .customer()
+            .and_then(|customer| customer.priority);
+        let priority = of_customer.unwrap_or(self.route.priority);
+        let rank = f64::from(priority.saturating_sub(1));
         (1.0 - URGENCY_STEP * rank).max(URGENCY_LEAST)
     }
 
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -5,10 +5,10 @@
 use std::time::Instant;
 
 use http_body_util::BodyExt;
-use hyper::header::HeaderValue;
+use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
-use steering::route::{Answered, Choice, Sent, Upstream};
+use steering::route::{Answered, Choice, Sender, Sent, Upstream};
 use upstream::{Body, Holding, Reuse, SendError, TrackedBody, WorkBody, end_to_end};
 
 use super::Traffic;
@@ -84,6 +84,8 @@
     pub deadline: Instant,
     /// Name of its route.
     pub route: &'a str,
+    /// Who sends it.
+    pub sender: &'a Sender,
 }
 
 /// Sends a request once, and passes the answer on if it is one. `sent` is told as soon
@@ -155,6 +157,7 @@
     *request.uri_mut() = path.map_or("/", |path| path.as_str()).parse().ok()?;
     let headers = request.headers_mut();
     *headers = end_to_end(&work.parts.headers);
+    name_sender(headers, &names.customer, work.sender)?;
     let left = work.deadline.saturating_duration_since(Instant::now());
     headers.insert(&names.deadline_ms, (left.as_millis() as u64).into());
     let id = HeaderValue::from_str(&upstream.report.id).ok()?;
@@ -162,6 +165,20 @@
     Some(request)
 }
 
+/// Tells the upstream who the customer is, and not by which key that is known. What the
+/// caller itself said of it is not passed on.
+fn name_sender(headers: &mut HeaderMap, name: &HeaderName, sender: &Sender) -> Option<()> {
+    if *sender == Sender::Anyone {
+        return Some(());
+    }
+    headers.remove(AUTHORIZATION);
+    headers.remove(name);
+    if let Some(customer) = sender.customer() {
+        headers.insert(name, HeaderValue::from_str(&customer.name).ok()?);
+    }
+    Some(())
+}
+
 /// Passes an answer on, where it is this request's own and the upstream's.
 fn take(
     traffic: &Arc<Traffic>,
--- a/crates/gateway/src/traffic/trail.rs
+++ b/crates/gateway/src/traffic/trail.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use hyper::Response;
-use steering::ids::{RegionName, RequestId, RuleName, ServiceName};
+use steering::ids::{CustomerName, RegionName, RequestId, RuleName, ServiceName};
 use steering::route::{Choice, UpstreamId};
 use upstream::Body;
 
@@ -19,6 +19,7 @@
             $($($more)+,)?
             ms = $trail.arrived.elapsed().as_millis() as u64,
             route = $trail.route,
+            customer = $trail.customer,
             version = $trail.version,
             service = $trail.service,
             region = $trail.region,
@@ -49,6 +50,8 @@
     pub version: u64,
     pub route: RuleName,
     pub service: ServiceName,
+    /// Customer that it is from; none where the route or the document asks for no key.
+    pub customer: Option<CustomerName>,
     /// Region that was to serve it.
     pub region: RegionName,
     /// Hash of its object; none where it is about none. The object itself may say who
@@ -88,6 +91,7 @@
             version: 0,
             route: RuleName::new(),
             service: ServiceName::new(),
+            customer: None,
             region: RegionName::new(),
             object: None,
             upstream: UpstreamId::new(),
@@ -149,6 +153,7 @@
                 let least_wait_ms = self.least_wait_ms;
                 tell!(info, "request_refused", self, %cause, come_back_ms, least_wait_ms);
             }
+            Err(Refusal::NoAccess) => tell!(info, "request_unauthorized", self),
             Err(Refusal::NoRoute) => {
                 let (id, version) = (&self.id, self.version);
                 tracing::info!(
@@ -188,6 +193,7 @@
         Ok(answer) if answer.status().is_success() => "answered",
         Ok(_) => "failed_there",
         Err(Refusal::NoRoute) => "no_route",
+        Err(Refusal::NoAccess) => "no_access",
         Err(Refusal::BadRequest(_)) => "bad_request",
         Err(Refusal::NotRun { .. }) => "not_run",
         Err(Refusal::MayHaveRun) => "may_have_run",
--- a/crates/steering/src/ids.rs
+++ b/crates/steering/src/ids.rs
@@ -10,6 +10,8 @@
 pub type ServiceName = String;
 /// Name of an upstream.
 pub type UpstreamName = String;
+/// Name of a customer.
+pub type CustomerName = String;
 /// Name of a rule.
 pub type RuleName = String;
 /// Number of an accepted configuration; 0 is the empty one.
--- a/crates/steering/src/route/catalog.rs
+++ b/crates/steering/src/route/catalog.rs
@@ -87,6 +87,11 @@
                 Record::Upstream(report) if self.put(now, report.clone()) => {
                     taken.push(CatalogChange::Reported(report.clone()));
                 }
+                // Whoever wrote it, it names no upstream any more.
+                Record::Unusable { key, .. } if self.listed.remove(key).is_some() => {
+                    let id = key.clone();
+                    taken.push(CatalogChange::Gone { id, at_once: true });
+                }
                 Record::UpstreamGone(id) if self.listed.contains_key(id) => {
                     let at_once = self.remove(now, id);
                     let id = id.clone();
@@ -119,6 +124,9 @@
         let cold_until = (!report.cold_for.is_zero()).then(|| now + report.cold_for);
         let fingerprint = report.fingerprint();
         let known = self.listed.get(&report.id);
+        if known.is_some_and(|known| report.is_before(&known.report)) {
+            return false;
+        }
         let changed = known.is_none_or(|known| {
             known.fingerprint != fingerprint
                 || known.drop_at.is_some()
--- a/crates/steering/src/route/document.rs
+++ b/crates/steering/src/route/document.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::customer::Customer;
 use crate::ids::{RegionName, RuleName, ServiceName};
 
 /// A whole set of routes, as one version of it.
@@ -16,6 +17,9 @@
     pub limits: CallerLimits,
     /// Every route; no two have the same domain and prefix.
     pub routes: Vec<Route>,
+    /// Customers; where there are none, requests need no key.
+    #[serde(default)]
+    pub customers: Vec<Customer>,
     /// The services that routes name.
     pub services: BTreeMap<ServiceName, ServiceTerms>,
 }
@@ -58,6 +62,8 @@
     pub repeatable: bool,
     /// Whether upstreams that have lately seen a request's object do its work faster.
     pub by_object: bool,
+    /// Whether its requests need no key, though there are customers.
+    pub public: bool,
     /// Rank of its requests; 0 is the most urgent.
     pub priority: u32,
     /// Time within which an answer is worth all that it can be worth.
--- a/crates/steering/src/route/document_change.rs
+++ b/crates/steering/src/route/document_change.rs
@@ -4,8 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::customer::Customer;
 use super::document::{CallerLimits, Route, RouteDocument, ServiceTerms};
-use crate::ids::ServiceName;
+use crate::ids::{CustomerName, ServiceName};
 
 /// Domain and prefix of a route; no two routes of a document have the same.
 type RoutePlace = (String, String);
@@ -24,6 +25,9 @@
     /// Services that are new, or that have changed.
     services: BTreeMap<ServiceName, ServiceTerms>,
     dropped_services: BTreeSet<ServiceName>,
+    /// Customers that are new, or that have changed.
+    customers: Vec<Customer>,
+    dropped_customers: BTreeSet<CustomerName>,
 }
 
 impl DocumentChange {
@@ -35,6 +39,10 @@
         let services = newer.services.iter();
         let changed = services.filter(|(name, terms)| base.services.get(*name) != Some(terms));
         let kept = |name: &&ServiceName| newer.services.contains_key(*name);
+        let mut dropped: BTreeMap<&CustomerName, &Customer> = by_name(base);
+        let customers = newer.customers.iter();
+        let customers = customers.filter(|new| dropped.remove(&new.name) != Some(*new));
+        let customers = customers.cloned().collect();
         DocumentChange {
             base: base.version,
             version: newer.version,
@@ -45,6 +53,8 @@
                 .map(|(n, terms)| (n.clone(), terms.clone()))
                 .collect(),
             dropped_services: base.services.keys().filter(|n| !kept(n)).cloned().collect(),
+            customers,
+            dropped_customers: dropped.into_keys().cloned().collect(),
         }
     }
 
@@ -61,15 +71,26 @@
         let mut services = base.services.clone();
         services.retain(|name, _| !self.dropped_services.contains(name));
         services.extend(self.services.clone());
+        let mut customers = by_name(base);
+        customers.retain(|name, _| !self.dropped_customers.contains(*name));
+        customers.extend(self.customers.iter().map(|new| (&new.name, new)));
         Some(RouteDocument {
             version: self.version,
             limits: self.limits,
             routes: routes.into_values().cloned().collect(),
+            customers: customers.into_values().cloned().collect(),
             services,
         })
     }
 }
 
+fn by_name(document: &RouteDocument) -> BTreeMap<&CustomerName, &Customer> {
+    let customers = document.customers.iter();
+    customers
+        .map(|customer| (&customer.name, customer))
+        .collect()
+}
+
 fn places(document: &RouteDocument) -> impl Iterator<Item = (RoutePlace, &Route)> {
     document.routes.iter().map(|route| (place(route), route))
 }
--- a/crates/steering/src/route/upstream.rs
+++ b/crates/steering/src/route/upstream.rs
@@ -8,14 +8,16 @@
 
 use crate::ids::{ServiceName, ZoneName};
 
-/// Identity of one start of an upstream; a restart has another.
+/// Identity of an upstream. A restart has another, or the same with a later birth.
 pub type UpstreamId = String;
 
 /// An upstream's own report.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ReportedUpstream {
-    /// This start of it. An address may pass on to another start.
+    /// Its identity. An address may pass on to another upstream.
     pub id: UpstreamId,
+    /// When this start of it began, in milliseconds since 1970, where it says so.
+    pub born_ms: Option<u64>,
     /// Service that it belongs to.
     pub service: ServiceName,
     /// Where it listens.
@@ -31,10 +33,21 @@
 }
 
 impl ReportedUpstream {
+    /// This start of it: what was learned of another start does not hold for it.
+    pub fn start(&self) -> (UpstreamId, Option<u64>) {
+        (self.id.clone(), self.born_ms)
+    }
+
+    /// Whether this is of an earlier start than `known`, and only came late.
+    pub fn is_before(&self, known: &ReportedUpstream) -> bool {
+        matches!((self.born_ms, known.born_ms), (Some(own), Some(known)) if own < known)
+    }
+
     /// Hash of the report without what changes with time, the same on every host.
     pub fn fingerprint(&self) -> u64 {
         let ReportedUpstream {
             id,
+            born_ms,
             service,
             address,
             zone,
@@ -42,7 +55,7 @@
             draining,
             ..
         } = self;
-        let text = format!("{id}\n{service}\n{address}\n{zone}\n{slots}\n{draining}");
+        let text = format!("{id}\n{born_ms:?}\n{service}\n{address}\n{zone}\n{slots}\n{draining}");
         XxHash3_64::oneshot(text.as_bytes())
     }
 }
--- a/crates/steering/src/route/view.rs
+++ b/crates/steering/src/route/view.rs
@@ -1,12 +1,13 @@
 //! What one host believes at a moment, ready to be used by requests.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use super::catalog::Catalog;
 use super::condition::Condition;
+use super::customer::CustomerTable;
 use super::document::{RouteDocument, ServiceTerms};
 use super::feed::{FeedDigest, Record};
 use super::region_load::RegionLoad;
@@ -123,6 +124,8 @@
     pub limits: super::document::CallerLimits,
     /// The document's routes.
     pub table: Arc<RouteTable>,
+    /// The document's customers.
+    pub customers: Arc<CustomerTable>,
     /// Whether the upstreams' reports have been read.
     pub upstreams_known: bool,
     /// Upstreams by service.
@@ -173,8 +176,8 @@
 /// What this host has seen; it outlives views.
 #[derive(Debug, Default)]
 pub struct Conditions {
-    /// Each start of an upstream has its own.
-    upstreams: HashMap<UpstreamId, Arc<Mutex<Condition>>>,
+    /// Each start of an upstream has its own, also where two starts have the same identity.
+    upstreams: HashMap<(UpstreamId, Option<u64>), Arc<Mutex<Condition>>>,
     zones: HashMap<ZoneName, Arc<Mutex<ZoneCondition>>>,
     regions: HashMap<(ServiceName, RegionName), Arc<Mutex<RegionLoad>>>,
 }
@@ -197,7 +200,7 @@
         let mut pools: HashMap<ServiceName, ServicePool> = HashMap::new();
         for listed in catalog.listed() {
             let report = &listed.report;
-            let condition = conditions.upstreams.entry(report.id.clone()).or_default();
+            let condition = conditions.upstreams.entry(report.start()).or_default();
             let zone = conditions.zones.entry(report.zone.clone()).or_default();
             let Some(region) = regions.get(&report.zone) else {
                 continue;
@@ -226,8 +229,8 @@
         }
         let regions = &mut conditions.regions;
         regions.retain(|(service, _), _| pools.contains_key(service));
-        let kept: BTreeSet<&UpstreamId> = catalog.listed().map(|l| &l.report.id).collect();
-        conditions.upstreams.retain(|id, _| kept.contains(id));
+        let kept: HashSet<_> = catalog.listed().map(|l| l.report.start()).collect();
+        conditions.upstreams.retain(|start, _| kept.contains(start));
         pools
     }
 }
--- a/crates/steering/tests/route_catalog.rs
+++ b/crates/steering/tests/route_catalog.rs
@@ -3,11 +3,12 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
-use steering::route::{Catalog, Changes, Record, ReportedUpstream};
+use steering::route::{Catalog, CatalogChange, Changes, Record, ReportedUpstream};
 
 fn report(id: &str) -> ReportedUpstream {
     ReportedUpstream {
         id: id.to_owned(),
+        born_ms: None,
         service: "surcos".to_owned(),
         address: "127.0.0.1:9000".parse().unwrap(),
         zone: "quito-norte".to_owned(),
@@ -189,3 +190,45 @@
     let taken = catalog.take(later, &part(vec![cold(left_ms)]));
     assert_eq!(taken.len(), changes);
 }
+
+fn born(id: &str, born_ms: u64) -> Record {
+    Record::Upstream(ReportedUpstream {
+        born_ms: Some(born_ms),
+        ..report(id)
+    })
+}
+
+#[test]
+fn a_later_start_replaces_an_earlier_one_and_is_not_replaced_by_it() {
+    let mut catalog = Catalog::default();
+    let now = Instant::now();
+    assert_eq!(catalog.take(now, &part(vec![born("i-1", 100)])).len(), 1);
+    assert_eq!(catalog.take(now, &part(vec![born("i-1", 200)])).len(), 1);
+    let digest = catalog.digest();
+    assert_eq!(catalog.take(now, &part(vec![born("i-1", 100)])), []);
+    assert_eq!(catalog.digest(), digest);
+    let listed: Vec<_> = catalog.listed().map(|l| l.report.born_ms).collect();
+    assert_eq!(listed, [Some(200)]);
+}
+
+#[test]
+fn a_report_that_turns_bad_takes_its_upstream_out_at_once() {
+    let mut catalog = Catalog::default();
+    let now = Instant::now();
+    // Also shortly after an outage, when reports that vanish are waited for.
+    catalog.store_returned(now);
+    catalog.take(now, &part(vec![there("i-1"), there("i-2")]));
+    let bad = Record::Unusable {
+        key: "i-1".to_owned(),
+        reason: "no JSON".to_owned(),
+    };
+    let gone = CatalogChange::Gone {
+        id: "i-1".to_owned(),
+        at_once: true,
+    };
+    assert_eq!(catalog.take(now, &part(vec![bad.clone()])), [gone]);
+    let listed: Vec<_> = catalog.listed().map(|l| l.report.id.as_str()).collect();
+    assert_eq!(listed, ["i-2"]);
+    assert_eq!(catalog.take(now, &part(vec![bad])), []);
+    assert_eq!(catalog.take(now, &part(vec![there("i-1")])).len(), 1);
+}
--- a/crates/steering/tests/route_choice.rs
+++ b/crates/steering/tests/route_choice.rs
@@ -15,6 +15,7 @@
 fn report(number: usize, cold_for: Duration) -> ReportedUpstream {
     ReportedUpstream {
         id: format!("i-{number}"),
+        born_ms: None,
         service: "s1".to_owned(),
         address: "127.0.0.1:9".parse().unwrap(),
         zone: ["duran", "puerto"][number % 2].to_owned(),
@@ -40,6 +41,7 @@
         cold_per_s: Some(4.0),
     };
     let document = RouteDocument {
+        customers: Vec::new(),
         services: BTreeMap::from([("s1".to_owned(), terms)]),
         ..RouteDocument::default()
     };
--- a/crates/steering/tests/route_document.rs
+++ b/crates/steering/tests/route_document.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use steering::route::{CallerLimits, DocumentChange, Part, Route, RouteDocument, ServiceTerms};
+use steering::route::{
+    CallerLimits, Customer, DocumentChange, KeyHash, Part, Route, RouteDocument, ServiceTerms,
+};
 
 const MANY: usize = 1_000;
 
@@ -23,6 +25,7 @@
             service: service.to_owned(),
             weight: 1.0,
         }],
+        public: false,
         home_regions: Vec::new(),
     }
 }
@@ -41,6 +44,7 @@
         version,
         limits: CallerLimits::default(),
         routes: routes.iter().map(|(p, s)| route(p, s)).collect(),
+        customers: Vec::new(),
         services: services.collect::<BTreeMap<_, _>>(),
     }
 }
@@ -96,3 +100,49 @@
     );
     assert!(change * 100 < whole, "{change} of {whole} bytes");
 }
+
+fn customer(name: &str, key: &str, priority: Option<u32>) -> Customer {
+    Customer {
+        name: name.to_owned(),
+        keys: vec![KeyHash::of(key.as_bytes())],
+        priority,
+        allowance: None,
+        home_regions: Vec::new(),
+    }
+}
+
+#[rstest]
+#[case::nothing(&[("c1", "k1"), ("c2", "k2")])]
+#[case::added(&[("c1", "k1"), ("c2", "k2"), ("c3", "k3")])]
+#[case::revoked(&[("c1", "k1"), ("c2", "k9")])]
+#[case::moved(&[("c1", "k2"), ("c2", "k1")])]
+#[case::dropped(&[("c2", "k2")])]
+#[case::emptied(&[])]
+fn a_change_of_customers_leads_to_the_newer_document(#[case] customers: &[(&str, &str)]) {
+    let with = |version, customers: &[(&str, &str)]| RouteDocument {
+        customers: customers
+            .iter()
+            .map(|(n, k)| customer(n, k, None))
+            .collect(),
+        ..document(version, &[("/a/", "s1")])
+    };
+    let (before, after) = (with(3, &[("c1", "k1"), ("c2", "k2")]), with(7, customers));
+    let change = DocumentChange::between(&before, &after);
+    assert_eq!(change.apply(&before), Some(after));
+}
+
+#[test]
+fn a_change_of_one_customer_is_small_however_many_there_are() {
+    let many = |version, priority| {
+        let customers = (0..MANY).map(|i| customer(&format!("c{i:05}"), &format!("k{i}"), None));
+        let mut customers: Vec<Customer> = customers.collect();
+        customers[500].priority = priority;
+        RouteDocument {
+            customers,
+            ..document(version, &[("/a/", "s1")])
+        }
+    };
+    let change = DocumentChange::between(&many(1, None), &many(2, Some(1)));
+    let bytes = serde_json::to_vec(&change).unwrap().len();
+    assert!(bytes < 1_000, "{bytes} bytes");
+}
--- a/crates/steering/tests/route_table.rs
+++ b/crates/steering/tests/route_table.rs
@@ -20,6 +20,7 @@
             weight: 1.0,
         }],
         by_object: true,
+        public: false,
         home_regions: Vec::new(),
     }
 }
