Allowances of customers kept by pools of hosts' parts, without a coordinator

Change: each listed host has an equal part of every allowance; for each of 8 groups of customers hosts join the pool of one host, which lends tokens; a part counts in one pool at a time, confirmed by stamps of the pool's own clock, and a lent token is lost where it can't be accounted for, so the sum holds over cuts, kills and restarts. 429 with the time after which tokens come; a token of a request that has not run is given back.

--- a/crates/gateway/src/control/group.rs
+++ b/crates/gateway/src/control/group.rs
@@ -1,5 +1,6 @@
 //! Passes on to a group of hosts what one of them has learned from the store.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use peer::{EncodedNews, PeerClient};
@@ -83,6 +84,13 @@
 
     /// A client of a host, where no message to it is under way.
     pub(super) fn idle_client(&self, host: &HostEntry) -> Option<Rc<PeerClient>> {
+        // One is held by the map of clients.
+        self.client(host)
+            .filter(|client| Rc::strong_count(client) == 2)
+    }
+
+    /// A client of a host; none before the shared key is known.
+    pub(super) fn client(&self, host: &HostEntry) -> Option<Rc<PeerClient>> {
         let local = self.local.borrow();
         let local = local.as_ref()?;
         let mut clients = self.clients.borrow_mut();
@@ -93,7 +101,7 @@
                 BEAT_LIMIT,
             ))
         });
-        (Rc::strong_count(client) == 1).then(|| Rc::clone(client))
+        Some(Rc::clone(client))
     }
 
     /// Drops clients of hosts that are told nothing, or have moved.
@@ -101,9 +109,15 @@
         let feeds = [Feed::Routes, Feed::Upstreams, Feed::Hosts];
         let firsts = feeds.into_iter().flat_map(|feed| self.firsts(feed));
         let told: Vec<HostEntry> = self.group().into_iter().chain(firsts).collect();
+        let leases = self.common.allowances.leases();
+        let owners: BTreeSet<&HostName> = leases.owners().collect();
+        let beliefs = self.beliefs.borrow();
+        let lenders = beliefs.roll.list().rows();
+        let lenders = lenders.filter(|host| owners.contains(&host.name));
+        let told: Vec<&HostEntry> = told.iter().chain(lenders).collect();
         let mut clients = self.clients.borrow_mut();
         clients.retain(|name, client| {
-            let mut hosts = partners.iter().chain(&told);
+            let mut hosts = partners.iter().chain(told.iter().copied());
             let host = hosts.find(|host| host.name == *name);
             host.is_some_and(|host| host.peer_address == client.address())
         });
--- a/crates/gateway/src/control/hosts.rs
+++ b/crates/gateway/src/control/hosts.rs
@@ -13,7 +13,7 @@
 use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
 use steering::membership::{Heartbeat, HostEntry};
 use steering::rendezvous;
-use steering::route::{Changes, Feed, News, Record};
+use steering::route::{Changes, Feed, News, Record, TokenAsk, TokenReply};
 use store::{HOSTS_TABLE, OwnRow, PEER_KEY_ROW};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
@@ -73,6 +73,7 @@
 
     /// Tells others that this host leaves, and takes its row away.
     pub(super) async fn leave(&self) {
+        self.pool.borrow_mut().close();
         let beat = self.heartbeat(true);
         let clients: Vec<Rc<PeerClient>> = self.clients.borrow().values().cloned().collect();
         let told = join_all(clients.iter().map(|client| client.heartbeat(&beat)));
@@ -312,6 +313,13 @@
         self.0.told(from, news);
     }
 
+    fn tokens(&self, from: &HostEntry, incarnation: Incarnation, ask: TokenAsk) -> TokenReply {
+        let mut beliefs = self.0.beliefs.borrow_mut();
+        beliefs.roll.hear(Instant::now(), from, incarnation, false);
+        drop(beliefs);
+        self.0.lend(&from.name, &ask)
+    }
+
     fn state(&self, query: StateQuery) -> Option<Changes> {
         self.0.state(query)
     }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod hosts;
 mod learn;
 mod outage;
+mod tokens;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -19,7 +20,7 @@
 use peer::{Local, PeerClient};
 use steering::ids::{HostName, Incarnation};
 use steering::membership::HostEntry;
-use steering::route::Feed;
+use steering::route::{Feed, TokenPool};
 use store::Records;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -54,6 +55,8 @@
     local: RefCell<Option<Local>>,
     /// Clients of hosts that get heartbeats or news.
     clients: RefCell<BTreeMap<HostName, Rc<PeerClient>>>,
+    /// Pools of allowances that this host keeps.
+    pool: RefCell<TokenPool>,
     /// Heartbeats sent so far.
     beats: Cell<u64>,
 }
@@ -70,9 +73,12 @@
         peer_address: settings.peer_address,
         operator_address: settings.ready_address,
     };
+    let incarnation = rand::random();
+    let may_have_lent = !common.settings.first_start;
     let control = Rc::new(Control {
         beliefs: RefCell::new(Beliefs::new(&common)),
-        incarnation: rand::random(),
+        incarnation,
+        pool: RefCell::new(TokenPool::new(incarnation, Instant::now(), may_have_lent)),
         me,
         routes: RefCell::new(Follower::new(
             Feed::Routes,
@@ -114,6 +120,7 @@
         for feed in [Feed::Hosts, Feed::Routes, Feed::Upstreams] {
             spawn_local(Rc::clone(&self).follow(feed));
         }
+        self.keep_tokens();
         self.meet_hosts(peers).await;
     }
 
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
+use crate::allowances::Allowances;
 use crate::control;
 use crate::dialect::Dialect;
 use crate::settings::{Bounds, GatewaySettings};
@@ -106,6 +107,7 @@
     pub view: Arc<ArcSwap<RouteView>>,
     /// When the document in force was last confirmed.
     pub heard: Arc<control::Heard>,
+    pub allowances: Arc<Allowances>,
     pub stage: watch::Receiver<Stage>,
 }
 
@@ -150,6 +152,7 @@
             bounds: Arc::new(ArcSwap::from_pointee(settings.bounds)),
             view: Arc::default(),
             heard: Arc::default(),
+            allowances: Arc::new(Allowances::new(!settings.first_start)),
             stage: watched,
         };
         let bounds = Arc::clone(&common.bounds);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! One thread holds what the host believes and publishes it as a view; another
 //! serves callers from the latest view. Every decision is in `steering::route`.
 
+mod allowances;
 mod control;
 mod dialect;
 mod host;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use steering::ids::{HostName, RegionName, ZoneName};
+use steering::route::AllowanceTerms;
 
 /// Where a host stands, listens, and what operators ask of it.
 #[derive(Debug, Clone, PartialEq)]
@@ -59,6 +60,8 @@
     pub cold_times: f64,
     /// Requests besides that it may receive in a second.
     pub cold_spare: f64,
+    /// How closely customers' allowances are kept.
+    pub allowances: AllowanceTerms,
     /// Longest time for which a look-up's answer may hold.
     pub look_up_ttl_most: Duration,
     /// Share of a region's requests that may change the region that serves them, from
@@ -111,6 +114,7 @@
             repeat_spare: 10.0,
             cold_times: 1.0,
             cold_spare: 0.0,
+            allowances: AllowanceTerms::default(),
             look_up_ttl_most: Duration::from_secs(5),
             shift_most: 0.15,
         }
--- a/crates/gateway/src/traffic/answers.rs
+++ b/crates/gateway/src/traffic/answers.rs
@@ -14,6 +14,11 @@
     NoRoute,
     /// It has no key that is in force.
     NoAccess,
+    /// Its customer's allowance is used up. It has not run and never will.
+    BeyondAllowance {
+        /// When the caller may come back.
+        come_back: Duration,
+    },
     /// The caller sent what can't be read, or too much of it, or too slowly.
     BadRequest(StatusCode),
     /// It has not run and never will.
@@ -39,6 +44,9 @@
     /// new.
     #[display("old_document")]
     OldDocument,
+    /// No host has told in time whether the customer's allowance is used up.
+    #[display("allowance_unheard")]
+    AllowanceUnheard,
     /// No upstream that may serve it is known, or none can be used now.
     #[display("no_upstream")]
     NoUpstream,
@@ -55,11 +63,14 @@
 }
 
 impl Refusal {
-    /// The refusal as an answer. Only 503 says that the request has not run.
+    /// The refusal as an answer. Only 429 and 503 say that the request has not run.
     pub fn answer(self) -> Response<Body> {
         let (status, text) = match self {
             Refusal::NoRoute => (StatusCode::NOT_FOUND, "no route"),
             Refusal::NoAccess => (StatusCode::UNAUTHORIZED, "no key that is in force"),
+            Refusal::BeyondAllowance { .. } => {
+                (StatusCode::TOO_MANY_REQUESTS, "not run: allowance used up")
+            }
             Refusal::BadRequest(status) => (status, "the request can't be taken"),
             Refusal::NotRun { .. } => (StatusCode::SERVICE_UNAVAILABLE, "not run"),
             Refusal::MayHaveRun => (StatusCode::BAD_GATEWAY, "it may have run"),
@@ -67,7 +78,7 @@
         };
         let mut answer = Response::new(full(text));
         *answer.status_mut() = status;
-        if let Refusal::NotRun { come_back, .. } = self {
+        if let Refusal::NotRun { come_back, .. } | Refusal::BeyondAllowance { come_back } = self {
             let seconds = format!("{:.3}", come_back.as_secs_f64());
             if let Ok(seconds) = HeaderValue::from_str(&seconds) {
                 answer.headers_mut().insert(RETRY_AFTER, seconds);
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -15,6 +15,7 @@
 use super::head::{Head, credentials};
 use super::run::Run;
 use super::trail::Trail;
+use crate::allowances::Beyond;
 
 /// Bodies up to this size are held, so that they can be sent again.
 const HELD_BODY_BYTES: usize = 64 << 10;
@@ -43,6 +44,7 @@
         limits,
     } = find(traffic, head, trail, &parts.headers, parts.uri.path())?;
     let body = read(body, limits).await?;
+    admit(traffic, &sender).await?;
     let deadline = match route.timeout {
         Some(timeout) => head.deadline.min(head.arrived + timeout),
         None => head.deadline,
@@ -63,10 +65,29 @@
         tried: Vec::new(),
     };
     let time = deadline.saturating_duration_since(Instant::now());
-    match tokio::time::timeout(time, run.run()).await {
+    let answered = match tokio::time::timeout(time, run.run()).await {
         Ok(answered) => answered,
         Err(_) => Err(run.out_of_time()),
+    };
+    if let (Err(Refusal::NotRun { .. }), Some(customer)) = (&answered, sender.customer()) {
+        traffic.common.allowances.give_back(customer);
     }
+    answered
+}
+
+/// Takes a request off its customer's allowance.
+async fn admit(traffic: &Traffic, sender: &Sender) -> Result<(), Refusal> {
+    let Some(customer) = sender.customer() else {
+        return Ok(());
+    };
+    let admitted = traffic.common.allowances.admit(customer).await;
+    admitted.map_err(|beyond| match beyond {
+        Beyond::Used(come_back) => Refusal::BeyondAllowance { come_back },
+        Beyond::Unheard(come_back) => Refusal::NotRun {
+            cause: Cause::AllowanceUnheard,
+            come_back,
+        },
+    })
 }
 
 /// What a request is to be served by.
--- a/crates/gateway/src/traffic/trail.rs
+++ b/crates/gateway/src/traffic/trail.rs
@@ -154,6 +154,10 @@
                 tell!(info, "request_refused", self, %cause, come_back_ms, least_wait_ms);
             }
             Err(Refusal::NoAccess) => tell!(info, "request_unauthorized", self),
+            Err(Refusal::BeyondAllowance { come_back }) => {
+                let come_back_ms = come_back.as_millis() as u64;
+                tell!(info, "request_beyond_allowance", self, come_back_ms);
+            }
             Err(Refusal::NoRoute) => {
                 let (id, version) = (&self.id, self.version);
                 tracing::info!(
@@ -194,6 +198,7 @@
         Ok(_) => "failed_there",
         Err(Refusal::NoRoute) => "no_route",
         Err(Refusal::NoAccess) => "no_access",
+        Err(Refusal::BeyondAllowance { .. }) => "beyond_allowance",
         Err(Refusal::BadRequest(_)) => "bad_request",
         Err(Refusal::NotRun { .. }) => "not_run",
         Err(Refusal::MayHaveRun) => "may_have_run",
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -4,7 +4,7 @@
 # change is not understood by older hosts. Version 1, in which each heartbeat
 # named its host and each load its service, was never released.
 
-const protocolVersion :UInt16 = 5;
+const protocolVersion :UInt16 = 6;
 
 interface Gate {
   # What a host offers before it knows who calls.
@@ -29,6 +29,9 @@
   # fields are JSON. Version 2 of the protocol did not have it; version 3 had all records since
   # a position in place of a digest; version 4 had them as JSON.
   borrow @3 (limit :Data, request :LoanRequest) -> (granted :Bool, grant :LoanGrant);
+  # Asks for requests that customers may still make. Both are in the postcard format; version 5
+  # did not have it.
+  tokens @5 (ask :Data) -> (reply :Data);
 }
 
 struct Host {
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -14,7 +14,7 @@
 use steering::history::{Entry, Position};
 use steering::ids::Revision;
 use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
-use steering::route::Changes;
+use steering::route::{Changes, TokenAsk, TokenReply};
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::timeout;
@@ -22,7 +22,7 @@
 
 use crate::codec::{
     read_grant, read_json, read_position, read_records, read_summaries, write_beat, write_host,
-    write_json, write_position, write_request, write_summaries,
+    write_json, write_position, write_records, write_request, write_summaries,
 };
 use crate::messages::{Beat, EncodedNews, Exchange, ExchangeReply, Local, StateQuery};
 use crate::peer_capnp::{PROTOCOL_VERSION, gate, session};
@@ -165,6 +165,18 @@
         .await
     }
 
+    /// Asks for requests that customers may still make.
+    pub async fn tokens(&self, ask: &TokenAsk) -> Result<TokenReply, PeerError> {
+        self.call(async |session| {
+            let mut request = session.tokens_request();
+            let ask = write_records(ask, usize::MAX).expect("questions can be written");
+            request.get().set_ask(&ask);
+            let answer = request.send().promise.await?;
+            read_records(answer.get()?.get_reply()?)
+        })
+        .await
+    }
+
     async fn call<T, F>(&self, with: impl FnOnce(session::Client) -> F) -> Result<T, PeerError>
     where
         F: Future<Output = Result<T, capnp::Error>>,
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -14,7 +14,7 @@
 use steering::ids::{HostName, Incarnation, Revision};
 use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
 use steering::membership::HostEntry;
-use steering::route::{Changes, News};
+use steering::route::{Changes, News, TokenAsk, TokenReply};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio_util::compat::TokioAsyncReadCompatExt;
@@ -53,6 +53,10 @@
     fn state(&self, _query: StateQuery) -> Option<Changes> {
         None
     }
+    /// Lends requests that customers may still make.
+    fn tokens(&self, _from: &HostEntry, _incarnation: Incarnation, _ask: TokenAsk) -> TokenReply {
+        TokenReply::NoPool
+    }
     /// Lends a part of a limit.
     fn borrow(&self, limit: LimitKey, request: LoanRequest) -> Option<LoanGrant>;
 }
@@ -267,6 +271,18 @@
         Ok(())
     }
 
+    async fn tokens(
+        self: Rc<Self>,
+        params: session::TokensParams,
+        mut results: session::TokensResults,
+    ) -> Result<(), Error> {
+        let ask: TokenAsk = read_records(params.get()?.get_ask()?)?;
+        let reply = self.handler.tokens(&self.host, self.incarnation, ask);
+        let reply = write_records(&reply, usize::MAX).expect("answers can be written");
+        results.get().set_reply(&reply);
+        Ok(())
+    }
+
     async fn borrow(
         self: Rc<Self>,
         params: session::BorrowParams,
--- /dev/null
+++ b/crates/steering/src/route/allowance/lease.rs
@@ -0,0 +1,379 @@
+//! Tokens that a host holds, and which host it asks for more.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use super::message::{Stamp, TokenAsk, TokenGroup, TokenReply, TokenWant};
+use super::{GROUPS, KEEP_ALIVE, MEMBER_FOR};
+use crate::ids::{CustomerName, HostName};
+use crate::rendezvous;
+
+/// Time after which a host that did not answer, or keeps no pool, is asked again.
+const PASSED_OVER_FOR: Duration = Duration::from_secs(4);
+/// Span for whose requests tokens are held ahead.
+const AHEAD: Duration = Duration::from_millis(400);
+/// Time without a request of a customer after which its tokens are given back.
+const IDLE_AFTER: Duration = Duration::from_secs(3);
+/// Weight of the newest span in a customer's rate.
+const NEWEST_WEIGHT: f64 = 0.5;
+/// Shortest span over which a rate is taken.
+const SPAN_LEAST: Duration = Duration::from_millis(200);
+
+/// Number of a customer's group.
+pub fn group_of(customer: &str) -> TokenGroup {
+    (rendezvous::hash(customer.as_bytes()) % u64::from(GROUPS)) as TokenGroup
+}
+
+/// What becomes of a request that takes a token.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Take {
+    /// It has one.
+    Taken,
+    /// There is none for so long.
+    Dry(Duration),
+    /// It must be asked for.
+    Wait,
+}
+
+/// What a host does next about a group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing before this moment, unless a request waits.
+    Rest(Instant),
+    /// It asks a host, which may be itself.
+    Ask(HostName, TokenAsk),
+}
+
+/// All tokens of a host.
+#[derive(Debug)]
+pub struct TokenLeases {
+    groups: Vec<Membership>,
+    customers: HashMap<CustomerName, Lease>,
+}
+
+/// A host's place in the pools of one group.
+#[derive(Debug)]
+struct Membership {
+    /// Host whose pool its part counts in, or is to.
+    owner: Option<HostName>,
+    /// Stamps of the last answers, with the moments of question and answer: of the owner and
+    /// of the host that may be the next one.
+    heard: HashMap<HostName, Heard>,
+    /// Until when its part may count in the owner's pool.
+    counts_until: Instant,
+    /// Until when tokens of this pool are good.
+    good_until: Instant,
+    /// Hosts that are not asked before a moment.
+    passed_over: HashMap<HostName, Instant>,
+    asked: Option<Instant>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Heard {
+    stamp: Stamp,
+    asked: Instant,
+    answered: Instant,
+}
+
+/// A host's tokens for a customer.
+#[derive(Debug, Default)]
+struct Lease {
+    tokens: u32,
+    /// Requests that wait for one.
+    waiting: u32,
+    dry_until: Option<Instant>,
+    last_request: Option<Instant>,
+    /// Requests since the rate was last taken, and when that was.
+    requests: u32,
+    rate_taken: Option<Instant>,
+    rate_per_s: f64,
+}
+
+impl Lease {
+    /// Tokens to hold for the requests to come.
+    fn wanted(&self, now: Instant) -> u32 {
+        let idle = |at: Instant| now.saturating_duration_since(at) > IDLE_AFTER;
+        match self.last_request {
+            Some(at) if !idle(at) => 1 + (self.rate_per_s * AHEAD.as_secs_f64()).ceil() as u32,
+            _ => 0,
+        }
+    }
+
+    fn take_rate(&mut self, now: Instant) {
+        let span = self.rate_taken.map(|at| now.saturating_duration_since(at));
+        if span.is_some_and(|span| span < SPAN_LEAST) {
+            return;
+        }
+        let span_s = span.unwrap_or(KEEP_ALIVE).as_secs_f64();
+        let newest = f64::from(self.requests) / span_s;
+        self.rate_per_s += NEWEST_WEIGHT * (newest - self.rate_per_s);
+        self.requests = 0;
+        self.rate_taken = Some(now);
+    }
+
+    /// What is to be said of the customer; none where nothing is.
+    fn want(&mut self, now: Instant, customer: &str) -> Option<TokenWant> {
+        self.take_rate(now);
+        let wanted = self.wanted(now);
+        if wanted == 0 && self.waiting == 0 {
+            let held = std::mem::take(&mut self.tokens);
+            return (held > 0).then(|| TokenWant {
+                customer: customer.to_owned(),
+                held: 0,
+                need: 0,
+                ahead: 0,
+            });
+        }
+        let lacks = self.waiting > 0 || self.tokens * 2 < wanted;
+        lacks.then(|| TokenWant {
+            customer: customer.to_owned(),
+            held: self.tokens,
+            need: self.waiting.saturating_sub(self.tokens),
+            ahead: wanted.saturating_sub(self.tokens),
+        })
+    }
+}
+
+impl Membership {
+    fn new(now: Instant) -> Self {
+        Membership {
+            owner: None,
+            heard: HashMap::new(),
+            counts_until: now,
+            good_until: now,
+            passed_over: HashMap::new(),
+            asked: None,
+        }
+    }
+
+    fn leave(&mut self, now: Instant) {
+        self.owner = None;
+        self.counts_until = now;
+        self.good_until = now;
+    }
+
+    /// Whom to ask with what, wants left out; none where its part still counts in a pool
+    /// whose host does not answer.
+    fn next(&mut self, now: Instant, ranked: &[&str]) -> Option<(HostName, Option<Stamp>, bool)> {
+        self.passed_over.retain(|_, until| *until > now);
+        let mut free = ranked.iter();
+        let first = free.find(|host| !self.passed_over.contains_key(**host));
+        let first = (*first?).to_owned();
+        let owner = self.owner.clone().filter(|_| now < self.counts_until);
+        let Some(owner) = owner else {
+            self.leave(now);
+            self.owner = Some(first.clone());
+            let stamp = self.stamp(now, &first);
+            return Some((first, stamp, false));
+        };
+        if owner == first {
+            let stamp = self.stamp(now, &owner);
+            return Some((owner, stamp, false));
+        }
+        let is_silent = self.passed_over.contains_key(&owner);
+        match (self.stamp(now, &first), is_silent) {
+            // It answers: the part may go over to it.
+            (Some(_), false) => Some((owner, None, true)),
+            (Some(_), true) => None,
+            (None, _) => Some((first, None, false)),
+        }
+    }
+
+    /// The last stamp of a host, where it is young enough to be confirmed.
+    fn stamp(&self, now: Instant, host: &str) -> Option<Stamp> {
+        let heard = self.heard.get(host)?;
+        (now < heard.asked + MEMBER_FOR).then_some(heard.stamp)
+    }
+}
+
+impl TokenLeases {
+    /// No tokens. `may_count` where an earlier start of this host may still count in a pool.
+    pub fn new(now: Instant, may_count: bool) -> Self {
+        let wait = if may_count {
+            MEMBER_FOR
+        } else {
+            Duration::ZERO
+        };
+        let group = |_| Membership {
+            // In nobody's pool that is known: nothing can be asked until it has lapsed.
+            counts_until: now + wait,
+            ..Membership::new(now)
+        };
+        TokenLeases {
+            groups: (0..GROUPS).map(group).collect(),
+            customers: HashMap::new(),
+        }
+    }
+
+    /// Takes a token for a request that has come; one that must wait says so by
+    /// [`TokenLeases::again`] and [`TokenLeases::give_up`].
+    pub fn take(&mut self, now: Instant, customer: &str) -> Take {
+        if !self.customers.contains_key(customer) {
+            self.customers.insert(customer.to_owned(), Lease::default());
+        }
+        let is_good = now < self.groups[usize::from(group_of(customer))].good_until;
+        let lease = self.customers.get_mut(customer).expect("it is there");
+        lease.requests += 1;
+        lease.last_request = Some(now);
+        let taken = lease.try_take(now, is_good);
+        if taken == Take::Wait {
+            lease.waiting += 1;
+        }
+        taken
+    }
+
+    /// Tries again for a request that waits.
+    pub fn again(&mut self, now: Instant, customer: &str) -> Take {
+        let is_good = now < self.groups[usize::from(group_of(customer))].good_until;
+        let Some(lease) = self.customers.get_mut(customer) else {
+            return Take::Wait;
+        };
+        let taken = lease.try_take(now, is_good);
+        if taken != Take::Wait {
+            lease.waiting = lease.waiting.saturating_sub(1);
+        }
+        taken
+    }
+
+    /// A request waits no more.
+    pub fn give_up(&mut self, customer: &str) {
+        if let Some(lease) = self.customers.get_mut(customer) {
+            lease.waiting = lease.waiting.saturating_sub(1);
+        }
+    }
+
+    /// Gives back the token of a request that has not run.
+    pub fn give_back(&mut self, now: Instant, customer: &str) {
+        let is_good = now < self.groups[usize::from(group_of(customer))].good_until;
+        if let Some(lease) = self.customers.get_mut(customer).filter(|_| is_good) {
+            lease.tokens += 1;
+        }
+    }
+
+    /// Whether more tokens of a customer should be asked for now.
+    pub fn runs_low(&self, now: Instant, customer: &str) -> bool {
+        let lease = self.customers.get(customer);
+        lease.is_some_and(|lease| lease.tokens * 2 < lease.wanted(now))
+    }
+
+    /// What to do about a group. `ranked` are the hosts that may keep its pool, this one
+    /// among them, the first to be asked first.
+    pub fn step(&mut self, now: Instant, group: TokenGroup, ranked: &[&str]) -> Step {
+        let membership = &mut self.groups[usize::from(group)];
+        // An earlier start of this host may still count somewhere.
+        if membership.owner.is_none() && now < membership.counts_until {
+            return Step::Rest(membership.counts_until);
+        }
+        let Some((host, confirms, leaves)) = membership.next(now, ranked) else {
+            return Step::Rest(membership.counts_until);
+        };
+        membership.asked = Some(now);
+        if let Some(heard) = membership.heard.get(&host).filter(|_| confirms.is_some()) {
+            membership.counts_until = membership.counts_until.max(heard.answered + MEMBER_FOR);
+        }
+        let is_owner = confirms.is_some() && membership.owner.as_deref() == Some(&host);
+        let is_good = now < membership.good_until;
+        let wants = match is_owner {
+            true => self.wants(now, group, is_good),
+            false => Vec::new(),
+        };
+        let ask = TokenAsk {
+            group,
+            confirms,
+            leaves,
+            wants,
+        };
+        Step::Ask(host, ask)
+    }
+
+    fn wants(&mut self, now: Instant, group: TokenGroup, is_good: bool) -> Vec<TokenWant> {
+        let customers = self.customers.iter_mut();
+        let of_group = customers.filter(|(name, _)| group_of(name) == group);
+        let wants = of_group.filter_map(|(name, lease)| {
+            if !is_good {
+                lease.tokens = 0;
+            }
+            lease.want(now, name)
+        });
+        wants.collect()
+    }
+
+    /// Takes an answer to the last question of a group, asked at `asked`; true where this
+    /// host should ask again at once.
+    pub fn answered(
+        &mut self,
+        now: Instant,
+        asked: Instant,
+        host: &str,
+        ask: &TokenAsk,
+        reply: &TokenReply,
+    ) -> bool {
+        let membership = &mut self.groups[usize::from(ask.group)];
+        let is_owner = membership.owner.as_deref() == Some(host);
+        let TokenReply::Granted { stamp, grants } = reply else {
+            if !ask.leaves {
+                membership
+                    .passed_over
+                    .insert(host.to_owned(), now + PASSED_OVER_FOR);
+            }
+            membership.heard.remove(host);
+            if is_owner {
+                membership.leave(now);
+            }
+            return true;
+        };
+        let heard = Heard {
+            stamp: *stamp,
+            asked,
+            answered: now,
+        };
+        let before = membership.heard.insert(host.to_owned(), heard);
+        let confirmed = before.filter(|before| is_owner && ask.confirms == Some(before.stamp));
+        let Some(confirmed) = confirmed else {
+            return true;
+        };
+        // The pool counts this host for as long after the moment of the stamp that it has
+        // confirmed, which is no earlier than the question whose answer brought it.
+        membership.good_until = membership.good_until.max(confirmed.asked + MEMBER_FOR);
+        for (want, grant) in ask.wants.iter().zip(grants) {
+            if let Some(lease) = self.customers.get_mut(&want.customer) {
+                lease.tokens += grant.tokens;
+                let dry = Duration::from_millis(grant.dry_ms.into());
+                lease.dry_until = (!dry.is_zero()).then(|| now + dry);
+            }
+        }
+        false
+    }
+
+    /// Takes that a host gave no answer.
+    pub fn unanswered(&mut self, now: Instant, host: &str, group: TokenGroup) {
+        let membership = &mut self.groups[usize::from(group)];
+        membership
+            .passed_over
+            .insert(host.to_owned(), now + PASSED_OVER_FOR);
+        membership.heard.remove(host);
+    }
+
+    /// Forgets customers that are no more.
+    pub fn retain(&mut self, is_there: impl Fn(&str) -> bool) {
+        self.customers.retain(|name, _| is_there(name));
+    }
+
+    /// Hosts in whose pools this host's part counts.
+    pub fn owners(&self) -> impl Iterator<Item = &HostName> {
+        self.groups.iter().filter_map(|group| group.owner.as_ref())
+    }
+}
+
+impl Lease {
+    fn try_take(&mut self, now: Instant, is_good: bool) -> Take {
+        if is_good && self.tokens > 0 {
+            self.tokens -= 1;
+            return Take::Taken;
+        }
+        match self.dry_until {
+            Some(until) if until > now => Take::Dry(until - now),
+            _ => Take::Wait,
+        }
+    }
+}
--- /dev/null
+++ b/crates/steering/src/route/allowance/message.rs
@@ -0,0 +1,68 @@
+//! What hosts say to each other about allowances.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{CustomerName, Incarnation};
+
+/// Number of a group of customers.
+pub type TokenGroup = u16;
+
+/// A moment of a pool's own steady clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stamp {
+    /// Start of the pool's host.
+    pub incarnation: Incarnation,
+    /// Time since the pool began, in microseconds.
+    pub at_us: u64,
+}
+
+/// A host's question to the host of a pool.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenAsk {
+    /// The group of customers.
+    pub group: TokenGroup,
+    /// Stamp of the last answer. With it the asker's part counts in this pool; without it
+    /// the asker only wants to hear whether there is one.
+    pub confirms: Option<Stamp>,
+    /// Whether the asker's part is to count here no more.
+    pub leaves: bool,
+    /// For whom tokens are wanted or given back.
+    pub wants: Vec<TokenWant>,
+}
+
+/// Tokens that a host wants for a customer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenWant {
+    /// The customer.
+    pub customer: CustomerName,
+    /// Tokens that the host still holds; all others that were lent to it are spent.
+    pub held: u32,
+    /// Tokens that requests wait for.
+    pub need: u32,
+    /// Tokens that would be of use soon.
+    pub ahead: u32,
+}
+
+/// The answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TokenReply {
+    /// The host keeps a pool for the group.
+    Granted {
+        /// Moment of the answer.
+        stamp: Stamp,
+        /// In the order of the wants.
+        grants: Vec<TokenGrant>,
+    },
+    /// The host keeps none, and counts the asker's part no more.
+    NoPool,
+}
+
+/// Tokens lent to a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenGrant {
+    /// How many.
+    pub tokens: u32,
+    /// Time after which there is one for each request that waits, in milliseconds; 0 where
+    /// all that was needed was lent.
+    pub dry_ms: u32,
+}
--- /dev/null
+++ b/crates/steering/src/route/allowance/pool.rs
@@ -0,0 +1,217 @@
+//! A pool of hosts' parts of allowances, as the host that keeps it sees it.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use super::bound::TokenBound;
+use super::message::{Stamp, TokenAsk, TokenGrant, TokenReply, TokenWant};
+use super::{GROUPS, MEMBER_FOR};
+use crate::ids::{CustomerName, HostName, Incarnation};
+
+/// Share of a bucket that is lent only to requests that wait, not ahead of need.
+const KEPT_SHARE: f64 = 0.5;
+/// Least and longest time after which a request that found no token is worth another try.
+const DRY_LEAST: Duration = Duration::from_millis(50);
+const DRY_MOST: Duration = Duration::from_secs(5);
+
+/// The pools that one host keeps, one for each group of which it is asked.
+#[derive(Debug)]
+pub struct TokenPool {
+    incarnation: Incarnation,
+    started: Instant,
+    /// From when on it lends: what an earlier start lent has lapsed by then.
+    opens_at: Instant,
+    groups: HashMap<u16, Group>,
+}
+
+#[derive(Debug)]
+struct Group {
+    /// Until when each host's part counts here.
+    members: HashMap<HostName, Instant>,
+    /// Share of the allowances that these parts are.
+    share: f64,
+    /// Seconds of a whole allowance that have come up so far.
+    come_up_s: f64,
+    counted_at: Instant,
+    buckets: HashMap<CustomerName, Bucket>,
+}
+
+#[derive(Debug, Default)]
+struct Bucket {
+    /// Tokens that are not lent.
+    free: f64,
+    /// [`Group::come_up_s`] when they were last counted.
+    counted_s: f64,
+    /// Tokens lent to each member; those that it has spent since its last question included.
+    lent: HashMap<HostName, u32>,
+}
+
+impl Bucket {
+    fn settle(&mut self, come_up_s: f64, share: f64, bound: &TokenBound) {
+        let lent: f64 = self.lent.values().map(|tokens| f64::from(*tokens)).sum();
+        let come_up = (come_up_s - self.counted_s) * bound.per_s;
+        self.counted_s = come_up_s;
+        self.free = (self.free + come_up)
+            .min(bound.depth * share - lent)
+            .max(0.0);
+    }
+
+    fn lend(&mut self, from: &str, want: &TokenWant, share: f64, bound: &TokenBound) -> TokenGrant {
+        let needed = (self.free.floor() as u32).min(want.need);
+        let spare = self.free - f64::from(needed) - bound.depth * share * KEPT_SHARE;
+        let ahead = (spare.max(0.0).floor() as u32).min(want.ahead);
+        let tokens = needed + ahead;
+        self.free -= f64::from(tokens);
+        self.lent.insert(from.to_owned(), want.held + tokens);
+        TokenGrant {
+            tokens,
+            dry_ms: self.dry_ms(want.need - needed, bound.per_s * share),
+        }
+    }
+
+    /// Time until as many more tokens have come up as are lacking.
+    fn dry_ms(&self, lacking: u32, per_s: f64) -> u32 {
+        if lacking == 0 {
+            return 0;
+        }
+        let seconds = (f64::from(lacking) - self.free) / per_s.max(f64::MIN_POSITIVE);
+        let seconds = seconds.clamp(DRY_LEAST.as_secs_f64(), DRY_MOST.as_secs_f64());
+        (seconds * 1_000.0) as u32
+    }
+}
+
+impl Group {
+    fn new(now: Instant) -> Self {
+        Group {
+            members: HashMap::new(),
+            share: 0.0,
+            come_up_s: 0.0,
+            counted_at: now,
+            buckets: HashMap::new(),
+        }
+    }
+
+    /// Counts what has come up, with the share that held until now.
+    fn settle(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.counted_at);
+        self.come_up_s += passed.as_secs_f64() * self.share;
+        self.counted_at = now;
+    }
+
+    /// Changes the share. Where it falls, no bucket keeps more than its new depth: the parts
+    /// that went away fill buckets elsewhere.
+    fn set_share(&mut self, share: f64, bound: &dyn Fn(&str) -> Option<TokenBound>) {
+        let members = &self.members;
+        if share < self.share {
+            for (customer, bucket) in &mut self.buckets {
+                bucket.lent.retain(|host, _| members.contains_key(host));
+                let bound = bound(customer).unwrap_or(TokenBound {
+                    per_s: 0.0,
+                    depth: 0.0,
+                });
+                bucket.settle(self.come_up_s, share, &bound);
+            }
+        }
+        self.share = share;
+    }
+}
+
+impl TokenPool {
+    /// Of a host that started at `started`; `may_have_lent` where an earlier start of it may
+    /// have lent tokens shortly before.
+    pub fn new(incarnation: Incarnation, started: Instant, may_have_lent: bool) -> Self {
+        let wait = if may_have_lent {
+            MEMBER_FOR
+        } else {
+            Duration::ZERO
+        };
+        TokenPool {
+            incarnation,
+            started,
+            opens_at: started + wait,
+            groups: HashMap::new(),
+        }
+    }
+
+    /// Lends no more from now on, for good.
+    pub fn close(&mut self) {
+        self.opens_at = self.started + Duration::from_secs(u64::from(u32::MAX));
+        self.groups.clear();
+    }
+
+    /// Answers a host's question. `hosts` are all that have a part of each allowance; none
+    /// while they are not known. `bound` is a customer's bucket; none where it has no bound,
+    /// or is not known.
+    pub fn ask(
+        &mut self,
+        now: Instant,
+        from: &str,
+        ask: &TokenAsk,
+        hosts: Option<usize>,
+        bound: &dyn Fn(&str) -> Option<TokenBound>,
+    ) -> TokenReply {
+        let Some(hosts) = hosts.filter(|_| now >= self.opens_at && ask.group < GROUPS) else {
+            if let Some(group) = self.groups.get_mut(&ask.group) {
+                group.members.remove(from);
+            }
+            return TokenReply::NoPool;
+        };
+        let since_start = now.saturating_duration_since(self.started);
+        let stamp = Stamp {
+            incarnation: self.incarnation,
+            at_us: since_start.as_micros() as u64,
+        };
+        let until = self.counts_until(ask);
+        let group = self.groups.entry(ask.group);
+        let group = group.or_insert_with(|| Group::new(now));
+        group.settle(now);
+        group.members.retain(|_, until| *until > now);
+        match until.filter(|until| *until > now && !ask.leaves) {
+            Some(until) => drop(group.members.insert(from.to_owned(), until)),
+            None if ask.leaves => drop(group.members.remove(from)),
+            None => {}
+        }
+        let share = group.members.len() as f64 / hosts.max(1) as f64;
+        group.set_share(share.min(1.0), bound);
+        if ask.leaves {
+            return TokenReply::NoPool;
+        }
+        let is_member = group.members.contains_key(from);
+        let lend = |want: &TokenWant| match bound(&want.customer).filter(|_| is_member) {
+            Some(bound) => group.lend(from, want, &bound),
+            None => TokenGrant {
+                tokens: 0,
+                dry_ms: 0,
+            },
+        };
+        TokenReply::Granted {
+            stamp,
+            grants: ask.wants.iter().map(lend).collect(),
+        }
+    }
+
+    /// Forgets customers that are no more.
+    pub fn retain(&mut self, is_there: impl Fn(&str) -> bool) {
+        for group in self.groups.values_mut() {
+            group.buckets.retain(|customer, _| is_there(customer));
+        }
+    }
+
+    /// Until when the asker's part counts by this question.
+    fn counts_until(&self, ask: &TokenAsk) -> Option<Instant> {
+        let confirmed = ask.confirms?;
+        let is_own = confirmed.incarnation == self.incarnation;
+        is_own.then(|| self.started + Duration::from_micros(confirmed.at_us) + MEMBER_FOR)
+    }
+}
+
+impl Group {
+    fn lend(&mut self, from: &str, want: &TokenWant, bound: &TokenBound) -> TokenGrant {
+        let members = &self.members;
+        let bucket = self.buckets.entry(want.customer.clone()).or_default();
+        bucket.lent.retain(|host, _| members.contains_key(host));
+        bucket.lent.insert(from.to_owned(), want.held);
+        bucket.settle(self.come_up_s, self.share, bound);
+        bucket.lend(from, want, self.share, bound)
+    }
+}
--- a/crates/steering/src/route/customer.rs
+++ b/crates/steering/src/route/customer.rs
@@ -94,24 +94,38 @@
 #[derive(Debug, Default)]
 pub struct CustomerTable {
     by_key: HashMap<KeyHash, Arc<Customer>>,
+    by_name: HashMap<CustomerName, Arc<Customer>>,
 }
 
 impl CustomerTable {
     /// The table of a document's customers.
     pub fn new(customers: &[Customer]) -> Self {
         let mut by_key = HashMap::new();
+        let mut by_name = HashMap::new();
         for customer in customers {
             let customer = Arc::new(customer.clone());
+            by_name.insert(customer.name.clone(), Arc::clone(&customer));
             for key in &customer.keys {
                 by_key.insert(*key, Arc::clone(&customer));
             }
         }
-        CustomerTable { by_key }
+        CustomerTable { by_key, by_name }
     }
 
     /// Whether requests need no key at all.
     pub fn is_empty(&self) -> bool {
-        self.by_key.is_empty()
+        self.by_name.is_empty()
+    }
+
+    /// A customer by its name.
+    pub fn find(&self, name: &str) -> Option<&Arc<Customer>> {
+        self.by_name.get(name)
+    }
+
+    /// Whether any customer has an allowance.
+    pub fn has_allowances(&self) -> bool {
+        let mut customers = self.by_name.values();
+        customers.any(|customer| customer.allowance.is_some())
     }
 
     /// Whose request it is. A request to a public route is nobody's, whatever it carries.
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -4,6 +4,7 @@
 //! Every host computes the same homes of an object from the same view, so that no
 //! message is needed to agree on them.
 
+mod allowance;
 mod average;
 mod catalog;
 mod choice;
@@ -35,6 +36,10 @@
 mod wish;
 mod zone_condition;
 
+pub use allowance::{
+    AllowanceTerms, GROUPS, KEEP_ALIVE, Stamp, Step, Take, TokenAsk, TokenBound, TokenGrant,
+    TokenGroup, TokenLeases, TokenPool, TokenReply, TokenWant, group_of,
+};
 pub use catalog::{Catalog, CatalogChange};
 pub use choice::{Choice, NoRoom, choose};
 pub use condition::{Answered, Condition};
