--- a/crates/steering/src/route/allowance/lease.rs
+++ b/crates/steering/src/route/allowance/lease.rs
@@ -102,12 +102,18 @@
         let idle = |at: Instant| now.saturating_duration_since(at) > IDLE_AFTER;
         let ahead = self.rate_per_s * AHEAD.as_secs_f64();
         match self.last_request {
-            Some(at) if !idle(at) && spares => 1 + ahead.ceil() as u32,
+            Some(at) if !idle(at) && spares => 2 + ahead.ceil() as u32,
             Some(at) if !idle(at) => ahead.floor() as u32,
             _ => 0,
         }
     }
 
+    /// Whether so few tokens are left that more are to be asked for: half of what is wanted
+    /// lasts for the time of an answer from a far region.
+    fn is_low(&self, wanted: u32) -> bool {
+        self.tokens * 2 <= wanted && self.tokens < wanted
+    }
+
     fn take_rate(&mut self, now: Instant) {
         let span = self.rate_taken.map(|at| now.saturating_duration_since(at));
         if span.is_some_and(|span| span < SPAN_LEAST) {
@@ -134,7 +140,7 @@
                 ahead: 0,
             });
         }
-        let lacks = self.waiting > 0 || self.tokens * 2 < wanted;
+        let lacks = self.waiting > 0 || self.is_low(wanted);
         (lacks || self.lent != self.tokens).then(|| TokenWant {
             customer: customer.to_owned(),
             held: self.tokens,
@@ -265,7 +271,7 @@
     pub fn runs_low(&self, now: Instant, customer: &str) -> bool {
         let lease = self.customers.get(customer);
         let spares = self.spares[usize::from(group_of(customer))];
-        lease.is_some_and(|lease| lease.tokens * 2 < lease.wanted(now, spares))
+        lease.is_some_and(|lease| lease.is_low(lease.wanted(now, spares)))
     }
 
     /// What to do about a group. `ranked` are the hosts that may keep its pool, this one
--- a/crates/steering/src/route/allowance/pool.rs
+++ b/crates/steering/src/route/allowance/pool.rs
@@ -9,10 +9,10 @@
 use crate::ids::{CustomerName, HostName, Incarnation};
 
 /// Share of a bucket that is lent only to requests that wait, not ahead of need.
-const KEPT_SHARE: f64 = 0.5;
+const KEPT_SHARE: f64 = 0.25;
 /// Share of a bucket's depth that a pool uses while tokens may be held that an earlier start
-/// of its host lent; those lent ahead of need were [`KEPT_SHARE`] of it at most.
-const YOUNG_SHARE: f64 = 0.4;
+/// of its host lent ahead of need, which never were more than the rest of the depth.
+const YOUNG_SHARE: f64 = KEPT_SHARE;
 /// Least and longest time after which a request that found no token is worth another try.
 const DRY_LEAST: Duration = Duration::from_millis(50);
 const DRY_MOST: Duration = Duration::from_secs(5);
