--- a/crates/steering/src/route/allowance/lease.rs
+++ b/crates/steering/src/route/allowance/lease.rs
@@ -16,6 +16,9 @@
 /// no token is asked again. Callers come back after all of it; with it before, a pool at eight
 /// times its allowance lent 85 of 100 of its tokens (played in `tests/route_allowance.rs`).
 const DRY_SHARE: f64 = 0.25;
+/// Tokens that a host holds for a customer whose requests its zone's hosts ask it for: as many
+/// as may come together. Where the bucket is smaller the pool lends fewer.
+const SPARED_AT_ONCE: u32 = 4;
 /// Time without a request of a customer after which its tokens are given back.
 const IDLE_AFTER: Duration = Duration::from_secs(6);
 /// Weight of the newest span in a customer's rate.
@@ -115,7 +118,7 @@
         let idle = |at: Instant| now.saturating_duration_since(at) > IDLE_AFTER;
         let ahead = self.rate_per_s * AHEAD.as_secs_f64();
         match self.last_request {
-            Some(at) if !idle(at) && spares => 2 + ahead.ceil() as u32,
+            Some(at) if !idle(at) && spares => SPARED_AT_ONCE + ahead.ceil() as u32,
             Some(at) if !idle(at) => ahead.floor() as u32,
             _ => 0,
         }
