--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -95,6 +95,8 @@
     Partition,
     /// All hosts replaced one by one.
     Restart,
+    /// What customers cost a request, by how many there are.
+    Customers,
     /// What each role costs, at several sizes, fitted.
     Capacity,
 }
@@ -112,6 +114,7 @@
         Command::Measure { name, plots } => {
             let figures = match name {
                 Measurement::Overhead => measure::overhead::run()?,
+                Measurement::Customers => measure::customers::run(),
                 Measurement::Balance => measure::balance::run(plots.as_deref())?,
                 Measurement::Shift => measure::shift::run(plots.as_deref())?,
                 Measurement::Together => measure::together::run()?,
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -4,6 +4,7 @@
 pub mod capacity;
 pub mod claims;
 pub mod config;
+pub mod customers;
 pub mod drain;
 mod figures;
 pub mod look_up;
