--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -130,7 +130,11 @@
     /// Publishes what is believed now.
     fn publish(&self) {
         let view = self.beliefs.borrow_mut().view(Instant::now());
-        self.common.view.store(view.into());
+        let before = self.common.view.swap(view.into());
+        let view = self.common.view.load();
+        if before.version != view.version {
+            self.forget_customers(&view.customers);
+        }
     }
 
     /// Publishes again where time alone has changed what is believed.
--- a/crates/gateway/src/control/tokens.rs
+++ b/crates/gateway/src/control/tokens.rs
@@ -8,7 +8,8 @@
 use steering::membership::HostEntry;
 use steering::rendezvous;
 use steering::route::{
-    GROUPS, KEEP_ALIVE, Step, TokenAsk, TokenBound, TokenGroup, TokenMessage, TokenReply, group_of,
+    CustomerTable, GROUPS, KEEP_ALIVE, Step, TokenAsk, TokenBound, TokenGroup, TokenMessage,
+    TokenReply, group_of,
 };
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
@@ -117,6 +118,13 @@
         TokenReply::Spared(wanted.iter().map(&mut spare).collect())
     }
 
+    /// Forgets tokens of customers that are no more.
+    pub(super) fn forget_customers(&self, customers: &CustomerTable) {
+        let is_there = |name: &str| customers.find(name).is_some();
+        self.common.allowances.leases().retain(is_there);
+        self.pool.borrow_mut().retain(is_there);
+    }
+
     fn has_allowances(&self) -> bool {
         self.common.view.load().customers.has_allowances()
     }
--- a/crates/steering/src/route/allowance/mod.rs
+++ b/crates/steering/src/route/allowance/mod.rs
@@ -12,11 +12,14 @@
 
 mod bound;
 mod lease;
+mod leases;
+mod membership;
 mod message;
 mod pool;
 
 pub use bound::{AllowanceTerms, TokenBound};
-pub use lease::{Step, Take, TokenLeases, group_of};
+pub use lease::Take;
+pub use leases::{Step, TokenLeases, group_of};
 pub use message::{
     Spared, Stamp, TokenAsk, TokenGrant, TokenGroup, TokenMessage, TokenReply, TokenWant,
 };
