--- a/crates/steering/tests/route_allowance.rs
+++ b/crates/steering/tests/route_allowance.rs
@@ -1,7 +1,7 @@
 //! Allowances that hosts keep together, played with messages that are late or lost, cuts,
 //! kills and changes of the limit: no network, no clock.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use rand::rngs::StdRng;
@@ -362,8 +362,6 @@
     }
     world.cut_until = world.now + Duration::from_secs(60);
     world.play(800.0, 10, |_| {});
-    let before: HashMap<bool, usize> = HashMap::new();
-    drop(before);
     let run = world.run;
     world.play(800.0, 10, |_| {});
     let served = (world.run - run) as f64 / 10.0;
@@ -388,3 +386,21 @@
         world.most_runs
     );
 }
+
+#[rstest]
+#[case::as_stated(allowance(100.0, 100.0))]
+#[case::small(allowance(1.0, 1.0))]
+#[case::no_burst(allowance(400.0, 0.0))]
+#[case::large_burst(allowance(10.0, 1_000.0))]
+fn a_bucket_keeps_to_the_allowance_in_a_window(#[case] allowance: Allowance) {
+    let exact = AllowanceTerms::default();
+    for terms in [TERMS, exact] {
+        let TokenBound { per_s, depth } = TokenBound::new(&allowance, &terms);
+        let window_s = terms.window.as_secs_f64();
+        let most = (allowance.per_s * window_s + allowance.burst) * (1.0 + terms.over);
+        // A bucket of less than one token would admit nothing.
+        let most = (most + terms.spare).max(per_s * window_s + 1.0);
+        assert!(per_s * window_s + depth <= most + 1e-9, "{per_s} {depth}");
+        assert!(depth >= 1.0 && per_s > 0.0, "{per_s} {depth}");
+    }
+}
