Hosts of pools found without a search for each ranked one; one rule for homes, for outages, for who has an allowance

Cause, by reading the change once more: each question about tokens ranked all listed hosts and searched the list again for each of them (hosts squared, eight groups, some times a second); near_host wrote the search for the first of a group again; Customer and Route had the same rule for home regions; three branches ended an outage one by one; an allowance was looked for twice; a pool's members were compared in two places, and its group had two impl blocks. Change: group::first serves all three searches; pool_hosts asks it four times; Bucket::settle forgets lapsed members; document::allow; Sender::bounded; the store's presence is noted once for each call. Behaviour is meant to be the same. Gains in processor time were not measured.

--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -82,16 +82,19 @@
         let outcome = if called.is_ok() { "done" } else { "failed" };
         metrics::counter!("stagedeck_store_calls_total", "feed" => feed.to_string(), "outcome" => outcome)
             .increment(1);
+        // Whatever the store says, it is there.
+        match &called {
+            Ok(_) | Err(RecordError::HistoryGone) => self.outage.end(),
+            Err(_) => self.outage.go_on(),
+        }
         let newest = self.follower(feed, |own| own.newest);
         match called {
             Ok(changes) if changes.version < newest => {
                 let version = changes.version;
                 tracing::warn!(event = "store_stale", feed = %feed, version, newest);
-                self.outage.end();
                 sleep(STALE_PAUSE).await;
             }
             Ok(changes) => {
-                self.outage.end();
                 let news = self.asked(feed, changes);
                 self.note_asked(feed);
                 return Some(news);
@@ -99,10 +102,7 @@
             Err(error) => {
                 self.follower(feed, |own| own.failed(begun, &error));
                 self.note_asked(feed);
-                if error == RecordError::HistoryGone {
-                    self.outage.end();
-                } else {
-                    self.outage.go_on();
+                if error != RecordError::HistoryGone {
                     self.ask_seeds(feed).await;
                 }
             }
--- a/crates/gateway/src/control/group.rs
+++ b/crates/gateway/src/control/group.rs
@@ -69,7 +69,9 @@
         let beliefs = self.beliefs.borrow();
         let groups = self.groups(&beliefs.roll).into_iter();
         let others = groups.filter(|group| !group.contains(&&self.me));
-        others.filter_map(|group| first(feed, &group)).collect()
+        let key = feed.to_string();
+        let firsts = others.filter_map(|group| first(&key, group.into_iter()));
+        firsts.cloned().collect()
     }
 
     /// Whether all hosts are one group.
@@ -125,12 +127,12 @@
     }
 }
 
-/// The first of a group to ask for a feed.
-fn first(feed: Feed, group: &[&HostEntry]) -> Option<HostEntry> {
-    let names = group.iter().map(|host| host.name.as_str());
-    let first = rendezvous::owner(&feed.to_string(), names)?;
-    let mut hosts = group.iter();
-    hosts
-        .find(|host| host.name == first)
-        .map(|host| (*host).clone())
+/// The host that ranks first for a key.
+pub(super) fn first<'a>(
+    key: &str,
+    hosts: impl Iterator<Item = &'a HostEntry> + Clone,
+) -> Option<&'a HostEntry> {
+    let names = hosts.clone().map(|host| host.name.as_str());
+    let first = rendezvous::owner(key, names)?;
+    hosts.into_iter().find(|host| host.name == first)
 }
--- a/crates/gateway/src/control/tokens.rs
+++ b/crates/gateway/src/control/tokens.rs
@@ -6,7 +6,6 @@
 use peer::PeerError;
 use steering::ids::CustomerName;
 use steering::membership::HostEntry;
-use steering::rendezvous;
 use steering::route::{
     CustomerTable, GROUPS, KEEP_ALIVE, Step, TokenAsk, TokenBound, TokenGroup, TokenMessage,
     TokenReply, group_of,
@@ -15,6 +14,8 @@
 use tokio::time::{sleep, timeout};
 
 use super::Control;
+use super::beliefs::Beliefs;
+use super::group::first;
 
 /// Longest wait for an answer: a new session between far regions takes some 0.3 s.
 const ANSWER_LIMIT: Duration = Duration::from_millis(500);
@@ -58,6 +59,8 @@
         loop {
             allowances.waited_for(group).await;
             let waiting = allowances.leases().waiting(group);
+            // With none there may be tokens of a pool that has lapsed; only a pool puts that
+            // right.
             if waiting.is_empty() || !self.ask_near(group, waiting).await {
                 allowances.want(group);
             }
@@ -92,16 +95,12 @@
     /// silent lately.
     fn near_host(&self, group: TokenGroup, now: Instant) -> Option<HostEntry> {
         let beliefs = self.beliefs.borrow();
-        let rows = beliefs.roll.list().rows();
-        let others = rows.filter(|row| row.zone == self.me.zone && row.name != self.me.name);
-        let hosts: Vec<&HostEntry> = others.chain([&self.me]).collect();
         let mut silent = self.silent_near.borrow_mut();
         silent.retain(|_, at| now.saturating_duration_since(*at) < SILENT_FOR);
-        let names = hosts.iter().map(|host| host.name.as_str());
-        let heard = names.filter(|name| !silent.contains_key(*name));
-        let first = rendezvous::owner(&format!("tokens near {group}"), heard)?;
-        let first = hosts.iter().find(|host| host.name == first);
-        first.map(|host| (*host).clone())
+        let hosts = self.listed(&beliefs);
+        let near = hosts.filter(|host| host.zone == self.me.zone);
+        let heard = near.filter(|host| !silent.contains_key(&host.name));
+        first(&format!("tokens near {group}"), heard).cloned()
     }
 
     /// Gives tokens to requests that wait at another host of the zone.
@@ -136,8 +135,12 @@
         let now = Instant::now();
         let near = self.near_host(group, now);
         let spares = near.is_some_and(|near| near.name == self.me.name);
-        self.common.allowances.leases().set_spares(group, spares);
-        let (name, ask) = match self.common.allowances.leases().step(now, group, &ranked) {
+        let step = {
+            let mut leases = self.common.allowances.leases();
+            leases.set_spares(group, spares);
+            leases.step(now, group, &ranked)
+        };
+        let (name, ask) = match step {
             Step::Rest(until) => {
                 let rest = until.saturating_duration_since(now);
                 return rest.clamp(GATHERED_FOR, KEEP_ALIVE);
@@ -204,29 +207,31 @@
     /// of the own zone for the time of a cut, at last this host for itself.
     fn pool_hosts(&self, group: TokenGroup) -> Vec<HostEntry> {
         let beliefs = self.beliefs.borrow();
-        let rows = beliefs.roll.list().rows();
-        let mut hosts: Vec<&HostEntry> = rows.filter(|row| row.name != self.me.name).collect();
-        hosts.push(&self.me);
+        let settings = &self.common.settings;
         let key = format!("tokens {group}");
-        let ranked = rendezvous::rank(&key, hosts.iter().map(|host| host.name.as_str()));
-        let regions = &self.common.settings.regions;
-        let find = |name: &&str| hosts.iter().find(|host| host.name == **name);
-        let mut ranked = ranked.iter().filter_map(find).copied();
+        let mut chosen: Vec<&HostEntry> = Vec::new();
+        for _ in 0..FIRST_HOSTS {
+            let rest = self.listed(&beliefs).filter(|host| !chosen.contains(host));
+            let next = first(&key, rest);
+            chosen.extend(next);
+        }
+        let rest = self.listed(&beliefs).filter(|host| !chosen.contains(host));
         let of_region =
-            |host: &HostEntry| regions.get(&host.zone) == Some(&self.common.settings.region);
-        let mut chosen: Vec<&HostEntry> = ranked.by_ref().take(FIRST_HOSTS).collect();
-        let rest: Vec<&HostEntry> = ranked.collect();
-        let near = rest.iter().find(|host| of_region(host));
-        chosen.extend(near);
-        let nearer = rest.iter().find(|host| host.zone == self.me.zone);
-        chosen.extend(nearer);
-        chosen.push(&self.me);
-        let mut names = Vec::new();
-        chosen.retain(|host| {
-            let is_new = !names.contains(&&host.name);
-            names.push(&host.name);
-            is_new
-        });
+            |host: &&HostEntry| settings.regions.get(&host.zone) == Some(&settings.region);
+        let near = first(&key, rest.clone().filter(of_region));
+        let nearer = first(&key, rest.filter(|host| host.zone == self.me.zone));
+        for host in near.into_iter().chain(nearer).chain([&self.me]) {
+            if !chosen.contains(&host) {
+                chosen.push(host);
+            }
+        }
         chosen.into_iter().cloned().collect()
     }
+
+    /// All hosts of the store's list, this one included whether or not it is there yet.
+    fn listed<'a>(&'a self, beliefs: &'a Beliefs) -> impl Iterator<Item = &'a HostEntry> + Clone {
+        let rows = beliefs.roll.list().rows();
+        let others = rows.filter(|row| row.name != self.me.name);
+        others.chain([&self.me])
+    }
 }
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -69,9 +69,7 @@
         Ok(answered) => answered,
         Err(_) => Err(run.out_of_time()),
     };
-    if let (Err(Refusal::NotRun { .. }), Some(customer)) = (&answered, sender.customer())
-        && customer.allowance.is_some()
-    {
+    if let (Err(Refusal::NotRun { .. }), Some(customer)) = (&answered, sender.bounded()) {
         traffic.common.allowances.give_back(customer);
     }
     answered
@@ -79,8 +77,7 @@
 
 /// Takes a request off its customer's allowance.
 async fn admit(traffic: &Traffic, sender: &Sender, trail: &mut Trail) -> Result<(), Refusal> {
-    let customer = sender.customer();
-    let Some(customer) = customer.filter(|customer| customer.allowance.is_some()) else {
+    let Some(customer) = sender.bounded() else {
         return Ok(());
     };
     let begun = Instant::now();
--- a/crates/steering/src/route/allowance/pool.rs
+++ b/crates/steering/src/route/allowance/pool.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::bound::TokenBound;
-use super::message::{Stamp, TokenAsk, TokenGrant, TokenReply, TokenWant};
+use super::message::{Stamp, TokenAsk, TokenGrant, TokenGroup, TokenReply, TokenWant};
 use super::{GROUPS, MEMBER_FOR};
 use crate::ids::{CustomerName, HostName, Incarnation};
 
@@ -25,13 +25,15 @@
     /// Until when tokens may be held that an earlier start lent.
     young_until: Instant,
     is_closed: bool,
-    groups: HashMap<u16, Group>,
+    groups: HashMap<TokenGroup, Group>,
 }
 
+/// Until when each host's part counts in a pool.
+type Members = HashMap<HostName, Instant>;
+
 #[derive(Debug)]
 struct Group {
-    /// Until when each host's part counts here.
-    members: HashMap<HostName, Instant>,
+    members: Members,
     /// Share of the allowances that these parts are.
     share: f64,
     /// Seconds of a whole allowance that have come up so far.
@@ -51,7 +53,9 @@
 }
 
 impl Bucket {
-    fn settle(&mut self, come_up_s: f64, share: f64, bound: &TokenBound) {
+    /// Counts what has come up, and forgets what was lent to hosts that are no members any more.
+    fn settle(&mut self, members: &Members, come_up_s: f64, share: f64, bound: &TokenBound) {
+        self.lent.retain(|host, _| members.contains_key(host));
         let lent: f64 = self.lent.values().map(|tokens| f64::from(*tokens)).sum();
         let come_up = (come_up_s - self.counted_s) * bound.per_s;
         self.counted_s = come_up_s;
@@ -105,19 +109,25 @@
     /// Changes the share. Where it falls, no bucket keeps more than its new depth: the parts
     /// that went away fill buckets elsewhere.
     fn set_share(&mut self, share: f64, bound: &dyn Fn(&str) -> Option<TokenBound>) {
-        let members = &self.members;
         if share < self.share {
             for (customer, bucket) in &mut self.buckets {
-                bucket.lent.retain(|host, _| members.contains_key(host));
                 let bound = bound(customer).unwrap_or(TokenBound {
                     per_s: 0.0,
                     depth: 0.0,
                 });
-                bucket.settle(self.come_up_s, share, &bound);
+                bucket.settle(&self.members, self.come_up_s, share, &bound);
             }
         }
         self.share = share;
     }
+
+    /// Lends to a member what it wants, where there is so much.
+    fn lend(&mut self, from: &str, want: &TokenWant, bound: &TokenBound) -> TokenGrant {
+        let bucket = self.buckets.entry(want.customer.clone()).or_default();
+        bucket.lent.insert(from.to_owned(), want.held);
+        bucket.settle(&self.members, self.come_up_s, self.share, bound);
+        bucket.lend(from, want, self.share, bound)
+    }
 }
 
 impl TokenPool {
@@ -220,14 +230,3 @@
         is_own.then(|| self.started + Duration::from_micros(confirmed.at_us) + MEMBER_FOR)
     }
 }
-
-impl Group {
-    fn lend(&mut self, from: &str, want: &TokenWant, bound: &TokenBound) -> TokenGrant {
-        let members = &self.members;
-        let bucket = self.buckets.entry(want.customer.clone()).or_default();
-        bucket.lent.retain(|host, _| members.contains_key(host));
-        bucket.lent.insert(from.to_owned(), want.held);
-        bucket.settle(self.come_up_s, self.share, bound);
-        bucket.lend(from, want, self.share, bound)
-    }
-}
--- a/crates/steering/src/route/customer.rs
+++ b/crates/steering/src/route/customer.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::document::allow;
 use super::key_hash::KeyHash;
 use crate::ids::{CustomerName, RegionName};
 
@@ -36,8 +37,7 @@
 impl Customer {
     /// Whether its requests may run in a region.
     pub fn may_run_in(&self, region: &str) -> bool {
-        let homes = &self.home_regions;
-        homes.is_empty() || homes.iter().any(|home| home == region)
+        allow(&self.home_regions, region)
     }
 }
 
@@ -83,6 +83,12 @@
         }
     }
 
+    /// The customer, where it is one with an allowance.
+    pub fn bounded(&self) -> Option<&Arc<Customer>> {
+        let customer = self.customer();
+        customer.filter(|customer| customer.allowance.is_some())
+    }
+
     /// Whether its requests may run in a region.
     pub fn may_run_in(&self, region: &str) -> bool {
         let customer = self.customer();
--- a/crates/steering/src/route/document.rs
+++ b/crates/steering/src/route/document.rs
@@ -81,11 +81,15 @@
 impl Route {
     /// Whether its requests may run in a region.
     pub fn may_run_in(&self, region: &str) -> bool {
-        let homes = &self.home_regions;
-        homes.is_empty() || homes.iter().any(|home| home == region)
+        allow(&self.home_regions, region)
     }
 }
 
+/// Whether home regions allow a region; none allow all.
+pub(super) fn allow(home_regions: &[RegionName], region: &str) -> bool {
+    home_regions.is_empty() || home_regions.iter().any(|home| home == region)
+}
+
 /// A service's share in a route.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Part {
--- a/crates/steering/src/route/host_list.rs
+++ b/crates/steering/src/route/host_list.rs
@@ -75,7 +75,7 @@
     }
 
     /// Every row.
-    pub fn rows(&self) -> impl Iterator<Item = &HostEntry> {
+    pub fn rows(&self) -> impl Iterator<Item = &HostEntry> + Clone {
         self.rows.values()
     }
 
