Tell what held up a feed's news, and who says that the store was away

Cause: logs and metrics could not tell the three hypotheses of the late drain apart: whether a vanished report was kept because some host had lost the store, how old a belief was before it was renewed, whether listeners were passed over, and what became of gaps. Change: two events (store_returned, feed_renewed_late), two counters (news told, gaps). Decisions are untouched.

--- a/crates/gateway/src/control/beliefs.rs
+++ b/crates/gateway/src/control/beliefs.rs
@@ -16,6 +16,10 @@
 /// Reports that can't be read of which the log tells; more are not kept in mind.
 const REFUSED_MOST: usize = 1_000;
 
+/// Difference between what hosts tell of one return of the store: their messages take up to
+/// a second.
+const SAME_RETURN: Duration = Duration::from_secs(1);
+
 /// The control thread's beliefs.
 pub(super) struct Beliefs {
     regions: BTreeMap<ZoneName, RegionName>,
@@ -62,8 +66,14 @@
         }
     }
 
-    /// Notes that the store answers again after it had been away.
-    pub fn store_returned(&mut self, at: Instant) {
+    /// Notes that the store answers again after it had been away, as this host saw or
+    /// another one has told it.
+    pub fn store_returned(&mut self, at: Instant, seen_by: &str) {
+        let known = self.catalog.store_back();
+        if known.is_none_or(|known| at > known + SAME_RETURN) {
+            let ago_ms = at.elapsed().as_millis() as u64;
+            tracing::info!(event = "store_returned", seen_by, ago_ms);
+        }
         self.catalog.store_returned(at);
     }
 
--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -11,6 +11,7 @@
 
 use super::Control;
 use super::follower::{Follower, Missing, tightest};
+use super::waits::Wait;
 
 /// Pause after an answer that is older than what was seen before.
 const STALE_PAUSE: Duration = Duration::from_millis(400);
@@ -34,14 +35,17 @@
             if !rests.is_zero() {
                 let gap = self.follower(feed, |own| Rc::clone(&own.gap));
                 // Either way it is looked again whether there is anything to ask.
+                let begun = Instant::now();
                 let _ = timeout(rests, gap.notified()).await;
+                self.follower(feed, |own| own.waited(Wait::Listening, begun));
                 continue;
             }
             if let Some(news) = self.ask_in_turn(feed).await {
                 self.tell_all(&news);
             }
-            let pace = self.follower(feed, |own| own.lead.pace());
-            sleep(pace).await;
+            let begun = Instant::now();
+            sleep(self.follower(feed, |own| own.lead.pace())).await;
+            self.follower(feed, |own| own.waited(Wait::Pace, begun));
         }
     }
 
@@ -50,11 +54,13 @@
     async fn ask_in_turn(&self, feed: Feed) -> Option<News> {
         // A host that starts asks its seeds for each feed at once.
         let has_met_hosts = self.local.borrow().is_some();
+        let begun = Instant::now();
         let _turn = match has_met_hosts {
             true => self.outage.turn().await,
             false => None,
         };
         let now = Instant::now();
+        self.follower(feed, |own| own.waited(Wait::Turn, begun));
         let (rests, tells) = self.follower(feed, |own| (own.lead.rests(now), own.lead.tells(now)));
         if !rests.is_zero() {
             return None;
@@ -79,6 +85,7 @@
             Some(after) => self.records.watch(feed, after, wait).await,
             None => self.records.read(feed).await,
         };
+        self.follower(feed, |own| own.waited(Wait::Store, begun));
         let outcome = if called.is_ok() { "done" } else { "failed" };
         metrics::counter!("stagedeck_store_calls_total", "feed" => feed.to_string(), "outcome" => outcome)
             .increment(1);
@@ -178,7 +185,7 @@
         let (version, whole) = (changes.version, changes.whole);
         let returned = self.follower(feed, |own| own.answered(version));
         if returned {
-            self.beliefs.borrow_mut().store_returned(now);
+            self.beliefs.borrow_mut().store_returned(now, &self.me.name);
         }
         let records = self.take(feed, changes);
         self.follower(feed, |own| own.keep(version, whole, &records));
@@ -207,7 +214,7 @@
         let mut taken = Vec::new();
         if used == Use::Take {
             if let Some(back) = news.store_back_for.and_then(|ago| now.checked_sub(ago)) {
-                self.beliefs.borrow_mut().store_returned(back);
+                self.beliefs.borrow_mut().store_returned(back, &from.name);
             }
             let changes = Changes {
                 whole: false,
--- a/crates/gateway/src/control/follower.rs
+++ b/crates/gateway/src/control/follower.rs
@@ -4,12 +4,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use derive_more::Display;
 use steering::membership::HostEntry;
 use steering::route::{Feed, FeedDigest, FeedVersion, Lead, Recent, Record, Use};
 use store::RecordError;
 use tokio::sync::Notify;
 
 use super::heard::Heard;
+use super::waits::{Wait, Waits};
 use crate::settings::{Bounds, GatewaySettings};
 
 /// Least absence of the store in which reports may lapse: an upstream's report goes
@@ -29,6 +31,17 @@
     pub digest: FeedDigest,
 }
 
+/// Who told what a feed says.
+#[derive(Debug, Clone, Copy, Display)]
+enum Source {
+    /// The store.
+    #[display("store")]
+    Store,
+    /// Another host.
+    #[display("host")]
+    Host,
+}
+
 /// How far this host has come in a feed, and who asks for it.
 pub(super) struct Follower {
     feed: Feed,
@@ -38,6 +51,8 @@
     pub newest: FeedVersion,
     /// When the store, or a host that had asked it, was last heard.
     heard: Arc<Heard>,
+    /// What held this host up since then.
+    waits: Waits,
     /// Since when nothing has been heard from the store.
     lost_since: Option<Instant>,
     pub lead: Lead,
@@ -59,6 +74,7 @@
             version: None,
             newest: 0,
             heard,
+            waits: Waits::default(),
             lost_since: None,
             recent: Recent::default(),
             missing: None,
@@ -77,10 +93,33 @@
         self.heard.age(now)
     }
 
+    /// Notes that this host has waited since `begun` before it could go on with the feed.
+    pub fn waited(&mut self, wait: Wait, begun: Instant) {
+        self.waits.note(wait, begun.elapsed());
+    }
+
+    /// Notes that the store was heard, or a host that had asked it. Where this took long, the
+    /// log tells how old the belief had become, and what it had waited for most.
+    fn renew(&mut self, now: Instant, source: Source) {
+        let age = self.heard.age(now).unwrap_or_default();
+        let longest = self.waits.take();
+        if age > self.lead.stale_after() {
+            tracing::info!(
+                event = "feed_renewed_late",
+                feed = %self.feed,
+                %source,
+                age_ms = age.as_millis() as u64,
+                longest = longest.map(|(wait, _)| wait.to_string()),
+                longest_ms = longest.map(|(_, took)| took.as_millis() as u64),
+            );
+        }
+        self.heard.note(now);
+    }
+
     /// Takes an answer of the store; true where the store had been away before it for so
     /// long that reports may have lapsed.
     pub fn answered(&mut self, version: FeedVersion) -> bool {
-        self.heard.note(Instant::now());
+        self.renew(Instant::now(), Source::Store);
         self.advance(version);
         self.lead.asked();
         self.missing = None;
@@ -100,7 +139,7 @@
 
     /// Notes that all was learned from another host, up to `version`.
     pub fn learned(&mut self, now: Instant, version: FeedVersion) {
-        self.heard.note(now);
+        self.renew(now, Source::Host);
         self.advance(version);
         self.lead.learned(now);
     }
@@ -133,7 +172,7 @@
         // The teller reaches the store, and says itself if it was away.
         self.lost_since = None;
         if used != Use::Gap {
-            self.heard.note(now);
+            self.renew(now, Source::Host);
         }
         match used {
             Use::Known => {}
--- a/crates/gateway/src/control/group.rs
+++ b/crates/gateway/src/control/group.rs
@@ -40,17 +40,22 @@
 
     /// Tells those hosts that are not busy with an earlier message.
     fn send_news(&self, news: &News, audience: &[HostEntry]) {
+        let feed = news.feed;
         let news = Rc::new(EncodedNews::new(news, NEWS_MOST_BYTES));
         for host in audience {
-            if let Some(client) = self.idle_client(host) {
-                let news = Rc::clone(&news);
-                let name = host.name.clone();
-                spawn_local(async move {
-                    if let Err(error) = client.news(&news).await {
-                        tracing::debug!(event = "news_not_told", host = name, %error);
-                    }
-                });
-            }
+            let Some(client) = self.idle_client(host) else {
+                count_told(feed, "busy");
+                continue;
+            };
+            let news = Rc::clone(&news);
+            let name = host.name.clone();
+            spawn_local(async move {
+                let told = client.news(&news).await;
+                count_told(feed, if told.is_ok() { "told" } else { "not_heard" });
+                if let Err(error) = told {
+                    tracing::debug!(event = "news_not_told", host = name, %error);
+                }
+            });
         }
     }
 
@@ -127,6 +132,11 @@
     }
 }
 
+fn count_told(feed: Feed, outcome: &'static str) {
+    metrics::counter!("stagedeck_news_total", "feed" => feed.to_string(), "outcome" => outcome)
+        .increment(1);
+}
+
 /// The host that ranks first for a key.
 pub(super) fn first<'a>(
     key: &str,
--- a/crates/gateway/src/control/learn.rs
+++ b/crates/gateway/src/control/learn.rs
@@ -12,6 +12,7 @@
 
 use super::Control;
 use super::follower::Missing;
+use super::waits::Wait;
 
 /// Longest wait for another host's answer. Some hundred KB take 0.1 s on a link of
 /// 10 Mbit/s; a host that has lost its power answers nothing at all.
@@ -92,11 +93,18 @@
             after: self.follower(feed, |own| own.version),
             most_age: None,
         };
-        let state = match ask_state(teller.peer_address, query, ANSWER_LIMIT).await {
+        let begun = Instant::now();
+        let answer = ask_state(teller.peer_address, query, ANSWER_LIMIT).await;
+        self.follower(feed, |own| own.waited(Wait::Host, begun));
+        let state = match answer {
             Ok(Some(state)) if self.is_new(feed, &state) => state,
-            Ok(_) => return false,
+            Ok(_) => {
+                count_gap(feed, "not_told");
+                return false;
+            }
             Err(error) => {
                 tracing::debug!(event = "teller_not_heard", feed = %feed, teller = teller.name, %error);
+                count_gap(feed, "not_heard");
                 return false;
             }
         };
@@ -104,6 +112,7 @@
         let records = self.take(feed, state);
         // The teller may have gone on since: then its next news show whether all is there.
         let is_filled = whole || self.beliefs.borrow().digest(feed) == digest;
+        count_gap(feed, if is_filled { "filled" } else { "lacks_more" });
         if is_filled {
             self.follower(feed, |own| {
                 own.filled(version);
@@ -114,3 +123,8 @@
         is_filled
     }
 }
+
+fn count_gap(feed: Feed, outcome: &'static str) {
+    metrics::counter!("stagedeck_gaps_total", "feed" => feed.to_string(), "outcome" => outcome)
+        .increment(1);
+}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod learn;
 mod outage;
 mod tokens;
+mod waits;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
