Believe in an outage of the store only where nobody was answered

Cause: a host that had got no answer from the store for a second took the store for away, and told all others so; they took its word over their own answers, and held every report that vanished for 2.2 s and until the next look, 0.5 s later. One host's cut kept leaving upstreams in use everywhere. Change: hosts tell each other since when the store has answered, and for how long nothing was known before (StoreAnswers). An answer that anyone got in a supposed outage shows that there was none; what is held then goes at once. Only what vanishes within a second of the store's return may have lapsed. The end of the wait is met, not looked for.

--- a/crates/gateway/src/control/beliefs.rs
+++ b/crates/gateway/src/control/beliefs.rs
@@ -7,8 +7,9 @@
 
 use steering::ids::{HostName, RegionName, ServiceName, ZoneName};
 use steering::route::{
-    Catalog, CatalogChange, Changes, Conditions, CustomerTable, DocumentChange, Evacuations, Feed,
-    FeedDigest, Record, Roll, RouteDocument, RouteTable, RouteView, ServicePool,
+    Answering, Catalog, CatalogChange, Changes, Conditions, CustomerTable, DocumentChange,
+    Evacuations, Feed, FeedDigest, Record, Roll, RouteDocument, RouteTable, RouteView, ServicePool,
+    StoreAnswers,
 };
 
 use crate::host::Common;
@@ -28,6 +29,7 @@
     customers: Arc<CustomerTable>,
     evacuations: Evacuations,
     catalog: Catalog,
+    store: StoreAnswers,
     conditions: Conditions,
     pub roll: Roll,
     /// Upstreams by service, until anything is learned that changes them.
@@ -53,6 +55,7 @@
             customers: Arc::default(),
             evacuations: Evacuations::default(),
             catalog: Catalog::default(),
+            store: StoreAnswers::default(),
             conditions: Conditions::default(),
             roll: Roll::new(&common.settings.host),
             pools: None,
@@ -66,21 +69,45 @@
         }
     }
 
-    /// Notes that the store answers again after it had been away, as this host saw or
-    /// another one has told it.
-    pub fn store_returned(&mut self, at: Instant, seen_by: &str) {
-        let known = self.catalog.store_back();
-        if known.is_none_or(|known| at > known + SAME_RETURN) {
-            let ago_ms = at.elapsed().as_millis() as u64;
-            tracing::info!(event = "store_returned", seen_by, ago_ms);
+    /// Notes that the store gave this host no answer.
+    pub fn store_failed(&mut self) {
+        self.store.failed();
+    }
+
+    /// Notes an answer of the store to this host.
+    pub fn store_answered(&mut self, now: Instant, usual_silence: Duration) {
+        self.store.answered(now, usual_silence);
+        let me = self.me.clone();
+        self.note_return(&me);
+    }
+
+    /// Takes what another host tells of the store's answers.
+    pub fn store_told(&mut self, now: Instant, from: &str, told: Answering, usual: Duration) {
+        self.store.told(now, told, usual);
+        self.note_return(from);
+    }
+
+    /// What this host tells others of the store's answers.
+    pub fn store_answers(&self, now: Instant) -> Answering {
+        self.store.tell(now)
+    }
+
+    fn note_return(&mut self, seen_by: &str) {
+        let (before, back) = (self.catalog.store_back(), self.store.back());
+        match (before, back) {
+            (Some(_), None) => tracing::info!(event = "store_was_not_away", seen_by),
+            (_, Some(back)) if before.is_none_or(|before| back > before + SAME_RETURN) => {
+                let ago_ms = back.elapsed().as_millis() as u64;
+                tracing::info!(event = "store_returned", seen_by, ago_ms);
+            }
+            _ => {}
         }
-        self.catalog.store_returned(at);
+        self.catalog.store_returned(back);
     }
 
-    /// Time since the store answered again, if it was ever away.
-    pub fn store_back_for(&self, now: Instant) -> Option<Duration> {
-        let back = self.catalog.store_back();
-        back.map(|at| now.saturating_duration_since(at))
+    /// When time alone changes next what is believed; none where it is not known to.
+    pub fn changes_at(&self, now: Instant) -> Option<Instant> {
+        self.catalog.waits_until().filter(|until| *until > now)
     }
 
     /// Takes a part of a feed, or all of it; what is worth telling others, in order.
--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -89,11 +89,7 @@
         let outcome = if called.is_ok() { "done" } else { "failed" };
         metrics::counter!("stagedeck_store_calls_total", "feed" => feed.to_string(), "outcome" => outcome)
             .increment(1);
-        // Whatever the store says, it is there.
-        match &called {
-            Ok(_) | Err(RecordError::HistoryGone) => self.outage.end(),
-            Err(_) => self.outage.go_on(),
-        }
+        self.note_call(feed, called.as_ref().err());
         let newest = self.follower(feed, |own| own.newest);
         match called {
             Ok(changes) if changes.version < newest => {
@@ -117,6 +113,22 @@
         None
     }
 
+    /// Notes whether the store gave an answer. Whatever it says, it is there.
+    fn note_call(&self, feed: Feed, error: Option<&RecordError>) {
+        let mut beliefs = self.beliefs.borrow_mut();
+        match error {
+            None | Some(RecordError::HistoryGone) => {
+                self.outage.end();
+                let usual_silence = self.follower(feed, |own| own.lead.stale_after());
+                beliefs.store_answered(Instant::now(), usual_silence);
+            }
+            Some(_) => {
+                self.outage.go_on();
+                beliefs.store_failed();
+            }
+        }
+    }
+
     fn note_asked(&self, feed: Feed) {
         if feed == Feed::Hosts {
             self.list_asked.send_replace(true);
@@ -181,12 +193,8 @@
 
     /// Takes an answer of the store; what others may be told.
     fn asked(&self, feed: Feed, changes: Changes) -> News {
-        let now = Instant::now();
         let (version, whole) = (changes.version, changes.whole);
-        let returned = self.follower(feed, |own| own.answered(version));
-        if returned {
-            self.beliefs.borrow_mut().store_returned(now, &self.me.name);
-        }
+        self.follower(feed, |own| own.answered(version));
         let records = self.take(feed, changes);
         self.follower(feed, |own| own.keep(version, whole, &records));
         self.news(feed, version, records)
@@ -199,7 +207,7 @@
             feed,
             version,
             digest: beliefs.digest(feed),
-            store_back_for: beliefs.store_back_for(Instant::now()),
+            store: beliefs.store_answers(Instant::now()),
             records,
         }
     }
@@ -212,10 +220,11 @@
         let at = self.follower(feed, |own| own.version);
         let mut used = Lead::judge(at, news.version);
         let mut taken = Vec::new();
+        let usual_silence = self.follower(feed, |own| own.lead.stale_after());
+        let mut beliefs = self.beliefs.borrow_mut();
+        beliefs.store_told(now, &from.name, news.store, usual_silence);
+        drop(beliefs);
         if used == Use::Take {
-            if let Some(back) = news.store_back_for.and_then(|ago| now.checked_sub(ago)) {
-                self.beliefs.borrow_mut().store_returned(back, &from.name);
-            }
             let changes = Changes {
                 whole: false,
                 records: news.records,
--- a/crates/gateway/src/control/follower.rs
+++ b/crates/gateway/src/control/follower.rs
@@ -14,10 +14,6 @@
 use super::waits::{Wait, Waits};
 use crate::settings::{Bounds, GatewaySettings};
 
-/// Least absence of the store in which reports may lapse: an upstream's report goes
-/// after three heartbeats, a second or more each.
-const LAPSE_LEAST: Duration = Duration::from_secs(1);
-
 /// Time in which every host should know of a new one, which takes a part of shared
 /// bounds: some seconds after its start it gets requests.
 const HOSTS_WITHIN: Duration = Duration::from_secs(4);
@@ -116,20 +112,16 @@
         self.heard.note(now);
     }
 
-    /// Takes an answer of the store; true where the store had been away before it for so
-    /// long that reports may have lapsed.
-    pub fn answered(&mut self, version: FeedVersion) -> bool {
+    /// Takes an answer of the store.
+    pub fn answered(&mut self, version: FeedVersion) {
         self.renew(Instant::now(), Source::Store);
         self.advance(version);
         self.lead.asked();
         self.missing = None;
-        let Some(since) = self.lost_since.take() else {
-            return false;
-        };
-        let away = since.elapsed();
-        let away_ms = away.as_millis() as u64;
-        tracing::info!(event = "store_regained", feed = %self.feed, away_ms);
-        away >= LAPSE_LEAST
+        if let Some(since) = self.lost_since.take() {
+            let away_ms = since.elapsed().as_millis() as u64;
+            tracing::info!(event = "store_regained", feed = %self.feed, away_ms);
+        }
     }
 
     pub fn advance(&mut self, version: FeedVersion) {
@@ -169,7 +161,7 @@
     pub fn told(&mut self, now: Instant, used: Use, version: FeedVersion, missing: Missing) {
         let from = &missing.teller.name;
         self.lead.told(now, from, used);
-        // The teller reaches the store, and says itself if it was away.
+        // The teller reaches the store.
         self.lost_since = None;
         if used != Use::Gap {
             self.renew(now, Source::Host);
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -33,8 +33,8 @@
 pub(crate) use heard::Heard;
 use outage::Outage;
 
-/// Pace at which what runs out by itself is looked at. A host that falls silent is
-/// noticed some seconds later, so this adds little.
+/// Pace at which what runs out by itself is looked at, where nothing runs out earlier. A host
+/// that falls silent is noticed some seconds later, so this adds little.
 const LOOK_AT_TIMES_EVERY: Duration = Duration::from_millis(500);
 
 /// The control thread's state.
@@ -141,7 +141,10 @@
     /// Publishes again where time alone has changed what is believed.
     async fn look_at_times(self: Rc<Self>) {
         loop {
-            sleep(LOOK_AT_TIMES_EVERY).await;
+            let now = Instant::now();
+            let next = self.beliefs.borrow().changes_at(now);
+            let next = next.map_or(LOOK_AT_TIMES_EVERY, |at| at - now);
+            sleep(next.min(LOOK_AT_TIMES_EVERY)).await;
             let changed = self.beliefs.borrow_mut().expire(Instant::now());
             if changed {
                 self.publish();
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -4,7 +4,7 @@
 # change is not understood by older hosts. Version 1, in which each heartbeat
 # named its host and each load its service, was never released.
 
-const protocolVersion :UInt16 = 6;
+const protocolVersion :UInt16 = 7;
 
 interface Gate {
   # What a host offers before it knows who calls.
@@ -24,10 +24,11 @@
   exchange @1 (position :Position, summaries :List(Summary))
       -> (position :Position, entries :List(Data), snapshot :Data, summaries :List(Summary));
   push @2 (entry :Data) -> (position :Position);
-  news @4 (feed :Data, version :UInt64, digest :UInt64, records :Data, storeBack :Data) -> ();
+  news @4 (feed :Data, version :UInt64, digest :UInt64, records :Data, store :Data) -> ();
   # What is new in a feed of the store. Records are in the postcard format, the other data
   # fields are JSON. Version 2 of the protocol did not have it; version 3 had all records since
-  # a position in place of a digest; version 4 had them as JSON.
+  # a position in place of a digest; version 4 had them as JSON; up to version 6 `store` was the
+  # time since the store had come back, where the teller had found it away.
   borrow @3 (limit :Data, request :LoanRequest) -> (granted :Bool, grant :LoanGrant);
   # Asks for requests that customers may still make. Both are in the postcard format; version 5
   # did not have it.
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -138,7 +138,7 @@
             params.set_version(news.version);
             params.set_digest(news.digest);
             params.set_records(&news.records);
-            params.set_store_back(&news.store_back);
+            params.set_store(&news.store);
             request.send().promise.await?;
             Ok(())
         })
--- a/crates/peer/src/messages.rs
+++ b/crates/peer/src/messages.rs
@@ -77,7 +77,7 @@
     pub(crate) feed: Vec<u8>,
     pub(crate) version: FeedVersion,
     pub(crate) digest: FeedDigest,
-    pub(crate) store_back: Vec<u8>,
+    pub(crate) store: Vec<u8>,
     pub(crate) records: Vec<u8>,
 }
 
@@ -91,7 +91,7 @@
             feed: write_json(&news.feed),
             version: news.version,
             digest: news.digest,
-            store_back: write_json(&news.store_back_for),
+            store: write_json(&news.store),
             records: records.expect("records can be written"),
         }
     }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -270,7 +270,7 @@
             version: params.get_version(),
             digest: params.get_digest(),
             records: read_records(params.get_records()?)?,
-            store_back_for: read_json(params.get_store_back()?)?,
+            store: read_json(params.get_store()?)?,
         };
         self.handler.news(&self.host, self.incarnation, news);
         Ok(())
--- a/crates/peer/tests/messages.rs
+++ b/crates/peer/tests/messages.rs
@@ -15,7 +15,7 @@
 use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
 use steering::membership::{Heartbeat, HostEntry};
 use steering::pool::PoolLoad;
-use steering::route::{Feed, News, Record};
+use steering::route::{Answering, Feed, News, Record};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
@@ -229,7 +229,10 @@
             feed: Feed::Hosts,
             version: 8,
             digest: 9,
-            store_back_for: Some(Duration::from_millis(1_500)),
+            store: Answering {
+                answering_for: Duration::from_millis(1_500),
+                away_before: Duration::from_secs(4),
+            },
             records: vec![gone("a"), gone("b")],
         };
         let bytes = postcard::to_allocvec(&news.records).unwrap().len();
--- a/crates/steering/src/route/catalog.rs
+++ b/crates/steering/src/route/catalog.rs
@@ -10,6 +10,11 @@
 /// the operators give about 2 s.
 const REPORT_AGAIN_WITHIN: Duration = Duration::from_millis(2_200);
 
+/// Time after the store's return in which all hosts are told of reports that lapsed while it
+/// was away. What vanishes later has left: held on, it would get work for longer than a
+/// service may allow, which is 2 s in the tightest deployment known.
+const LAPSES_TOLD_WITHIN: Duration = Duration::from_secs(1);
+
 /// Difference between two ends of the same warm-up: reports are read up to a second
 /// after they were written.
 const COLD_JITTER: Duration = Duration::from_secs(1);
@@ -21,8 +26,9 @@
     pub report: ReportedUpstream,
     /// End of its warm-up, where it has said that it is cold.
     pub cold_until: Option<Instant>,
-    /// When it is dropped, where its report has vanished around an outage of the store.
-    drop_at: Option<Instant>,
+    /// Whether its report has vanished around an outage of the store; it is dropped when its
+    /// upstream has had time to report itself again.
+    vanished: bool,
     /// Hash of the report, without what changes with time.
     fingerprint: u64,
 }
@@ -64,9 +70,10 @@
 }
 
 impl Catalog {
-    /// Notes that the store answers again after an outage, since `at`.
-    pub fn store_returned(&mut self, at: Instant) {
-        self.store_back = self.store_back.max(Some(at));
+    /// Notes when the store answered again after an outage; none where there was no outage,
+    /// whatever was taken for one before.
+    pub fn store_returned(&mut self, at: impl Into<Option<Instant>>) {
+        self.store_back = at.into();
     }
 
     /// When the store answered again, if it was ever away.
@@ -74,6 +81,11 @@
         self.store_back
     }
 
+    /// Until when reports that vanished around an outage are waited for.
+    pub fn waits_until(&self) -> Option<Instant> {
+        self.store_back.map(|back| back + REPORT_AGAIN_WITHIN)
+    }
+
     /// Takes a part of the feed in its order, or all of it; says what has changed.
     pub fn take(&mut self, now: Instant, changes: &Changes) -> Vec<CatalogChange> {
         self.is_read |= changes.whole;
@@ -129,12 +141,12 @@
         }
         let changed = known.is_none_or(|known| {
             known.fingerprint != fingerprint
-                || known.drop_at.is_some()
+                || known.vanished
                 || has_turned(known.cold_until, cold_until)
         });
         let listed = Listed {
             cold_until,
-            drop_at: None,
+            vanished: false,
             fingerprint,
             report,
         };
@@ -145,22 +157,25 @@
     /// Takes a report away, at once or when its upstream has had time to renew it;
     /// true where it is gone at once.
     fn remove(&mut self, now: Instant, id: &str) -> bool {
-        let keep_until = self.store_back.map(|back| back + REPORT_AGAIN_WITHIN);
-        match (self.listed.get_mut(id), keep_until) {
-            (Some(listed), Some(until)) if until > now => {
-                listed.drop_at.get_or_insert(until);
+        let may_have_lapsed = self.store_back.is_some_and(|back| {
+            let told_until = back + LAPSES_TOLD_WITHIN;
+            back <= now && now <= told_until
+        });
+        match self.listed.get_mut(id) {
+            Some(listed) if listed.vanished || may_have_lapsed => {
+                listed.vanished = true;
                 false
             }
-            (Some(_), _) => self.listed.remove(id).is_some(),
-            (None, _) => false,
+            Some(_) => self.listed.remove(id).is_some(),
+            None => false,
         }
     }
 
     /// Drops what was not renewed in time; true where any was dropped.
     pub fn expire(&mut self, now: Instant) -> bool {
         let before = self.listed.len();
-        self.listed
-            .retain(|_, listed| listed.drop_at.is_none_or(|at| at > now));
+        let waits = self.waits_until().is_some_and(|until| until > now);
+        self.listed.retain(|_, listed| waits || !listed.vanished);
         before != self.listed.len()
     }
 
@@ -171,7 +186,7 @@
 
     /// The reports that are there now, as if they were made now.
     pub fn state(&self, now: Instant) -> Vec<Record> {
-        let there = self.listed.values().filter(|l| l.drop_at.is_none());
+        let there = self.listed.values().filter(|l| !l.vanished);
         let reports = there.map(|listed| ReportedUpstream {
             cold_for: listed
                 .cold_until
@@ -183,7 +198,7 @@
 
     /// Digest of the reports that are there now, the same wherever they were learned.
     pub fn digest(&self) -> FeedDigest {
-        let there = self.listed.values().filter(|l| l.drop_at.is_none());
+        let there = self.listed.values().filter(|l| !l.vanished);
         // The order in which they were learned must not matter.
         there.fold(0, |digest, listed| digest ^ listed.fingerprint)
     }
--- a/crates/steering/src/route/feed.rs
+++ b/crates/steering/src/route/feed.rs
@@ -1,12 +1,11 @@
 //! What operators and upstreams say, as it comes from a store or from another host.
 
-use std::time::Duration;
-
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use super::document::RouteDocument;
 use super::document_change::DocumentChange;
+use super::store_answers::Answering;
 use super::upstream::{ReportedUpstream, UpstreamId};
 use crate::ids::{HostName, ZoneName};
 use crate::membership::HostEntry;
@@ -88,8 +87,8 @@
     pub version: FeedVersion,
     /// Digest of all that the teller has taken up to there.
     pub digest: FeedDigest,
-    /// Time since the store answered the teller again after it had been away, if it was.
-    pub store_back_for: Option<Duration>,
+    /// Since when the store has answered, as far as the teller knows.
+    pub store: Answering,
     /// What has changed, in order.
     pub records: Vec<Record>,
 }
--- /dev/null
+++ b/crates/steering/tests/route_store_answers.rs
@@ -0,0 +1,86 @@
+//! Whether the store was away, from what a host sees and what others tell.
+
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use steering::route::{Answering, StoreAnswers};
+
+/// Longest time between two news while the store answers.
+const USUAL_SILENCE: Duration = Duration::from_millis(2_400);
+
+/// What a host learns.
+#[derive(Debug, Clone, Copy)]
+enum Learned {
+    /// The store answered it.
+    Answer,
+    /// The store gave it no answer.
+    NoAnswer,
+    /// Another host says that it has been answered for so many ms, after a break of so many.
+    Told(u64, u64),
+}
+use Learned::{Answer, NoAnswer, Told};
+
+const START: (u64, Learned) = (0, Answer);
+
+#[rstest]
+#[case::all_is_well(&[(1_000, Told(60_000, 0)), (2_800, Told(62_000, 0))], None)]
+#[case::another_is_back_from_a_cut(&[(1_800, Told(0, 5_000))], None)]
+#[case::another_is_back_and_a_third_was_answered(&[(3_000, Told(0, 5_000)), (3_100, Told(60_000, 0))], None)]
+#[case::an_outage_that_another_saw(&[(4_100, Told(0, 4_000))], Some(4_100))]
+#[case::a_short_outage_that_another_saw(&[(1_500, Told(0, 1_500))], Some(1_500))]
+#[case::told_some_time_after_its_end(&[(4_600, Told(500, 4_000))], Some(4_100))]
+#[case::another_was_cut_off_before_it(&[(5_000, Told(0, 9_000))], Some(5_000))]
+#[case::an_outage_of_its_own(&[(1_000, NoAnswer), (4_000, Answer)], Some(4_000))]
+#[case::cut_off_and_corrected(&[(1_000, NoAnswer), (4_000, Answer), (4_500, Told(60_000, 0))], None)]
+#[case::cut_off_and_told_first(&[(1_000, NoAnswer), (4_000, Told(60_000, 0)), (4_500, Answer)], None)]
+#[case::told_all_the_while(&[(1_000, NoAnswer), (2_000, Told(60_000, 0)), (2_900, Answer)], None)]
+#[case::one_call_failed(&[(500, NoAnswer), (900, Answer)], None)]
+#[case::nobody_told_it(&[(2_500, Answer)], None)]
+#[case::it_saw_the_outage_and_the_teller_did_not(&[(1_000, NoAnswer), (2_500, Told(0, 0))], Some(2_500))]
+#[case::neither_saw_it(&[(2_500, Told(0, 0))], None)]
+fn an_outage_is_one_in_which_nobody_was_answered(
+    #[case] learned: &[(u64, Learned)],
+    #[case] back_ms: Option<u64>,
+) {
+    let start = Instant::now() + Duration::from_secs(3_600);
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut answers = StoreAnswers::default();
+    for (ms, learned) in [START].iter().chain(learned) {
+        match learned {
+            Answer => answers.answered(at(*ms), USUAL_SILENCE),
+            NoAnswer => answers.failed(),
+            Told(for_ms, away_ms) => {
+                let told = Answering {
+                    answering_for: Duration::from_millis(*for_ms),
+                    away_before: Duration::from_millis(*away_ms),
+                };
+                answers.told(at(*ms), told, USUAL_SILENCE);
+            }
+        }
+    }
+    assert_eq!(answers.back(), back_ms.map(at));
+}
+
+#[test]
+fn a_host_claims_no_answers_that_nobody_had() {
+    let start = Instant::now();
+    let later = |ms| start + Duration::from_millis(ms);
+    let mut answers = StoreAnswers::default();
+    assert_eq!(answers.tell(start), Answering::default());
+    answers.answered(start, USUAL_SILENCE);
+    answers.answered(later(2_000), USUAL_SILENCE);
+    assert_eq!(
+        answers.tell(later(2_000)).answering_for,
+        Duration::from_secs(2)
+    );
+    // Nobody asked for so long that an outage may have passed unseen.
+    answers.answered(later(5_000), USUAL_SILENCE);
+    assert_eq!(answers.tell(later(5_000)), Answering::default());
+    answers.failed();
+    answers.answered(later(9_000), USUAL_SILENCE);
+    let away = Answering {
+        answering_for: Duration::from_secs(1),
+        away_before: Duration::from_secs(4),
+    };
+    assert_eq!(answers.tell(later(10_000)), away);
+}
