Take what others tell without waiting for the store; bound each way of news by its sum

Cause: one loop asked the store and asked other hosts for what was missing, so that a host whose store was away took nothing while it waited for its turn, or for its pace. A listener that was busy with a message was passed over until the next question to the store. Pauses between failed calls were up to 3.2 s (1.6 s and as much again by chance) for all deployments, in one of which a host counts as in touch 3 s after a cut. After a forgotten history, or a stale answer, a whole pace passed before the next question. Change: gaps are filled by a task of their own, which asks for all where the store can't be reached; the newest news are told right after a message under way (Telling); pauses follow from contact_ms, which is a bound now; no pace where the store is there and has told nothing.

--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -5,8 +5,11 @@
 
 use peer::{StateQuery, ask_state};
 use steering::membership::HostEntry;
-use steering::route::{Changes, Feed, FeedVersion, Lead, News, Record, Use};
+use steering::route::{
+    Changes, Feed, FeedVersion, HOST_ANSWER_LIMIT, Lead, News, Record, Use, pause_most,
+};
 use store::RecordError;
+use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 use super::Control;
@@ -15,9 +18,22 @@
 
 /// Pause after an answer that is older than what was seen before.
 const STALE_PAUSE: Duration = Duration::from_millis(400);
+/// Longest time for which other hosts are asked for what is missing, in two questions.
+const GAP_LIMIT: Duration = HOST_ANSWER_LIMIT.saturating_mul(2);
 /// Longest wait for a host that the settings name; it may be gone.
 const SEED_LIMIT: Duration = Duration::from_millis(900);
 
+/// What a question to the store has brought.
+pub(super) enum Asked {
+    /// What others may be told.
+    News(News),
+    /// The store is there, but has not told what is wanted: a pace more would be lost, up to
+    /// half of the time in which news are to be heeded.
+    Again,
+    /// Nothing, or nothing for others.
+    Nothing,
+}
+
 impl Control {
     /// Follows a feed for ever: listens while a host that ranks first tells what is new,
     /// else asks the store and tells the others.
@@ -25,33 +41,40 @@
         if feed != Feed::Hosts {
             self.learn_at_start(feed).await;
         }
+        spawn_local(Rc::clone(&self).fill_gaps(feed));
         loop {
             let tightest = tightest(feed, &self.common.bounds());
             self.follower(feed, |own| own.lead.set_tightest(tightest));
-            if self.fill(feed).await {
+            let (rests, may_be_filled) = self.follower(feed, |own| {
+                (own.lead.rests(Instant::now()), own.may_be_filled())
+            });
+            if may_be_filled || !rests.is_zero() {
+                let rests = if may_be_filled { GAP_LIMIT } else { rests };
+                self.listen(feed, rests, Wait::Listening).await;
                 continue;
             }
-            let rests = self.follower(feed, |own| own.lead.rests(Instant::now()));
-            if !rests.is_zero() {
-                let gap = self.follower(feed, |own| Rc::clone(&own.gap));
-                // Either way it is looked again whether there is anything to ask.
-                let begun = Instant::now();
-                let _ = timeout(rests, gap.notified()).await;
-                self.follower(feed, |own| own.waited(Wait::Listening, begun));
-                continue;
+            match self.ask_in_turn(feed).await {
+                Asked::News(news) => self.tell_all(&news),
+                Asked::Again => continue,
+                Asked::Nothing => {}
             }
-            if let Some(news) = self.ask_in_turn(feed).await {
-                self.tell_all(&news);
-            }
-            let begun = Instant::now();
-            sleep(self.follower(feed, |own| own.lead.pace())).await;
-            self.follower(feed, |own| own.waited(Wait::Pace, begun));
+            let pace = self.follower(feed, |own| own.lead.pace());
+            self.listen(feed, pace, Wait::Pace).await;
         }
     }
 
+    /// Waits, but no longer than until this host knows that nobody else can tell what it lacks.
+    async fn listen(&self, feed: Feed, most: Duration, wait: Wait) {
+        let gap_tried = self.follower(feed, |own| Rc::clone(&own.gap_tried));
+        let begun = Instant::now();
+        // Either way it is looked again whether there is anything to ask.
+        let _ = timeout(most, gap_tried.notified()).await;
+        self.follower(feed, |own| own.waited(wait, begun));
+    }
+
     /// Asks the store once it is this feed's turn, where there still is anything to ask;
     /// what others are to be told. The turn ends with the call.
-    async fn ask_in_turn(&self, feed: Feed) -> Option<News> {
+    async fn ask_in_turn(&self, feed: Feed) -> Asked {
         // A host that starts asks its seeds for each feed at once.
         let has_met_hosts = self.local.borrow().is_some();
         let begun = Instant::now();
@@ -63,13 +86,16 @@
         self.follower(feed, |own| own.waited(Wait::Turn, begun));
         let (rests, tells) = self.follower(feed, |own| (own.lead.rests(now), own.lead.tells(now)));
         if !rests.is_zero() {
-            return None;
+            return Asked::Nothing;
+        }
+        match self.ask(feed).await {
+            Asked::News(_) if !tells => Asked::Nothing,
+            asked => asked,
         }
-        self.ask(feed).await.filter(|_| tells)
     }
 
     /// Asks the store; what follows what was known, where anything was.
-    pub(super) async fn ask(&self, feed: Feed) -> Option<News> {
+    pub(super) async fn ask(&self, feed: Feed) -> Asked {
         let (version, wait) = self.follower(feed, |own| (own.version, own.lead.wait()));
         // A call that waits for news would tell later whether the store is back.
         let wait = if self.outage.is_on() {
@@ -96,21 +122,23 @@
                 let version = changes.version;
                 tracing::warn!(event = "store_stale", feed = %feed, version, newest);
                 sleep(STALE_PAUSE).await;
+                Asked::Again
             }
             Ok(changes) => {
                 let news = self.asked(feed, changes);
                 self.note_asked(feed);
-                return Some(news);
+                Asked::News(news)
             }
             Err(error) => {
                 self.follower(feed, |own| own.failed(begun, &error));
                 self.note_asked(feed);
-                if error != RecordError::HistoryGone {
-                    self.ask_seeds(feed).await;
+                if error == RecordError::HistoryGone {
+                    return Asked::Again;
                 }
+                self.ask_seeds(feed).await;
+                Asked::Nothing
             }
         }
-        None
     }
 
     /// Notes whether the store gave an answer. Whatever it says, it is there.
@@ -123,7 +151,7 @@
                 beliefs.store_answered(Instant::now(), usual_silence);
             }
             Some(_) => {
-                self.outage.go_on();
+                self.outage.go_on(pause_most(self.common.bounds().contact));
                 beliefs.store_failed();
             }
         }
--- a/crates/gateway/src/control/follower.rs
+++ b/crates/gateway/src/control/follower.rs
@@ -56,8 +56,12 @@
     pub recent: Recent,
     /// Told when something is missing.
     pub gap: Rc<Notify>,
+    /// Told when this host has done what it can to learn it from others.
+    pub gap_tried: Rc<Notify>,
     /// Who told of what is missing.
     missing: Option<Missing>,
+    /// Whether another host is being asked for what is missing.
+    is_filling: bool,
     /// Whether something was missing when this host was last told. Where it still is
     /// after this host has asked, all is read again.
     lacks: bool,
@@ -80,6 +84,8 @@
                 tightest(feed, &settings.bounds),
             ),
             gap: Rc::default(),
+            gap_tried: Rc::default(),
+            is_filling: false,
             lacks: false,
         }
     }
@@ -151,9 +157,22 @@
         }
     }
 
-    /// What is missing, once.
+    /// What is missing, once; it is being asked for until [`Follower::gap_tried`].
     pub fn take_missing(&mut self) -> Option<Missing> {
-        self.missing.take()
+        let missing = self.missing.take();
+        self.is_filling = missing.is_some();
+        missing
+    }
+
+    /// Notes that another host has been asked for what was missing, with or without success.
+    pub fn gap_tried(&mut self) {
+        self.is_filling = false;
+        self.gap_tried.notify_one();
+    }
+
+    /// Whether others may still tell what is missing, so that the store need not.
+    pub fn may_be_filled(&self) -> bool {
+        self.is_filling || self.missing.is_some()
     }
 
     /// Takes what another host has told, which goes up to `version`; it is what is missing
--- a/crates/gateway/src/control/group.rs
+++ b/crates/gateway/src/control/group.rs
@@ -8,7 +8,6 @@
 use steering::membership::HostEntry;
 use steering::rendezvous;
 use steering::route::{Feed, News, Record, Roll, groups};
-use tokio::task::spawn_local;
 
 use super::Control;
 use super::hosts::BEAT_LIMIT;
@@ -38,24 +37,14 @@
         }
     }
 
-    /// Tells those hosts that are not busy with an earlier message.
     fn send_news(&self, news: &News, audience: &[HostEntry]) {
         let feed = news.feed;
         let news = Rc::new(EncodedNews::new(news, NEWS_MOST_BYTES));
         for host in audience {
-            let Some(client) = self.idle_client(host) else {
-                count_told(feed, "busy");
-                continue;
-            };
-            let news = Rc::clone(&news);
-            let name = host.name.clone();
-            spawn_local(async move {
-                let told = client.news(&news).await;
-                count_told(feed, if told.is_ok() { "told" } else { "not_heard" });
-                if let Err(error) = told {
-                    tracing::debug!(event = "news_not_told", host = name, %error);
-                }
-            });
+            if let Some(client) = self.client(host) {
+                let line = (host.name.clone(), feed);
+                self.telling.tell(line, client, Rc::clone(&news));
+            }
         }
     }
 
@@ -132,11 +121,6 @@
     }
 }
 
-fn count_told(feed: Feed, outcome: &'static str) {
-    metrics::counter!("stagedeck_news_total", "feed" => feed.to_string(), "outcome" => outcome)
-        .increment(1);
-}
-
 /// The host that ranks first for a key.
 pub(super) fn first<'a>(
     key: &str,
--- a/crates/gateway/src/control/hosts.rs
+++ b/crates/gateway/src/control/hosts.rs
@@ -19,7 +19,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::Control;
-use super::outage::{PAUSE_MOST, pauses};
+use super::outage::{ROW_PAUSE_MOST, pauses};
 use crate::host::Stage;
 
 const PEER_KEY_BYTES: usize = 32;
@@ -91,7 +91,7 @@
             sleep(rand::rng().random_range(Duration::ZERO..KEY_PAUSE_MOST)).await;
             self.ask(Feed::Hosts).await;
         }
-        let mut pauses = pauses();
+        let mut pauses = pauses(ROW_PAUSE_MOST);
         loop {
             if let Some(key) = &*self.key.borrow() {
                 return Rc::clone(key);
@@ -100,7 +100,7 @@
             // Whoever was first, the list tells; also where the answer to this was lost.
             self.ask(Feed::Hosts).await;
             if self.key.borrow().is_none() {
-                sleep(pauses.next().unwrap_or(PAUSE_MOST)).await;
+                sleep(pauses.next().unwrap_or(ROW_PAUSE_MOST)).await;
             }
         }
     }
@@ -164,7 +164,7 @@
     /// Writes this host's row, again until the store has taken it.
     async fn be_listed(&self) {
         let value = serde_json::to_vec(&self.me).expect("entries are valid JSON");
-        let mut pauses = pauses();
+        let mut pauses = pauses(ROW_PAUSE_MOST);
         while *self.common.stage.borrow() == Stage::Serving {
             let row = OwnRow {
                 key: self.me.name.clone(),
@@ -174,7 +174,7 @@
                 Ok(()) => return,
                 Err(error) => tracing::warn!(event = "row_not_written", %error),
             }
-            sleep(pauses.next().unwrap_or(PAUSE_MOST)).await;
+            sleep(pauses.next().unwrap_or(ROW_PAUSE_MOST)).await;
         }
     }
 
--- a/crates/gateway/src/control/learn.rs
+++ b/crates/gateway/src/control/learn.rs
@@ -3,20 +3,18 @@
 //! Where all hosts of a large deployment start at once, a thousand rows for each of them
 //! would be most of what the store ever has to tell.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use peer::{StateQuery, ask_state};
 use steering::membership::HostEntry;
-use steering::route::{Changes, Feed};
+use steering::route::{Changes, Feed, FeedVersion, HOST_ANSWER_LIMIT};
 use tokio::time::{sleep, timeout};
 
 use super::Control;
-use super::follower::Missing;
+use super::follower::{Follower, Missing};
 use super::waits::Wait;
 
-/// Longest wait for another host's answer. Some hundred KB take 0.1 s on a link of
-/// 10 Mbit/s; a host that has lost its power answers nothing at all.
-const ANSWER_LIMIT: Duration = Duration::from_millis(500);
 /// Times the longest time without news up to which a host's knowledge is of use to one that
 /// could ask the store instead.
 const STATE_AGE_MOST: u32 = 2;
@@ -42,7 +40,7 @@
             most_age: Some(most_age),
         };
         for elder in self.elders(feed) {
-            while let Ok(answer) = ask_state(elder.peer_address, query, ANSWER_LIMIT).await {
+            while let Ok(answer) = ask_state(elder.peer_address, query, HOST_ANSWER_LIMIT).await {
                 match answer.filter(|state| self.is_new(feed, state)) {
                     Some(state) => return self.learned(feed, &elder, state),
                     None => sleep(AGAIN_AFTER).await,
@@ -82,19 +80,42 @@
         });
     }
 
-    /// Asks the host that has told of something for what is missing here; true where
-    /// nothing is any more.
-    pub(super) async fn fill(&self, feed: Feed) -> bool {
-        let Some(Missing { teller, digest }) = self.follower(feed, |own| own.take_missing()) else {
-            return false;
-        };
+    /// Learns from those who tell of it what this host lacks, for ever.
+    ///
+    /// It waits for no call to the store: while the store gave one host no answer and another
+    /// feed held the turn, that host took nothing of what it was told, for as long as it lasted.
+    pub(super) async fn fill_gaps(self: Rc<Self>, feed: Feed) {
+        let gap = self.follower(feed, |own| Rc::clone(&own.gap));
+        loop {
+            gap.notified().await;
+            if let Some(missing) = self.follower(feed, Follower::take_missing) {
+                self.fill(feed, &missing).await;
+                self.follower(feed, Follower::gap_tried);
+            }
+        }
+    }
+
+    /// Asks the host that has told of something for what is missing here.
+    async fn fill(&self, feed: Feed, missing: &Missing) {
+        let (version, reaches_store) =
+            self.follower(feed, |own| (own.version, own.lead.reaches_store()));
+        let is_filled = self.fill_after(feed, missing, version).await;
+        // All of it takes many times the bytes, but who can't ask the store has nobody else.
+        if !is_filled && version.is_some() && !reaches_store {
+            self.fill_after(feed, missing, None).await;
+        }
+    }
+
+    /// Asks for what follows a version, or for all; true where nothing is missing any more.
+    async fn fill_after(&self, feed: Feed, missing: &Missing, after: Option<FeedVersion>) -> bool {
+        let Missing { teller, digest } = missing;
         let query = StateQuery {
             feed,
-            after: self.follower(feed, |own| own.version),
+            after,
             most_age: None,
         };
         let begun = Instant::now();
-        let answer = ask_state(teller.peer_address, query, ANSWER_LIMIT).await;
+        let answer = ask_state(teller.peer_address, query, HOST_ANSWER_LIMIT).await;
         self.follower(feed, |own| own.waited(Wait::Host, begun));
         let state = match answer {
             Ok(Some(state)) if self.is_new(feed, &state) => state,
@@ -111,7 +132,7 @@
         let (version, whole) = (state.version, state.whole);
         let records = self.take(feed, state);
         // The teller may have gone on since: then its next news show whether all is there.
-        let is_filled = whole || self.beliefs.borrow().digest(feed) == digest;
+        let is_filled = whole || self.beliefs.borrow().digest(feed) == *digest;
         count_gap(feed, if is_filled { "filled" } else { "lacks_more" });
         if is_filled {
             self.follower(feed, |own| {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod hosts;
 mod learn;
 mod outage;
+mod telling;
 mod tokens;
 mod waits;
 
@@ -32,6 +33,7 @@
 use follower::Follower;
 pub(crate) use heard::Heard;
 use outage::Outage;
+use telling::Telling;
 
 /// Pace at which what runs out by itself is looked at, where nothing runs out earlier. A host
 /// that falls silent is noticed some seconds later, so this adds little.
@@ -56,6 +58,8 @@
     local: RefCell<Option<Local>>,
     /// Clients of hosts that get heartbeats or news.
     clients: RefCell<BTreeMap<HostName, Rc<PeerClient>>>,
+    /// News on their way to other hosts.
+    telling: Telling,
     /// Pools of allowances that this host keeps.
     pool: RefCell<TokenPool>,
     /// Hosts of the own zone that gave no answer about tokens, and when.
@@ -99,6 +103,7 @@
         key: RefCell::default(),
         local: RefCell::default(),
         clients: RefCell::default(),
+        telling: Telling::default(),
         silent_near: RefCell::default(),
         beats: Cell::default(),
         records,
--- a/crates/gateway/src/control/outage.rs
+++ b/crates/gateway/src/control/outage.rs
@@ -9,15 +9,16 @@
 
 /// Pause after a first call to the store that fails, doubled after each further one.
 const PAUSE_FIRST: Duration = Duration::from_millis(400);
-/// Longest such pause: what a host that reaches the store again lacks is to be heeded
-/// within some 4 s.
-pub(super) const PAUSE_MOST: Duration = Duration::from_millis(1_600);
+/// Longest pause between writes of a host's own rows, which nothing waits for.
+pub(super) const ROW_PAUSE_MOST: Duration = Duration::from_millis(3_200);
 
 /// Pauses between calls to the store that fail. They vary by chance, so that hosts that were
-/// turned away together do not come back together.
-pub(super) fn pauses() -> ExponentialBackoff {
-    let pauses = ExponentialBuilder::new().with_min_delay(PAUSE_FIRST);
-    let pauses = pauses.with_max_delay(PAUSE_MOST).without_max_times();
+/// turned away together do not come back together; none is longer than `most`.
+pub(super) fn pauses(most: Duration) -> ExponentialBackoff {
+    // Chance adds as much again.
+    let most = most / 2;
+    let pauses = ExponentialBuilder::new().with_min_delay(PAUSE_FIRST.min(most));
+    let pauses = pauses.with_max_delay(most).without_max_times();
     pauses.with_jitter().build()
 }
 
@@ -27,23 +28,15 @@
 /// A turn lasts for one call. Any answer ends the outage for all feeds, also one that says
 /// only that the history is gone: a feed that waited on for the others' turns and paces was
 /// 4 s late with a document after 3 s without history.
+#[derive(Default)]
 pub(super) struct Outage {
     /// When the store may be asked again; none while it answers.
     until: Cell<Option<Instant>>,
-    pauses: RefCell<ExponentialBackoff>,
+    /// Pauses still to come; none while it answers.
+    pauses: RefCell<Option<ExponentialBackoff>>,
     turn: Mutex<()>,
 }
 
-impl Default for Outage {
-    fn default() -> Self {
-        Outage {
-            until: Cell::default(),
-            pauses: RefCell::new(pauses()),
-            turn: Mutex::default(),
-        }
-    }
-}
-
 impl Outage {
     /// Waits until a call may be made; whoever holds the turn makes the next one.
     pub async fn turn(&self) -> Option<MutexGuard<'_, ()>> {
@@ -62,14 +55,15 @@
 
     /// Notes that the store has answered.
     pub fn end(&self) {
-        if self.until.take().is_some() {
-            self.pauses.replace(pauses());
-        }
+        self.until.take();
+        self.pauses.take();
     }
 
-    /// Notes that it has not.
-    pub fn go_on(&self) {
-        let pause = self.pauses.borrow_mut().next().unwrap_or(PAUSE_MOST);
+    /// Notes that it has not. No pause until the next call is longer than `pause_most`.
+    pub fn go_on(&self, pause_most: Duration) {
+        let mut pauses = self.pauses.borrow_mut();
+        let pauses = pauses.get_or_insert_with(|| self::pauses(pause_most));
+        let pause = pauses.next().unwrap_or(pause_most);
         self.until.set(Some(Instant::now() + pause));
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -50,6 +50,8 @@
     pub drain: Duration,
     /// Time after which a document is in force on every host.
     pub apply: Duration,
+    /// Time after which a host that was cut off counts as in touch again.
+    pub contact: Duration,
     /// Repeats for each request to a service, over all hosts.
     pub repeat_ratio: f64,
     /// Span over which repeats are counted.
@@ -109,6 +111,7 @@
             grace: Duration::from_secs(6),
             drain: Duration::from_secs(2),
             apply: Duration::from_secs(2),
+            contact: Duration::from_secs(6),
             repeat_ratio: 0.1,
             repeat_window: Duration::from_secs(10),
             repeat_spare: 10.0,
--- a/crates/steering/src/route/catalog.rs
+++ b/crates/steering/src/route/catalog.rs
@@ -4,17 +4,13 @@
 use std::time::{Duration, Instant};
 
 use super::feed::{Changes, FeedDigest, Record};
+use super::news_timing::LAPSES_TOLD_WITHIN;
 use super::upstream::{ReportedUpstream, UpstreamId};
 
 /// Time after the store's return in which live upstreams report themselves again;
 /// the operators give about 2 s.
 const REPORT_AGAIN_WITHIN: Duration = Duration::from_millis(2_200);
 
-/// Time after the store's return in which all hosts are told of reports that lapsed while it
-/// was away. What vanishes later has left: held on, it would get work for longer than a
-/// service may allow, which is 2 s in the tightest deployment known.
-const LAPSES_TOLD_WITHIN: Duration = Duration::from_secs(1);
-
 /// Difference between two ends of the same warm-up: reports are read up to a second
 /// after they were written.
 const COLD_JITTER: Duration = Duration::from_secs(1);
--- a/crates/steering/src/route/lead.rs
+++ b/crates/steering/src/route/lead.rs
@@ -3,16 +3,10 @@
 use std::time::{Duration, Instant};
 
 use super::feed::FeedVersion;
+use super::news_timing::NewsTiming;
 use crate::ids::HostName;
 use crate::rendezvous;
 
-/// Share of the tightest bound after which a host that is told nothing asks for itself.
-const STALE_SHARE: f64 = 0.6;
-/// Share of the tightest bound between two questions of the leader.
-const PACE_SHARE: f64 = 0.25;
-/// Share of the tightest bound for which a question waits for news.
-const WAIT_SHARE: f64 = 0.2;
-
 /// Hosts that one host of a group gives all that it knows when all start at once. With 4 a
 /// zone of 40 is through in three steps; each host then sends four times some 70 KB, which
 /// takes 0.1 s on a link of 20 Mbit/s.
@@ -28,7 +22,7 @@
 pub struct Lead {
     me: HostName,
     feed: String,
-    tightest: Duration,
+    timing: NewsTiming,
     told: Option<Instant>,
     /// Whether this host's last question to the store was answered, as far as any was.
     reaches_store: bool,
@@ -54,7 +48,7 @@
         Lead {
             me: me.to_owned(),
             feed: feed.to_owned(),
-            tightest,
+            timing: NewsTiming { tightest },
             told: None,
             reaches_store: true,
             gap: false,
@@ -63,22 +57,22 @@
 
     /// Changes the shortest time in which what the feed says must be heeded.
     pub fn set_tightest(&mut self, tightest: Duration) {
-        self.tightest = tightest;
+        self.timing.tightest = tightest;
     }
 
     /// Time without being told after which this host asks for itself.
     pub fn stale_after(&self) -> Duration {
-        self.tightest.mul_f64(STALE_SHARE)
+        self.timing.stale_after()
     }
 
     /// Time between two questions.
     pub fn pace(&self) -> Duration {
-        self.tightest.mul_f64(PACE_SHARE)
+        self.timing.pace()
     }
 
     /// Time for which a question waits for news.
     pub fn wait(&self) -> Duration {
-        self.tightest.mul_f64(WAIT_SHARE)
+        self.timing.wait()
     }
 
     /// Time for which it need not ask; zero where it must.
@@ -126,6 +120,11 @@
         self.gap = false;
     }
 
+    /// Whether this host's last question to the store was answered, as far as any was.
+    pub fn reaches_store(&self) -> bool {
+        self.reaches_store
+    }
+
     /// Notes that the store gave no answer.
     pub fn failed(&mut self) {
         self.reaches_store = false;
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -22,6 +22,7 @@
 mod host_list;
 mod key_hash;
 mod lead;
+mod news_timing;
 mod pace;
 mod patience;
 mod quantile;
@@ -57,6 +58,9 @@
 pub use host_list::HostList;
 pub use key_hash::KeyHash;
 pub use lead::{Lead, Use};
+pub use news_timing::{
+    HOST_ANSWER_LIMIT, LAPSES_TOLD_WITHIN, NewsTiming, STORE_CALL_LIMIT, pause_most,
+};
 pub use pace::{ColdPart, RepeatPart, Try, cold_share};
 pub use patience::Patience;
 pub use quantile::Quantile;
