A host that was cut off takes nobody for lost

Cut off for a minute, it would have removed the rows of every host that it exchanges heartbeats with as soon as it reached the store again. Change: the silences are counted anew when the store answers again.

--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -146,9 +146,12 @@
         let mut beliefs = self.beliefs.borrow_mut();
         match error {
             None | Some(RecordError::HistoryGone) => {
-                self.outage.end();
+                let now = Instant::now();
+                if self.outage.end() {
+                    beliefs.roll.was_cut_off(now);
+                }
                 let usual_silence = self.follower(feed, |own| own.lead.stale_after());
-                beliefs.store_answered(Instant::now(), usual_silence);
+                beliefs.store_answered(now, usual_silence);
             }
             Some(_) => {
                 self.outage.go_on(pause_most(self.common.bounds().contact));
--- a/crates/gateway/src/control/outage.rs
+++ b/crates/gateway/src/control/outage.rs
@@ -53,10 +53,10 @@
         self.until.get().is_some()
     }
 
-    /// Notes that the store has answered.
-    pub fn end(&self) {
-        self.until.take();
+    /// Notes that the store has answered; true where it had been away.
+    pub fn end(&self) -> bool {
         self.pauses.take();
+        self.until.take().is_some()
     }
 
     /// Notes that it has not. No pause until the next call is longer than `pause_most`.
--- a/crates/steering/src/route/roll.rs
+++ b/crates/steering/src/route/roll.rs
@@ -145,6 +145,15 @@
         }
     }
 
+    /// Counts every host's silence anew: this host was cut off itself, and must not take the
+    /// others for lost. It would remove the rows of all hosts that it exchanges heartbeats with,
+    /// in the moment in which it reaches the store again and has not heard them yet.
+    pub fn was_cut_off(&mut self, now: Instant) {
+        for host in self.hosts.values_mut() {
+            host.noted = now;
+        }
+    }
+
     fn is_named(&self, now: Instant, name: &str) -> bool {
         self.hosts.get(name).is_some_and(|host| is_named(host, now))
     }
--- a/crates/steering/tests/route_hosts.rs
+++ b/crates/steering/tests/route_hosts.rs
@@ -82,6 +82,25 @@
     assert_eq!(count(&roll, later(60)), Some(0));
 }
 
+/// What a host believes of a shared thing from its own silence alone is not a fact: here it
+/// was the host itself that was cut off, and every row but its own would have been removed.
+#[test]
+fn a_host_that_was_cut_off_takes_nobody_for_lost() {
+    let now = Instant::now();
+    let later = |s| now + Duration::from_secs(s);
+    let mut roll = Roll::default();
+    let partners = [host("a"), host("b")];
+    list(&mut roll, now, partners.to_vec());
+    roll.hear(now, &host("a"), 1, false);
+    roll.was_cut_off(later(70));
+    assert!(roll.lost(later(70), &partners).is_empty());
+    assert!(
+        named(&roll, later(70)).is_empty(),
+        "nobody was heard either"
+    );
+    assert_eq!(roll.lost(later(131), &partners), ["a", "b"]);
+}
+
 #[test]
 fn a_partner_that_stays_silent_is_lost() {
     let now = Instant::now();
