--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -133,7 +133,13 @@
                 self.follower(feed, |own| own.failed(begun, &error));
                 self.note_asked(feed);
                 if error == RecordError::HistoryGone {
-                    return Asked::Again;
+                    // What is read whole needs no history.
+                    let may_read = known.is_some();
+                    return if may_read {
+                        Asked::Again
+                    } else {
+                        Asked::Nothing
+                    };
                 }
                 self.ask_seeds(feed).await;
                 Asked::Nothing
@@ -254,7 +260,11 @@
         let usual_silence = self.follower(feed, |own| own.lead.stale_after());
         let mut beliefs = self.beliefs.borrow_mut();
         beliefs.store_told(now, &from.name, news.store, usual_silence);
+        let dropped = beliefs.waits_no_more(now) && beliefs.expire(now);
         drop(beliefs);
+        if dropped {
+            self.publish();
+        }
         if used == Use::Take {
             let changes = Changes {
                 whole: false,
--- a/crates/gateway/src/control/follower.rs
+++ b/crates/gateway/src/control/follower.rs
@@ -157,7 +157,7 @@
         }
     }
 
-    /// What is missing, once; it is being asked for until [`Follower::gap_tried`].
+    /// What is missing, once; it is being asked for until [`Follower::end_filling`].
     pub fn take_missing(&mut self) -> Option<Missing> {
         let missing = self.missing.take();
         self.is_filling = missing.is_some();
@@ -165,7 +165,7 @@
     }
 
     /// Notes that another host has been asked for what was missing, with or without success.
-    pub fn gap_tried(&mut self) {
+    pub fn end_filling(&mut self) {
         self.is_filling = false;
         self.gap_tried.notify_one();
     }
--- a/crates/gateway/src/control/learn.rs
+++ b/crates/gateway/src/control/learn.rs
@@ -90,7 +90,7 @@
             gap.notified().await;
             if let Some(missing) = self.follower(feed, Follower::take_missing) {
                 self.fill(feed, &missing).await;
-                self.follower(feed, Follower::gap_tried);
+                self.follower(feed, Follower::end_filling);
             }
         }
     }
--- a/crates/steering/src/route/catalog.rs
+++ b/crates/steering/src/route/catalog.rs
@@ -82,6 +82,11 @@
         self.store_back.map(|back| back + REPORT_AGAIN_WITHIN)
     }
 
+    /// Whether the report of any listed upstream has vanished.
+    pub fn has_vanished(&self) -> bool {
+        self.listed.values().any(|listed| listed.vanished)
+    }
+
     /// Takes a part of the feed in its order, or all of it; says what has changed.
     pub fn take(&mut self, now: Instant, changes: &Changes) -> Vec<CatalogChange> {
         self.is_read |= changes.whole;
--- a/crates/steering/src/route/news_timing.rs
+++ b/crates/steering/src/route/news_timing.rs
@@ -57,7 +57,8 @@
 ///
 /// `contact` is the time after which a host that was cut off counts as in touch again. By then
 /// it must have heard of everything, though a call was under way when the cut ended. With
-/// pauses of up to 3.2 s for all deployments a host could be 4.1 s late, of 3 s in the tightest.
+/// pauses of up to 3.2 s a host asked as late as 4.0 s after a cut, and counted as in touch
+/// after 3 s (sum of the constants).
 pub fn pause_most(contact: Duration) -> Duration {
     let others = STORE_CALL_LIMIT + FIRST_ANSWER_WITHIN + LAPSES_TOLD_WITHIN;
     contact.saturating_sub(others).max(PAUSE_MOST_LEAST)
