Read once more: one place says whether vanished reports are still waited for

Cause: the same comparison stood in the catalog's expire, and twice in the beliefs; the comment on told still said that the store is asked for what is missing, before the teller. Change: Catalog::waits_until takes the time and is none once the wait is over; the comment says what happens.

--- a/crates/gateway/src/control/beliefs.rs
+++ b/crates/gateway/src/control/beliefs.rs
@@ -107,13 +107,12 @@
 
     /// Whether reports that vanished are still listed, though they are not waited for any more.
     pub fn waits_no_more(&self, now: Instant) -> bool {
-        let waits = self.catalog.waits_until().is_some_and(|until| until > now);
-        !waits && self.catalog.has_vanished()
+        self.catalog.waits_until(now).is_none() && self.catalog.has_vanished()
     }
 
     /// When time alone changes next what is believed; none where it is not known to.
     pub fn changes_at(&self, now: Instant) -> Option<Instant> {
-        self.catalog.waits_until().filter(|until| *until > now)
+        self.catalog.waits_until(now)
     }
 
     /// Takes a part of a feed, or all of it; what is worth telling others, in order.
--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -249,8 +249,8 @@
         }
     }
 
-    /// Takes what another host has learned of a feed. Where something is missing then,
-    /// this host asks the store itself.
+    /// Takes what another host has learned of a feed. Where something is missing then, that
+    /// host is asked for it, and the store where it can't tell.
     pub(super) fn told(&self, from: &HostEntry, news: News) {
         let feed = news.feed;
         let now = Instant::now();
--- a/crates/steering/src/route/catalog.rs
+++ b/crates/steering/src/route/catalog.rs
@@ -77,9 +77,11 @@
         self.store_back
     }
 
-    /// Until when reports that vanished around an outage are waited for.
-    pub fn waits_until(&self) -> Option<Instant> {
-        self.store_back.map(|back| back + REPORT_AGAIN_WITHIN)
+    /// Until when reports that vanished around an outage are waited for; none where they are
+    /// not any more.
+    pub fn waits_until(&self, now: Instant) -> Option<Instant> {
+        let until = self.store_back.map(|back| back + REPORT_AGAIN_WITHIN);
+        until.filter(|until| *until > now)
     }
 
     /// Whether the report of any listed upstream has vanished.
@@ -175,7 +177,7 @@
     /// Drops what was not renewed in time; true where any was dropped.
     pub fn expire(&mut self, now: Instant) -> bool {
         let before = self.listed.len();
-        let waits = self.waits_until().is_some_and(|until| until > now);
+        let waits = self.waits_until(now).is_some();
         self.listed.retain(|_, listed| waits || !listed.vanished);
         before != self.listed.len()
     }
