Read what answers say of their upstream, and tell it; nothing heeds it yet

Cause: neither of the two statements (it leaves; it wants rest) was decoded anywhere, so no log could tell an answer that makes one from one that does not. Change: the platform's dialect reads them, typed; a host notes them with the start of the upstream and writes upstream_leaves and upstream_rests. Decisions stay as they are. Conclusion: with these lines the hypotheses can be told apart: a gap after each line or none.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::header::HeaderName;
-use hyper::{Method, Uri};
+use hyper::header::{HeaderMap, HeaderName};
+use hyper::{Method, StatusCode, Uri};
 use steering::ids::{RegionName, ZoneName};
+use steering::route::Statement;
 
 /// Headers of requests to and answers of upstreams.
 #[derive(Debug, Clone)]
@@ -59,4 +60,6 @@
     fn look_up_answer(&self, addresses: &[SocketAddr], ttl: Duration) -> Bytes;
     /// Reads a report of load.
     fn load(&self, text: &str) -> Option<LoadNote>;
+    /// What the head of an upstream's answer states of it.
+    fn statement(&self, status: StatusCode, headers: &HeaderMap) -> Statement;
 }
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -8,7 +8,7 @@
 use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
-use steering::route::{Answered, Choice, Sender, Sent, Upstream};
+use steering::route::{Answered, Choice, Sender, Sent, Statement, Upstream};
 use upstream::{Body, Holding, Reuse, SendError, TrackedBody, WorkBody, end_to_end};
 
 use super::Traffic;
@@ -179,6 +179,22 @@
     Some(())
 }
 
+/// Takes what an answer states of its upstream.
+fn hear(upstream: &Upstream, statement: &Statement) {
+    let report = &upstream.report;
+    if statement.leaves && upstream.condition().stated.leave() {
+        let (id, born_ms) = (&report.id, report.born_ms);
+        tracing::info!(event = "upstream_leaves", upstream = id, born_ms);
+    }
+    let Some(asked) = statement.rest else { return };
+    let rest = asked.granted();
+    if upstream.condition().stated.rest(Instant::now(), rest) {
+        let (id, rest_ms) = (&report.id, rest.as_millis() as u64);
+        let as_asked = asked.is_granted_whole();
+        tracing::info!(event = "upstream_rests", upstream = id, rest_ms, as_asked);
+    }
+}
+
 /// Passes an answer on, where it is this request's own and the upstream's.
 fn take(
     traffic: &Arc<Traffic>,
@@ -207,6 +223,10 @@
         flight.upstream.condition().replaced();
         return Err(Missed::new(Sent::Refused, "another has the address"));
     }
+    hear(
+        &flight.upstream,
+        &traffic.dialect.statement(status, headers),
+    );
     if headers.contains_key(&names.not_run) {
         flight.judge(Answered::Refused);
         return Err(Missed::new(Sent::Refused, status));
--- a/crates/steering/src/route/condition.rs
+++ b/crates/steering/src/route/condition.rs
@@ -6,6 +6,7 @@
 use super::holding::Holding;
 use super::pace::ColdPart;
 use super::speed::Speed;
+use super::stated::Stated;
 
 /// Time for which a report of load is believed.
 const REPORT_HOLDS: Duration = Duration::from_secs(2);
@@ -92,6 +93,8 @@
     /// Longest work in flight, if its object is not held; zero where nothing is.
     work: Duration,
     gone: bool,
+    /// What it has said of itself.
+    pub stated: Stated,
     /// How much longer than usual it takes.
     pub speed: Speed,
     /// What this host has lately sent it.
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -8,7 +8,12 @@
 pub type Fields = BTreeMap<String, String>;
 
 /// Events that change what a host believes of an upstream.
-const UPSTREAM_EVENTS: &[&str] = &["upstream_reported", "upstream_gone"];
+const UPSTREAM_EVENTS: &[&str] = &[
+    "upstream_reported",
+    "upstream_gone",
+    "upstream_leaves",
+    "upstream_rests",
+];
 /// Events that change what a host believes of everything.
 const BELIEF_EVENTS: &[&str] = &[
     "document_taken",
