What an upstream says of itself binds: who leaves gets nothing more, who rests nothing until it is over

Cause: an answer's statements had no place in what a host knows of an upstream. A refusal was a sign of life, whatever it asked for, after which the upstream was free at once, with the load of nothing that it reported. Change: three sources of knowledge are kept apart: Stated (what it says), Health (what was learned), the store's report. One predicate, Condition::obstacle, is asked by all who choose, also just before a send that has waited for a connection, and says why not. Leaving belongs to a start and survives views and vanished reports; a rest counts from the answer, overlapping ones keep the later end, and one request shows whether it is over. Where all rest, callers are refused at once and told when room returns; the region is not left for it. Loads that come with a rest, or from a stranger at the address, are not taken. A request's line names whom it passed over; two gauges, three events.

--- a/crates/gateway/src/control/beliefs.rs
+++ b/crates/gateway/src/control/beliefs.rs
@@ -255,6 +255,7 @@
                 &self.evacuations,
                 &self.regions,
                 &mut self.conditions,
+                now,
             );
             pools.into()
         });
--- a/crates/gateway/src/traffic/answers.rs
+++ b/crates/gateway/src/traffic/answers.rs
@@ -53,6 +53,9 @@
     /// The object's homes are full.
     #[display("no_room")]
     NoRoom,
+    /// All upstreams that may serve it have asked for rest.
+    #[display("upstreams_rest")]
+    UpstreamsRest,
     /// Every upstream that was asked refused it or could not be reached, and it may be
     /// sent to no other.
     #[display("refused_there")]
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -14,6 +14,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use steering::ids::ServiceName;
+use steering::route::ServicePool;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use upstream::Connections;
@@ -102,5 +104,17 @@
         metrics::gauge!("stagedeck_caller_connections").set(open);
         metrics::gauge!("stagedeck_document_version").set(view.version as f64);
         metrics::gauge!("stagedeck_sharers").set(view.sharers.unwrap_or(0) as f64);
+        for (service, pool) in view.services.iter() {
+            count_stated(service, pool, now);
+        }
     }
 }
+
+fn count_stated(service: &ServiceName, pool: &ServicePool, now: Instant) {
+    let counts = pool.regions.values();
+    let counts = counts.map(|region| region.resting_and_leaving(now));
+    let (resting, leaving) = counts.fold((0, 0), |all, one| (all.0 + one.0, all.1 + one.1));
+    let service = || service.clone();
+    metrics::gauge!("stagedeck_upstreams_resting", "service" => service()).set(resting as f64);
+    metrics::gauge!("stagedeck_upstreams_leaving", "service" => service()).set(leaving as f64);
+}
--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -7,8 +7,8 @@
 use hyper::http::request::Parts;
 use steering::ids::{RegionName, ServiceName};
 use steering::route::{
-    Choice, Fate, NoRoom, RegionPool, Route, Sender, Sent, ServicePool, Try, UpstreamId, Wish,
-    after, choose, object_hash, place, rank,
+    Choice, Fate, Lack, NoRoom, RegionPool, Route, Sender, Sent, ServicePool, Try, UpstreamId,
+    Wish, after, choose, object_hash, place, rank,
 };
 use upstream::{Body, WorkBody};
 
@@ -59,6 +59,23 @@
     by_object: bool,
 }
 
+/// No upstream could be chosen.
+pub(super) struct Unchosen {
+    /// What is answered.
+    pub refusal: Refusal,
+    /// Upstreams that were passed over for what they have said of themselves.
+    pub passed_over: Vec<UpstreamId>,
+}
+
+impl From<Refusal> for Unchosen {
+    fn from(refusal: Refusal) -> Self {
+        Unchosen {
+            refusal,
+            passed_over: Vec::new(),
+        }
+    }
+}
+
 impl Run<'_> {
     /// Sends it until it is answered or given up.
     pub async fn run(&mut self) -> Result<Response<Body>, Refusal> {
@@ -67,15 +84,15 @@
         self.trail.region = destination.region.clone().unwrap_or_default();
         self.trail.object = destination.by_object.then_some(destination.object);
         loop {
-            let choice = self.choose(&destination);
-            if let Err(refusal) = &choice {
-                self.trail.refused(refusal);
-            }
-            if let Some(answer) = self.send(&choice?).await {
+            let choice = self.choose(&destination).map_err(|unchosen| {
+                self.trail.unchosen(&unchosen);
+                unchosen.refusal
+            })?;
+            if let Some(answer) = self.send(&choice).await {
                 return Ok(answer);
             }
             if self.after_miss(&destination.service) != Fate::SendAgain {
-                return Err(self.given_up(None));
+                return Err(self.given_up());
             }
         }
     }
@@ -147,19 +164,16 @@
         far.or_else(|| has(own).then(|| own.clone()))
     }
 
-    fn choose(&self, destination: &Destination) -> Result<Choice, Refusal> {
+    fn choose(&self, destination: &Destination) -> Result<Choice, Unchosen> {
         let service = &destination.service;
         let now = Instant::now();
         if self.deadline.saturating_duration_since(now) < TIME_LEAST {
-            return Err(self.out_of_time());
+            return Err(self.out_of_time().into());
         }
         let view = self.traffic.common.view.load_full();
-        let nowhere = NoRoom {
-            reachable: false,
-            come_back: NO_DOCUMENT_WAIT,
-        };
+        let nowhere = NoRoom::unreachable(NO_DOCUMENT_WAIT);
         let Some(pool) = view.services.get(service) else {
-            return Err(self.given_up(Some(nowhere)));
+            return Err(self.unchosen(nowhere));
         };
         let (usual, estimate) = {
             let mut shares = self.traffic.shares();
@@ -190,11 +204,11 @@
                 Err(refused) => no_room = refused,
             }
             // A full region is not left at once: shares between regions move slowly.
-            if no_room.reachable {
+            if no_room.is_reachable() {
                 break;
             }
         }
-        Err(self.given_up(Some(no_room)))
+        Err(self.unchosen(no_room))
     }
 
     /// The chosen region first, then the others that may serve.
@@ -248,22 +262,27 @@
         allowed
     }
 
-    fn given_up(&self, no_room: Option<NoRoom>) -> Refusal {
+    /// What is answered where it may be sent to no other upstream.
+    fn given_up(&self) -> Refusal {
         match after(&self.sends, self.route.repeatable, false) {
             Fate::NotRun => Refusal::NotRun {
-                cause: match no_room {
-                    Some(NoRoom {
-                        reachable: true, ..
-                    }) => Cause::NoRoom,
-                    Some(_) => Cause::NoUpstream,
-                    None => Cause::RefusedThere,
-                },
-                come_back: no_room.map_or(NO_DOCUMENT_WAIT, |no_room| no_room.come_back),
+                cause: Cause::RefusedThere,
+                come_back: NO_DOCUMENT_WAIT,
             },
             _ => Refusal::MayHaveRun,
         }
     }
 
+    fn unchosen(&self, no_room: NoRoom) -> Unchosen {
+        Unchosen {
+            refusal: match self.given_up() {
+                Refusal::NotRun { .. } => not_run(&no_room),
+                refusal => refusal,
+            },
+            passed_over: no_room.passed_over,
+        }
+    }
+
     /// What is answered when its time is over.
     pub fn out_of_time(&self) -> Refusal {
         match after(&self.sends, self.route.repeatable, false) {
@@ -276,6 +295,19 @@
     }
 }
 
+/// The refusal of a request that has not run. Callers that are refused together are told
+/// times apart.
+fn not_run(no_room: &NoRoom) -> Refusal {
+    Refusal::NotRun {
+        cause: match no_room.lack {
+            Lack::Reach => Cause::NoUpstream,
+            Lack::Rest => Cause::UpstreamsRest,
+            Lack::Room => Cause::NoRoom,
+        },
+        come_back: no_room.come_back + no_room.spread.mul_f64(rand::random()),
+    }
+}
+
 /// The region besides the own that an object goes to, by the regions' slots.
 fn far_region<'a>(
     object: u64,
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -40,8 +40,13 @@
 
     fn judge(&self, answered: Answered) {
         let now = Instant::now();
-        self.upstream.condition().answered(now, answered);
         let id = &self.upstream.report.id;
+        let mut condition = self.upstream.condition();
+        condition.answered(now, answered);
+        if answered.shows_life() && condition.stated.answered(self.begun) {
+            tracing::info!(event = "upstream_rest_over", upstream = id);
+        }
+        drop(condition);
         self.upstream.zone().answered(now, id, answered);
         self.judged.set(true);
     }
@@ -52,7 +57,9 @@
         if !self.judged.get() {
             self.judge(Answered::Unknown);
         }
-        self.upstream.condition().ended(Instant::now());
+        let mut condition = self.upstream.condition();
+        condition.stated.unanswered(self.begun);
+        condition.ended(Instant::now());
     }
 }
 
@@ -115,6 +122,14 @@
             return Err(Missed::new(Sent::Not, reason));
         }
     };
+    // What it was chosen for may not hold any more: the upstream may have answered others
+    // while this request waited up to 300 ms for a connection.
+    let obstacle = upstream.condition().obstacle(Instant::now());
+    if let Some(obstacle) = obstacle.filter(|obstacle| obstacle.bars_chosen()) {
+        count_send("not_sent");
+        lease.give_back();
+        return Err(Missed::new(Sent::Not, obstacle));
+    }
     let Some(request) = request(traffic, upstream, work) else {
         return Err(Missed::new(Sent::Perhaps, "the body can't be sent again"));
     };
@@ -182,13 +197,14 @@
 /// Takes what an answer states of its upstream.
 fn hear(upstream: &Upstream, statement: &Statement) {
     let report = &upstream.report;
-    if statement.leaves && upstream.condition().stated.leave() {
+    let now = Instant::now();
+    if statement.leaves && upstream.condition().stated.leave(now) {
         let (id, born_ms) = (&report.id, report.born_ms);
         tracing::info!(event = "upstream_leaves", upstream = id, born_ms);
     }
     let Some(asked) = statement.rest else { return };
     let rest = asked.granted();
-    if upstream.condition().stated.rest(Instant::now(), rest) {
+    if upstream.condition().stated.rest(now, rest) {
         let (id, rest_ms) = (&report.id, rest.as_millis() as u64);
         let as_asked = asked.is_granted_whole();
         tracing::info!(event = "upstream_rests", upstream = id, rest_ms, as_asked);
@@ -213,20 +229,20 @@
         return Err(Missed::new(Sent::Perhaps, "an answer to another request"));
     }
     let status = answer.status();
-    let load = headers.get(&names.load).and_then(|load| load.to_str().ok());
-    if let Some(load) = load.and_then(|load| traffic.dialect.load(load)) {
-        let reporter = &flight.upstream;
-        reporter.reported(Instant::now(), load.running, load.waiting);
-    }
     if status == StatusCode::MISDIRECTED_REQUEST {
         flight.judge(Answered::Refused);
         flight.upstream.condition().replaced();
         return Err(Missed::new(Sent::Refused, "another has the address"));
     }
-    hear(
-        &flight.upstream,
-        &traffic.dialect.statement(status, headers),
-    );
+    let statement = traffic.dialect.statement(status, headers);
+    hear(&flight.upstream, &statement);
+    let load = headers.get(&names.load).and_then(|load| load.to_str().ok());
+    // One that wants rest has nothing to do and no room: its load says nothing of either.
+    let load = load.filter(|_| statement.rest.is_none());
+    if let Some(load) = load.and_then(|load| traffic.dialect.load(load)) {
+        let reporter = &flight.upstream;
+        reporter.reported(Instant::now(), load.running, load.waiting);
+    }
     if headers.contains_key(&names.not_run) {
         flight.judge(Answered::Refused);
         return Err(Missed::new(Sent::Refused, status));
--- a/crates/gateway/src/traffic/trail.rs
+++ b/crates/gateway/src/traffic/trail.rs
@@ -9,6 +9,7 @@
 
 use super::answers::{Cause, Refusal};
 use super::head::Head;
+use super::run::Unchosen;
 
 /// Writes a request's line: an event of its own, then what decided its way.
 macro_rules! tell {
@@ -34,7 +35,8 @@
             held = $trail.held,
             speed = $trail.speed,
             worth = $trail.worth,
-            sends = $trail.sends
+            sends = $trail.sends,
+            passed_over = $trail.passed_over()
         )
     };
 }
@@ -81,6 +83,8 @@
     pub worth: f64,
     /// Sends so far.
     pub sends: usize,
+    /// Upstreams that were passed over for what they have said, at the last choice.
+    pub passed_over: Vec<UpstreamId>,
     /// Wait at the emptiest of the object's homes, where all were too full.
     pub least_wait_ms: Option<u64>,
 }
@@ -109,6 +113,7 @@
             speed: 0.0,
             worth: 0.0,
             sends: 0,
+            passed_over: Vec::new(),
             least_wait_ms: None,
         }
     }
@@ -126,17 +131,24 @@
         self.speed = round(expected.speed);
         self.worth = round(expected.worth);
         self.sends += 1;
+        self.passed_over.clone_from(&choice.passed_over);
     }
 
     /// Notes that no upstream could be chosen.
-    pub fn refused(&mut self, refusal: &Refusal) {
+    pub fn unchosen(&mut self, unchosen: &Unchosen) {
         if let Refusal::NotRun {
             cause: Cause::NoRoom,
             come_back,
-        } = refusal
+        } = unchosen.refusal
         {
             self.least_wait_ms = Some(come_back.as_millis() as u64);
         }
+        self.passed_over.clone_from(&unchosen.passed_over);
+    }
+
+    /// The upstreams passed over, for the line; none where there were none.
+    fn passed_over(&self) -> Option<String> {
+        (!self.passed_over.is_empty()).then(|| self.passed_over.join(","))
     }
 
     /// Writes the line of an answered or refused request, and counts it.
--- a/crates/steering/src/route/choice.rs
+++ b/crates/steering/src/route/choice.rs
@@ -6,7 +6,9 @@
 use super::estimate::{Familiarity, Standing};
 use super::expectation::{Expectation, Seen, expect};
 use super::homes::rank;
+use super::no_room::{NoRoom, PassedOver};
 use super::pace::cold_share;
+use super::upstream::UpstreamId;
 use super::view::{RegionPool, Upstream};
 use super::wish::Wish;
 use crate::ids::HostName;
@@ -24,9 +26,6 @@
 /// Share of an upstream that one object takes, by the requests of all hosts, from which
 /// on another home helps where the first is too full.
 const HOT: f64 = 0.5;
-/// Least time after which a refused caller should come back.
-const COME_BACK_LEAST: Duration = Duration::from_millis(100);
-
 /// An upstream, and how it came to be chosen.
 #[derive(Debug, Clone)]
 pub struct Choice {
@@ -44,6 +43,8 @@
     pub connections: Option<u32>,
     /// What was expected of it.
     pub expectation: Expectation,
+    /// Upstreams before it in the ranking that were passed over for what they have said.
+    pub passed_over: Vec<UpstreamId>,
 }
 
 impl Choice {
@@ -57,28 +58,30 @@
     }
 }
 
-/// No upstream can take the request now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct NoRoom {
-    /// Whether any upstream could be reached.
-    pub reachable: bool,
-    /// When the caller may try again.
-    pub come_back: Duration,
-}
-
 /// Chooses among a region's upstreams; takes from a cold one's part where needed.
 pub fn choose(pool: &RegionPool, wish: &Wish<'_>, now: Instant) -> Result<Choice, NoRoom> {
-    let Homes { healthy, last } = match wish.by_object {
+    let Homes {
+        healthy,
+        last,
+        passed_over,
+    } = match wish.by_object {
         true => homes(pool, wish, now, HOMES),
         false => first_by_chance(pool, wish, now),
     };
-    let choice = best(healthy, wish).or_else(|no_room| {
+    let chosen = best(healthy, wish).or_else(|no_room| {
         // Those that come last help only where no other can be reached.
-        match no_room.reachable {
+        match no_room.is_reachable() {
             true => Err(no_room),
             false => best(last, wish),
         }
-    })?;
+    });
+    let choice = match chosen {
+        Ok(choice) => Choice {
+            passed_over: passed_over.named,
+            ..choice
+        },
+        Err(no_room) => return Err(explained(no_room, passed_over, wish)),
+    };
     let mut condition = choice.upstream.condition();
     condition.cold_part.take(now);
     if wish.by_object {
@@ -88,6 +91,18 @@
     Ok(choice)
 }
 
+/// The refusal with what the upstreams have said that were passed over.
+fn explained(no_room: NoRoom, passed_over: PassedOver, wish: &Wish<'_>) -> NoRoom {
+    let no_room = match passed_over.rest {
+        Some(rest) if !no_room.is_reachable() => NoRoom::resting(rest, wish.usual),
+        _ => no_room,
+    };
+    NoRoom {
+        passed_over: passed_over.named,
+        ..no_room
+    }
+}
+
 /// Work on no object goes to the better of two by chance: two choices balance nearly as
 /// well as all, and hosts that know the same loads do not all run to the same upstream
 /// (Mitzenmacher, "The power of two choices in randomized load balancing", IEEE
@@ -108,6 +123,7 @@
     healthy: Vec<Choice>,
     /// Those in a doubted zone.
     last: Vec<Choice>,
+    passed_over: PassedOver,
 }
 
 /// The first `most` healthy upstreams in the object's ranking, and the others before them.
@@ -117,6 +133,12 @@
     let mut homes = Homes::default();
     for (rank, at) in rank(wish.object, members).enumerate() {
         let upstream = &pool.upstreams[at];
+        let obstacle = upstream.condition().obstacle(now);
+        if let Some(obstacle) = obstacle {
+            let id = &upstream.report.id;
+            homes.passed_over.add(id, obstacle, HOMES);
+            continue;
+        }
         let Some(choice) = usable(upstream, rank, wish, now) else {
             continue;
         };
@@ -131,16 +153,11 @@
     homes
 }
 
-const UNREACHABLE: NoRoom = NoRoom {
-    reachable: false,
-    come_back: COME_BACK_LEAST,
-};
-
 /// The one of most worth; the first of those of the same worth. Where its wait can't be
 /// borne, another helps only an object that is asked for more than one upstream can bear:
 /// for others it would fetch the object and forget another, and be full next.
 fn best(ranked: Vec<Choice>, wish: &Wish<'_>) -> Result<Choice, NoRoom> {
-    let first = &ranked.first().ok_or(UNREACHABLE)?.expectation;
+    let first = &ranked.first().ok_or_else(unreachable)?.expectation;
     // A home that is late whatever it holds is none: another takes its place for long.
     let (first_wait, has_home) = (first.wait, !first.too_slow);
     let worth = |place: usize, choice: &Choice| {
@@ -153,14 +170,14 @@
     // Stable, so that the order of the homes decides between equals.
     ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
     let mut ranked = ranked.into_iter().map(|(_, choice)| choice);
-    let best = ranked.next().ok_or(UNREACHABLE)?;
+    let best = ranked.next().ok_or_else(unreachable)?;
     let is_bearable = |choice: &Choice| is_bearable(choice.expectation.wait, wish);
     if is_bearable(&best) {
         return Ok(best);
     }
     let is_hot = best.expectation.object_share >= HOT;
     let other = ranked.find(|choice| is_hot && is_bearable(choice));
-    other.ok_or(full(first_wait))
+    other.ok_or_else(|| NoRoom::full(first_wait))
 }
 
 /// Whether a home besides the first would have to fetch the object, as far as this host
@@ -174,20 +191,17 @@
     wait <= wish.goal.mul_f64(WAIT_MOST * wish.urgency)
 }
 
-fn full(wait: Duration) -> NoRoom {
-    NoRoom {
-        reachable: true,
-        come_back: wait.max(COME_BACK_LEAST),
-    }
+fn unreachable() -> NoRoom {
+    NoRoom::unreachable(Duration::ZERO)
 }
 
-/// The upstream as a home, where it can be sent the request. A cold one whose part of
-/// this host is used up can't.
+/// The upstream as a home, where nothing stands against the request. One that had it
+/// already is none, nor is a cold one whose part of this host is used up.
 fn usable(upstream: &Arc<Upstream>, rank: usize, wish: &Wish<'_>, now: Instant) -> Option<Choice> {
     let hosts = wish.near_hosts.map_or(1, <[HostName]>::len);
     let load = upstream.load(now, hosts);
     let mut condition = upstream.condition();
-    if wish.tried.contains(&upstream.report.id) || !condition.is_usable(now) {
+    if wish.tried.contains(&upstream.report.id) {
         return None;
     }
     let bears = wish.terms.and_then(|terms| terms.cold_per_s);
@@ -220,5 +234,6 @@
         cold,
         expectation: expect(wish, &seen),
         connections: wish.terms.map(|terms| terms.connections),
+        passed_over: Vec::new(),
     })
 }
--- a/crates/steering/src/route/condition.rs
+++ b/crates/steering/src/route/condition.rs
@@ -2,8 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use super::average::{Average, kept};
+use super::average::Average;
+use super::health::{Answered, Health};
 use super::holding::Holding;
+use super::obstacle::Obstacle;
 use super::pace::ColdPart;
 use super::speed::Speed;
 use super::stated::Stated;
@@ -22,54 +24,6 @@
 /// Times the longest work that is in flight at an upstream after which it is silent, where
 /// that is more: work of 2.2 s and more is no sign of one that has vanished.
 const SILENT_TIMES: f64 = 1.5;
-/// Time for which an upstream is left alone after a failure; doubles with each.
-const REST_AFTER_FAILURE: Duration = Duration::from_millis(500);
-/// Doublings of that time, at most.
-const REST_DOUBLINGS: u32 = 4;
-/// Broken answers in a row, with no whole one between, after which it counts as one that
-/// can't be reached: with half of the answers broken off, one run in sixteen is so long.
-const BROKEN_MOST: u32 = 4;
-/// Whole answers from which on misses can be told to be an exception.
-const KNOWN_FROM: f64 = 4.0;
-/// Share of whole answers from which on a request that was missed is worth another try at
-/// the same upstream; the work of another, which would have to fetch the object, is late.
-const WHOLE_SHARE_LEAST: f64 = 0.3;
-/// Time after which an answer counts a third in these.
-const COUNTED_OVER: Duration = Duration::from_secs(5);
-
-/// How a request ended, as far as it tells of the upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Answered {
-    /// An answer came.
-    Whole,
-    /// It said that it is full or not the one that was meant; it lives.
-    Refused,
-    /// It could not be reached.
-    Failed,
-    /// It was reached, and no answer came, or nothing that is one.
-    Broken,
-    /// The caller left, or the time was over: nothing is learned.
-    Unknown,
-}
-
-/// A count in which older events fade.
-#[derive(Debug, Default)]
-struct Faded {
-    count: f64,
-    at: Option<Instant>,
-}
-
-impl Faded {
-    fn add(&mut self, now: Instant) {
-        self.count = self.count(now) + 1.0;
-        self.at = Some(now);
-    }
-
-    fn count(&self, now: Instant) -> f64 {
-        let kept = self.at.map_or(0.0, |at| kept(at, now, COUNTED_OVER));
-        self.count * kept
-    }
-}
 
 /// Load and health of one start of an upstream, as this host sees them.
 #[derive(Debug, Default)]
@@ -80,14 +34,7 @@
     own: Average,
     /// Load by other hosts at the last report, and when that came.
     others: Option<(f64, Instant)>,
-    failures: u32,
-    /// Answers in a row that were broken off.
-    broken: u32,
-    /// Whole answers lately.
-    whole: Faded,
-    /// Requests lately that it refused or broke off.
-    missed: Faded,
-    rests_until: Option<Instant>,
+    health: Health,
     /// Since when nothing has come back although something is in flight.
     unanswered_since: Option<Instant>,
     /// Longest work in flight, if its object is not held; zero where nothing is.
@@ -111,6 +58,7 @@
         if self.in_flight == 1 {
             self.unanswered_since = Some(now);
         }
+        self.stated.sent(now);
     }
 
     /// Notes how long the work of a request in flight may take.
@@ -120,18 +68,9 @@
 
     /// Takes the head of an answer, or its absence.
     pub fn answered(&mut self, now: Instant, answered: Answered) {
-        match answered {
-            Answered::Whole => {
-                self.whole.add(now);
-                self.lives(now);
-            }
-            Answered::Refused => {
-                self.missed.add(now);
-                self.lives(now);
-            }
-            Answered::Failed => self.failed(now),
-            Answered::Broken => self.broke(now),
-            Answered::Unknown => {}
+        self.health.take(now, answered);
+        if answered.shows_life() {
+            self.unanswered_since = (self.in_flight > 0).then_some(now);
         }
     }
 
@@ -176,17 +115,29 @@
         age.filter(|age| *age < REPORT_HOLDS)
     }
 
-    /// Whether a request that it refused or broke off may be sent to it once more: such
-    /// misses are an exception there, and it holds the object.
+    /// Whether a request that it refused or broke off may be sent to it once more.
     pub fn may_be_asked_again(&self, now: Instant) -> bool {
-        let (whole, missed) = (self.whole.count(now), self.missed.count(now));
-        whole >= KNOWN_FROM && whole >= (whole + missed) * WHOLE_SHARE_LEAST
+        let bars = |obstacle: Obstacle| obstacle.is_stated();
+        !self.obstacle(now).is_some_and(bars) && self.health.may_be_asked_again(now)
+    }
+
+    /// What stands against sending it a request now. All who choose an upstream ask this,
+    /// and nothing else: a statement that one of them did not ask for would not be heeded.
+    pub fn obstacle(&self, now: Instant) -> Option<Obstacle> {
+        if self.gone {
+            return Some(Obstacle::Replaced);
+        }
+        let learned = || match () {
+            () if self.health.is_paused(now) => Some(Obstacle::Failed),
+            () if self.is_silent(now) => Some(Obstacle::Silent),
+            () => None,
+        };
+        self.stated.obstacle(now).or_else(learned)
     }
 
     /// Whether it may be sent a request.
     pub fn is_usable(&self, now: Instant) -> bool {
-        let rests = self.rests_until.is_some_and(|until| until > now);
-        !self.gone && !rests && !self.is_silent(now)
+        self.obstacle(now).is_none()
     }
 
     fn is_silent(&self, now: Instant) -> bool {
@@ -194,28 +145,6 @@
         let since = self.unanswered_since;
         since.is_some_and(|since| now.saturating_duration_since(since) > patience)
     }
-
-    fn lives(&mut self, now: Instant) {
-        self.failures = 0;
-        self.broken = 0;
-        self.rests_until = None;
-        self.unanswered_since = (self.in_flight > 0).then_some(now);
-    }
-
-    /// One that breaks off some answers still holds its objects, and serves most work on
-    /// them sooner than another could.
-    fn broke(&mut self, now: Instant) {
-        self.missed.add(now);
-        self.broken += 1;
-        if self.broken >= BROKEN_MOST {
-            self.failed(now);
-        }
-    }
-
-    fn failed(&mut self, now: Instant) {
-        self.rests_until = Some(now + rest(self.failures));
-        self.failures += 1;
-    }
 }
 
 /// Requests of other hosts at an upstream to which this host has `own` on average.
@@ -231,8 +160,3 @@
         None => 0.0,
     }
 }
-
-/// Time for which one that has failed `failures` times before is left alone.
-pub(super) fn rest(failures: u32) -> Duration {
-    REST_AFTER_FAILURE * 2u32.pow(failures.min(REST_DOUBLINGS))
-}
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -17,12 +17,15 @@
 mod fate;
 mod feed;
 mod groups;
+mod health;
 mod holding;
 mod homes;
 mod host_list;
 mod key_hash;
 mod lead;
 mod news_timing;
+mod no_room;
+mod obstacle;
 mod pace;
 mod patience;
 mod quantile;
@@ -45,8 +48,8 @@
     TokenGrant, TokenGroup, TokenLeases, TokenMessage, TokenPool, TokenReply, TokenWant, group_of,
 };
 pub use catalog::{Catalog, CatalogChange};
-pub use choice::{Choice, NoRoom, choose};
-pub use condition::{Answered, Condition};
+pub use choice::{Choice, choose};
+pub use condition::Condition;
 pub use customer::{Allowance, Credentials, Customer, CustomerTable, NoAccess, Sender};
 pub use document::{CallerLimits, Part, Route, RouteDocument, ServiceTerms};
 pub use document_change::DocumentChange;
@@ -55,6 +58,7 @@
 pub use fate::{Fate, Sent, after};
 pub use feed::{Changes, Feed, FeedDigest, FeedVersion, News, Record};
 pub use groups::groups;
+pub use health::Answered;
 pub use holding::Holding;
 pub use homes::{object_hash, place, rank};
 pub use host_list::HostList;
@@ -63,6 +67,8 @@
 pub use news_timing::{
     HOST_ANSWER_LIMIT, LAPSES_TOLD_WITHIN, NewsTiming, STORE_CALL_LIMIT, pause_most,
 };
+pub use no_room::{Lack, NoRoom};
+pub use obstacle::Obstacle;
 pub use pace::{ColdPart, RepeatPart, Try, cold_share};
 pub use patience::Patience;
 pub use quantile::Quantile;
--- a/crates/steering/src/route/stated.rs
+++ b/crates/steering/src/route/stated.rs
@@ -2,42 +2,104 @@
 
 use std::time::{Duration, Instant};
 
+use super::obstacle::Obstacle;
+
+/// Time for which a start that leaves is remembered while no report names it. One whose
+/// report comes back later says again that it leaves, at the cost of one request.
+const LEAVING_REMEMBERED: Duration = Duration::from_secs(600);
+
 /// The statements of one start of an upstream that still hold.
+///
+/// They are kept apart from what this host has learned by itself: an answer that shows that
+/// an upstream lives says nothing against them, and they end in no other way than here.
 #[derive(Debug, Default)]
 pub struct Stated {
-    /// Whether it leaves; never taken back.
-    leaves: bool,
-    /// Until when it wants nothing from this host.
-    rests_until: Option<Instant>,
+    /// Since when it leaves. Never taken back: it ends with the start.
+    leaves_since: Option<Instant>,
+    rest: Rest,
+}
+
+/// A rest that was asked for.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+enum Rest {
+    /// None is, or it is over and the upstream has answered again.
+    #[default]
+    None,
+    /// It lasts until then; after that the next request shows whether it takes work again.
+    Until(Instant),
+    /// It is over, and that request is under way since then. All that waited for the end of
+    /// the rest would else come in the same moment: of 9 hosts with 20 requests each one
+    /// request each, not 180 in all (counted in `tests/route_stated.rs`).
+    Trial(Instant),
 }
 
 impl Stated {
     /// Takes that it leaves; true where that is new.
-    pub fn leave(&mut self) -> bool {
-        !std::mem::replace(&mut self.leaves, true)
+    pub fn leave(&mut self, now: Instant) -> bool {
+        let is_new = self.leaves_since.is_none();
+        self.leaves_since.get_or_insert(now);
+        is_new
     }
 
     /// Takes that it wants nothing for `rest` from now on. Of rests that overlap the later
     /// end holds; true where this is that.
     pub fn rest(&mut self, now: Instant, rest: Duration) -> bool {
+        if rest.is_zero() {
+            return false;
+        }
         let until = now + rest;
-        let is_later = self.rests_until.is_none_or(|known| known < until);
-        if is_later && !rest.is_zero() {
-            self.rests_until = Some(until);
+        let is_later = match self.rest {
+            Rest::Until(known) => known < until,
+            Rest::None | Rest::Trial(_) => true,
+        };
+        if is_later {
+            self.rest = Rest::Until(until);
+        }
+        is_later
+    }
+
+    /// What stands against a request now.
+    pub fn obstacle(&self, now: Instant) -> Option<Obstacle> {
+        if self.leaves_since.is_some() {
+            return Some(Obstacle::Leaves);
+        }
+        match self.rest {
+            Rest::Until(until) if until > now => Some(Obstacle::Rests(until - now)),
+            Rest::Trial(_) => Some(Obstacle::Returns),
+            Rest::None | Rest::Until(_) => None,
+        }
+    }
+
+    /// Notes a request that is about to be sent.
+    pub fn sent(&mut self, now: Instant) {
+        if matches!(self.rest, Rest::Until(until) if until <= now) {
+            self.rest = Rest::Trial(now);
         }
-        is_later && !rest.is_zero()
     }
 
-    /// Whether it has said that it leaves.
-    pub fn leaves(&self) -> bool {
-        self.leaves
+    /// Notes that a request sent at `sent` was answered; true where that ends a rest. A
+    /// request from before the rest says nothing of it.
+    pub fn answered(&mut self, sent: Instant) -> bool {
+        let is_over = self.rest == Rest::Trial(sent);
+        if is_over {
+            self.rest = Rest::None;
+        }
+        is_over
+    }
+
+    /// Notes that no answer came to a request sent at `sent`: the next one shows more.
+    pub fn unanswered(&mut self, sent: Instant) {
+        if self.rest == Rest::Trial(sent) {
+            self.rest = Rest::Until(sent);
+        }
     }
 
-    /// How much longer it wants nothing; none where it does not.
-    pub fn rests_for(&self, now: Instant) -> Option<Duration> {
-        let rests = self
-            .rests_until
-            .map(|until| until.saturating_duration_since(now));
-        rests.filter(|rests| !rests.is_zero())
+    /// Whether it must be remembered though no report names its start any more: the report
+    /// may come back.
+    pub fn is_remembered(&self, now: Instant) -> bool {
+        let leaves = self
+            .leaves_since
+            .is_some_and(|since| now.saturating_duration_since(since) < LEAVING_REMEMBERED);
+        leaves || matches!(self.rest, Rest::Until(until) if until > now)
     }
 }
--- a/crates/steering/src/route/view.rs
+++ b/crates/steering/src/route/view.rs
@@ -10,6 +10,7 @@
 use super::customer::CustomerTable;
 use super::document::{RouteDocument, ServiceTerms};
 use super::feed::{FeedDigest, Record};
+use super::obstacle::Obstacle;
 use super::region_load::RegionLoad;
 use super::table::RouteTable;
 use super::upstream::{ReportedUpstream, UpstreamId};
@@ -68,6 +69,13 @@
     }
 }
 
+/// Whether what was seen of a start that no report names must be kept: its report may come
+/// back, and what it has said of itself still holds. It may yet say so while it answers a
+/// request, which holds the condition then.
+fn is_remembered(condition: &Arc<Mutex<Condition>>, now: Instant) -> bool {
+    Arc::strong_count(condition) > 1 || lock(condition).stated.is_remembered(now)
+}
+
 fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
     shared.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -88,6 +96,18 @@
             .sum()
     }
 
+    /// How many of them rest, or are just back from a rest, and how many leave, by what they
+    /// have said to this host.
+    pub fn resting_and_leaving(&self, now: Instant) -> (usize, usize) {
+        let obstacles = self.upstreams.iter();
+        let obstacles = obstacles.map(|upstream| upstream.condition().obstacle(now));
+        obstacles.fold((0, 0), |(resting, leaving), obstacle| match obstacle {
+            Some(Obstacle::Rests(_) | Obstacle::Returns) => (resting + 1, leaving),
+            Some(Obstacle::Leaves) => (resting, leaving + 1),
+            _ => (resting, leaving),
+        })
+    }
+
     /// Load relative to slots; 1 is full. Unusable upstreams count as full.
     /// `hosts` are those that send to them.
     pub fn use_of_slots(&self, now: Instant, hosts: usize) -> f64 {
@@ -196,6 +216,7 @@
         evacuations: &Evacuations,
         regions: &BTreeMap<ZoneName, RegionName>,
         conditions: &mut Conditions,
+        now: Instant,
     ) -> HashMap<ServiceName, ServicePool> {
         let mut pools: HashMap<ServiceName, ServicePool> = HashMap::new();
         for listed in catalog.listed() {
@@ -230,7 +251,9 @@
         let regions = &mut conditions.regions;
         regions.retain(|(service, _), _| pools.contains_key(service));
         let kept: HashSet<_> = catalog.listed().map(|l| l.report.start()).collect();
-        conditions.upstreams.retain(|start, _| kept.contains(start));
+        conditions
+            .upstreams
+            .retain(|start, condition| kept.contains(start) || is_remembered(condition, now));
         pools
     }
 }
--- a/crates/steering/src/route/zone_condition.rs
+++ b/crates/steering/src/route/zone_condition.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Instant;
 
-use super::condition::{Answered, rest};
+use super::health::{Answered, pause};
 use super::upstream::UpstreamId;
 
 /// Upstreams of a zone that fail, with no answer from the zone in between, from which
@@ -18,7 +18,7 @@
     failing: BTreeSet<UpstreamId>,
     /// Times that the zone was doubted since then.
     doubts: u32,
-    rests_until: Option<Instant>,
+    doubted_until: Option<Instant>,
 }
 
 impl ZoneCondition {
@@ -35,14 +35,14 @@
     /// Whether its upstreams come after all others. Ends now and then, so that a
     /// request shows whether the zone is back.
     pub fn is_doubted(&self, now: Instant) -> bool {
-        self.rests_until.is_some_and(|until| until > now)
+        self.doubted_until.is_some_and(|until| until > now)
     }
 
     fn failed(&mut self, now: Instant, upstream: &str) {
         self.failing.insert(upstream.to_owned());
         // What was sent before the doubt fails during it, and adds nothing.
         if self.failing.len() >= FAILING_LEAST && !self.is_doubted(now) {
-            self.rests_until = Some(now + rest(self.doubts));
+            self.doubted_until = Some(now + pause(self.doubts));
             self.doubts += 1;
         }
     }
--- /dev/null
+++ b/crates/steering/tests/route_stated.rs
@@ -0,0 +1,160 @@
+//! What an upstream says of itself binds until it ends, whatever else is learned of it.
+
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use steering::route::{Answered, Condition, Obstacle, Stated};
+
+const MS: Duration = Duration::from_millis(1);
+const REST: Duration = Duration::from_secs(3);
+/// Work that is over soon.
+const WORK: Duration = Duration::from_millis(200);
+
+fn send(condition: &mut Condition, at: Instant) -> Instant {
+    condition.sent(at);
+    at
+}
+
+/// The head of an answer to what was sent at `sent`, as a host takes it.
+fn answer(condition: &mut Condition, sent: Instant, at: Instant, answered: Answered) {
+    condition.answered(at, answered);
+    if answered.shows_life() {
+        condition.stated.answered(sent);
+    }
+    condition.stated.unanswered(sent);
+    condition.ended(at);
+}
+
+/// What may come after a statement, and must not undo it.
+#[rstest]
+#[case::an_answer(Answered::Whole)]
+#[case::a_refusal(Answered::Refused)]
+#[case::a_failure(Answered::Failed)]
+#[case::a_broken_answer(Answered::Broken)]
+#[case::a_caller_that_left(Answered::Unknown)]
+fn what_comes_of_earlier_requests_undoes_no_statement(#[case] answered: Answered) {
+    let now = Instant::now();
+    let mut condition = Condition::default();
+    let sent = send(&mut condition, now);
+    condition.stated.rest(now + MS, REST);
+    answer(&mut condition, sent, now + 2 * MS, answered);
+    let obstacle = condition.obstacle(now + 3 * MS);
+    assert_eq!(obstacle, Some(Obstacle::Rests(REST - 2 * MS)));
+    condition.stated.leave(now + 3 * MS);
+    let sent = send(&mut condition, now);
+    answer(&mut condition, sent, now + REST, answered);
+    let much_later = now + 1_000 * REST;
+    assert_eq!(condition.obstacle(much_later), Some(Obstacle::Leaves));
+    assert!(!condition.may_be_asked_again(much_later));
+}
+
+#[test]
+fn a_rest_does_not_grow_with_failures_and_a_pause_not_with_rests() {
+    let now = Instant::now();
+    let mut condition = Condition::default();
+    condition.stated.rest(now, REST);
+    for _ in 0..10 {
+        condition.answered(now, Answered::Refused);
+        condition.stated.rest(now, REST);
+    }
+    assert_eq!(condition.obstacle(now), Some(Obstacle::Rests(REST)));
+    assert_eq!(condition.obstacle(now + REST), None);
+    condition.answered(now + REST, Answered::Failed);
+    assert_eq!(condition.obstacle(now + REST), Some(Obstacle::Failed));
+    assert_eq!(condition.obstacle(now + REST + 500 * MS), None);
+}
+
+#[rstest]
+#[case::a_longer_one(REST, Duration::ZERO, 2 * REST, 2 * REST)]
+#[case::a_shorter_one(2 * REST, Duration::ZERO, REST, 2 * REST)]
+#[case::a_later_end(REST, REST / 2, REST, REST + REST / 2)]
+#[case::none(REST, REST / 2, Duration::ZERO, REST)]
+fn of_rests_that_overlap_the_later_end_holds(
+    #[case] first: Duration,
+    #[case] after: Duration,
+    #[case] second: Duration,
+    #[case] ends: Duration,
+) {
+    let now = Instant::now();
+    let mut stated = Stated::default();
+    stated.rest(now, first);
+    stated.rest(now + after, second);
+    assert!(matches!(
+        stated.obstacle(now + ends - MS),
+        Some(Obstacle::Rests(_))
+    ));
+    assert_eq!(stated.obstacle(now + ends), None);
+}
+
+/// How the first request after a rest ends, and whether the next may be sent at once.
+#[rstest]
+#[case::answered(Answered::Whole, None, None)]
+#[case::full(Answered::Refused, None, None)]
+#[case::rests_again(Answered::Refused, Some(REST), Some(Obstacle::Rests(REST)))]
+#[case::not_reached(Answered::Failed, None, Some(Obstacle::Failed))]
+#[case::broken(Answered::Broken, None, None)]
+#[case::its_caller_left(Answered::Unknown, None, None)]
+fn the_first_answer_after_a_rest_decides(
+    #[case] answered: Answered,
+    #[case] rest: Option<Duration>,
+    #[case] obstacle: Option<Obstacle>,
+) {
+    let now = Instant::now();
+    let mut condition = Condition::default();
+    let earlier = send(&mut condition, now);
+    condition.stated.rest(now, REST);
+    let over = now + REST;
+    let trial = send(&mut condition, over);
+    assert_eq!(condition.obstacle(over), Some(Obstacle::Returns));
+    answer(&mut condition, earlier, over + MS, Answered::Whole);
+    let still = condition.obstacle(over + MS);
+    assert_eq!(still, Some(Obstacle::Returns), "an earlier answer");
+    let ended = over + WORK;
+    if let Some(rest) = rest {
+        condition.stated.rest(ended, rest);
+    }
+    answer(&mut condition, trial, ended, answered);
+    assert_eq!(condition.obstacle(ended), obstacle);
+}
+
+/// Nine hosts with twenty requests each, that wait for the end of the same rest and come in
+/// the same moment; the upstream answers one usual time later.
+#[test]
+fn hosts_and_callers_do_not_all_come_at_the_end_of_a_rest() {
+    const HOSTS: usize = 9;
+    const WAITING: usize = 20;
+    let now = Instant::now();
+    let over = now + REST;
+    let mut sent_at_once = 0;
+    let mut sent_later = 0;
+    for _ in 0..HOSTS {
+        let mut condition = Condition::default();
+        condition.stated.rest(now, REST);
+        for _ in 0..WAITING {
+            if condition.is_usable(over) {
+                send(&mut condition, over);
+                sent_at_once += 1;
+            }
+        }
+        answer(&mut condition, over, over + WORK, Answered::Whole);
+        for _ in 0..WAITING {
+            if condition.is_usable(over + WORK) {
+                send(&mut condition, over + WORK);
+                sent_later += 1;
+            }
+        }
+    }
+    assert_eq!((sent_at_once, sent_later), (HOSTS, HOSTS * WAITING));
+}
+
+/// What bars a request that was chosen before and has waited since.
+#[rstest]
+#[case::replaced(Obstacle::Replaced, true)]
+#[case::leaves(Obstacle::Leaves, true)]
+#[case::rests(Obstacle::Rests(MS), true)]
+#[case::is_itself_the_first(Obstacle::Returns, false)]
+#[case::failed(Obstacle::Failed, false)]
+#[case::silent(Obstacle::Silent, false)]
+fn what_is_stated_bars_what_was_chosen_before(#[case] obstacle: Obstacle, #[case] bars: bool) {
+    assert_eq!(obstacle.bars_chosen(), bars);
+}
--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -128,7 +128,7 @@
     }
 
     /// Gives the connection back for the next request.
-    pub(crate) fn finish(self) {
+    pub fn give_back(self) {
         let idle = Idle {
             sender: self.sender,
             open: self.open,
--- a/crates/upstream/src/tracked.rs
+++ b/crates/upstream/src/tracked.rs
@@ -31,7 +31,7 @@
 
     fn finish(&mut self) {
         if let Some(lease) = self.lease.take() {
-            lease.finish();
+            lease.give_back();
         }
     }
 }
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -13,6 +13,7 @@
     "upstream_gone",
     "upstream_leaves",
     "upstream_rests",
+    "upstream_rest_over",
 ];
 /// Events that change what a host believes of everything.
 const BELIEF_EVENTS: &[&str] = &[
