Statements of upstreams bind on our own interface too

An upstream that reported healthy: false was left out only at the third report, and any answer to an earlier request undid it; the seconds of its refusals were read by nobody: it was asked again after 100 ms. Change: what a report says of work holds until a report says otherwise; a refusal's rest is kept by the same type as on the platform's path, its slots are no room, and who can't wait for its end is refused at once. The types moved to steering::statement, the header is read in one place for both paths (upstream::rest_asked).

--- a/crates/caller/src/local.rs
+++ b/crates/caller/src/local.rs
@@ -10,9 +10,10 @@
 use steering::error::ErrorKind;
 use steering::limiter::LimitKey;
 use steering::pool::{Offer, Outcome, PoolLimits};
+use steering::statement::RestAsked;
 use upstream::{
     Body, DEADLINE_HEADER, NOT_RUN_HEADER, REQUEST_ID_HEADER, Reuse, SendError, TrackedBody,
-    WorkBody, end_to_end,
+    WorkBody, end_to_end, rest_asked,
 };
 
 use crate::admission::Permit;
@@ -182,7 +183,15 @@
     );
     match answer {
         Ok(answer) if answer.headers().contains_key(NOT_RUN_HEADER) => {
-            permit.outcome(Outcome::Shed);
+            let rest = rest_asked(answer.status(), answer.headers());
+            if let Some(rest) = rest {
+                let rest_ms = rest.granted().as_millis() as u64;
+                tracing::info!(event = "upstream_rests", upstream = upstream.name, rest_ms);
+            }
+            permit.outcome(match rest.map(RestAsked::granted) {
+                Some(rest) => Outcome::Rests(rest),
+                None => Outcome::Shed,
+            });
             Err(Miss::NotRun(ErrorKind::NoCapacity))
         }
         Ok(answer) => {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -7,7 +7,7 @@
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::{Method, StatusCode, Uri};
 use steering::ids::{RegionName, ZoneName};
-use steering::route::Statement;
+use steering::statement::Statement;
 
 /// Headers of requests to and answers of upstreams.
 #[derive(Debug, Clone)]
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -8,7 +8,8 @@
 use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
-use steering::route::{Answered, Choice, Sender, Sent, Statement, Upstream};
+use steering::route::{Answered, Choice, Sender, Sent, Upstream};
+use steering::statement::Statement;
 use upstream::{Body, Holding, Reuse, SendError, TrackedBody, WorkBody, end_to_end};
 
 use super::Traffic;
--- a/crates/standin/src/upstream/answer.rs
+++ b/crates/standin/src/upstream/answer.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::header::RETRY_AFTER;
 use hyper::{Request, Response, StatusCode};
 
 use super::{Behaviour, Health, Inner, Refusal, is_load, lock};
@@ -131,6 +132,10 @@
         *shed.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         let yes = hyper::header::HeaderValue::from_static("true");
         shed.headers_mut().insert(NOT_RUN_HEADER, yes);
+        if let Some(rest) = behaviour.rest {
+            shed.headers_mut()
+                .insert(RETRY_AFTER, rest.as_secs().into());
+        }
         return Ok(shed);
     }
     let rejection = behaviour.reject_with.map(StatusCode::from_u16);
--- a/crates/standin/src/upstream/mod.rs
+++ b/crates/standin/src/upstream/mod.rs
@@ -37,6 +37,8 @@
     pub cold_factor: f64,
     /// Whether every request is shed.
     pub shed_all: bool,
+    /// Rest that is asked for with each that is shed.
+    pub rest: Option<Duration>,
     /// Answer every request with this status, without running it.
     pub reject_with: Option<u16>,
     /// Whether it reports itself as unhealthy, or does not answer probes at all.
@@ -71,6 +73,7 @@
             cold_requests: 0,
             cold_factor: 1.0,
             shed_all: false,
+            rest: None,
             reject_with: None,
             health: Health::Well,
             load_lie: 0,
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod rendezvous;
 pub mod retry;
 pub mod route;
+pub mod statement;
 pub mod ticket;
 pub mod view;
 
--- a/crates/steering/src/pool/member.rs
+++ b/crates/steering/src/pool/member.rs
@@ -9,6 +9,7 @@
 use crate::document::Upstream;
 use crate::ids::UpstreamName;
 use crate::labels;
+use crate::statement::{Obstacle, Stated};
 
 /// Small: places are compared by it, and chasing noise costs ways between zones.
 const LATENCY_WEIGHT: f64 = 0.05;
@@ -34,6 +35,8 @@
     Answered(Duration),
     /// The upstream refused it without running it.
     Shed,
+    /// It did, and wants nothing for this time.
+    Rests(Duration),
     /// The upstream could not be reached, or broke the connection.
     Failed,
     /// The caller left, or the deadline passed.
@@ -73,6 +76,10 @@
     pub in_flight: u32,
     /// No longer configured; kept until `in_flight` is 0.
     pub leaving: bool,
+    /// Whether its last report says that it accepts no work; only a report takes that back.
+    refuses_work: bool,
+    /// What it has said in its answers.
+    stated: Stated,
     /// From 1 to `upstream.slots`; grows with good answers, cut by sheds and slow ones.
     window: f64,
     /// Most in flight since `window_checked`.
@@ -80,6 +87,8 @@
     window_checked: Instant,
     latency_ms: Option<f64>,
     latency_at: Instant,
+    /// Latest time that it has been told of.
+    told_at: Instant,
     failures: u32,
     paused_until: Instant,
     /// When each request was sent of which nothing has come back yet; no more than
@@ -106,10 +115,13 @@
             upstream,
             in_flight: 0,
             leaving: false,
+            refuses_work: false,
+            stated: Stated::default(),
             window_peak: 0,
             window_checked: now,
             latency_ms: None,
             latency_at: now,
+            told_at: now,
             failures: 0,
             paused_until: now,
             awaited: Vec::new(),
@@ -140,6 +152,7 @@
             *latency_ms = expected_ms + (*latency_ms - expected_ms) * keep;
         }
         self.latency_at = now;
+        self.told_at = now;
         let oldest = self.awaited.iter().min();
         let oldest = oldest.map_or(Duration::ZERO, |sent| now.saturating_duration_since(*sent));
         self.silent_ms = oldest.as_secs_f64() * 1_000.0;
@@ -149,14 +162,27 @@
         }
     }
 
+    /// Whether it takes work, now or when its rest is over.
     pub fn usable(&self) -> bool {
         !self.leaving
+            && !self.refuses_work
             && self.failures < FAILURES_UNTIL_DOWN
             && labels::takes_new_work(&self.upstream.labels)
     }
 
-    /// Slots that may be used now.
+    /// How much longer it rests, as of the latest time told; none where it does not.
+    pub fn rests_for(&self) -> Option<Duration> {
+        match self.stated.obstacle(self.told_at)? {
+            Obstacle::Rests(rest) => Some(rest),
+            _ => Some(Duration::ZERO),
+        }
+    }
+
+    /// Slots that may be used now. Those of one that rests are no room.
     pub fn allowed(&self) -> u32 {
+        if self.rests_for().is_some() {
+            return 0;
+        }
         let window = (self.window.floor() as u32).max(1);
         window
             .min(self.upstream.slots)
@@ -186,6 +212,7 @@
 
     /// The first byte of an answer has come; its body may take long.
     pub fn first_byte(&mut self, now: Instant, sent: Instant, expected: Duration) {
+        self.stated.answered(sent);
         if self.stop_awaiting(sent) {
             self.answered(now.saturating_duration_since(sent), expected);
         }
@@ -199,11 +226,17 @@
 
     pub fn release(&mut self, now: Instant, sent: Instant, outcome: Outcome, expected: Duration) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.told_at = now;
         let awaited = self.stop_awaiting(sent);
+        match outcome {
+            Outcome::Answered(_) | Outcome::Shed => drop(self.stated.answered(sent)),
+            Outcome::Rests(rest) => drop(self.stated.rest(now, rest)),
+            Outcome::Failed | Outcome::Cancelled => self.stated.unanswered(sent),
+        }
         match outcome {
             Outcome::Answered(latency) if awaited => self.answered(latency, expected),
             Outcome::Answered(_) => {}
-            Outcome::Shed => {
+            Outcome::Shed | Outcome::Rests(_) => {
                 self.cut_window();
                 self.paused_until = now + SHED_PAUSE;
             }
@@ -226,8 +259,9 @@
     }
 
     pub fn report(&mut self, measured: Instant, report: &LoadReport) {
-        if !report.healthy {
-            self.probe_failed();
+        self.told_at = self.told_at.max(measured);
+        self.refuses_work = !report.healthy;
+        if self.refuses_work {
             return;
         }
         if self.failures >= FAILURES_UNTIL_DOWN {
@@ -257,6 +291,7 @@
     /// Counts a request that is sent now.
     pub fn enter(&mut self, now: Instant) {
         self.in_flight += 1;
+        self.stated.sent(now);
         self.awaited.push(now);
         self.window_peak = self.window_peak.max(self.in_flight);
     }
--- a/crates/steering/src/pool/mod.rs
+++ b/crates/steering/src/pool/mod.rs
@@ -87,7 +87,7 @@
 pub struct PoolLoad {
     /// Requests in flight.
     pub in_flight: u32,
-    /// Slots that may be used now: of upstreams that are up, warm and not leaving.
+    /// Slots that may be used now: of upstreams that are up and warm, and neither leave nor rest.
     pub capacity: u32,
     /// Requests that wait.
     pub queued: u32,
@@ -165,7 +165,7 @@
         if !self.members.iter().any(Member::usable) {
             return Decision::Refused(ErrorKind::NoUpstream);
         }
-        let ready = now + self.expected_wait() + self.limits.expected;
+        let ready = now + self.expected_wait().max(self.shortest_rest()) + self.limits.expected;
         if ready > deadline {
             return Decision::Refused(ErrorKind::NoCapacity);
         }
@@ -291,6 +291,13 @@
         })
     }
 
+    /// Time until the first of those that take work has rested; zero where one does not rest.
+    fn shortest_rest(&self) -> Duration {
+        let usable = self.members.iter().filter(|member| member.usable());
+        let rests = usable.map(|member| member.rests_for().unwrap_or_default());
+        rests.min().unwrap_or_default()
+    }
+
     fn expected_wait(&self) -> Duration {
         let slots: u32 = self
             .members
--- a/crates/steering/src/route/condition.rs
+++ b/crates/steering/src/route/condition.rs
@@ -5,10 +5,9 @@
 use super::average::Average;
 use super::health::{Answered, Health};
 use super::holding::Holding;
-use super::obstacle::Obstacle;
 use super::pace::ColdPart;
 use super::speed::Speed;
-use super::stated::Stated;
+use crate::statement::{Obstacle, Stated};
 
 /// Time for which a report of load is believed.
 const REPORT_HOLDS: Duration = Duration::from_secs(2);
--- a/crates/steering/src/route/no_room.rs
+++ b/crates/steering/src/route/no_room.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use super::obstacle::Obstacle;
 use super::upstream::UpstreamId;
+use crate::statement::Obstacle;
 
 /// Least time after which a refused caller should come back.
 const COME_BACK_LEAST: Duration = Duration::from_millis(100);
--- a/crates/steering/src/route/view.rs
+++ b/crates/steering/src/route/view.rs
@@ -10,12 +10,12 @@
 use super::customer::CustomerTable;
 use super::document::{RouteDocument, ServiceTerms};
 use super::feed::{FeedDigest, Record};
-use super::obstacle::Obstacle;
 use super::region_load::RegionLoad;
 use super::table::RouteTable;
 use super::upstream::{ReportedUpstream, UpstreamId};
 use super::zone_condition::ZoneCondition;
 use crate::ids::{HostName, RegionName, ServiceName, ZoneName};
+use crate::statement::Obstacle;
 
 /// An upstream that requests may go to.
 #[derive(Debug)]
--- /dev/null
+++ b/crates/steering/src/statement/mod.rs
@@ -0,0 +1,9 @@
+//! What upstreams say of themselves, and how it binds those who choose among them.
+
+mod answer;
+mod obstacle;
+mod stated;
+
+pub use answer::{RestAsked, Statement};
+pub use obstacle::Obstacle;
+pub use stated::Stated;
--- a/crates/steering/src/route/stated.rs
+++ b/crates/steering/src/statement/stated.rs
@@ -29,7 +29,7 @@
     Until(Instant),
     /// It is over, and that request is under way since then. All that waited for the end of
     /// the rest would else come in the same moment: of 9 hosts with 20 requests each one
-    /// request each, not 180 in all (counted in `tests/route_stated.rs`).
+    /// request each, not 180 in all (counted in `tests/stated.rs`).
     Trial(Instant),
 }
 
--- a/crates/steering/tests/pool.rs
+++ b/crates/steering/tests/pool.rs
@@ -350,3 +350,95 @@
     let places = filled(&mut bench);
     assert_eq!(places.iter().filter(|name| *name == "a").count(), 4);
 }
+
+/// An upstream that says that it accepts no work gets none, whatever it still answers.
+#[test]
+fn who_says_that_it_accepts_no_work_gets_none_until_it_says_otherwise() {
+    let mut bench = Bench::new(&[upstream("a", 3, "active")], Duration::ZERO);
+    let earlier = bench.granted();
+    let says = |healthy| LoadReport {
+        in_flight: 1,
+        healthy,
+    };
+    bench.pool.report(bench.now, &"a".to_owned(), &says(false));
+    let refused = Decision::Refused(ErrorKind::NoUpstream);
+    assert_eq!(bench.offer(1_000 * MS, 5), refused);
+    bench.release(&earlier, Outcome::Answered(10 * MS));
+    assert_eq!(bench.offer(1_000 * MS, 5), refused, "after an answer");
+    bench.pool.report(bench.now, &"a".to_owned(), &says(true));
+    bench.granted();
+}
+
+const REST: Duration = Duration::from_secs(3);
+
+/// An upstream that has refused a request and asked for rest.
+fn resting(names: &[&str]) -> Bench {
+    let upstreams: Vec<Arc<Upstream>> = names.iter().map(|n| upstream(n, 3, "active")).collect();
+    let mut bench = Bench::new(&upstreams, Duration::ZERO);
+    bench.warm_up();
+    let grants: Vec<Grant> = names.iter().map(|_| bench.granted()).collect();
+    let earlier = bench.granted();
+    for grant in &grants {
+        bench.release(grant, Outcome::Rests(REST));
+    }
+    bench.release(&earlier, Outcome::Answered(10 * MS));
+    bench
+}
+
+#[test]
+fn who_wants_rest_gets_nothing_until_it_is_over_then_one_request() {
+    let mut bench = resting(&["a"]);
+    assert_eq!(bench.pool.load().capacity, 0, "resting slots are no room");
+    bench.now += REST - MS;
+    let soon = bench.offer(20 * MS, 5);
+    assert!(
+        matches!(soon, Decision::Queued(_)),
+        "its end is near: {soon:?}"
+    );
+    bench.now += MS;
+    let steps = bench.pool.advance(bench.now, &mut bench.rng);
+    let [Step::Granted(trial)] = &steps[..] else {
+        panic!("{steps:?}");
+    };
+    let next = bench.offer(100 * MS, 5);
+    assert!(matches!(next, Decision::Queued(_)), "{next:?}");
+    let steps = bench.release(trial, Outcome::Answered(10 * MS));
+    assert!(matches!(&steps[..], [Step::Granted(_)]), "{steps:?}");
+}
+
+#[test]
+fn who_can_not_wait_for_the_end_of_a_rest_is_refused_at_once() {
+    let mut bench = resting(&["a"]);
+    let refused = Decision::Refused(ErrorKind::NoCapacity);
+    assert_eq!(bench.offer(REST, 5), refused);
+}
+
+#[test]
+fn another_gets_the_work_of_one_that_rests() {
+    let mut bench = Bench::new(
+        &[upstream("a", 3, "active"), upstream("b", 3, "active")],
+        Duration::ZERO,
+    );
+    let first = bench.granted();
+    bench.release(&first, Outcome::Rests(REST));
+    for _ in 0..20 {
+        let grant = bench.granted();
+        assert_ne!(grant.upstream.name, first.upstream.name);
+        bench.release(&grant, Outcome::Answered(10 * MS));
+    }
+}
+
+#[test]
+fn the_load_told_to_others_counts_slots_again_after_a_rest() {
+    let mut bench = resting(&["a"]);
+    let report = LoadReport {
+        in_flight: 0,
+        healthy: true,
+    };
+    bench.pool.report(bench.now, &"a".to_owned(), &report);
+    assert_eq!(bench.pool.load().capacity, 0);
+    bench
+        .pool
+        .report(bench.now + REST, &"a".to_owned(), &report);
+    assert!(bench.pool.load().capacity > 0);
+}
--- a/crates/steering/tests/route_view.rs
+++ b/crates/steering/tests/route_view.rs
@@ -6,9 +6,10 @@
 
 use rstest::rstest;
 use steering::route::{
-    Catalog, Changes, Conditions, Evacuations, Obstacle, Record, ReportedUpstream, RouteDocument,
-    RouteView, Upstream,
+    Catalog, Changes, Conditions, Evacuations, Record, ReportedUpstream, RouteDocument, RouteView,
+    Upstream,
 };
+use steering::statement::Obstacle;
 
 /// Longer than what an upstream has said is remembered while no report names it.
 const LONG: Duration = Duration::from_secs(3_600);
--- a/crates/steering/tests/route_stated.rs
+++ b/crates/steering/tests/stated.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
-use steering::route::{Answered, Condition, Obstacle, Stated};
+use steering::route::{Answered, Condition};
+use steering::statement::{Obstacle, Stated};
 
 const MS: Duration = Duration::from_millis(1);
 const REST: Duration = Duration::from_secs(3);
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -7,12 +7,14 @@
 mod connections;
 mod headers;
 mod probe;
+mod rest;
 mod tracked;
 
 pub use body::{BoundError, Bounded, Held, Holding, WorkBody, hold};
 pub use connections::{Connections, Lease, Reuse, SendError};
 pub use headers::end_to_end;
 pub use probe::{LOAD_PATH, ProbeError, probe};
+pub use rest::rest_asked;
 pub use tracked::TrackedBody;
 
 use bytes::Bytes;
