--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -14,11 +14,15 @@
 use tokio::task::AbortHandle;
 use tokio::time::{timeout, timeout_at};
 
+use crate::headers::keep_alive;
 use crate::{Body, TrackedBody};
 
 /// A host that has vanished answers nothing at all; others are asked instead.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 const IDLE_LIMIT: Duration = Duration::from_secs(10);
+/// Time before an upstream closes an idle connection, as it has said, from which on nothing is
+/// sent on it: longer than a way between regions. What meets the close is lost.
+const CLOSE_MARGIN: Duration = Duration::from_millis(300);
 const RECENT: Duration = Duration::from_millis(500);
 const MAX_HEADERS: usize = 128;
 /// Buffer for what is read, in bytes. hyper's own grows with large answers, and hosts
@@ -71,6 +75,8 @@
     sender: SendRequest<Body>,
     open: Open,
     since: Instant,
+    /// Until when it may be used again.
+    until: Instant,
 }
 
 /// Counts an open connection and closes it when dropped.
@@ -105,6 +111,8 @@
     address: SocketAddr,
     sender: SendRequest<Body>,
     open: Open,
+    /// Time for which it may rest before the next request.
+    idle_limit: Duration,
 }
 
 impl Lease {
@@ -116,7 +124,12 @@
     ) -> Result<Response<TrackedBody>, SendError> {
         let answer = timeout_at(deadline.into(), self.sender.try_send_request(request)).await;
         match answer {
-            Ok(Ok(answer)) => Ok(answer.map(|body| TrackedBody::new(body, self))),
+            Ok(Ok(answer)) => {
+                if let Some(told) = keep_alive(answer.headers()) {
+                    self.idle_limit = told.saturating_sub(CLOSE_MARGIN).min(IDLE_LIMIT);
+                }
+                Ok(answer.map(|body| TrackedBody::new(body, self)))
+            }
             Ok(Err(mut error)) => match error.take_message() {
                 Some(request) => Err(SendError::not_sent(error.error(), request)),
                 None => Err(SendError::Lost {
@@ -129,10 +142,12 @@
 
     /// Gives the connection back for the next request.
     pub fn give_back(self) {
+        let since = Instant::now();
         let idle = Idle {
             sender: self.sender,
             open: self.open,
-            since: Instant::now(),
+            since,
+            until: since + self.idle_limit,
         };
         let mut peers = self.connections.lock();
         peers.entry(self.address).or_default().idle.push(idle);
@@ -207,6 +222,7 @@
             address,
             sender,
             open,
+            idle_limit: IDLE_LIMIT,
         }
     }
 
@@ -218,7 +234,7 @@
         let mut peers = self.lock();
         let peer = peers.get_mut(&address)?;
         peer.idle
-            .retain(|idle| idle.since.elapsed() < IDLE_LIMIT && !idle.sender.is_closed());
+            .retain(|idle| idle.until > Instant::now() && !idle.sender.is_closed());
         let last = peer.idle.last()?;
         if last.since.elapsed() >= oldest {
             return None;
--- a/crates/upstream/src/headers.rs
+++ b/crates/upstream/src/headers.rs
@@ -1,5 +1,7 @@
 //! Which headers of a message go on to its next recipient.
 
+use std::time::Duration;
+
 use hyper::header::{self, HeaderMap, HeaderName};
 
 /// Start of the names of headers that are the system's own.
@@ -18,6 +20,20 @@
     "upgrade",
 ];
 
+/// Time for which the other end keeps an idle connection, where it says so in whole seconds
+/// (RFC 2068, 19.7.1.1).
+pub(crate) fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let values = headers.get_all("keep-alive").iter();
+    let parameters = values.filter_map(|value| value.to_str().ok());
+    let mut parameters = parameters.flat_map(|value| value.split(','));
+    parameters.find_map(|parameter| {
+        let (name, seconds) = parameter.split_once('=')?;
+        let is_timeout = name.trim().eq_ignore_ascii_case("timeout");
+        let seconds = seconds.trim().parse().ok().filter(|_| is_timeout)?;
+        Some(Duration::from_secs(seconds))
+    })
+}
+
 /// A message's headers that go on to its next recipient.
 pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let named: Vec<HeaderName> = headers
