The look before a send is a decision of its own, with a test; a test of Connection: close

Cause: what bars a request that has waited for a connection was decided in the sending code, where no test reached it. Change: Choice::barred; behaviour as before. A connection whose other end says close is shown not to be used again. Measured: tests of steering and upstream pass.

--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -123,10 +123,7 @@
             return Err(Missed::new(Sent::Not, reason));
         }
     };
-    // What it was chosen for may not hold any more: the upstream may have answered others
-    // while this request waited up to 300 ms for a connection.
-    let obstacle = upstream.condition().obstacle(Instant::now());
-    if let Some(obstacle) = obstacle.filter(|obstacle| obstacle.bars_chosen()) {
+    if let Some(obstacle) = choice.barred(Instant::now()) {
         count_send("not_sent");
         lease.give_back();
         return Err(Missed::new(Sent::Not, obstacle));
--- a/crates/steering/src/route/choice.rs
+++ b/crates/steering/src/route/choice.rs
@@ -12,6 +12,7 @@
 use super::view::{RegionPool, Upstream};
 use super::wish::Wish;
 use crate::ids::HostName;
+use crate::statement::Obstacle;
 
 /// Wait at an object's home, as a share of its goal, up to which it is sent there. Work
 /// at an upstream that does not hold the object takes three times as long, and makes
@@ -48,6 +49,13 @@
 }
 
 impl Choice {
+    /// What its upstream has said since it was chosen, and bars the request: it may have
+    /// answered others while this one waited, up to 300 ms, for a connection.
+    pub fn barred(&self, now: Instant) -> Option<Obstacle> {
+        let obstacle = self.upstream.condition().obstacle(now);
+        obstacle.filter(|obstacle| obstacle.bars_chosen())
+    }
+
     /// Takes that no answer had come after `silent`: the upstream takes at least so long.
     pub fn gave_no_answer(&self, now: Instant, silent: Duration) {
         let expected = self.expectation.longest();
--- a/crates/steering/tests/route_choice.rs
+++ b/crates/steering/tests/route_choice.rs
@@ -9,6 +9,7 @@
     Answered, Catalog, Changes, Conditions, Estimate, Evacuations, Lack, Record, RegionPool,
     ReportedUpstream, RouteDocument, RouteView, ServicePool, ServiceTerms, Upstream, Wish, choose,
 };
+use steering::statement::Obstacle;
 
 const SLOTS: u32 = 3;
 
@@ -526,3 +527,51 @@
     assert_eq!(pool(&service).use_of_slots(now, 1), 0.5);
     assert_eq!(pool(&service).use_of_slots(now + REST, 1), 0.0);
 }
+
+/// What an upstream says or does.
+#[derive(Debug, Clone, Copy)]
+enum Then {
+    Nothing,
+    Leaves,
+    Rests,
+    IsReplaced,
+    Fails,
+}
+
+/// What happens after a request was chosen, while it waits for a connection.
+#[rstest]
+#[case::nothing(Then::Nothing, None)]
+#[case::leaves(Then::Leaves, Some(Obstacle::Leaves))]
+#[case::wants_rest(Then::Rests, Some(Obstacle::Rests(REST)))]
+#[case::is_replaced(Then::IsReplaced, Some(Obstacle::Replaced))]
+#[case::fails_others(Then::Fails, None)]
+fn a_request_that_waits_is_not_sent_to_who_has_said_no_since(
+    #[case] then: Then,
+    #[case] barred: Option<Obstacle>,
+) {
+    let now = Instant::now();
+    let service = service(1, Duration::ZERO, now);
+    let choice = choose(pool(&service), &wish(&service, None), now).unwrap();
+    let mut condition = choice.upstream.condition();
+    condition.sent(now);
+    match then {
+        Then::Nothing => {}
+        Then::Leaves => assert!(condition.stated.leave(now)),
+        Then::Rests => assert!(condition.stated.rest(now, REST)),
+        Then::IsReplaced => condition.replaced(),
+        Then::Fails => condition.answered(now, Answered::Failed),
+    }
+    drop(condition);
+    assert_eq!(choice.barred(now), barred);
+}
+
+#[test]
+fn the_first_request_after_a_rest_does_not_bar_itself() {
+    let now = Instant::now();
+    let service = service(1, Duration::ZERO, now);
+    let only = &pool(&service).upstreams[0];
+    only.condition().stated.rest(now, REST);
+    let choice = choose(pool(&service), &wish(&service, None), now + REST).unwrap();
+    choice.upstream.condition().sent(now + REST);
+    assert_eq!(choice.barred(now + REST), None);
+}
--- a/crates/upstream/tests/keep_alive.rs
+++ b/crates/upstream/tests/keep_alive.rs
@@ -50,6 +50,7 @@
 #[case::long("Keep-Alive: timeout=600\r\n", 1)]
 #[case::with_others("Keep-Alive: max=7, Timeout = 600\r\n", 1)]
 #[case::at_once("Keep-Alive: timeout=0\r\n", 3)]
+#[case::closes("Connection: close\r\n", 3)]
 #[case::no_number("Keep-Alive: timeout=soon\r\n", 1)]
 #[case::another_parameter("Keep-Alive: max=0\r\n", 1)]
 #[tokio::test]
