--- a/crates/steering/src/route/condition.rs
+++ b/crates/steering/src/route/condition.rs
@@ -86,7 +86,8 @@
     /// Takes a report of all its load, this host's included.
     pub fn reported(&mut self, now: Instant, running: u32, waiting: u32) {
         // The request whose answer carries the report may be counted or not.
-        let others = f64::from(running + waiting) - f64::from(self.in_flight);
+        let all = f64::from(running) + f64::from(waiting);
+        let others = all - f64::from(self.in_flight);
         self.others = Some((others.max(0.0), now));
     }
 
--- a/crates/steering/src/route/view.rs
+++ b/crates/steering/src/route/view.rs
@@ -45,7 +45,8 @@
     /// Takes a report of all its load.
     pub fn reported(&self, now: Instant, running: u32, waiting: u32) {
         self.condition().reported(now, running, waiting);
-        let use_of_slots = f64::from(running + waiting) / f64::from(self.report.slots);
+        let all = f64::from(running) + f64::from(waiting);
+        let use_of_slots = all / f64::from(self.report.slots);
         lock(&self.region).take(now, use_of_slots);
     }
 
--- a/crates/steering/tests/route_condition.rs
+++ b/crates/steering/tests/route_condition.rs
@@ -26,6 +26,14 @@
     );
 }
 
+#[test]
+fn a_load_that_no_upstream_can_have_stops_nothing() {
+    let now = Instant::now();
+    let mut condition = Condition::default();
+    condition.reported(now, u32::MAX, u32::MAX);
+    assert!(condition.load(now, 9, None) > f64::from(u32::MAX));
+}
+
 #[rstest]
 #[case::alone(1, 2.0)]
 #[case::three_hosts(3, 6.0)]
