--- a/crates/steering/src/route/choice.rs
+++ b/crates/steering/src/route/choice.rs
@@ -143,8 +143,7 @@
         let upstream = &pool.upstreams[at];
         let obstacle = upstream.condition().obstacle(now);
         if let Some(obstacle) = obstacle {
-            let id = &upstream.report.id;
-            homes.passed_over.add(id, obstacle, HOMES);
+            homes.passed_over.add(&upstream.report.id, obstacle, HOMES);
             continue;
         }
         let Some(choice) = usable(upstream, rank, wish, now) else {
--- a/crates/steering/src/route/condition.rs
+++ b/crates/steering/src/route/condition.rs
@@ -38,7 +38,8 @@
     unanswered_since: Option<Instant>,
     /// Longest work in flight, if its object is not held; zero where nothing is.
     work: Duration,
-    gone: bool,
+    /// Whether another start has its address.
+    replaced: bool,
     /// What it has said of itself.
     pub stated: Stated,
     /// How much longer than usual it takes.
@@ -93,7 +94,7 @@
 
     /// Notes that another start has its address.
     pub fn replaced(&mut self) {
-        self.gone = true;
+        self.replaced = true;
     }
 
     /// Requests running and waiting there. Where it has not told lately, other hosts are
@@ -124,15 +125,11 @@
     /// What stands against sending it a request now. All who choose an upstream ask this,
     /// and nothing else: a statement that one of them did not ask for would not be heeded.
     pub fn obstacle(&self, now: Instant) -> Option<Obstacle> {
-        if self.gone {
-            return Some(Obstacle::Replaced);
-        }
-        let learned = || match () {
-            () if self.health.is_paused(now) => Some(Obstacle::Failed),
-            () if self.is_silent(now) => Some(Obstacle::Silent),
-            () => None,
-        };
-        self.stated.obstacle(now).or_else(learned)
+        let replaced = self.replaced.then_some(Obstacle::Replaced);
+        let failed = || self.health.is_paused(now).then_some(Obstacle::Failed);
+        let silent = || self.is_silent(now).then_some(Obstacle::Silent);
+        let stated = replaced.or_else(|| self.stated.obstacle(now));
+        stated.or_else(failed).or_else(silent)
     }
 
     /// Whether it may be sent a request.
