A deadline that passes ends no rest; counts of what upstreams state are typed

Cause: found on reading. On our own interface a first request after a rest that met its deadline without an answer counted as answered. Change: only a first byte or a refusal decides. Counts for the gauges are a struct. Measured: a test that failed on the code before; tests of steering, upstream, caller and gateway pass.

--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -15,7 +15,7 @@
 use std::time::{Duration, Instant};
 
 use steering::ids::ServiceName;
-use steering::route::ServicePool;
+use steering::route::{ServicePool, StatedCounts};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use upstream::Connections;
@@ -111,9 +111,7 @@
 }
 
 fn count_stated(service: &ServiceName, pool: &ServicePool, now: Instant) {
-    let counts = pool.regions.values();
-    let counts = counts.map(|region| region.resting_and_leaving(now));
-    let (resting, leaving) = counts.fold((0, 0), |all, one| (all.0 + one.0, all.1 + one.1));
+    let StatedCounts { resting, leaving } = pool.stated(now);
     let service = || service.clone();
     metrics::gauge!("stagedeck_upstreams_resting", "service" => service()).set(resting as f64);
     metrics::gauge!("stagedeck_upstreams_leaving", "service" => service()).set(leaving as f64);
--- a/crates/steering/src/pool/member.rs
+++ b/crates/steering/src/pool/member.rs
@@ -229,9 +229,12 @@
         self.told_at = now;
         let awaited = self.stop_awaiting(sent);
         match outcome {
-            Outcome::Answered(_) | Outcome::Shed => drop(self.stated.answered(sent)),
+            Outcome::Shed => drop(self.stated.answered(sent)),
             Outcome::Rests(rest) => drop(self.stated.rest(now, rest)),
-            Outcome::Failed | Outcome::Cancelled => self.stated.unanswered(sent),
+            // An answer was noted with its first byte; without one the deadline has passed.
+            Outcome::Answered(_) | Outcome::Failed | Outcome::Cancelled => {
+                self.stated.unanswered(sent);
+            }
         }
         match outcome {
             Outcome::Answered(latency) if awaited => self.answered(latency, expected),
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -76,6 +76,8 @@
 pub use store_answers::{Answering, StoreAnswers};
 pub use table::RouteTable;
 pub use upstream::{ReportedUpstream, UpstreamId};
-pub use view::{Conditions, Evacuations, RegionPool, RouteView, ServicePool, Upstream};
+pub use view::{
+    Conditions, Evacuations, RegionPool, RouteView, ServicePool, StatedCounts, Upstream,
+};
 pub use wish::Wish;
 pub use zone_condition::ZoneCondition;
--- a/crates/steering/src/route/view.rs
+++ b/crates/steering/src/route/view.rs
@@ -97,18 +97,6 @@
             .sum()
     }
 
-    /// How many of them rest, or are just back from a rest, and how many leave, by what they
-    /// have said to this host.
-    pub fn resting_and_leaving(&self, now: Instant) -> (usize, usize) {
-        let obstacles = self.upstreams.iter();
-        let obstacles = obstacles.map(|upstream| upstream.condition().obstacle(now));
-        obstacles.fold((0, 0), |(resting, leaving), obstacle| match obstacle {
-            Some(Obstacle::Rests(_) | Obstacle::Returns) => (resting + 1, leaving),
-            Some(Obstacle::Leaves) => (resting, leaving + 1),
-            _ => (resting, leaving),
-        })
-    }
-
     /// Load relative to slots; 1 is full. Unusable upstreams count as full.
     /// `hosts` are those that send to them.
     pub fn use_of_slots(&self, now: Instant, hosts: usize) -> f64 {
@@ -136,6 +124,31 @@
     pub terms: Option<ServiceTerms>,
 }
 
+/// How many upstreams have said to this host what keeps work from them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct StatedCounts {
+    /// Those that rest, or are just back from it.
+    pub resting: usize,
+    /// Those that leave.
+    pub leaving: usize,
+}
+
+impl ServicePool {
+    /// Counts the service's upstreams by what they have said.
+    pub fn stated(&self, now: Instant) -> StatedCounts {
+        let mut counts = StatedCounts::default();
+        let pools = self.regions.values();
+        for upstream in pools.flat_map(|region| &region.upstreams) {
+            match upstream.condition().obstacle(now) {
+                Some(Obstacle::Rests(_) | Obstacle::Returns) => counts.resting += 1,
+                Some(Obstacle::Leaves) => counts.leaving += 1,
+                _ => {}
+            }
+        }
+        counts
+    }
+}
+
 /// Immutable; a newer one replaces it whole.
 #[derive(Debug, Default)]
 pub struct RouteView {
--- a/crates/steering/tests/pool.rs
+++ b/crates/steering/tests/pool.rs
@@ -402,10 +402,27 @@
     };
     let next = bench.offer(100 * MS, 5);
     assert!(matches!(next, Decision::Queued(_)), "{next:?}");
+    bench.pool.first_byte(bench.now, trial);
     let steps = bench.release(trial, Outcome::Answered(10 * MS));
     assert!(matches!(&steps[..], [Step::Granted(_)]), "{steps:?}");
 }
 
+/// The first request after a rest gets no answer before its deadline: the next decides.
+#[test]
+fn a_deadline_that_passes_does_not_end_the_trial_after_a_rest() {
+    let mut bench = resting(&["a"]);
+    bench.now += REST;
+    let trial = bench.granted();
+    bench.now += 20 * MS;
+    bench.release(&trial, Outcome::Answered(20 * MS));
+    let next = bench.granted();
+    let after = bench.offer(100 * MS, 5);
+    assert!(matches!(after, Decision::Queued(_)), "{after:?}");
+    bench.pool.first_byte(bench.now, &next);
+    let steps = bench.pool.advance(bench.now, &mut bench.rng);
+    assert!(matches!(&steps[..], [Step::Granted(_)]), "{steps:?}");
+}
+
 #[test]
 fn who_can_not_wait_for_the_end_of_a_rest_is_refused_at_once() {
     let mut bench = resting(&["a"]);
--- a/crates/steering/tests/route_choice.rs
+++ b/crates/steering/tests/route_choice.rs
@@ -525,6 +525,7 @@
         upstream.condition().stated.rest(now, REST);
     }
     assert_eq!(pool(&service).use_of_slots(now, 1), 0.5);
+    assert_eq!(service.stated(now).resting, 2);
     assert_eq!(pool(&service).use_of_slots(now + REST, 1), 0.0);
 }
 
--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -233,8 +233,9 @@
         };
         let mut peers = self.lock();
         let peer = peers.get_mut(&address)?;
+        let now = Instant::now();
         peer.idle
-            .retain(|idle| idle.until > Instant::now() && !idle.sender.is_closed());
+            .retain(|idle| idle.until > now && !idle.sender.is_closed());
         let last = peer.idle.last()?;
         if last.since.elapsed() >= oldest {
             return None;
