A soak seed that fails: parts of shared bounds of a host that is not listed

Cause: a host that has read the list of hosts, but whose own row is not in it, counts itself and takes its part; the others do not count it, and share the whole among themselves. The store reset its first write.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -8,6 +8,9 @@
 /// Seeds that failed once stay here, each with its cause.
 #[rstest]
 #[case::short(1)]
+// The first fault keeps one host from writing its row: it counts itself and the others, who do
+// not count it, and the parts of an allowance add up to more than the whole.
+#[case::a_host_that_is_not_listed(1023)]
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_under_faults(#[case] seed: u64) {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
