Own interface: a rest of no time ends the trial after a rest

A first request after a rest that was refused with Retry-After: 0 neither began a rest nor counted as an answer, so that the upstream was passed over for good. On the platform's path the refusal itself ends the trial. Change: such an outcome ends the trial as any refusal does; a longer rest begins as before. Measured: the test fails on the code before and passes now; tests of steering, caller and standin's rest pass.

--- a/crates/steering/src/pool/member.rs
+++ b/crates/steering/src/pool/member.rs
@@ -230,7 +230,11 @@
         let awaited = self.stop_awaiting(sent);
         match outcome {
             Outcome::Shed => drop(self.stated.answered(sent)),
-            Outcome::Rests(rest) => drop(self.stated.rest(now, rest)),
+            // A rest of no time is an answer like any other, and ends a trial.
+            Outcome::Rests(rest) => {
+                self.stated.rest(now, rest);
+                self.stated.answered(sent);
+            }
             // An answer was noted with its first byte; without one the deadline has passed.
             Outcome::Answered(_) | Outcome::Failed | Outcome::Cancelled => {
                 self.stated.unanswered(sent);
--- a/crates/steering/tests/pool.rs
+++ b/crates/steering/tests/pool.rs
@@ -459,3 +459,14 @@
         .report(bench.now + REST, &"a".to_owned(), &report);
     assert!(bench.pool.load().capacity > 0);
 }
+
+/// The first request after a rest is refused with a rest of no time: that too is an answer.
+#[test]
+fn a_rest_of_no_time_ends_the_trial_after_a_rest() {
+    let mut bench = resting(&["a"]);
+    bench.now += REST;
+    let trial = bench.granted();
+    bench.release(&trial, Outcome::Rests(Duration::ZERO));
+    bench.now += 200 * MS;
+    bench.granted();
+}
