Sight: the age of the store's answer travels with what hosts tell each other

A request reached an upstream 4,010 ms after the store had taken that it leaves (4,000 allowed). No log could tell a belief that was late from one that was renewed by old news: age was counted from a message's receipt, however long it had been under way.

News and states say how old the store's answer is on which they rest; the receiver adds an upper bound of the message's own time under way, from the reply to the message before (peer::Receipts; 8 bytes a message, protocol version 9). feed_renewed_late and stagedeck_belief_age_seconds count from the store's answer; upstream_reported and upstream_gone tell how the news came (store, news, state) and how old they were. What hosts decide is the same as before.

--- a/crates/gateway/src/control/beliefs.rs
+++ b/crates/gateway/src/control/beliefs.rs
@@ -12,6 +12,7 @@
     StoreAnswers,
 };
 
+use super::origin::Origin;
 use crate::host::Common;
 
 /// Reports that can't be read of which the log tells; more are not kept in mind.
@@ -116,10 +117,16 @@
     }
 
     /// Takes a part of a feed, or all of it; what is worth telling others, in order.
-    pub fn take(&mut self, now: Instant, feed: Feed, changes: Changes) -> Vec<Record> {
+    pub fn take(
+        &mut self,
+        now: Instant,
+        feed: Feed,
+        changes: Changes,
+        origin: Origin,
+    ) -> Vec<Record> {
         let news = match feed {
             Feed::Routes => self.take_routes(now, changes),
-            Feed::Upstreams => self.take_upstreams(now, &changes),
+            Feed::Upstreams => self.take_upstreams(now, &changes, origin),
             Feed::Hosts => return self.take_hosts(now, &changes),
         };
         if !news.is_empty() {
@@ -200,7 +207,7 @@
         Some(Record::DocumentChange(Box::new(change)))
     }
 
-    fn take_upstreams(&mut self, now: Instant, changes: &Changes) -> Vec<Record> {
+    fn take_upstreams(&mut self, now: Instant, changes: &Changes, origin: Origin) -> Vec<Record> {
         for record in &changes.records {
             if let Record::Unusable { key, reason } = record {
                 // Its writer may write it again with each of its heartbeats.
@@ -213,7 +220,7 @@
         }
         let taken = self.catalog.take(now, changes);
         for change in &taken {
-            note(change);
+            note(change, origin);
         }
         taken.iter().map(Record::from).collect()
     }
@@ -308,17 +315,20 @@
     }
 }
 
-fn note(change: &CatalogChange) {
+fn note(change: &CatalogChange, origin: Origin) {
+    let (source, age_ms) = (origin.source, origin.as_of.elapsed().as_millis() as u64);
     match change {
         CatalogChange::Gone { id, at_once } => {
-            tracing::info!(event = "upstream_gone", upstream = id, at_once);
+            tracing::info!(event = "upstream_gone", upstream = id, at_once, %source, age_ms);
         }
         CatalogChange::Reported(report) => tracing::info!(
             event = "upstream_reported",
             upstream = report.id,
             service = report.service,
             draining = report.draining,
-            cold_ms = report.cold_for.as_millis() as u64
+            cold_ms = report.cold_for.as_millis() as u64,
+            %source,
+            age_ms
         ),
     }
 }
--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use peer::{StateQuery, ask_state};
+use peer::{FeedState, StateQuery, ask_state};
 use steering::membership::HostEntry;
 use steering::route::{
     Changes, Feed, FeedVersion, HOST_ANSWER_LIMIT, Lead, News, Record, Use, pause_most,
@@ -14,6 +14,7 @@
 
 use super::Control;
 use super::follower::{Follower, Missing, tightest};
+use super::origin::{Origin, Source};
 use super::waits::Wait;
 
 /// Pause after an answer that is older than what was seen before.
@@ -125,7 +126,9 @@
                 Asked::Again
             }
             Ok(changes) => {
-                let news = self.asked(feed, changes);
+                let is_waited = known.is_some() && changes.records.is_empty();
+                let as_of = answer_as_of(begun, Instant::now(), wait, is_waited);
+                let news = self.asked(feed, changes, as_of);
                 self.note_asked(feed);
                 Asked::News(news)
             }
@@ -187,11 +190,17 @@
         };
         for seed in seeds.filter(|seed| **seed != settings.peer_address) {
             match ask_state(*seed, query, SEED_LIMIT).await {
-                Ok(Some(state)) if self.follower(feed, |own| own.newest) <= state.version => {
-                    let version = state.version;
+                Ok(Some(FeedState { changes, as_of }))
+                    if self.follower(feed, |own| own.newest) <= changes.version =>
+                {
+                    let version = changes.version;
                     tracing::info!(event = "learned_from_seed", feed = %feed, %seed, version);
-                    self.take(feed, state);
-                    self.follower(feed, |own| own.advance(version));
+                    let source = Source::State;
+                    self.take(feed, changes, Origin { source, as_of });
+                    self.follower(feed, |own| {
+                        own.advance(version);
+                        own.lead.filled(as_of);
+                    });
                     return;
                 }
                 Ok(_) => {}
@@ -202,7 +211,7 @@
 
     /// What this host has taken from a feed, as another host asks for it; none where it
     /// can't tell.
-    pub(super) fn state(&self, query: StateQuery) -> Option<Changes> {
+    pub(super) fn state(&self, query: StateQuery) -> Option<FeedState> {
         let StateQuery {
             feed,
             after,
@@ -210,7 +219,7 @@
         } = query;
         let now = Instant::now();
         let is_too_old = |own: &mut Follower| {
-            let age = own.age(now).unwrap_or(Duration::MAX);
+            let age = own.silent_for(now).unwrap_or(Duration::MAX);
             most_age.is_some_and(|most| age > most)
         };
         let version = self.follower(feed, |own| own.version)?;
@@ -221,30 +230,37 @@
             Some(after) => self.follower(feed, |own| own.recent.after(after))?,
             None => self.beliefs.borrow().state(now, feed),
         };
-        Some(Changes {
+        let changes = Changes {
             whole: after.is_none(),
             records,
             version,
-        })
+        };
+        let as_of = self.follower(feed, |own| own.lead.as_of())?;
+        Some(FeedState { changes, as_of })
     }
 
     /// Takes an answer of the store; what others may be told.
-    fn asked(&self, feed: Feed, changes: Changes) -> News {
+    fn asked(&self, feed: Feed, changes: Changes, as_of: Instant) -> News {
         let (version, whole) = (changes.version, changes.whole);
-        self.follower(feed, |own| own.answered(version));
-        let records = self.take(feed, changes);
+        self.follower(feed, |own| own.answered(version, as_of));
+        let source = Source::Store;
+        let records = self.take(feed, changes, Origin { source, as_of });
         self.follower(feed, |own| own.keep(version, whole, &records));
         self.news(feed, version, records)
     }
 
     /// What other hosts are told of this one's knowledge.
     pub(super) fn news(&self, feed: Feed, version: FeedVersion, records: Vec<Record>) -> News {
+        let now = Instant::now();
+        let as_of = self.follower(feed, |own| own.lead.as_of());
         let beliefs = self.beliefs.borrow();
         News {
             feed,
             version,
             digest: beliefs.digest(feed),
-            store: beliefs.store_answers(Instant::now()),
+            store: beliefs.store_answers(now),
+            // Only what was learned from the store, or from a host that had, is told.
+            as_of: as_of.unwrap_or(now),
             records,
         }
     }
@@ -271,7 +287,11 @@
                 records: news.records,
                 version: news.version,
             };
-            taken = self.take(feed, changes);
+            let origin = Origin {
+                source: Source::News,
+                as_of: news.as_of,
+            };
+            taken = self.take(feed, changes, origin);
             match self.beliefs.borrow().digest(feed) == news.digest {
                 true => self.follower(feed, |own| own.keep(news.version, false, &taken)),
                 false => used = Use::Gap,
@@ -282,7 +302,7 @@
             digest: news.digest,
         };
         self.follower(feed, |own| {
-            own.told(now, used, news.version, missing);
+            own.told(now, used, news.version, news.as_of, missing);
         });
         if used != Use::Gap {
             self.pass_on(&from.name, feed, taken);
@@ -290,11 +310,11 @@
     }
 
     /// Takes a part of a feed, or all of it; what is worth telling others.
-    pub(super) fn take(&self, feed: Feed, changes: Changes) -> Vec<Record> {
+    pub(super) fn take(&self, feed: Feed, changes: Changes, origin: Origin) -> Vec<Record> {
         let now = Instant::now();
         self.take_peer_key(&changes);
         let mut beliefs = self.beliefs.borrow_mut();
-        let news = beliefs.take(now, feed, changes);
+        let news = beliefs.take(now, feed, changes, origin);
         let heeded = |record: &Record| !matches!(record, Record::Unusable { .. });
         let changed = news.iter().any(heeded) || beliefs.expire(now);
         drop(beliefs);
@@ -313,3 +333,12 @@
         with(&mut follower.borrow_mut())
     }
 }
+
+/// When an answer of the store was true, at the earliest. The store answers a question that
+/// waits as soon as anything is new, else when the wait is over.
+fn answer_as_of(begun: Instant, now: Instant, wait: Duration, is_waited: bool) -> Instant {
+    match is_waited {
+        true => now.min(begun + wait),
+        false => begun,
+    }
+}
--- a/crates/gateway/src/control/follower.rs
+++ b/crates/gateway/src/control/follower.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use derive_more::Display;
 use steering::membership::HostEntry;
 use steering::route::{Feed, FeedDigest, FeedVersion, Lead, Recent, Record, Use};
 use store::RecordError;
 use tokio::sync::Notify;
 
 use super::heard::Heard;
+use super::origin::Source;
 use super::waits::{Wait, Waits};
 use crate::settings::{Bounds, GatewaySettings};
 
@@ -27,17 +27,6 @@
     pub digest: FeedDigest,
 }
 
-/// Who told what a feed says.
-#[derive(Debug, Clone, Copy, Display)]
-enum Source {
-    /// The store.
-    #[display("store")]
-    Store,
-    /// Another host.
-    #[display("host")]
-    Host,
-}
-
 /// How far this host has come in a feed, and who asks for it.
 pub(super) struct Follower {
     feed: Feed,
@@ -90,8 +79,8 @@
         }
     }
 
-    /// Age of what is believed; none before anything is.
-    pub fn age(&self, now: Instant) -> Option<Duration> {
+    /// Time since anything was heard; none before anything was.
+    pub fn silent_for(&self, now: Instant) -> Option<Duration> {
         self.heard.age(now)
     }
 
@@ -103,7 +92,7 @@
     /// Notes that the store was heard, or a host that had asked it. Where this took long, the
     /// log tells how old the belief had become, and what it had waited for most.
     fn renew(&mut self, now: Instant, source: Source) {
-        let age = self.heard.age(now).unwrap_or_default();
+        let age = self.lead.age(now).unwrap_or_default();
         let longest = self.waits.take();
         if age > self.lead.stale_after() {
             tracing::info!(
@@ -118,11 +107,11 @@
         self.heard.note(now);
     }
 
-    /// Takes an answer of the store.
-    pub fn answered(&mut self, version: FeedVersion) {
+    /// Takes an answer of the store, which was true at `as_of`.
+    pub fn answered(&mut self, version: FeedVersion, as_of: Instant) {
         self.renew(Instant::now(), Source::Store);
         self.advance(version);
-        self.lead.asked();
+        self.lead.asked(as_of);
         self.missing = None;
         if let Some(since) = self.lost_since.take() {
             let away_ms = since.elapsed().as_millis() as u64;
@@ -136,16 +125,16 @@
     }
 
     /// Notes that all was learned from another host, up to `version`.
-    pub fn learned(&mut self, now: Instant, version: FeedVersion) {
-        self.renew(now, Source::Host);
+    pub fn learned(&mut self, now: Instant, version: FeedVersion, as_of: Instant) {
+        self.renew(now, Source::State);
         self.advance(version);
-        self.lead.learned(now);
+        self.lead.learned(now, as_of);
     }
 
     /// Notes that another host has told what was missing, up to `version`.
-    pub fn filled(&mut self, version: FeedVersion) {
+    pub fn filled(&mut self, version: FeedVersion, as_of: Instant) {
         self.advance(version);
-        self.lead.filled();
+        self.lead.filled(as_of);
         self.lacks = false;
     }
 
@@ -177,14 +166,21 @@
 
     /// Takes what another host has told, which goes up to `version`; it is what is missing
     /// where there is a gap.
-    pub fn told(&mut self, now: Instant, used: Use, version: FeedVersion, missing: Missing) {
+    pub fn told(
+        &mut self,
+        now: Instant,
+        used: Use,
+        version: FeedVersion,
+        as_of: Instant,
+        missing: Missing,
+    ) {
+        if used != Use::Gap {
+            self.renew(now, Source::News);
+        }
         let from = &missing.teller.name;
-        self.lead.told(now, from, used);
+        self.lead.told(now, from, used, as_of);
         // The teller reaches the store.
         self.lost_since = None;
-        if used != Use::Gap {
-            self.renew(now, Source::Host);
-        }
         match used {
             Use::Known => {}
             Use::Take => {
--- a/crates/gateway/src/control/hosts.rs
+++ b/crates/gateway/src/control/hosts.rs
@@ -6,7 +6,10 @@
 use std::time::{Duration, Instant};
 
 use futures::future::join_all;
-use peer::{Beat, Exchange, ExchangeReply, Local, PeerClient, PeerHandler, PeerServer, StateQuery};
+use peer::{
+    Beat, Exchange, ExchangeReply, FeedState, Local, PeerClient, PeerHandler, PeerServer,
+    StateQuery,
+};
 use rand::Rng;
 use steering::history::{Entry, Position};
 use steering::ids::{HostName, Incarnation, Revision};
@@ -328,7 +331,7 @@
         }
     }
 
-    fn state(&self, query: StateQuery) -> Option<Changes> {
+    fn state(&self, query: StateQuery) -> Option<FeedState> {
         self.0.state(query)
     }
 
--- a/crates/gateway/src/control/learn.rs
+++ b/crates/gateway/src/control/learn.rs
@@ -6,13 +6,14 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use peer::{StateQuery, ask_state};
+use peer::{FeedState, StateQuery, ask_state};
 use steering::membership::HostEntry;
-use steering::route::{Changes, Feed, FeedVersion, HOST_ANSWER_LIMIT};
+use steering::route::{Feed, FeedVersion, HOST_ANSWER_LIMIT};
 use tokio::time::{sleep, timeout};
 
 use super::Control;
 use super::follower::{Follower, Missing};
+use super::origin::{Origin, Source};
 use super::waits::Wait;
 
 /// Times the longest time without news up to which a host's knowledge is of use to one that
@@ -65,17 +66,19 @@
         elders.iter().filter_map(find).collect()
     }
 
-    fn is_new(&self, feed: Feed, state: &Changes) -> bool {
-        self.follower(feed, |own| own.newest) <= state.version
+    fn is_new(&self, feed: Feed, state: &FeedState) -> bool {
+        self.follower(feed, |own| own.newest) <= state.changes.version
     }
 
-    fn learned(&self, feed: Feed, from: &HostEntry, state: Changes) {
-        let version = state.version;
+    fn learned(&self, feed: Feed, from: &HostEntry, state: FeedState) {
+        let FeedState { changes, as_of } = state;
+        let version = changes.version;
         tracing::info!(event = "learned_from_host", feed = %feed, from = from.name, version);
-        let records = self.take(feed, state);
+        let source = Source::State;
+        let records = self.take(feed, changes, Origin { source, as_of });
         let now = Instant::now();
         self.follower(feed, |own| {
-            own.learned(now, version);
+            own.learned(now, version, as_of);
             own.keep(version, true, &records);
         });
     }
@@ -129,14 +132,16 @@
                 return false;
             }
         };
-        let (version, whole) = (state.version, state.whole);
-        let records = self.take(feed, state);
+        let FeedState { changes, as_of } = state;
+        let (version, whole) = (changes.version, changes.whole);
+        let source = Source::State;
+        let records = self.take(feed, changes, Origin { source, as_of });
         // The teller may have gone on since: then its next news show whether all is there.
         let is_filled = whole || self.beliefs.borrow().digest(feed) == *digest;
         count_gap(feed, if is_filled { "filled" } else { "lacks_more" });
         if is_filled {
             self.follower(feed, |own| {
-                own.filled(version);
+                own.filled(version, as_of);
                 own.keep(version, whole, &records);
             });
             self.pass_on(&teller.name, feed, records);
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod hosts;
 mod learn;
 mod limits;
+mod origin;
 mod outage;
 mod telling;
 mod tokens;
@@ -187,7 +188,7 @@
     fn count_ages(&self) {
         let now = Instant::now();
         for feed in [Feed::Routes, Feed::Upstreams, Feed::Hosts] {
-            if let Some(age) = self.follower(feed, |own| own.age(now)) {
+            if let Some(age) = self.follower(feed, |own| own.lead.age(now)) {
                 metrics::gauge!("stagedeck_belief_age_seconds", "feed" => feed.to_string())
                     .set(age.as_secs_f64());
             }
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -4,7 +4,7 @@
 # change is not understood by older hosts. Version 1, in which each heartbeat
 # named its host and each load its service, was never released.
 
-const protocolVersion :UInt16 = 8;
+const protocolVersion :UInt16 = 9;
 
 interface Gate {
   # What a host offers before it knows who calls.
@@ -14,8 +14,9 @@
   # All that this host has taken from a feed of the store, or what it took since a version;
   # version 0 says that it can't tell. The query is JSON, the records are in the postcard
   # format. Also for hosts that can't reach the store and so don't hold the key; the store
-  # tells the same to whoever reaches it.
-  state @2 (query :Data) -> (version :UInt64, records :Data);
+  # tells the same to whoever reaches it. `ageMs` is the age of the store's answer on which it rests;
+  # up to version 8 it was not told.
+  state @2 (query :Data) -> (version :UInt64, records :Data, ageMs :UInt32);
 }
 
 interface Session {
@@ -24,11 +25,14 @@
   exchange @1 (position :Position, summaries :List(Summary))
       -> (position :Position, entries :List(Data), snapshot :Data, summaries :List(Summary));
   push @2 (entry :Data) -> (position :Position);
-  news @4 (feed :Data, version :UInt64, digest :UInt64, records :Data, store :Data) -> ();
+  news @4 (feed :Data, version :UInt64, digest :UInt64, records :Data, store :Data,
+      ageMs :UInt32, sinceReplyMs :UInt32) -> ();
   # What is new in a feed of the store. Records are in the postcard format, the other data
   # fields are JSON. Version 2 of the protocol did not have it; version 3 had all records since
   # a position in place of a digest; version 4 had them as JSON; up to version 6 `store` was the
-  # time since the store had come back, where the teller had found it away.
+  # time since the store had come back, where the teller had found it away. `ageMs` is the age of
+  # the store's answer on which the news rest; `sinceReplyMs` is the time since the reply to the news
+  # of this feed before, or since `open`. Up to version 8 there was neither.
   borrow @3 (limit :Data, request :LoanRequest) -> (granted :Bool, grant :LoanGrant);
   # Asks or tells what hosts keep together: tokens of customers' allowances, tokens of limits that
   # upstreams name, work under which upstreams end. Both are in the postcard format; version 5
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -4,7 +4,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
@@ -24,10 +24,11 @@
     read_grant, read_json, read_position, read_records, read_summaries, write_beat, write_host,
     write_json, write_position, write_records, write_request, write_summaries,
 };
-use crate::messages::{Beat, EncodedNews, Exchange, ExchangeReply, Local, StateQuery};
+use crate::messages::{Beat, EncodedNews, Exchange, ExchangeReply, FeedState, Local, StateQuery};
 use crate::peer_capnp::{PROTOCOL_VERSION, gate, session};
 use crate::traffic::{Counted, PeerTraffic};
-use crate::{ENTRIES_LIMIT, reader_options, tag};
+use crate::transit::Replies;
+use crate::{ENTRIES_LIMIT, before, millis, reader_options, tag};
 
 /// Why a call brought nothing.
 #[derive(Debug, Display, Error, From)]
@@ -47,6 +48,7 @@
 /// An open session; closed when dropped.
 struct Connection {
     session: session::Client,
+    replies: RefCell<Replies>,
     task: AbortHandle,
 }
 
@@ -129,17 +131,24 @@
         .await
     }
 
-    /// Passes on a part of a feed.
+    /// Passes on a part of a feed. News of one feed are sent one after the other: the
+    /// receiver bounds the time of each message by the reply to the one before.
     pub async fn news(&self, news: &EncodedNews) -> Result<(), PeerError> {
-        self.call(async |session| {
-            let mut request = session.news_request();
+        self.call_on(async |connection| {
+            let mut request = connection.session.news_request();
+            let now = Instant::now();
+            let since_reply = connection.replies.borrow().since(news.feed, now);
             let mut params = request.get();
-            params.set_feed(&news.feed);
+            params.set_age_ms(millis(now.saturating_duration_since(news.as_of)));
+            params.set_since_reply_ms(since_reply.as_millis() as u32);
+            params.set_feed(&write_json(&news.feed));
             params.set_version(news.version);
             params.set_digest(news.digest);
             params.set_records(&news.records);
             params.set_store(&news.store);
             request.send().promise.await?;
+            let mut replies = connection.replies.borrow_mut();
+            replies.note(news.feed, Instant::now());
             Ok(())
         })
         .await
@@ -181,9 +190,17 @@
     where
         F: Future<Output = Result<T, capnp::Error>>,
     {
+        self.call_on(async |connection| with(connection.session.clone()).await)
+            .await
+    }
+
+    async fn call_on<T>(
+        &self,
+        with: impl AsyncFnOnce(&Connection) -> Result<T, capnp::Error>,
+    ) -> Result<T, PeerError> {
         let call = async {
             let connection = self.connected().await?;
-            Ok(with(connection.session.clone()).await?)
+            Ok(with(&connection).await?)
         };
         let result = timeout(self.deadline, call).await;
         let result = result.unwrap_or(Err(PeerError::Late));
@@ -219,10 +236,15 @@
         request.get().set_incarnation(*incarnation);
         request.get().set_tag(&tag.finalize().into_bytes());
         request.get().set_version(PROTOCOL_VERSION);
+        let replies = RefCell::new(Replies::new(Instant::now()));
         let opened = request.send().promise.await?;
         let session = opened.get()?.get_session()?;
         let task = task.0.take().expect("it is taken only here");
-        Ok(Connection { session, task })
+        Ok(Connection {
+            session,
+            replies,
+            task,
+        })
     }
 }
 
@@ -236,7 +258,8 @@
     address: SocketAddr,
     query: StateQuery,
     deadline: Duration,
-) -> Result<Option<Changes>, PeerError> {
+) -> Result<Option<FeedState>, PeerError> {
+    let begun = Instant::now();
     let call = async {
         let (gate, _task) = open_gate(address, &Rc::default()).await?;
         let mut request = gate.state_request();
@@ -248,11 +271,13 @@
             return Ok(None);
         }
         let (whole, records) = read_records(answer.get_records()?)?;
-        Ok(Some(Changes {
+        let changes = Changes {
             whole,
             records,
             version,
-        }))
+        };
+        let as_of = before(begun, Duration::from_millis(answer.get_age_ms().into()));
+        Ok(Some(FeedState { changes, as_of }))
     };
     timeout(deadline, call)
         .await
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -10,6 +10,7 @@
 mod names;
 mod server;
 mod traffic;
+mod transit;
 
 /// Generated from `schema/peer.capnp` by `capnp compile -orust`.
 #[allow(
@@ -24,10 +25,13 @@
 mod peer_capnp;
 
 pub use client::{PeerClient, PeerError, ask_state};
-pub use messages::{Beat, EncodedNews, Exchange, ExchangeReply, Local, StateQuery};
+pub use messages::{Beat, EncodedNews, Exchange, ExchangeReply, FeedState, Local, StateQuery};
 pub use names::{ServiceId, ServiceNames, service_id};
 pub use server::{PeerHandler, PeerServer};
 pub use traffic::PeerTraffic;
+pub use transit::{Receipts, Replies};
+
+use std::time::{Duration, Instant};
 
 use capnp::message::ReaderOptions;
 use hmac::{Hmac, Mac};
@@ -49,6 +53,26 @@
     options
 }
 
+/// An age in whole milliseconds, rounded up; more than 49 days are told as that.
+fn millis(age: Duration) -> u32 {
+    age.as_micros()
+        .div_ceil(1_000)
+        .try_into()
+        .unwrap_or(u32::MAX)
+}
+
+/// The moment so long before another; the earliest that the clock knows where it reaches no
+/// further back.
+fn before(now: Instant, age: Duration) -> Instant {
+    let mut age = age;
+    loop {
+        match now.checked_sub(age) {
+            Some(at) => return at,
+            None => age /= 2,
+        }
+    }
+}
+
 /// The proof that a caller holds the shared key.
 fn tag(key: &[u8], nonce: &[u8], host: &str, incarnation: u64) -> Hmac<Sha256> {
     let mut mac = Hmac::<Sha256>::new_from_slice(key).expect("any key length is taken");
--- a/crates/peer/src/messages.rs
+++ b/crates/peer/src/messages.rs
@@ -1,14 +1,14 @@
 //! What hosts tell each other.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 use steering::belief::{ServiceLoad, ZoneSummary};
 use steering::history::{Entry, Position, Snapshot};
 use steering::ids::{Incarnation, Revision};
 use steering::membership::{Heartbeat, HostEntry};
-use steering::route::{Feed, FeedDigest, FeedVersion, News, Record};
+use steering::route::{Changes, Feed, FeedDigest, FeedVersion, News, Record};
 
 use crate::codec::{write_json, write_records};
 use crate::names::ServiceNames;
@@ -74,11 +74,13 @@
 /// A part of a feed, encoded once for all who are told.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EncodedNews {
-    pub(crate) feed: Vec<u8>,
+    pub(crate) feed: Feed,
     pub(crate) version: FeedVersion,
     pub(crate) digest: FeedDigest,
     pub(crate) store: Vec<u8>,
     pub(crate) records: Vec<u8>,
+    /// When the store's answer was true; its age is told when the message is sent.
+    pub(crate) as_of: Instant,
 }
 
 impl EncodedNews {
@@ -88,15 +90,26 @@
         let none = || write_records(&Vec::<Record>::new(), usize::MAX);
         let records = write_records(&news.records, most_bytes).or_else(none);
         EncodedNews {
-            feed: write_json(&news.feed),
+            feed: news.feed,
             version: news.version,
             digest: news.digest,
             store: write_json(&news.store),
             records: records.expect("records can be written"),
+            as_of: news.as_of,
         }
     }
 }
 
+/// What a host has taken from a feed of the store.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FeedState {
+    /// All of it, or what it took since a version.
+    pub changes: Changes,
+    /// When the store's answer on which it rests was true, by the own clock; never later than
+    /// that.
+    pub as_of: Instant,
+}
+
 /// Asks a host what it has taken from a feed of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StateQuery {
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use capnp::Error;
 use capnp_rpc::rpc_twoparty_capnp::Side;
@@ -14,7 +15,7 @@
 use steering::ids::{HostName, Incarnation, Revision};
 use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
 use steering::membership::HostEntry;
-use steering::route::{Changes, HostMessage, HostReply, News, TokenReply};
+use steering::route::{HostMessage, HostReply, News, TokenReply};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio_util::compat::TokioAsyncReadCompatExt;
@@ -23,11 +24,12 @@
     read_beat, read_host, read_json, read_position, read_records, read_request, read_summaries,
     write_grant, write_json, write_position, write_records, write_summaries,
 };
-use crate::messages::{Beat, Exchange, ExchangeReply, Local, StateQuery};
+use crate::messages::{Beat, Exchange, ExchangeReply, FeedState, Local, StateQuery};
 use crate::names::ServiceNames;
 use crate::peer_capnp::{PROTOCOL_VERSION, gate, session};
 use crate::traffic::Counted;
-use crate::{NONCE_BYTES, reader_options, tag};
+use crate::transit::Receipts;
+use crate::{NONCE_BYTES, before, millis, reader_options, tag};
 
 const CONNECTIONS_LIMIT: usize = 512;
 /// Largest answer with what has changed since a version, in bytes. Hosts with links of
@@ -50,7 +52,7 @@
     /// for it.
     fn news(&self, _from: &HostEntry, _incarnation: Incarnation, _news: News) {}
     /// What this host has taken from a feed of the store; none where it can't tell.
-    fn state(&self, _query: StateQuery) -> Option<Changes> {
+    fn state(&self, _query: StateQuery) -> Option<FeedState> {
         None
     }
     /// Answers what is asked about things that hosts keep together. A host that serves no
@@ -122,8 +124,8 @@
 struct GateServer {
     local: Local,
     handler: Rc<dyn PeerHandler>,
-    /// Of the last challenge; used once.
-    nonce: RefCell<Option<[u8; NONCE_BYTES]>>,
+    /// Of the last challenge, and when it was given; used once.
+    nonce: RefCell<Option<([u8; NONCE_BYTES], Instant)>>,
 }
 
 impl gate::Server for GateServer {
@@ -134,7 +136,7 @@
     ) -> Result<(), Error> {
         let mut nonce = [0; NONCE_BYTES];
         rand::rng().fill_bytes(&mut nonce);
-        self.nonce.replace(Some(nonce));
+        self.nonce.replace(Some((nonce, Instant::now())));
         let mut results = results.get();
         results.set_nonce(&nonce);
         results.set_version(PROTOCOL_VERSION);
@@ -156,7 +158,8 @@
         let host = read_host(params.get_host()?, None)?;
         let incarnation = params.get_incarnation();
         let nonce = self.nonce.take();
-        let nonce = nonce.ok_or_else(|| Error::failed("no challenge was asked for".to_owned()))?;
+        let (nonce, challenged) =
+            nonce.ok_or_else(|| Error::failed("no challenge was asked for".to_owned()))?;
         tag(&self.local.key, &nonce, &host.name, incarnation)
             .verify_slice(params.get_tag()?)
             .map_err(|_| {
@@ -172,6 +175,7 @@
             incarnation,
             names: Rc::clone(&self.local.names),
             handler: Rc::clone(&self.handler),
+            receipts: RefCell::new(Receipts::new(challenged)),
         };
         results.get().set_session(new_client(session));
         Ok(())
@@ -190,11 +194,13 @@
         let Some(state) = self.handler.state(query) else {
             return Ok(());
         };
-        let written = write_records(&(state.whole, &state.records), most_bytes);
+        let FeedState { changes, as_of } = state;
+        let written = write_records(&(changes.whole, &changes.records), most_bytes);
         if let Some(records) = written {
             let mut results = results.get();
-            results.set_version(state.version);
+            results.set_version(changes.version);
             results.set_records(&records);
+            results.set_age_ms(millis(as_of.elapsed()));
         }
         Ok(())
     }
@@ -205,6 +211,7 @@
     incarnation: Incarnation,
     names: Rc<ServiceNames>,
     handler: Rc<dyn PeerHandler>,
+    receipts: RefCell<Receipts>,
 }
 
 impl session::Server for SessionServer {
@@ -261,12 +268,20 @@
         _: session::NewsResults,
     ) -> Result<(), Error> {
         let params = params.get()?;
+        let feed = read_json(params.get_feed()?)?;
+        let now = Instant::now();
+        let since_reply = Duration::from_millis(params.get_since_reply_ms().into());
+        let mut receipts = self.receipts.borrow_mut();
+        let in_transit = receipts.in_transit_most(feed, now, since_reply);
+        drop(receipts);
+        let age = Duration::from_millis(params.get_age_ms().into()) + in_transit;
         let news = News {
-            feed: read_json(params.get_feed()?)?,
+            feed,
             version: params.get_version(),
             digest: params.get_digest(),
             records: read_records(params.get_records()?)?,
             store: read_json(params.get_store()?)?,
+            as_of: before(now, age),
         };
         self.handler.news(&self.host, self.incarnation, news);
         Ok(())
--- a/crates/steering/src/route/feed.rs
+++ b/crates/steering/src/route/feed.rs
@@ -1,5 +1,7 @@
 //! What operators and upstreams say, as it comes from a store or from another host.
 
+use std::time::Instant;
+
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
@@ -89,6 +91,9 @@
     pub digest: FeedDigest,
     /// Since when the store has answered, as far as the teller knows.
     pub store: Answering,
+    /// When the store's answer on which this rests was true, by the own clock; never later
+    /// than that.
+    pub as_of: Instant,
     /// What has changed, in order.
     pub records: Vec<Record>,
 }
--- a/crates/steering/src/route/lead.rs
+++ b/crates/steering/src/route/lead.rs
@@ -24,6 +24,9 @@
     feed: String,
     timing: NewsTiming,
     told: Option<Instant>,
+    /// When what is known was true in the store, at the earliest; none before anything is
+    /// known.
+    as_of: Option<Instant>,
     /// Whether this host's last question to the store was answered, as far as any was.
     reaches_store: bool,
     /// Whether something is missing between what is known and what was told.
@@ -50,6 +53,7 @@
             feed: feed.to_owned(),
             timing: NewsTiming { tightest },
             told: None,
+            as_of: None,
             reaches_store: true,
             gap: false,
         }
@@ -93,31 +97,52 @@
         until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
-    /// Notes that `from` has told something. This host listens only to who ranks first; to
-    /// any while it can't reach the store itself.
-    pub fn told(&mut self, now: Instant, from: &str, used: Use) {
+    /// Time since what is known was true in the store, at the most; none before anything is
+    /// known.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.as_of.map(|as_of| now.saturating_duration_since(as_of))
+    }
+
+    /// When what is known was true in the store, at the earliest; none before anything is
+    /// known.
+    pub fn as_of(&self) -> Option<Instant> {
+        self.as_of
+    }
+
+    fn renew(&mut self, as_of: Instant) {
+        self.as_of = self.as_of.max(Some(as_of));
+    }
+
+    /// Notes that `from` has told something that was true in the store at `as_of`. This host
+    /// listens only to who ranks first; to any while it can't reach the store itself.
+    pub fn told(&mut self, now: Instant, from: &str, used: Use, as_of: Instant) {
         let first = rendezvous::owner(&self.feed, [self.me.as_str(), from]);
         if first == Some(from) || !self.reaches_store {
             self.told = Some(now);
         }
-        self.gap |= used == Use::Gap;
+        match used {
+            Use::Gap => self.gap = true,
+            Use::Take | Use::Known => self.renew(as_of),
+        }
     }
 
-    /// Notes that all was learned from another host; others are expected to tell more.
-    pub fn learned(&mut self, now: Instant) {
+    /// Notes that all was learned from another host, as it was in the store at `as_of`;
+    /// others are expected to tell more.
+    pub fn learned(&mut self, now: Instant, as_of: Instant) {
         self.told = Some(now);
-        self.gap = false;
+        self.filled(as_of);
     }
 
     /// Notes that it has asked the store, so that nothing is missing any more.
-    pub fn asked(&mut self) {
+    pub fn asked(&mut self, as_of: Instant) {
         self.reaches_store = true;
-        self.gap = false;
+        self.filled(as_of);
     }
 
     /// Notes that nothing is missing any more, without a question to the store.
-    pub fn filled(&mut self) {
+    pub fn filled(&mut self, as_of: Instant) {
         self.gap = false;
+        self.renew(as_of);
     }
 
     /// Whether this host's last question to the store was answered, as far as any was.
