What came with a gap is passed on with what fills it

What callers would see: requests to an upstream that has said that it leaves, from all hosts of a zone but one, up to two seconds longer than from the others. Cause: news that show a gap are taken, but were neither kept for others nor passed on to the own group; only what filled the gap was. The group lacked them, saw it with the next news a pace later, asked its first host, which had not kept them, and had to ask the store. A first host that filled its gap from the store told its group nothing at all. Change: what is taken in a gap is held back, and kept and passed on with what fills it, from a host or from the store. Why it works: a group's first host passes on all that it has taken since the group's own version, so that digests agree.

--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -83,7 +83,10 @@
             return Asked::Nothing;
         }
         match self.ask(feed).await {
-            Asked::News(_) if !tells => Asked::Nothing,
+            Asked::News(news) if !tells => {
+                self.tell_own_group(&news);
+                Asked::Nothing
+            }
             asked => asked,
         }
     }
@@ -238,7 +241,7 @@
         self.follower(feed, |own| own.answered(version, as_of));
         let source = Source::Store;
         let records = self.take(feed, changes, Origin { source, as_of });
-        self.follower(feed, |own| own.keep(version, whole, &records));
+        let records = self.follower(feed, |own| own.keep(version, whole, records));
         self.news(feed, version, records)
     }
 
@@ -286,8 +289,13 @@
             };
             taken = self.take(feed, changes, origin);
             match self.beliefs.borrow().digest(feed) == news.digest {
-                true => self.follower(feed, |own| own.keep(news.version, false, &taken)),
-                false => used = Use::Gap,
+                true => {
+                    taken = self.follower(feed, |own| own.keep(news.version, false, taken));
+                }
+                false => {
+                    used = Use::Gap;
+                    self.follower(feed, |own| own.hold_back(std::mem::take(&mut taken)));
+                }
             }
         }
         let missing = Missing {
--- a/crates/gateway/src/control/follower.rs
+++ b/crates/gateway/src/control/follower.rs
@@ -51,6 +51,9 @@
     pub gap: Rc<Notify>,
     /// Told when this host has done what it can to learn it from others.
     pub gap_tried: Rc<Notify>,
+    /// What was taken while something before it was missing. Others lack it as well: it is
+    /// passed on with what fills the gap.
+    held_back: Vec<Record>,
     /// Who told of what is missing.
     missing: Option<Missing>,
     /// Whether another host is being asked for what is missing.
@@ -70,6 +73,7 @@
             waits: Waits::default(),
             lost_since: None,
             recent: Recent::default(),
+            held_back: Vec::new(),
             missing: None,
             lead: Lead::new(
                 &settings.host,
@@ -142,12 +146,21 @@
         self.lacks = false;
     }
 
-    /// Keeps for others what was taken up to `version`, all of the feed or a part of it.
-    pub fn keep(&mut self, version: FeedVersion, whole: bool, records: &[Record]) {
+    /// Keeps for others what was taken up to `version`, all of the feed or a part of it, with
+    /// what was held back; what they are to be told.
+    pub fn keep(&mut self, version: FeedVersion, whole: bool, taken: Vec<Record>) -> Vec<Record> {
+        let mut records = std::mem::take(&mut self.held_back);
+        records.extend(taken);
         match whole {
             true => self.recent.restart(version),
-            false => self.recent.take(version, records),
+            false => self.recent.take(version, &records),
         }
+        records
+    }
+
+    /// Holds back what was taken, since something before it is missing.
+    pub fn hold_back(&mut self, taken: Vec<Record>) {
+        self.held_back.extend(taken);
     }
 
     /// What is missing, once; it is being asked for until [`Follower::end_filling`].
--- a/crates/gateway/src/control/group.rs
+++ b/crates/gateway/src/control/group.rs
@@ -38,6 +38,17 @@
         }
     }
 
+    /// Tells the own group what this host has asked the store for, where something was missing.
+    /// A group of several listens to its first host, which others expect to pass all on.
+    pub(super) fn tell_own_group(&self, news: &News) {
+        let group = self.group();
+        let hosts = group.iter().chain([&self.me]);
+        let is_first = first(&news.feed.to_string(), hosts) == Some(&self.me);
+        if is_first && !self.is_one_group() {
+            self.send_news(news, &group);
+        }
+    }
+
     fn send_news(&self, news: &News, audience: &[HostEntry]) {
         let feed = news.feed;
         let news = Rc::new(EncodedNews::new(news, NEWS_MOST_BYTES));
--- a/crates/gateway/src/control/learn.rs
+++ b/crates/gateway/src/control/learn.rs
@@ -79,7 +79,7 @@
         let now = Instant::now();
         self.follower(feed, |own| {
             own.learned(now, version, as_of);
-            own.keep(version, true, &records);
+            own.keep(version, true, records);
         });
     }
 
@@ -139,14 +139,16 @@
         // The teller may have gone on since: then its next news show whether all is there.
         let is_filled = whole || self.beliefs.borrow().digest(feed) == *digest;
         count_gap(feed, if is_filled { "filled" } else { "lacks_more" });
-        if is_filled {
-            self.follower(feed, |own| {
-                own.filled(version, as_of);
-                own.keep(version, whole, &records);
-            });
-            self.pass_on(&teller.name, feed, records);
+        if !is_filled {
+            self.follower(feed, |own| own.hold_back(records));
+            return false;
         }
-        is_filled
+        let records = self.follower(feed, |own| {
+            own.filled(version, as_of);
+            own.keep(version, whole, records)
+        });
+        self.pass_on(&teller.name, feed, records);
+        true
     }
 }
 
