A route is said to be unknown only by a document that is young enough

What callers would see: a 404 for a route that has been in force for longer than the bound, from a host that only an ill host tells anything. Cause: the age by which a host knows whether its document may be in force was counted from the last message's receipt, like the age of reports: the same class as the late drain, found by looking for it elsewhere. A host's state was also given to others by that age. Change: Heard holds the time at which what is known was true in the store, as Lead has it; what fills a gap renews it as well, so that feed_renewed_late no longer tells too much age after a gap.

--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -215,7 +215,7 @@
         } = query;
         let now = Instant::now();
         let is_too_old = |own: &mut Follower| {
-            let age = own.silent_for(now).unwrap_or(Duration::MAX);
+            let age = own.lead.age(now).unwrap_or(Duration::MAX);
             most_age.is_some_and(|most| age > most)
         };
         let version = self.follower(feed, |own| own.version)?;
@@ -303,7 +303,7 @@
             digest: news.digest,
         };
         self.follower(feed, |own| {
-            own.told(now, used, news.version, news.as_of, missing);
+            own.told(used, news.version, news.as_of, missing);
         });
         if used != Use::Gap {
             self.pass_on(&from.name, feed, taken);
--- a/crates/gateway/src/control/follower.rs
+++ b/crates/gateway/src/control/follower.rs
@@ -38,7 +38,7 @@
     pub version: Option<FeedVersion>,
     /// Newest version that was ever seen. An answer of an earlier one is stale.
     pub newest: FeedVersion,
-    /// When the store, or a host that had asked it, was last heard.
+    /// The age of what is known, for the thread that answers callers.
     heard: Arc<Heard>,
     /// What held this host up since then.
     waits: Waits,
@@ -87,19 +87,15 @@
         }
     }
 
-    /// Time since anything was heard; none before anything was.
-    pub fn silent_for(&self, now: Instant) -> Option<Duration> {
-        self.heard.age(now)
-    }
-
     /// Notes that this host has waited since `begun` before it could go on with the feed.
     pub fn waited(&mut self, wait: Wait, begun: Instant) {
         self.waits.note(wait, begun.elapsed());
     }
 
-    /// Notes that the store was heard, or a host that had asked it. Where this took long, the
-    /// log tells how old the belief had become, and what it had waited for most.
-    fn renew(&mut self, now: Instant, source: Source) {
+    /// Takes into the lead that the store was heard, or a host that had asked it. Where this
+    /// took long, the log tells how old the belief had become, and what it had waited for most.
+    fn renew(&mut self, source: Source, take: impl FnOnce(&mut Lead)) {
+        let now = Instant::now();
         let age = self.lead.age(now).unwrap_or_default();
         let longest = self.waits.take();
         if age > self.lead.stale_after() {
@@ -112,14 +108,16 @@
                 longest_ms = longest.map(|(_, took)| took.as_millis() as u64),
             );
         }
-        self.heard.note(now);
+        take(&mut self.lead);
+        if let Some(as_of) = self.lead.as_of() {
+            self.heard.note(as_of);
+        }
     }
 
     /// Takes an answer of the store, which was true at `as_of`.
     pub fn answered(&mut self, version: FeedVersion, as_of: Instant) {
-        self.renew(Instant::now(), Source::Store);
+        self.renew(Source::Store, |lead| lead.asked(as_of));
         self.advance(version);
-        self.lead.asked(as_of);
         self.missing = None;
         if let Some(since) = self.lost_since.take() {
             let away_ms = since.elapsed().as_millis() as u64;
@@ -133,16 +131,15 @@
     }
 
     /// Notes that all was learned from another host, up to `version`.
-    pub fn learned(&mut self, now: Instant, version: FeedVersion, as_of: Instant) {
-        self.renew(now, Source::State);
+    pub fn learned(&mut self, version: FeedVersion, as_of: Instant) {
+        self.renew(Source::State, |lead| lead.learned(as_of));
         self.advance(version);
-        self.lead.learned(as_of);
     }
 
     /// Notes that another host has told what was missing, up to `version`.
     pub fn filled(&mut self, version: FeedVersion, as_of: Instant) {
+        self.renew(Source::State, |lead| lead.filled(as_of));
         self.advance(version);
-        self.lead.filled(as_of);
         self.lacks = false;
     }
 
@@ -191,19 +188,14 @@
 
     /// Takes what another host has told, which goes up to `version`; it is what is missing
     /// where there is a gap.
-    pub fn told(
-        &mut self,
-        now: Instant,
-        used: Use,
-        version: FeedVersion,
-        as_of: Instant,
-        missing: Missing,
-    ) {
-        if used != Use::Gap {
-            self.renew(now, Source::News);
-        }
+    pub fn told(&mut self, used: Use, version: FeedVersion, as_of: Instant, missing: Missing) {
         let from = &missing.teller.name;
-        self.lead.told(from, used, as_of);
+        match used {
+            Use::Gap => self.lead.told(from, used, as_of),
+            Use::Take | Use::Known => {
+                self.renew(Source::News, |lead| lead.told(from, used, as_of));
+            }
+        }
         // The teller reaches the store.
         self.lost_since = None;
         match used {
--- a/crates/gateway/src/control/learn.rs
+++ b/crates/gateway/src/control/learn.rs
@@ -76,9 +76,8 @@
         tracing::info!(event = "learned_from_host", feed = %feed, from = from.name, version);
         let source = Source::State;
         let records = self.take(feed, changes, Origin { source, as_of });
-        let now = Instant::now();
         self.follower(feed, |own| {
-            own.learned(now, version, as_of);
+            own.learned(version, as_of);
             own.keep(version, true, records);
         });
     }
