What hosts tell of the store's answers does not age on its way

Cause: hosts tell since when the store has answered as a length of time, taken when the news were made. A message that waits for an earlier one, or is long under way, made the store's return seem later by that time, and with it the second in which reports that vanish are held as lapsed: with a bound of 2 s (contact 3 s) a sum of 2.0 s and more, where such a message comes late. Change: the length is told as of the sending, and the receiver adds the longest time under way. Evidence: with the wait left out, news_that_are_too_large_come_without_records fails in both cases on the new assertion (answering for 1.5 s in place of 4.5 s); it passes. Its two assertions on ages are new, the equality of all else stays.

--- a/crates/gateway/src/control/group.rs
+++ b/crates/gateway/src/control/group.rs
@@ -51,7 +51,7 @@
 
     fn send_news(&self, news: &News, audience: &[HostEntry]) {
         let feed = news.feed;
-        let news = Rc::new(EncodedNews::new(news, NEWS_MOST_BYTES));
+        let news = Rc::new(EncodedNews::new(news, NEWS_MOST_BYTES, Instant::now()));
         for host in audience {
             if let Some(client) = self.client(host) {
                 let line = (host.name.clone(), feed);
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -145,7 +145,7 @@
             params.set_version(news.version);
             params.set_digest(news.digest);
             params.set_records(&news.records);
-            params.set_store(&news.store);
+            params.set_store(&write_json(&news.store(now)));
             request.send().promise.await?;
             let mut replies = connection.replies.borrow_mut();
             replies.note(news.feed, Instant::now());
--- a/crates/peer/src/messages.rs
+++ b/crates/peer/src/messages.rs
@@ -8,9 +8,9 @@
 use steering::history::{Entry, Position, Snapshot};
 use steering::ids::{Incarnation, Revision};
 use steering::membership::{Heartbeat, HostEntry};
-use steering::route::{Changes, Feed, FeedDigest, FeedVersion, News, Record};
+use steering::route::{Answering, Changes, Feed, FeedDigest, FeedVersion, News, Record};
 
-use crate::codec::{write_json, write_records};
+use crate::codec::write_records;
 use crate::names::ServiceNames;
 use crate::traffic::PeerTraffic;
 
@@ -77,25 +77,37 @@
     pub(crate) feed: Feed,
     pub(crate) version: FeedVersion,
     pub(crate) digest: FeedDigest,
-    pub(crate) store: Vec<u8>,
     pub(crate) records: Vec<u8>,
     /// When the store's answer was true; its age is told when the message is sent.
     pub(crate) as_of: Instant,
+    store: Answering,
+    /// When `store` was so.
+    made: Instant,
 }
 
 impl EncodedNews {
-    /// Encodes news. Where the records take more than `most_bytes` they are left out:
+    /// Encodes news that were so at `made`. Where the records take more than `most_bytes` they are left out:
     /// whoever lacks them sees it by the digest, and asks for them.
-    pub fn new(news: &News, most_bytes: usize) -> Self {
+    pub fn new(news: &News, most_bytes: usize, made: Instant) -> Self {
         let none = || write_records(&Vec::<Record>::new(), usize::MAX);
         let records = write_records(&news.records, most_bytes).or_else(none);
         EncodedNews {
             feed: news.feed,
             version: news.version,
             digest: news.digest,
-            store: write_json(&news.store),
             records: records.expect("records can be written"),
             as_of: news.as_of,
+            store: news.store,
+            made,
+        }
+    }
+
+    /// Since when the store has answered, as it is told at `now`.
+    pub(crate) fn store(&self, now: Instant) -> Answering {
+        let waited = now.saturating_duration_since(self.made);
+        Answering {
+            answering_for: self.store.answering_for + waited,
+            ..self.store
         }
     }
 }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -15,7 +15,7 @@
 use steering::ids::{HostName, Incarnation, Revision};
 use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
 use steering::membership::HostEntry;
-use steering::route::{HostMessage, HostReply, News, TokenReply};
+use steering::route::{Answering, HostMessage, HostReply, News, TokenReply};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio_util::compat::TokioAsyncReadCompatExt;
@@ -275,12 +275,14 @@
         let in_transit = receipts.in_transit_most(feed, now, since_reply);
         drop(receipts);
         let age = Duration::from_millis(params.get_age_ms().into()) + in_transit;
+        let mut store: Answering = read_json(params.get_store()?)?;
+        store.answering_for = store.answering_for.saturating_add(in_transit);
         let news = News {
             feed,
             version: params.get_version(),
             digest: params.get_digest(),
             records: read_records(params.get_records()?)?,
-            store: read_json(params.get_store()?)?,
+            store,
             as_of: before(now, age),
         };
         self.handler.news(&self.host, self.incarnation, news);
--- a/crates/peer/tests/messages.rs
+++ b/crates/peer/tests/messages.rs
@@ -22,6 +22,8 @@
 
 const DEADLINE: Duration = Duration::from_secs(10);
 const REVISION: Revision = 7;
+/// Time for which news wait before they are sent.
+const WAITED: Duration = Duration::from_secs(3);
 
 /// Keeps what it is told, and tells all of it to whoever asks.
 #[derive(Default)]
@@ -217,7 +219,7 @@
     });
 }
 
-/// Records as JSON take so many bytes; one more than may be told are left out.
+/// Records take so many bytes; one more than may be told are left out.
 #[rstest]
 #[case::exactly_as_many(0, true)]
 #[case::one_too_many(1, false)]
@@ -234,10 +236,11 @@
                 away_before: Duration::from_secs(4),
             },
             records: vec![gone("a"), gone("b")],
-            as_of: Instant::now(),
+            as_of: Instant::now() - WAITED,
         };
+        let news_as_of = news.as_of;
         let bytes = postcard::to_allocvec(&news.records).unwrap().len();
-        let encoded = EncodedNews::new(&news, bytes - too_many);
+        let encoded = EncodedNews::new(&news, bytes - too_many, news.as_of);
         let client = PeerClient::new(address, local(me, "k", &["known"]), DEADLINE);
         client.news(&encoded).await.unwrap();
         let mut expected = news;
@@ -245,7 +248,10 @@
             expected.records.clear();
         }
         let heard = keeper.news.borrow();
+        assert!(heard[0].as_of <= news_as_of);
+        assert!(heard[0].store.answering_for >= expected.store.answering_for + WAITED);
         expected.as_of = heard[0].as_of;
+        expected.store.answering_for = heard[0].store.answering_for;
         assert_eq!(*heard, vec![expected]);
     });
 }
