Refused work is cleared only by requests that were sent after its last end

Cause: any answer counted among the three that clear work under which upstreams have ended, also one to a harmless request that was under way at the last end; three of these would have let all through. Change: an answer is told with the time since its request was sent, and counts for refused work only where that was after the last end. Evidence: answers_to_what_was_under_way_at_the_last_end_clear_nothing_that_was_refused fails with the check left out, and passes.

--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -147,10 +147,9 @@
         let begun = Instant::now();
         let missed = match send(self.traffic, choice, &mut work, sent).await {
             Ok(answer) => {
-                self.traffic
-                    .common
-                    .suspects
-                    .learn(self.work, WorkTold::Answered);
+                let sent_ms = begun.elapsed().as_millis() as u32;
+                let told = WorkTold::Answered { sent_ms };
+                self.traffic.common.suspects.learn(self.work, told);
                 return Some(answer);
             }
             Err(missed) => missed,
--- a/crates/steering/src/route/suspect/news.rs
+++ b/crates/steering/src/route/suspect/news.rs
@@ -28,7 +28,10 @@
         ended_ms: u32,
     },
     /// An upstream has answered it: whatever ended others was something else, or is mended.
-    Answered,
+    Answered {
+        /// Time since the work was sent there, in milliseconds.
+        sent_ms: u32,
+    },
     /// One request of it is sent to find out whether that is so; others wait for what comes.
     Tried,
 }
@@ -47,7 +50,10 @@
                 sent_ms: sent_ms.saturating_add(by),
                 ended_ms: ended_ms.saturating_add(by),
             },
-            other => other,
+            WorkTold::Answered { sent_ms } => WorkTold::Answered {
+                sent_ms: sent_ms.saturating_add(by),
+            },
+            WorkTold::Tried => WorkTold::Tried,
         }
     }
 }
--- a/crates/steering/src/route/suspect/suspects.rs
+++ b/crates/steering/src/route/suspect/suspects.rs
@@ -156,26 +156,17 @@
     /// Takes what this host has seen or was told; true where that is new, and others should be
     /// told.
     pub fn take(&mut self, now: Instant, work: WorkKey, told: WorkTold) -> bool {
+        let ago = |ms: u32| {
+            now.checked_sub(Duration::from_millis(ms.into()))
+                .unwrap_or(now)
+        };
         match told {
             WorkTold::Ended {
                 start,
                 sent_ms,
                 ended_ms,
-            } => {
-                let ago = |ms: u32| now.checked_sub(Duration::from_millis(ms.into()));
-                let (sent, ended) = (ago(sent_ms).unwrap_or(now), ago(ended_ms).unwrap_or(now));
-                self.ended(now, work, start, sent, ended)
-            }
-            WorkTold::Answered => {
-                let known = self.works.get_mut(&work);
-                let Some(is_clear) = known.map(|known| known.answered(now)) else {
-                    return false;
-                };
-                if is_clear {
-                    self.works.remove(&work);
-                }
-                true
-            }
+            } => self.ended(now, work, start, ago(sent_ms), ago(ended_ms)),
+            WorkTold::Answered { sent_ms } => self.answered(now, work, ago(sent_ms)),
             WorkTold::Tried => {
                 let known = self.works.get_mut(&work);
                 known.is_some_and(|known| known.tried_since.replace(now).is_none())
@@ -183,6 +174,20 @@
         }
     }
 
+    fn answered(&mut self, now: Instant, work: WorkKey, sent: Instant) -> bool {
+        let Some(known) = self.works.get_mut(&work) else {
+            return false;
+        };
+        // What was under way at the last end has found nothing out since.
+        if known.ends >= ENDS_REFUSED && sent < known.last_end {
+            return false;
+        }
+        if known.answered(now) {
+            self.works.remove(&work);
+        }
+        true
+    }
+
     fn ended(
         &mut self,
         now: Instant,
--- a/crates/steering/tests/route_suspects.rs
+++ b/crates/steering/tests/route_suspects.rs
@@ -48,8 +48,14 @@
         self.suspects.admit(self.at(ms), WORK)
     }
 
+    /// An answer comes to work that was sent just before.
     fn answered(&mut self, ms: u64) -> bool {
-        self.suspects.take(self.at(ms), WORK, WorkTold::Answered)
+        self.answered_after(ms, 50)
+    }
+
+    fn answered_after(&mut self, ms: u64, sent_ms: u32) -> bool {
+        let told = WorkTold::Answered { sent_ms };
+        self.suspects.take(self.at(ms), WORK, told)
     }
 }
 
@@ -236,3 +242,18 @@
     world.ends(3, again, again + 100);
     assert_eq!(refused_ms(world.admit(again + 100)), Some(own_ms(20)));
 }
+
+#[test]
+fn answers_to_what_was_under_way_at_the_last_end_clear_nothing_that_was_refused() {
+    let mut world = World::new();
+    world.ends(1, 0, 100);
+    world.ends(2, 110, 200);
+    let over = 201 + own_ms(5);
+    for count in 1..=3 {
+        let ms = over + 1_000 * count;
+        let sent_ms = (ms - 199) as u32;
+        assert!(!world.answered_after(ms, sent_ms), "they tell nothing");
+    }
+    assert_eq!(world.admit(over + 4_000), Admission::Trial);
+    assert!(!world.suspects.may_be_repeated(WORK));
+}
