--- a/crates/steering/tests/route_news_timing.rs
+++ b/crates/steering/tests/route_news_timing.rs
@@ -14,6 +14,9 @@
 /// A message and its answer, between the two regions that are farthest apart (70 ms), on a
 /// slow core.
 const HOP: Duration = ms(100);
+/// A question to the store on a slow core: 80 ms as a rule, and up to 500 ms in plays of 295
+/// hosts with a tenth of a core each.
+const SLOW_QUESTION: Duration = ms(500);
 /// A request whose upstream was chosen just before, on a new connection.
 const IN_FLIGHT: Duration = ms(200);
 /// A whole read of the store: three pages.
@@ -44,6 +47,10 @@
         "the same, from a teller that has ended; the store is asked",
         |t| t.news.pace() + HOP * 3 + HOST_ANSWER_LIMIT + HOP + IN_FLIGHT,
     ),
+    (
+        "any number of hops and late messages: the listener asks for itself",
+        |t| t.news.stale_after() + SLOW_QUESTION + IN_FLIGHT,
+    ),
     ("the leader ends right after a message", |t| {
         HOP * 3 + t.news.stale_after() + HOP + IN_FLIGHT
     }),
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -7,13 +7,18 @@
 
 /// Seeds that failed once stay here, each with its cause.
 #[rstest]
-#[case::short(1, false)]
+#[case::short(1, false, false)]
 // The first fault keeps one host from writing its row: it counts itself and the others, who do
 // not count it, and the parts of an allowance add up to more than the whole.
-#[case::a_host_that_is_not_listed(1023, false)]
-#[case::limits(2, true)]
+#[case::a_host_that_is_not_listed(1023, false, false)]
+#[case::limits(2, true, false)]
+#[case::a_calm_host(3, false, true)]
 #[tokio::test(flavor = "multi_thread")]
-async fn promises_hold_under_faults(#[case] seed: u64, #[case] limits: bool) {
+async fn promises_hold_under_faults(
+    #[case] seed: u64,
+    #[case] limits: bool,
+    #[case] calm_host: bool,
+) {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
     std::fs::create_dir_all(&folder).unwrap();
     let plan = SoakPlan {
@@ -22,6 +27,7 @@
         seed,
         steps: 25,
         limits,
+        calm_host,
     };
     let report = soak(&plan).await.unwrap();
     assert!(report.broken.is_empty(), "{report:#?}");
