Operators list, refuse and clear work under which upstreams end

Change: the address for metrics answers GET /works, PUT and DELETE /works/WORK; changes are taken from the host itself only, since nobody proves there who they are, and are told to all hosts. 'stagedeck works' is the command; work_ordered the line. A host tells which port it took for metrics.

--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -107,7 +107,7 @@
     /// Bounds in force; those of `settings` are the first ones.
     pub bounds: Arc<ArcSwap<Bounds>>,
     pub view: Arc<ArcSwap<RouteView>>,
-    /// When the document in force was last confirmed.
+    /// How old the document in force may be.
     pub heard: Arc<control::Heard>,
     pub allowances: Arc<Allowances>,
     pub limits: LimitCalls,
@@ -148,6 +148,9 @@
         settings.look_up_address = sockets.look_ups.local_addr()?;
         settings.ready_address = sockets.ready.local_addr()?;
         settings.peer_address = sockets.peers.local_addr()?;
+        if let Some(metrics) = &sockets.metrics {
+            settings.metrics_address = Some(metrics.local_addr()?);
+        }
         let peers = sockets.peers.try_clone()?;
         let settings = Arc::new(settings);
         let (stage, watched) = watch::channel(Stage::Serving);
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -3,7 +3,9 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-use steering::route::{Admission, ENDS_REFUSED, Suspects, WorkKey, WorkNews, WorkTold};
+use steering::route::{
+    Admission, ENDS_REFUSED, RefusedWork, Suspects, WorkKey, WorkNews, WorkTold,
+};
 use tokio::sync::mpsc;
 
 /// News for other hosts.
@@ -66,8 +68,20 @@
         }
     }
 
+    /// Does what an operator wants of a kind of work, and tells all hosts; false where there is
+    /// nothing to be done.
+    pub fn order(&self, work: WorkKey, order: WorkTold) -> bool {
+        let news = WorkNews { work, told: order };
+        tracing::info!(event = "work_ordered", work = name(work), ?order);
+        let is_new = self.take(&news).is_some();
+        if is_new {
+            self.tell(news, true);
+        }
+        is_new
+    }
+
     /// Kinds of work that are refused now.
-    pub fn refused(&self) -> usize {
+    pub fn refused(&self) -> Vec<RefusedWork> {
         self.suspects().refused(Instant::now())
     }
 
--- a/crates/gateway/src/traffic/answers.rs
+++ b/crates/gateway/src/traffic/answers.rs
@@ -100,3 +100,10 @@
         answer
     }
 }
+
+/// An answer that is a status only.
+pub(super) fn status(status: StatusCode) -> Response<Body> {
+    let mut answer = Response::new(full(""));
+    *answer.status_mut() = status;
+    answer
+}
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -6,6 +6,7 @@
 mod head;
 mod hear;
 mod look_up;
+mod operator;
 mod run;
 mod send;
 mod server;
@@ -109,7 +110,8 @@
         let open = traffic.open.load(Ordering::Relaxed);
         metrics::gauge!("stagedeck_caller_connections").set(open);
         metrics::gauge!("stagedeck_document_version").set(view.version as f64);
-        metrics::gauge!("stagedeck_works_refused").set(traffic.common.suspects.refused() as f64);
+        metrics::gauge!("stagedeck_works_refused")
+            .set(traffic.common.suspects.refused().len() as f64);
         metrics::gauge!("stagedeck_sharers").set(view.sharers.unwrap_or(0) as f64);
         for (service, pool) in view.services.iter() {
             count_stated(service, pool, now);
--- /dev/null
+++ b/crates/gateway/src/traffic/operator.rs
@@ -0,0 +1,66 @@
+//! What operators ask at the address for metrics: the metrics, and work that is refused.
+
+use std::sync::Arc;
+
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use serde_json::json;
+use steering::route::{WorkKey, WorkTold};
+use upstream::{Body, full};
+
+use super::Traffic;
+use super::answers::status;
+use crate::suspects;
+
+/// Path of the list of work that is refused; one kind of it follows as its key.
+const WORKS_PATH: &str = "/works";
+
+/// Answers an operator. Only who asks from the host itself may change anything.
+pub(super) fn answer(
+    traffic: &Arc<Traffic>,
+    request: &Request<Incoming>,
+    is_own: bool,
+) -> Response<Body> {
+    let Some(rest) = request.uri().path().strip_prefix(WORKS_PATH) else {
+        return Response::new(full((traffic.render_metrics)()));
+    };
+    let order = match *request.method() {
+        Method::GET if rest.is_empty() => return list(traffic),
+        Method::PUT => WorkTold::Refused,
+        Method::DELETE => WorkTold::Cleared,
+        _ => return status(StatusCode::METHOD_NOT_ALLOWED),
+    };
+    if !is_own {
+        return status(StatusCode::FORBIDDEN);
+    }
+    let Some(work) = rest.strip_prefix('/').and_then(key) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    status(match traffic.common.suspects.order(work, order) {
+        true => StatusCode::NO_CONTENT,
+        false => StatusCode::NOT_FOUND,
+    })
+}
+
+/// A key as the log tells it.
+fn key(text: &str) -> Option<WorkKey> {
+    let is_key = text.len() == 16;
+    is_key.then(|| WorkKey::from_str_radix(text, 16).ok())?
+}
+
+fn list(traffic: &Traffic) -> Response<Body> {
+    let refused = traffic.common.suspects.refused();
+    let refused = refused.iter().map(|refused| {
+        json!({
+            "work": suspects::name(refused.work),
+            "ends": refused.ends,
+            "refused_for_ms": refused.refused_for.as_millis() as u64,
+        })
+    });
+    let refused: Vec<serde_json::Value> = refused.collect();
+    let mut answer = Response::new(full(json!({ "works": refused }).to_string()));
+    let json = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(CONTENT_TYPE, json);
+    answer
+}
--- a/crates/gateway/src/traffic/server.rs
+++ b/crates/gateway/src/traffic/server.rs
@@ -1,7 +1,7 @@
 //! Listeners and connections.
 
 use std::convert::Infallible;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -18,7 +18,8 @@
 use tokio::time::sleep;
 use upstream::{Body, full};
 
-use super::{Traffic, forward, look_up};
+use super::answers::status;
+use super::{Traffic, forward, look_up, operator};
 use crate::host::Stage;
 
 /// Pause after a failed accept: most often the process has no descriptor left.
@@ -98,13 +99,16 @@
     let limits = traffic.common.view.load().limits;
     let mut stage = traffic.common.stage.clone();
     let leaving = Arc::clone(&traffic);
+    let own_ip = traffic.common.settings.caller_address.ip();
+    let is_own = |peer: SocketAddr| peer.ip() == own_ip || peer.ip().is_loopback();
+    let is_own = stream.peer_addr().is_ok_and(is_own);
     let service = service_fn(move |request| {
         let traffic = Arc::clone(&traffic);
         async move {
             let mut answer = match side {
                 Side::Callers => forward::answer(&traffic, request).await,
                 Side::Checks => check(&traffic, &request),
-                Side::Metrics => Response::new(full((traffic.render_metrics)())),
+                Side::Metrics => operator::answer(&traffic, &request, is_own),
             };
             if traffic.is_leaving() {
                 let close = HeaderValue::from_static("close");
@@ -166,9 +170,3 @@
     answer.headers_mut().insert(CONTENT_TYPE, json);
     answer
 }
-
-fn status(status: StatusCode) -> Response<Body> {
-    let mut answer = Response::new(full(""));
-    *answer.status_mut() = status;
-    answer
-}
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -17,6 +17,7 @@
 pub mod retry;
 pub mod shift;
 pub mod stale;
+pub mod suspects;
 pub mod together;
 mod traffic;
 
--- /dev/null
+++ b/crates/standin/src/measure/suspects.rs
@@ -0,0 +1,59 @@
+//! What it costs a request to be looked up among work under which upstreams end.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use steering::route::{Suspects, WorkKey, WorkTold, work_key};
+
+use super::balance::round;
+
+const ROUNDS: usize = 9;
+const LOOK_UPS: u64 = 2_000_000;
+/// Kinds of work in mind: none, and as many as a host keeps.
+const KNOWN: [u64; 2] = [0, 4_096];
+
+/// Nanoseconds of a call, the median of some rounds.
+fn nanoseconds(mut call: impl FnMut(u64)) -> f64 {
+    let mut rounds: Vec<f64> = (0..ROUNDS)
+        .map(|_| {
+            let begun = Instant::now();
+            (0..LOOK_UPS).for_each(&mut call);
+            begun.elapsed().as_nanos() as f64 / LOOK_UPS as f64
+        })
+        .collect();
+    rounds.sort_by(f64::total_cmp);
+    rounds[ROUNDS / 2]
+}
+
+fn knowing(now: Instant, kinds: u64) -> Suspects {
+    let mut suspects = Suspects::new("h1");
+    for work in 0..kinds {
+        let told = WorkTold::Ended {
+            start: work,
+            sent_ms: 100,
+            ended_ms: 0,
+        };
+        suspects.take(now, work, told);
+    }
+    suspects
+}
+
+/// Measures the key of a request's work, and its look-up, on one core.
+pub fn run() -> Value {
+    let now = Instant::now() + Duration::from_secs(1);
+    let key = nanoseconds(|number| {
+        let object = black_box(number).to_be_bytes();
+        black_box(work_key("route-1", Some(&object), "/a/b"));
+    });
+    let look_up_ns = KNOWN.map(|kinds| {
+        let mut suspects = knowing(now, kinds);
+        // One in two is known.
+        let ns = nanoseconds(|number| {
+            let work: WorkKey = black_box(number) % (kinds * 2).max(1);
+            black_box(suspects.admit(now, work));
+        });
+        json!({"known": kinds, "ns": round(ns)})
+    });
+    json!({"measure": "suspects", "key_ns": round(key), "look_up": look_up_ns})
+}
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -82,7 +82,9 @@
 pub use speed::Speed;
 pub use spread::{PartSpread, RegionSpread, share_by_room};
 pub use store_answers::{Answering, StoreAnswers};
-pub use suspect::{Admission, ENDS_REFUSED, Suspects, WorkKey, WorkNews, WorkTold, work_key};
+pub use suspect::{
+    Admission, ENDS_REFUSED, RefusedWork, Suspects, WorkKey, WorkNews, WorkTold, work_key,
+};
 pub use table::RouteTable;
 pub use upstream::{ReportedUpstream, UpstreamId};
 pub use view::{
--- a/crates/steering/src/route/suspect/mod.rs
+++ b/crates/steering/src/route/suspect/mod.rs
@@ -5,5 +5,5 @@
 mod work;
 
 pub use news::{WorkNews, WorkTold};
-pub use suspects::{Admission, ENDS_REFUSED, Suspects};
+pub use suspects::{Admission, ENDS_REFUSED, RefusedWork, Suspects};
 pub use work::{WorkKey, work_key};
--- a/crates/steering/src/route/suspect/news.rs
+++ b/crates/steering/src/route/suspect/news.rs
@@ -34,6 +34,10 @@
     },
     /// One request of it is sent to find out whether that is so; others wait for what comes.
     Tried,
+    /// An operator wants it refused.
+    Refused,
+    /// An operator wants it served again.
+    Cleared,
 }
 
 impl WorkTold {
@@ -53,7 +57,7 @@
             WorkTold::Answered { sent_ms } => WorkTold::Answered {
                 sent_ms: sent_ms.saturating_add(by),
             },
-            WorkTold::Tried => WorkTold::Tried,
+            told @ (WorkTold::Tried | WorkTold::Refused | WorkTold::Cleared) => told,
         }
     }
 }
--- a/crates/steering/src/route/suspect/suspects.rs
+++ b/crates/steering/src/route/suspect/suspects.rs
@@ -21,6 +21,8 @@
 const APART_SHARE: f64 = 0.5;
 /// Longest time: an operator who has mended it waits no longer.
 const REFUSED_MOST: Duration = Duration::from_secs(120);
+/// Ends for which work counts that an operator wants refused: it is for the longest time.
+const ENDS_BY_OPERATOR: u32 = ENDS_REFUSED + 3;
 /// Answers, one after the other, after which work that was refused is served again: requests on
 /// the same object may be of more than one kind, and some of them harmless.
 const ANSWERS_CLEAR: u32 = 3;
@@ -48,6 +50,17 @@
     Refused(Duration),
 }
 
+/// A kind of work that is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RefusedWork {
+    /// The work.
+    pub work: WorkKey,
+    /// Ends of upstreams under it, one after the other.
+    pub ends: u32,
+    /// Time after which this host lets a request find out.
+    pub refused_for: Duration,
+}
+
 /// What is known against a kind of work.
 #[derive(Debug)]
 struct Suspicion {
@@ -95,6 +108,14 @@
         later(later(by_ends, by_answers), by_trial)
     }
 
+    /// Counts all that follows from an end.
+    fn end_at(&mut self, ended: Instant) {
+        self.last_end = self.last_end.max(ended);
+        self.tried_since = None;
+        self.answers = 0;
+        self.last_answer = None;
+    }
+
     /// Takes an answer; true where nothing is held against the work any more.
     fn answered(&mut self, now: Instant) -> bool {
         self.answers += 1;
@@ -167,6 +188,15 @@
                 ended_ms,
             } => self.ended(now, work, start, ago(sent_ms), ago(ended_ms)),
             WorkTold::Answered { sent_ms } => self.answered(now, work, ago(sent_ms)),
+            WorkTold::Refused => {
+                self.make_room(now, work);
+                let known = self.works.entry(work);
+                let known = known.or_insert_with(|| Suspicion::new(now));
+                known.ends = ENDS_BY_OPERATOR;
+                known.end_at(now);
+                true
+            }
+            WorkTold::Cleared => self.works.remove(&work).is_some(),
             WorkTold::Tried => {
                 let known = self.works.get_mut(&work);
                 known.is_some_and(|known| known.tried_since.replace(now).is_none())
@@ -208,10 +238,7 @@
         known.starts.push(start);
         if known.ends == 0 || sent >= known.last_end {
             known.ends += 1;
-            known.last_end = known.last_end.max(ended);
-            known.tried_since = None;
-            known.answers = 0;
-            known.last_answer = None;
+            known.end_at(ended);
         }
         true
     }
@@ -221,12 +248,21 @@
         self.works.get(&work).map_or(0, |known| known.ends)
     }
 
-    /// Kinds of work that are refused now.
-    pub fn refused(&self, now: Instant) -> usize {
-        let is_refused = |known: &&Suspicion| {
-            known.ends >= ENDS_REFUSED && known.last_end + known.refused_for(self.apart) > now
-        };
-        self.works.values().filter(is_refused).count()
+    /// Kinds of work that are refused now, by key.
+    pub fn refused(&self, now: Instant) -> Vec<RefusedWork> {
+        let refused = self.works.iter().filter_map(|(work, known)| {
+            let until = known.last_end + known.refused_for(self.apart);
+            let refused_for = until.saturating_duration_since(now);
+            let is_refused = known.ends >= ENDS_REFUSED && !refused_for.is_zero();
+            is_refused.then_some(RefusedWork {
+                work: *work,
+                ends: known.ends,
+                refused_for,
+            })
+        });
+        let mut refused: Vec<RefusedWork> = refused.collect();
+        refused.sort_unstable_by_key(|refused| refused.work);
+        refused
     }
 
     fn make_room(&mut self, now: Instant, work: WorkKey) {
--- a/crates/steering/tests/route_suspects.rs
+++ b/crates/steering/tests/route_suspects.rs
@@ -188,7 +188,7 @@
         let now = world.at(300 + other);
         world.suspects.take(now, 1_000 + other, told);
     }
-    assert_eq!(world.suspects.refused(world.at(300)), 1);
+    assert_eq!(world.suspects.refused(world.at(300)).len(), 1);
     assert!(matches!(world.admit(300), Admission::Refused(_)));
 }
 
@@ -257,3 +257,17 @@
     assert_eq!(world.admit(over + 4_000), Admission::Trial);
     assert!(!world.suspects.may_be_repeated(WORK));
 }
+
+#[test]
+fn an_operator_has_work_refused_and_served_again() {
+    let mut world = World::new();
+    let now = world.at(100);
+    assert!(!world.suspects.take(now, WORK, WorkTold::Cleared));
+    assert!(world.suspects.take(now, WORK, WorkTold::Refused));
+    assert_eq!(refused_ms(world.admit(100)), Some(own_ms(120)));
+    let listed = world.suspects.refused(now);
+    assert_eq!(listed.iter().map(|l| l.work).collect::<Vec<_>>(), [WORK]);
+    assert!(world.suspects.take(now, WORK, WorkTold::Cleared));
+    assert_eq!(world.admit(100), Admission::Free);
+    assert!(world.suspects.refused(now).is_empty());
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -127,6 +127,19 @@
         #[arg(long, default_value_t = 0)]
         tickets: usize,
     },
+    /// List the work that hosts on the platform refuse because upstreams end under it, or change
+    /// that. Changes are taken from the host itself only, and told to all hosts.
+    Works {
+        /// A host's address for metrics, IP:PORT.
+        #[arg(long)]
+        at: SocketAddr,
+        /// Refuse this work, as the log names it.
+        #[arg(long, value_name = "WORK", conflicts_with = "clear")]
+        refuse: Option<String>,
+        /// Serve this work again.
+        #[arg(long, value_name = "WORK")]
+        clear: Option<String>,
+    },
     /// Print the whole state of a host's process as JSON.
     Dump {
         /// Which host to ask.
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -9,6 +9,7 @@
 mod serve;
 mod show;
 mod signals;
+mod works;
 
 pub use outcome::Outcome;
 
@@ -57,6 +58,9 @@
             address,
             tickets,
         } => show::look_up(*at, service, *address, *tickets),
+        Command::Works { at, refuse, clear } => {
+            works::run(*at, refuse.as_deref(), clear.as_deref())
+        }
         Command::Dump { host } => show::dump(host),
         Command::Show { host } => show::document(host),
         Command::Completions { shell } => completions(*shell),
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -168,3 +168,39 @@
     let metrics = deployment.operator("n1").metrics().unwrap();
     assert!(metrics.contains("stagedeck_requests_total"), "{metrics}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn works_are_listed_refused_and_cleared() {
+    const WORK: &str = "00000000000000a7";
+    let store = platform_standin::StandInStore::start(1).await.unwrap();
+    let store_address = store.address(0);
+    let settings = gateway::GatewaySettings {
+        metrics_address: Some(([127, 0, 0, 1], 0).into()),
+        store_address,
+        ..gateway::GatewaySettings::default()
+    };
+    let host = gateway::GatewayHost::start(
+        settings,
+        std::sync::Arc::new(platform::PlatformDialect),
+        Box::new(move || Box::new(platform::PlatformStore::new(store_address)) as _),
+        String::new,
+    );
+    let host = host.unwrap();
+    let at = host.settings().metrics_address.unwrap().to_string();
+    let works = |more: &[&str]| run(&[&["works", "--at", at.as_str()], more].concat());
+    assert_eq!(works(&[]).out, r#"{"works":[]}"#);
+    assert_eq!(works(&["--refuse", WORK]).code, 0);
+    assert!(works(&[]).out.contains(WORK));
+    assert_eq!(works(&["--clear", WORK]).code, 0);
+    assert_eq!(works(&[]).out, r#"{"works":[]}"#);
+    for (more, reason) in [
+        (["--clear", WORK], "nothing is held"),
+        (["--refuse", "7"], "sixteen"),
+    ] {
+        let outcome = works(&more);
+        assert_eq!(outcome.code, 2);
+        assert!(outcome.err.contains(reason), "{}", outcome.err);
+    }
+    host.stop();
+    assert_eq!(works(&[]).code, 5);
+}
