--- a/crates/steering/tests/route_belief_age.rs
+++ b/crates/steering/tests/route_belief_age.rs
@@ -1,4 +1,4 @@
-//! How old beliefs become while hosts that tell others are ill. No host without trouble may
+//! How old beliefs become while hosts that tell others have faults. No host without trouble may
 //! act on a belief that is older than its bound, however many hosts the news passed.
 
 use std::cmp::Reverse;
@@ -26,22 +26,22 @@
     rng.random_range(Duration::ZERO..=most)
 }
 
-/// What a host suffers from.
+/// What is wrong with a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Illness {
+enum Fault {
     /// Nothing: what is asserted holds for it.
     None,
     /// It stands still for seconds, and what it had sent comes late.
     Freezes,
     /// Its links lose packets.
-    Loses,
+    LosesPackets,
     /// It is killed, and starts again.
-    Dies,
+    Restarts,
 }
 
 struct Host {
     lead: Lead,
-    illness: Illness,
+    fault: Fault,
     /// When what it knows was true in the store; none where it knows nothing.
     truth: Option<Duration>,
     /// Until when it does nothing.
@@ -67,8 +67,8 @@
         truth: Duration,
         as_of: Duration,
     },
-    /// An ill host's trouble begins.
-    FallsIll { host: usize },
+    /// A host's fault begins.
+    FaultBegins { host: usize },
 }
 
 struct World {
@@ -90,7 +90,7 @@
         let names: Vec<String> = (0..groups * GROUP_SIZE).map(|n| format!("h{n}")).collect();
         let hosts = names.iter().map(|name| Host {
             lead: Lead::new(name, FEED, bound),
-            illness: Illness::None,
+            fault: Fault::None,
             truth: None,
             still_until: Duration::ZERO,
             busy_until: vec![Duration::ZERO; names.len()],
@@ -107,10 +107,10 @@
                 .filter(move |h| group_of(*h) == group)
         };
         let groups: Vec<Vec<usize>> = (0..groups).map(|group| of_group(group).collect()).collect();
-        // Those who tell are the ones whose illness others feel.
+        // Faults of the hosts that tell are the ones that reach others.
         for group in &groups {
-            let kinds = [Illness::Freezes, Illness::Loses, Illness::Dies];
-            hosts[group[0]].illness = kinds[rng.random_range(0..kinds.len())];
+            let kinds = [Fault::Freezes, Fault::LosesPackets, Fault::Restarts];
+            hosts[group[0]].fault = kinds[rng.random_range(0..kinds.len())];
         }
         let mut world = World {
             rng,
@@ -125,8 +125,8 @@
         for host in 0..world.hosts.len() {
             let at = up_to(ms(500), &mut world.rng);
             world.at(at, Event::Wakes { host });
-            if world.hosts[host].illness != Illness::None {
-                world.at(ms(3_000), Event::FallsIll { host });
+            if world.hosts[host].fault != Fault::None {
+                world.at(ms(3_000), Event::FaultBegins { host });
             }
         }
         world
@@ -149,7 +149,7 @@
             }
             self.now = at;
             let beliefs = self.hosts.iter();
-            let well = beliefs.filter(|host| host.illness == Illness::None);
+            let well = beliefs.filter(|host| host.fault == Fault::None);
             let ages = well.filter_map(|host| host.truth.map(|truth| at.saturating_sub(truth)));
             oldest = oldest.max(ages.max().unwrap_or_default());
             self.take(event);
@@ -162,7 +162,7 @@
         let (Event::Wakes { host }
         | Event::Answered { host, .. }
         | Event::Told { host, .. }
-        | Event::FallsIll { host }) = event;
+        | Event::FaultBegins { host }) = event;
         let still_until = self.hosts[host].still_until;
         match event {
             // What comes to a host that stands still waits in its sockets.
@@ -175,7 +175,7 @@
                 truth,
                 as_of,
             } => self.told(host, from, truth, as_of),
-            Event::FallsIll { host } => self.fall_ill(host),
+            Event::FaultBegins { host } => self.begin_fault(host),
         }
     }
 
@@ -243,7 +243,7 @@
     }
 
     fn way(&mut self, from: usize, to: usize) -> Duration {
-        let loses = |host: usize| self.hosts[host].illness == Illness::Loses;
+        let loses = |host: usize| self.hosts[host].fault == Fault::LosesPackets;
         let is_lost = (loses(from) || loses(to)) && self.rng.random_ratio(1, 4);
         up_to(if is_lost { ms(3_000) } else { ms(80) }, &mut self.rng)
     }
@@ -263,23 +263,23 @@
         }
     }
 
-    fn fall_ill(&mut self, host: usize) {
+    fn begin_fault(&mut self, host: usize) {
         let lasts = up_to(ms(4_000), &mut self.rng);
         let next = self.now + lasts + up_to(ms(6_000), &mut self.rng);
-        match self.hosts[host].illness {
-            Illness::Freezes => {
+        match self.hosts[host].fault {
+            Fault::Freezes => {
                 self.hosts[host].still_until = self.now + lasts;
                 self.hold_up(host, lasts);
             }
-            Illness::Dies => {
+            Fault::Restarts => {
                 let own = &mut self.hosts[host];
                 own.still_until = self.now + lasts;
                 own.truth = None;
                 own.lead = Lead::new(&self.names[host], FEED, self.bound);
             }
-            Illness::Loses | Illness::None => {}
+            Fault::LosesPackets | Fault::None => {}
         }
-        self.at(next, Event::FallsIll { host });
+        self.at(next, Event::FaultBegins { host });
     }
 
     /// Holds up some of what a host has sent: its link stands still as well.
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -12,12 +12,12 @@
 // not count it, and the parts of an allowance add up to more than the whole.
 #[case::a_host_that_is_not_listed(1023, false, false)]
 #[case::limits(2, true, false)]
-#[case::a_calm_host(3, false, true)]
+#[case::an_undisturbed_host(3, false, true)]
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_under_faults(
     #[case] seed: u64,
     #[case] limits: bool,
-    #[case] calm_host: bool,
+    #[case] undisturbed_host: bool,
 ) {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
     std::fs::create_dir_all(&folder).unwrap();
@@ -27,7 +27,7 @@
         seed,
         steps: 25,
         limits,
-        calm_host,
+        undisturbed_host,
     };
     let report = soak(&plan).await.unwrap();
     assert!(report.broken.is_empty(), "{report:#?}");
