--- a/crates/steering/tests/route_news_timing.rs
+++ b/crates/steering/tests/route_news_timing.rs
@@ -69,6 +69,9 @@
         "a call was begun just before the end, a pause follows",
         |t| STORE_CALL_LIMIT + pause_most(t.contact) + HOP + IN_FLIGHT,
     ),
+    ("the same, and its first answer comes slowly", |t| {
+        STORE_CALL_LIMIT + pause_most(t.contact) + SLOW_QUESTION + IN_FLIGHT
+    }),
     ("others tell, over a new session", |t| {
         t.news.pace() + t.news.wait() + HOP * 4 + IN_FLIGHT
     }),
