--- a/crates/gateway/src/control/follower.rs
+++ b/crates/gateway/src/control/follower.rs
@@ -178,10 +178,7 @@
     pub fn rests(&self, now: Instant) -> Duration {
         let may_be_filled = self.is_filling || self.missing.is_some();
         match may_be_filled {
-            true => self
-                .lead
-                .fresh_for(now)
-                .map_or(GAP_LIMIT, |fresh| GAP_LIMIT.min(fresh)),
+            true => self.lead.fresh_for(now).unwrap_or(GAP_LIMIT).min(GAP_LIMIT),
             false => self.lead.rests(now),
         }
     }
@@ -189,22 +186,18 @@
     /// Takes what another host has told, which goes up to `version`; it is what is missing
     /// where there is a gap.
     pub fn told(&mut self, used: Use, version: FeedVersion, as_of: Instant, missing: Missing) {
-        let from = &missing.teller.name;
-        match used {
-            Use::Gap => self.lead.told(from, used, as_of),
-            Use::Take | Use::Known => {
-                self.renew(Source::News, |lead| lead.told(from, used, as_of));
-            }
-        }
         // The teller reaches the store.
         self.lost_since = None;
+        let from = &missing.teller.name;
         match used {
-            Use::Known => {}
+            Use::Known => self.renew(Source::News, |lead| lead.told(from, used, as_of)),
             Use::Take => {
+                self.renew(Source::News, |lead| lead.told(from, used, as_of));
                 self.advance(version);
                 self.lacks = false;
             }
             Use::Gap => {
+                self.lead.told(from, used, as_of);
                 tracing::debug!(event = "feed_gap", feed = %self.feed, from, again = self.lacks);
                 if std::mem::replace(&mut self.lacks, true) {
                     self.version = None;
--- a/crates/gateway/src/traffic/server.rs
+++ b/crates/gateway/src/traffic/server.rs
@@ -65,9 +65,9 @@
                         open = traffic.open.load(Ordering::Relaxed)
                     );
                 }
-                Ok((stream, _)) => {
+                Ok((stream, peer)) => {
                     let _ = stream.set_nodelay(true);
-                    spawn_local(serve(Arc::clone(&traffic), stream, side));
+                    spawn_local(serve(Arc::clone(&traffic), stream, peer, side));
                 }
                 Err(error) => {
                     tracing::warn!(event = "accept_failed", %error);
@@ -94,14 +94,13 @@
     }
 }
 
-async fn serve(traffic: Arc<Traffic>, stream: TcpStream, side: Side) {
+async fn serve(traffic: Arc<Traffic>, stream: TcpStream, peer: SocketAddr, side: Side) {
     let _open = (side == Side::Callers).then(|| Open::new(&traffic));
     let limits = traffic.common.view.load().limits;
     let mut stage = traffic.common.stage.clone();
     let leaving = Arc::clone(&traffic);
     let own_ip = traffic.common.settings.caller_address.ip();
-    let is_own = |peer: SocketAddr| peer.ip() == own_ip || peer.ip().is_loopback();
-    let is_own = stream.peer_addr().is_ok_and(is_own);
+    let is_own = peer.ip() == own_ip || peer.ip().is_loopback();
     let service = service_fn(move |request| {
         let traffic = Arc::clone(&traffic);
         async move {
--- a/crates/peer/src/messages.rs
+++ b/crates/peer/src/messages.rs
@@ -86,8 +86,8 @@
 }
 
 impl EncodedNews {
-    /// Encodes news that were so at `made`. Where the records take more than `most_bytes` they are left out:
-    /// whoever lacks them sees it by the digest, and asks for them.
+    /// Encodes news that were so at `made`. Where the records take more than `most_bytes`
+    /// they are left out: whoever lacks them sees it by the digest, and asks for them.
     pub fn new(news: &News, most_bytes: usize, made: Instant) -> Self {
         let none = || write_records(&Vec::<Record>::new(), usize::MAX);
         let records = write_records(&news.records, most_bytes).or_else(none);
--- a/crates/steering/tests/route_news_timing.rs
+++ b/crates/steering/tests/route_news_timing.rs
@@ -14,8 +14,7 @@
 /// A message and its answer, between the two regions that are farthest apart (70 ms), on a
 /// slow core.
 const HOP: Duration = ms(100);
-/// A question to the store on a slow core: 80 ms as a rule, and up to 500 ms in plays of 295
-/// hosts with a tenth of a core each.
+/// A question to the store on a slow core, where many reports have changed.
 const SLOW_QUESTION: Duration = ms(500);
 /// A request whose upstream was chosen just before, on a new connection.
 const IN_FLIGHT: Duration = ms(200);
