--- a/crates/gateway/src/control/works.rs
+++ b/crates/gateway/src/control/works.rs
@@ -42,7 +42,7 @@
 
     /// Takes what another host tells, and passes on to the group what comes from outside.
     pub(super) fn hear_works(self: &Rc<Self>, from: &HostName, news: Vec<WorkNews>) {
-        self.common.suspects.hear(&news);
+        self.common.suspects.hear(&news, from);
         let group = self.group();
         if group.iter().all(|host| host.name != *from) {
             self.send_works(news, group);
@@ -56,6 +56,8 @@
             let (control, message) = (Rc::clone(self), Rc::clone(&message));
             spawn_local(async move {
                 let told = control.ask_host(&host, &message, TELL_LIMIT).await;
+                let outcome = if told.is_ok() { "told" } else { "not_heard" };
+                metrics::counter!("stagedeck_work_news_total", "outcome" => outcome).increment(1);
                 if let Err(error) = told {
                     let ms = begun.elapsed().as_millis() as u64;
                     tracing::debug!(event = "works_not_told", host = host.name, ms, %error);
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -8,6 +8,9 @@
 };
 use tokio::sync::mpsc;
 
+/// Who has learned something, for the log, where it is this host itself.
+const OWN: &str = "own";
+
 /// News for other hosts.
 pub(crate) struct FreshNews {
     /// When this host learned them.
@@ -40,6 +43,11 @@
     /// What may be done with a request that has come.
     pub fn admit(&self, work: WorkKey) -> Admission {
         let admission = self.suspects().admit(Instant::now(), work);
+        count(match admission {
+            Admission::Free => return admission,
+            Admission::Refused(_) => "refused",
+            Admission::Trial => "tried",
+        });
         if admission == Admission::Trial {
             tracing::info!(event = "work_tried", work = name(work));
             let told = WorkTold::Tried;
@@ -56,15 +64,18 @@
     /// Takes what a request of this host has shown.
     pub fn learn(&self, work: WorkKey, told: WorkTold) {
         let news = WorkNews { work, told };
-        if let Some(ends) = self.take(&news) {
+        if matches!(told, WorkTold::Ended { .. }) {
+            count("ended");
+        }
+        if let Some(ends) = self.take(&news, OWN) {
             self.tell(news, ends >= ENDS_REFUSED);
         }
     }
 
-    /// Takes what another host has told.
-    pub fn hear(&self, news: &[WorkNews]) {
+    /// Takes what the host `from` has told.
+    pub fn hear(&self, news: &[WorkNews], from: &str) {
         for news in news {
-            self.take(news);
+            self.take(news, from);
         }
     }
 
@@ -73,7 +84,7 @@
     pub fn order(&self, work: WorkKey, order: WorkTold) -> bool {
         let news = WorkNews { work, told: order };
         tracing::info!(event = "work_ordered", work = name(work), ?order);
-        let is_new = self.take(&news).is_some();
+        let is_new = self.take(&news, OWN).is_some();
         if is_new {
             self.tell(news, true);
         }
@@ -86,7 +97,7 @@
     }
 
     /// Ends in a row under the work, now or before, where the news are new.
-    fn take(&self, news: &WorkNews) -> Option<u32> {
+    fn take(&self, news: &WorkNews, by: &str) -> Option<u32> {
         let mut suspects = self.suspects();
         let before = suspects.ends(news.work);
         let is_new = suspects.take(Instant::now(), news.work, news.told);
@@ -94,9 +105,9 @@
         drop(suspects);
         let work = news.work;
         if ends > before && ends >= ENDS_REFUSED {
-            tracing::warn!(event = "work_refused", work = name(work), ends);
+            tracing::warn!(event = "work_refused", work = name(work), ends, by);
         } else if ends < before && before >= ENDS_REFUSED {
-            tracing::info!(event = "work_cleared", work = name(work), ends = before);
+            tracing::info!(event = "work_cleared", work = name(work), ends = before, by);
         }
         is_new.then_some(ends.max(before))
     }
@@ -112,6 +123,10 @@
     }
 }
 
+fn count(step: &'static str) {
+    metrics::counter!("stagedeck_work_steps_total", "step" => step).increment(1);
+}
+
 /// A kind of work, as the log tells it.
 pub(crate) fn name(work: WorkKey) -> String {
     format!("{work:016x}")
--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -79,7 +79,11 @@
 impl Run<'_> {
     /// Sends it until it is answered or given up.
     pub async fn run(&mut self) -> Result<Response<Body>, Refusal> {
-        if let Admission::Refused(time) = self.traffic.common.suspects.admit(self.work) {
+        let admission = self.traffic.common.suspects.admit(self.work);
+        if admission != Admission::Free {
+            self.trail.work = Some(self.work);
+        }
+        if let Admission::Refused(time) = admission {
             return Err(Refusal::NotRun {
                 cause: Cause::EndsUpstreams,
                 come_back: time,
--- a/crates/gateway/src/traffic/trail.rs
+++ b/crates/gateway/src/traffic/trail.rs
@@ -4,12 +4,13 @@
 
 use hyper::Response;
 use steering::ids::{CustomerName, RegionName, RequestId, RuleName, ServiceName};
-use steering::route::{Choice, UpstreamId};
+use steering::route::{Choice, UpstreamId, WorkKey};
 use upstream::Body;
 
 use super::answers::{Cause, Refusal};
 use super::head::Head;
 use super::run::Unchosen;
+use crate::suspects;
 
 /// Writes a request's line: an event of its own, then what decided its way.
 macro_rules! tell {
@@ -37,7 +38,8 @@
             speed = $trail.speed,
             worth = $trail.worth,
             sends = $trail.sends,
-            passed_over = $trail.passed_over()
+            passed_over = $trail.passed_over(),
+            work = $trail.work.map(suspects::name)
         )
     };
 }
@@ -88,6 +90,8 @@
     pub sends: usize,
     /// Upstreams that were passed over for what they have said, at the last choice.
     pub passed_over: Vec<UpstreamId>,
+    /// What it is known by, where others like it have ended upstreams.
+    pub work: Option<WorkKey>,
     /// Wait at the emptiest of the object's homes, where all were too full.
     pub least_wait_ms: Option<u64>,
 }
@@ -118,6 +122,7 @@
             worth: 0.0,
             sends: 0,
             passed_over: Vec::new(),
+            work: None,
             least_wait_ms: None,
         }
     }
