Crashing work is told by the request that comes again; its object is refused where two of its requests are

Callers saw: other paths of a popular object were refused while one path crashed its upstreams, and a request was sent on after it had crashed three. Cause: work was told by route and object. What comes again is one request: the same path, caller and body. Others for the object were answered, three answers cleared the object, and the guilty one was sent twice more. The protocol between hosts is version 10. Tests of the kinds of work use the new key; work_is_the_same_by_route_and_object is replaced by three that say what is told apart. Why it works: only an answer to the same request speaks for it, and that request is answered by nobody.

--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use steering::route::{
-    Admission, ENDS_REFUSED, RefusedWork, Suspects, WorkKey, WorkNews, WorkTold,
+    Admission, ENDS_REFUSED, RefusedWork, Suspects, WorkIdentity, WorkKey, WorkNews, WorkTold,
 };
 use tokio::sync::mpsc;
 
@@ -41,7 +41,7 @@
     }
 
     /// What may be done with a request that has come.
-    pub fn admit(&self, work: WorkKey) -> Admission {
+    pub fn admit(&self, work: WorkIdentity) -> Admission {
         let admission = self.suspects().admit(Instant::now(), work);
         count(match admission {
             Admission::Free => return admission,
@@ -49,7 +49,11 @@
             Admission::Trial => "tried",
         });
         if admission == Admission::Trial {
-            tracing::info!(event = "work_tried", work = name(work));
+            tracing::info!(
+                event = "work_tried",
+                work = name(work.request),
+                object = name(work.object)
+            );
             let told = WorkTold::Tried;
             self.tell(WorkNews { work, told }, true);
         }
@@ -57,12 +61,12 @@
     }
 
     /// Whether a request may be sent once more after its upstream has ended.
-    pub fn may_be_repeated(&self, work: WorkKey) -> bool {
+    pub fn may_be_repeated(&self, work: WorkIdentity) -> bool {
         self.suspects().may_be_repeated(work)
     }
 
     /// Takes what a request of this host has shown.
-    pub fn learn(&self, work: WorkKey, told: WorkTold) {
+    pub fn learn(&self, work: WorkIdentity, told: WorkTold) {
         let news = WorkNews { work, told };
         if matches!(told, WorkTold::Ended { .. }) {
             count("ended");
@@ -81,9 +85,10 @@
 
     /// Does what an operator wants of a kind of work, and tells all hosts; false where there is
     /// nothing to be done.
-    pub fn order(&self, work: WorkKey, order: WorkTold) -> bool {
+    pub fn order(&self, key: WorkKey, order: WorkTold) -> bool {
+        let work = WorkIdentity::named(key);
         let news = WorkNews { work, told: order };
-        tracing::info!(event = "work_ordered", work = name(work), ?order);
+        tracing::info!(event = "work_ordered", work = name(key), ?order);
         let is_new = self.take(&news, OWN).is_some();
         if is_new {
             self.tell(news, true);
@@ -96,20 +101,22 @@
         self.suspects().refused(Instant::now())
     }
 
-    /// Ends in a row under the work, now or before, where the news are new.
+    /// Ends in a row under the request or its object, now or before, where the news are new.
     fn take(&self, news: &WorkNews, by: &str) -> Option<u32> {
         let mut suspects = self.suspects();
-        let before = suspects.ends(news.work);
+        let before: Vec<(WorkKey, u32)> = news
+            .work
+            .keys()
+            .map(|key| (key, suspects.ends(key)))
+            .collect();
         let is_new = suspects.take(Instant::now(), news.work, news.told);
-        let ends = suspects.ends(news.work);
-        drop(suspects);
-        let work = news.work;
-        if ends > before && ends >= ENDS_REFUSED {
-            tracing::warn!(event = "work_refused", work = name(work), ends, by);
-        } else if ends < before && before >= ENDS_REFUSED {
-            tracing::info!(event = "work_cleared", work = name(work), ends = before, by);
+        let mut most = 0;
+        for (key, before) in before {
+            let ends = suspects.ends(key);
+            note_change(key, before, ends, by);
+            most = most.max(before).max(ends);
         }
-        is_new.then_some(ends.max(before))
+        is_new.then_some(most)
     }
 
     fn tell(&self, news: WorkNews, for_all: bool) {
@@ -123,11 +130,19 @@
     }
 }
 
+fn note_change(key: WorkKey, before: u32, ends: u32, by: &str) {
+    if ends > before && ends >= ENDS_REFUSED {
+        tracing::warn!(event = "work_refused", work = name(key), ends, by);
+    } else if ends < before && before >= ENDS_REFUSED {
+        tracing::info!(event = "work_cleared", work = name(key), ends = before, by);
+    }
+}
+
 fn count(step: &'static str) {
     metrics::counter!("stagedeck_work_steps_total", "step" => step).increment(1);
 }
 
-/// A kind of work, as the log tells it.
+/// A request or an object, as the log tells it.
 pub(crate) fn name(work: WorkKey) -> String {
     format!("{work:016x}")
 }
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::{Request, Response, StatusCode};
-use steering::route::{CallerLimits, NoAccess, Route, Sender, work_key};
+use steering::route::{CallerLimits, NoAccess, Route, Sender, WorkIdentity, WorkParts};
 use upstream::{Body, BoundError, Bounded, WorkBody, hold};
 
 use super::Traffic;
@@ -52,7 +52,14 @@
     let patience = head.deadline.saturating_duration_since(head.arrived);
     let which_try = traffic.shares().which_try(&route.name, patience);
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-    let work = work_key(&route.name, head.object.as_deref(), path);
+    let work = WorkIdentity::new(&WorkParts {
+        route: &route.name,
+        object: head.object.as_deref(),
+        method: parts.method.as_str(),
+        path,
+        customer: sender.customer().map(|customer| customer.name.as_str()),
+        body: body.held(),
+    });
     let mut run = Run {
         work,
         turned_away: 0,
--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -7,8 +7,8 @@
 use hyper::http::request::Parts;
 use steering::ids::ServiceName;
 use steering::route::{
-    Admission, Choice, Fate, Lack, NoRoom, Route, Sender, Sent, Try, UpstreamId, Wish, WorkKey,
-    WorkTold, after, choose,
+    Admission, Choice, Fate, Lack, NoRoom, Route, Sender, Sent, Try, UpstreamId, Wish,
+    WorkIdentity, WorkTold, after, choose,
 };
 use upstream::{Body, WorkBody};
 
@@ -17,7 +17,7 @@
 use super::destination::Destination;
 use super::forward::NO_DOCUMENT_WAIT;
 use super::head::Head;
-use super::send::{Work, send};
+use super::send::{Sending, send};
 use super::shares::Shares;
 use super::trail::Trail;
 use crate::limits::Dry;
@@ -53,8 +53,8 @@
     pub sends: Vec<Sent>,
     /// Upstreams that are not asked again: they were full, or could not be reached.
     pub tried: Vec<UpstreamId>,
-    /// What is the same about requests that do the same work.
-    pub work: WorkKey,
+    /// What it is known by where it comes again.
+    pub work: WorkIdentity,
     /// Upstreams that were chosen and had no token of their limits.
     pub turned_away: u32,
 }
@@ -81,7 +81,7 @@
     pub async fn run(&mut self) -> Result<Response<Body>, Refusal> {
         let admission = self.traffic.common.suspects.admit(self.work);
         if admission != Admission::Free {
-            self.trail.work = Some(self.work);
+            self.trail.work = Some(self.work.request);
         }
         if let Admission::Refused(time) = admission {
             return Err(Refusal::NotRun {
@@ -139,7 +139,7 @@
         self.trail.chose(choice);
         self.sends.push(Sent::Not);
         let sent = self.sends.last_mut().expect("it was just pushed");
-        let mut work = Work {
+        let mut sending = Sending {
             head: self.head,
             parts: &self.parts,
             body: &mut self.body,
@@ -149,7 +149,7 @@
             sender: self.sender,
         };
         let begun = Instant::now();
-        let missed = match send(self.traffic, choice, &mut work, sent).await {
+        let missed = match send(self.traffic, choice, &mut sending, sent).await {
             Ok(answer) => {
                 let sent_ms = begun.elapsed().as_millis() as u32;
                 let told = WorkTold::Answered { sent_ms };
@@ -191,12 +191,14 @@
             sent_ms: sent.elapsed().as_millis() as u32,
             ended_ms: closed.elapsed().as_millis() as u32,
         };
-        let work = suspects::name(self.work);
+        let work = suspects::name(self.work.request);
+        let object = suspects::name(self.work.object);
         tracing::info!(
             event = "upstream_ended",
             id = self.head.id,
             upstream = report.id,
-            work
+            work,
+            object
         );
         self.traffic.common.suspects.learn(self.work, told);
     }
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -91,7 +91,7 @@
 }
 
 /// What is sent.
-pub(super) struct Work<'a> {
+pub(super) struct Sending<'a> {
     pub head: &'a Head,
     pub parts: &'a Parts,
     pub body: &'a mut WorkBody,
@@ -109,10 +109,10 @@
 pub(super) async fn send(
     traffic: &Arc<Traffic>,
     choice: &Choice,
-    work: &mut Work<'_>,
+    sending: &mut Sending<'_>,
     sent: &mut Sent,
 ) -> Result<Response<Body>, Missed> {
-    let reuse = match work.repeatable {
+    let reuse = match sending.repeatable {
         true => Reuse::Any,
         false => Reuse::Recent,
     };
@@ -122,7 +122,7 @@
     let address = upstream.report.address;
     let connected = traffic
         .connections
-        .connect(address, connections, reuse, work.deadline);
+        .connect(address, connections, reuse, sending.deadline);
     let lease = match connected.await {
         Ok(lease) => lease,
         Err(reason) => {
@@ -139,20 +139,20 @@
             ..Missed::new(Sent::Not, obstacle)
         });
     }
-    let Some(request) = request(traffic, upstream, work) else {
+    let Some(request) = request(traffic, upstream, sending) else {
         return Err(Missed::new(Sent::Perhaps, "the body can't be sent again"));
     };
     *sent = Sent::Perhaps;
-    match lease.send(request, work.deadline).await {
+    match lease.send(request, sending.deadline).await {
         Ok(answer) => {
             count_send("answered");
-            take(traffic, choice, answer, work, flight)
+            take(traffic, choice, answer, sending, flight)
         }
         Err(SendError::NotSent { reason, request }) => {
             count_send("not_sent");
             flight.judge(Answered::Failed);
             if let Some(request) = request {
-                work.body.put_back(request.into_body());
+                sending.body.put_back(request.into_body());
             }
             Err(Missed::new(Sent::Not, reason))
         }
@@ -176,16 +176,20 @@
     metrics::counter!("stagedeck_sends_total", "outcome" => outcome).increment(1);
 }
 
-fn request(traffic: &Traffic, upstream: &Upstream, work: &mut Work<'_>) -> Option<Request<Body>> {
+fn request(
+    traffic: &Traffic,
+    upstream: &Upstream,
+    sending: &mut Sending<'_>,
+) -> Option<Request<Body>> {
     let names = traffic.dialect.headers();
-    let path = work.parts.uri.path_and_query();
-    let mut request = Request::new(work.body.take()?);
-    *request.method_mut() = work.parts.method.clone();
+    let path = sending.parts.uri.path_and_query();
+    let mut request = Request::new(sending.body.take()?);
+    *request.method_mut() = sending.parts.method.clone();
     *request.uri_mut() = path.map_or("/", |path| path.as_str()).parse().ok()?;
     let headers = request.headers_mut();
-    *headers = end_to_end(&work.parts.headers);
-    name_sender(headers, &names.customer, work.sender)?;
-    let left = work.deadline.saturating_duration_since(Instant::now());
+    *headers = end_to_end(&sending.parts.headers);
+    name_sender(headers, &names.customer, sending.sender)?;
+    let left = sending.deadline.saturating_duration_since(Instant::now());
     headers.insert(&names.deadline_ms, (left.as_millis() as u64).into());
     let id = HeaderValue::from_str(&upstream.report.id).ok()?;
     headers.insert(&names.expected_upstream, id);
@@ -211,15 +215,15 @@
     traffic: &Arc<Traffic>,
     choice: &Choice,
     answer: Response<TrackedBody>,
-    work: &Work<'_>,
+    sending: &Sending<'_>,
     flight: Flight,
 ) -> Result<Response<Body>, Missed> {
     let names = traffic.dialect.headers();
     let headers = answer.headers();
     let is_own = headers
         .get(&names.request_id)
-        .is_some_and(|id| id.as_bytes() == work.head.id.as_bytes());
-    if !is_own && !work.head.id.is_empty() {
+        .is_some_and(|id| id.as_bytes() == sending.head.id.as_bytes());
+    if !is_own && !sending.head.id.is_empty() {
         flight.judge(Answered::Broken);
         return Err(Missed::new(Sent::Perhaps, "an answer to another request"));
     }
@@ -259,7 +263,7 @@
     if status.is_success() {
         let now = Instant::now();
         let took = now - flight.begun;
-        traffic.shares().learn(now, work.route, choice, took);
+        traffic.shares().learn(now, sending.route, choice, took);
     }
     let (mut parts, body) = answer.into_parts();
     parts.headers = end_to_end(&parts.headers);
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -4,7 +4,7 @@
 # change is not understood by older hosts. Version 1, in which each heartbeat
 # named its host and each load its service, was never released.
 
-const protocolVersion :UInt16 = 9;
+const protocolVersion :UInt16 = 10;
 
 interface Gate {
   # What a host offers before it knows who calls.
@@ -36,7 +36,8 @@
   borrow @3 (limit :Data, request :LoanRequest) -> (granted :Bool, grant :LoanGrant);
   # Asks or tells what hosts keep together: tokens of customers' allowances, tokens of limits that
   # upstreams name, work under which upstreams end. Both are in the postcard format; version 5
-  # did not have it, up to version 7 it knew the first only.
+  # did not have it, up to version 7 it knew the first only; up to
+  # version 9 work was told by its object alone.
   tokens @5 (ask :Data) -> (reply :Data);
 }
 
--- a/crates/standin/src/measure/suspects.rs
+++ b/crates/standin/src/measure/suspects.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
-use steering::route::{Suspects, WorkKey, WorkTold, work_key};
+use steering::route::{Suspects, WorkIdentity, WorkParts, WorkTold};
 
 use super::balance::round;
 
@@ -13,6 +13,9 @@
 /// Kinds of work in mind: none, and as many as a host keeps.
 const KNOWN: [u64; 2] = [0, 4_096];
 
+/// Body of a request that is looked up, in bytes.
+const BODY: [u8; 600] = [7; 600];
+
 /// Nanoseconds of a call, the median of some rounds.
 fn nanoseconds(mut call: impl FnMut(u64)) -> f64 {
     let mut rounds: Vec<f64> = (0..ROUNDS)
@@ -34,7 +37,7 @@
             sent_ms: 100,
             ended_ms: 0,
         };
-        suspects.take(now, work, told);
+        suspects.take(now, WorkIdentity::named(work), told);
     }
     suspects
 }
@@ -44,14 +47,28 @@
     let now = Instant::now() + Duration::from_secs(1);
     let key = nanoseconds(|number| {
         let object = black_box(number).to_be_bytes();
-        black_box(work_key("route-1", Some(&object), "/a/b"));
+        black_box(WorkIdentity::new(&WorkParts {
+            route: "route-1",
+            object: Some(&object),
+            method: "POST",
+            path: "/a/b/c",
+            customer: None,
+            body: Some(&BODY),
+        }));
     });
     let look_up_ns = KNOWN.map(|kinds| {
         let mut suspects = knowing(now, kinds);
         // One in two is known.
         let ns = nanoseconds(|number| {
-            let work: WorkKey = black_box(number) % (kinds * 2).max(1);
-            black_box(suspects.admit(now, work));
+            let work = black_box(number) % (kinds * 2).max(1);
+            let object = work + (1 << 32);
+            black_box(suspects.admit(
+                now,
+                WorkIdentity {
+                    request: work,
+                    object,
+                },
+            ));
         });
         json!({"known": kinds, "ns": round(ns)})
     });
--- a/crates/steering/src/route/suspect/mod.rs
+++ b/crates/steering/src/route/suspect/mod.rs
@@ -2,8 +2,10 @@
 
 mod news;
 mod suspects;
+mod suspicion;
 mod work;
 
 pub use news::{WorkNews, WorkTold};
-pub use suspects::{Admission, ENDS_REFUSED, RefusedWork, Suspects};
-pub use work::{WorkKey, work_key};
+pub use suspects::{Admission, RefusedWork, Suspects};
+pub use suspicion::ENDS_REFUSED;
+pub use work::{WorkIdentity, WorkKey, WorkParts};
--- a/crates/steering/src/route/suspect/news.rs
+++ b/crates/steering/src/route/suspect/news.rs
@@ -4,13 +4,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::work::WorkKey;
+use super::work::WorkIdentity;
 
 /// Something learned of a kind of work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkNews {
     /// The work.
-    pub work: WorkKey,
+    pub work: WorkIdentity,
     /// What was learned.
     pub told: WorkTold,
 }
--- a/crates/steering/tests/route_suspects.rs
+++ b/crates/steering/tests/route_suspects.rs
@@ -4,9 +4,17 @@
 
 use rstest::rstest;
 use steering::rendezvous;
-use steering::route::{Admission, Suspects, WorkKey, WorkTold, work_key};
+use steering::route::{Admission, Suspects, WorkIdentity, WorkParts, WorkTold};
 
-const WORK: WorkKey = 7;
+const WORK: WorkIdentity = WorkIdentity {
+    request: 7,
+    object: 70,
+};
+/// Another request, for another object.
+const OTHER: WorkIdentity = WorkIdentity {
+    request: 8,
+    object: 80,
+};
 const ME: &str = "h1";
 
 /// Time in milliseconds for which this host refuses what is refused for `seconds` at least.
@@ -74,7 +82,7 @@
     assert!(world.ends(1, 0, 100), "others are told");
     assert_eq!(world.admit(100), Admission::Free);
     assert!(world.suspects.may_be_repeated(WORK));
-    assert_eq!(world.suspects.admit(world.at(100), 8), Admission::Free);
+    assert_eq!(world.suspects.admit(world.at(100), OTHER), Admission::Free);
 }
 
 #[test]
@@ -169,7 +177,7 @@
     assert!(!world.suspects.take(now, WORK, WorkTold::Tried));
     assert_eq!(refused_ms(world.admit(over)), Some(3_000));
     assert!(
-        !world.suspects.take(now, 8, WorkTold::Tried),
+        !world.suspects.take(now, OTHER, WorkTold::Tried),
         "nothing is known of it"
     );
 }
@@ -186,20 +194,55 @@
             ended_ms: 0,
         };
         let now = world.at(300 + other);
-        world.suspects.take(now, 1_000 + other, told);
+        world
+            .suspects
+            .take(now, WorkIdentity::named(1_000 + other), told);
     }
     assert_eq!(world.suspects.refused(world.at(300)).len(), 1);
     assert!(matches!(world.admit(300), Admission::Refused(_)));
 }
 
+const PARTS: WorkParts<'_> = WorkParts {
+    route: "r1",
+    object: Some(b"17"),
+    method: "GET",
+    path: "/a/b",
+    customer: Some("c1"),
+    body: Some(b"body"),
+};
+
+#[rstest]
+#[case::path(WorkParts { path: "/a/c", ..PARTS })]
+#[case::method(WorkParts { method: "PUT", ..PARTS })]
+#[case::customer(WorkParts { customer: Some("c2"), ..PARTS })]
+#[case::no_customer(WorkParts { customer: None, ..PARTS })]
+#[case::body(WorkParts { body: Some(b"other"), ..PARTS })]
+#[case::large_body(WorkParts { body: None, ..PARTS })]
+fn requests_that_differ_are_told_apart_and_have_the_same_object(#[case] other: WorkParts<'_>) {
+    let work = WorkIdentity::new(&PARTS);
+    let other = WorkIdentity::new(&other);
+    assert_eq!(work, WorkIdentity::new(&PARTS));
+    assert_ne!(work.request, other.request);
+    assert_eq!(work.object, other.object);
+}
+
+#[rstest]
+#[case::route(WorkParts { route: "r2", ..PARTS })]
+#[case::object(WorkParts { object: Some(b"18"), ..PARTS })]
+fn objects_are_told_apart_by_their_route(#[case] other: WorkParts<'_>) {
+    let other = WorkIdentity::new(&other);
+    assert_ne!(WorkIdentity::new(&PARTS).object, other.object);
+}
+
 #[test]
-fn work_is_the_same_by_route_and_object() {
-    let by_object = work_key("r1", Some(b"17"), "/a/b");
-    assert_eq!(by_object, work_key("r1", Some(b"17"), "/a/c"));
-    assert_ne!(by_object, work_key("r2", Some(b"17"), "/a/b"));
-    assert_ne!(by_object, work_key("r1", Some(b"18"), "/a/b"));
-    let by_path = work_key("r1", None, "/a/b");
-    assert_ne!(by_path, work_key("r1", None, "/a/c"));
+fn a_request_about_no_object_is_known_by_itself_alone() {
+    let parts = WorkParts {
+        object: None,
+        ..PARTS
+    };
+    let work = WorkIdentity::new(&parts);
+    assert_eq!(work.request, work.object);
+    assert_eq!(work.keys().count(), 1);
 }
 
 /// Hosts that all know the same at the same moment find out apart: each request may end an
@@ -266,8 +309,82 @@
     assert!(world.suspects.take(now, WORK, WorkTold::Refused));
     assert_eq!(refused_ms(world.admit(100)), Some(own_ms(120)));
     let listed = world.suspects.refused(now);
-    assert_eq!(listed.iter().map(|l| l.work).collect::<Vec<_>>(), [WORK]);
+    let listed: Vec<_> = listed.iter().map(|listed| listed.work).collect();
+    assert_eq!(listed, [WORK.request]);
     assert!(world.suspects.take(now, WORK, WorkTold::Cleared));
     assert_eq!(world.admit(100), Admission::Free);
     assert!(world.suspects.refused(now).is_empty());
 }
+
+/// A request for the object of [`WORK`].
+fn request(request: u64) -> WorkIdentity {
+    WorkIdentity { request, ..WORK }
+}
+
+impl World {
+    /// Upstreams end twice in a row under a request, from `ms` on.
+    fn ends_twice(&mut self, work: WorkIdentity, ms: u64) {
+        for (start, at_ms) in [(10 * work.request, ms), (10 * work.request + 1, ms + 100)] {
+            let told = WorkTold::Ended {
+                start,
+                sent_ms: 90,
+                ended_ms: 0,
+            };
+            self.suspects.take(self.at(at_ms), work, told);
+        }
+    }
+}
+
+#[test]
+fn a_refused_request_does_not_keep_others_for_its_object_out() {
+    let mut world = World::new();
+    world.ends_twice(WORK, 100);
+    assert!(matches!(world.admit(300), Admission::Refused(_)));
+    let now = world.at(300);
+    assert_eq!(world.suspects.admit(now, request(9)), Admission::Free);
+    assert!(world.suspects.may_be_repeated(request(9)));
+    let answered = WorkTold::Answered { sent_ms: 50 };
+    for count in 0..10 {
+        let now = world.at(400 + 1_000 * count);
+        world.suspects.take(now, request(9), answered);
+    }
+    assert!(
+        !world.suspects.may_be_repeated(WORK),
+        "they clear only themselves"
+    );
+}
+
+#[test]
+fn an_object_is_refused_where_two_requests_for_it_are() {
+    let mut world = World::new();
+    world.ends_twice(WORK, 100);
+    world.ends_twice(request(9), 400);
+    let now = world.at(500);
+    let wait = refused_ms(world.suspects.admit(now, request(10)));
+    assert_eq!(wait, Some(own_ms(5)));
+    assert!(!world.suspects.may_be_repeated(request(10)));
+    assert_eq!(world.suspects.admit(now, OTHER), Admission::Free);
+    // One that finds out meets the same, with a path of its own.
+    let over = world.at(501 + own_ms(5));
+    assert_eq!(world.suspects.admit(over, request(10)), Admission::Trial);
+    assert!(refused_ms(world.suspects.admit(over, request(11))).is_some());
+    let told = WorkTold::Ended {
+        start: 1_000,
+        sent_ms: 0,
+        ended_ms: 0,
+    };
+    world.suspects.take(over, request(10), told);
+    let wait = refused_ms(world.suspects.admit(over, request(11)));
+    assert_eq!(wait, Some(own_ms(20)));
+}
+
+#[test]
+fn an_answer_for_an_object_between_two_refused_requests_keeps_it_served() {
+    let mut world = World::new();
+    world.ends_twice(WORK, 100);
+    let answered = WorkTold::Answered { sent_ms: 50 };
+    world.suspects.take(world.at(300), request(9), answered);
+    world.ends_twice(request(10), 400);
+    let now = world.at(600);
+    assert_eq!(world.suspects.admit(now, request(11)), Admission::Free);
+}
--- a/crates/steering/tests/route_suspects_hosts.rs
+++ b/crates/steering/tests/route_suspects_hosts.rs
@@ -6,7 +6,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
-use steering::route::{Admission, Suspects, WorkKey, WorkTold, work_key};
+use steering::route::{Admission, Suspects, WorkIdentity, WorkParts, WorkTold};
 
 const HOSTS: usize = 9;
 const LASTS_MS: u64 = 60_000;
@@ -36,7 +36,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Flight {
     host: usize,
-    work: WorkKey,
+    work: WorkIdentity,
     crashes: bool,
     sent_ms: u64,
     ends_ms: u64,
@@ -47,7 +47,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Message {
     to: usize,
-    work: WorkKey,
+    work: WorkIdentity,
     told: WorkTold,
     sent_ms: u64,
     at_ms: u64,
@@ -118,7 +118,14 @@
             true => "/a/13/crashes".to_owned(),
             false => format!("/a/13/{ms}"),
         };
-        let work = work_key("route", Some(b"13"), &path);
+        let work = WorkIdentity::new(&WorkParts {
+            route: "route",
+            object: Some(b"13"),
+            method: "GET",
+            path: &path,
+            customer: None,
+            body: Some(b""),
+        });
         let now = self.at(ms);
         match self.hosts[host].admit(now, work) {
             Admission::Refused(_) => return,
@@ -128,7 +135,7 @@
         self.send(host, ms, work, crashes, 1);
     }
 
-    fn send(&mut self, host: usize, ms: u64, work: WorkKey, crashes: bool, attempt: u32) {
+    fn send(&mut self, host: usize, ms: u64, work: WorkIdentity, crashes: bool, attempt: u32) {
         self.starts += 1;
         self.flights.push(Flight {
             host,
@@ -173,7 +180,7 @@
         }
     }
 
-    fn tell(&mut self, from: usize, ms: u64, work: WorkKey, told: WorkTold) {
+    fn tell(&mut self, from: usize, ms: u64, work: WorkIdentity, told: WorkTold) {
         for to in (0..HOSTS).filter(|to| *to != from) {
             let at_ms = ms + self.rng.random_range(NEWS_MS);
             if !self.is_away(from, ms) {
--- a/crates/steering/tests/route_suspects_innocent.rs
+++ b/crates/steering/tests/route_suspects_innocent.rs
@@ -6,7 +6,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
-use steering::route::{Admission, Suspects, WorkKey, WorkTold};
+use steering::route::{Admission, Suspects, WorkIdentity, WorkKey, WorkTold};
 
 const UPSTREAMS: usize = 24;
 const OBJECTS: u64 = 40;
@@ -69,7 +69,7 @@
     }
 
     fn send(&mut self, ms: u64, work: WorkKey) {
-        match self.suspects.admit(self.at(ms), work) {
+        match self.suspects.admit(self.at(ms), WorkIdentity::named(work)) {
             Admission::Refused(_) => {
                 self.refused_since.entry(work).or_insert(ms);
                 return;
@@ -104,7 +104,8 @@
                 let told = WorkTold::Answered {
                     sent_ms: (ms - sent.at_ms) as u32,
                 };
-                self.suspects.take(self.at(ms), sent.work, told);
+                let work = WorkIdentity::named(sent.work);
+                self.suspects.take(self.at(ms), work, told);
             }
         }
     }
@@ -121,7 +122,8 @@
                     sent_ms: (ms - sent.at_ms) as u32,
                     ended_ms: 0,
                 };
-                self.suspects.take(self.at(ms), sent.work, told);
+                let work = WorkIdentity::named(sent.work);
+                self.suspects.take(self.at(ms), work, told);
             }
         }
     }
--- a/crates/upstream/src/body.rs
+++ b/crates/upstream/src/body.rs
@@ -206,6 +206,14 @@
         }
     }
 
+    /// All of it, where it is held whole.
+    pub fn held(&self) -> Option<&[u8]> {
+        match self {
+            WorkBody::Whole(bytes) => Some(bytes),
+            WorkBody::Streaming(_) => None,
+        }
+    }
+
     /// A body that was not sent.
     pub fn put_back(&mut self, unsent: Body) {
         if let WorkBody::Streaming(body) = self {
