A request's key holds its object

Callers would have seen: requests for the same path that name different objects refused together. Cause: the key of the commit before was made of route, method, path, customer and body; an object named in a header alone was left out. Change: the object is part of the key, and a test of the key says so. The test passes.

--- a/crates/steering/src/route/suspect/work.rs
+++ b/crates/steering/src/route/suspect/work.rs
@@ -9,7 +9,7 @@
 /// What a request is known by where it comes again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct WorkIdentity {
-    /// The request itself: route, path, who sends it, and body.
+    /// The request itself: route, path, object, who sends it, and body.
     pub request: WorkKey,
     /// Its route and object; `request` where it is about none.
     pub object: WorkKey,
@@ -36,12 +36,16 @@
     /// What a request with these parts is known by.
     pub fn new(parts: &WorkParts<'_>) -> Self {
         let route = XxHash3_64::oneshot(parts.route.as_bytes());
-        let customer = parts.customer.unwrap_or_default();
-        let texts = [parts.method, parts.path, customer];
-        let request = texts.iter().fold(route, |key, text| {
-            XxHash3_64::oneshot_with_seed(key, text.as_bytes())
-        });
-        let request = XxHash3_64::oneshot_with_seed(request, parts.body.unwrap_or_default());
+        let bytes = [
+            parts.method.as_bytes(),
+            parts.path.as_bytes(),
+            parts.object.unwrap_or_default(),
+            parts.customer.unwrap_or_default().as_bytes(),
+            parts.body.unwrap_or_default(),
+        ];
+        let request = bytes
+            .iter()
+            .fold(route, |key, part| XxHash3_64::oneshot_with_seed(key, part));
         let object = parts.object;
         let object = object.map(|object| XxHash3_64::oneshot_with_seed(route, object));
         WorkIdentity {
--- a/crates/steering/tests/route_suspects.rs
+++ b/crates/steering/tests/route_suspects.rs
@@ -230,8 +230,9 @@
 #[case::route(WorkParts { route: "r2", ..PARTS })]
 #[case::object(WorkParts { object: Some(b"18"), ..PARTS })]
 fn objects_are_told_apart_by_their_route(#[case] other: WorkParts<'_>) {
-    let other = WorkIdentity::new(&other);
-    assert_ne!(WorkIdentity::new(&PARTS).object, other.object);
+    let (work, other) = (WorkIdentity::new(&PARTS), WorkIdentity::new(&other));
+    assert_ne!(work.object, other.object);
+    assert_ne!(work.request, other.request);
 }
 
 #[test]
