Hosts compare what they know of refused work, and learn it before they serve

Callers and upstreams saw: while hosts were restarted, a request that had crashed two upstreams crashed two more at each host that had started; hosts that were cut off did the same. Cause: what is learned of such work was an event, told once within 0.5 s, and nobody told a newcomer. Change: what is refused, or was, is a state with a rank (clears, ends, answers) that only grows; each host asks one other each second by a digest, and takes what ranks higher; one that starts asks three before it is ready, for a second at most. A host that has compared with nobody for 3 s lets no request find out. That it was cleared is remembered, so that nobody brings it back. Why it works: of two hosts' knowledge the higher holds whatever order they hear in, and no event has to arrive.

--- a/crates/gateway/src/control/beliefs.rs
+++ b/crates/gateway/src/control/beliefs.rs
@@ -37,6 +37,8 @@
     pools: Option<Arc<HashMap<ServiceName, ServicePool>>>,
     /// Whether upstreams' reports had been read at the last view.
     upstreams_known: bool,
+    /// Whether other hosts have been asked what work they refuse.
+    pub works_known: bool,
     /// Hosts named in the last view, to see when time alone has changed them.
     named: BTreeMap<RegionName, Vec<SocketAddr>>,
     near_hosts: Option<Vec<HostName>>,
@@ -61,6 +63,7 @@
             roll: Roll::new(&common.settings.host),
             pools: None,
             upstreams_known: false,
+            works_known: false,
             named: BTreeMap::new(),
             near_hosts: None,
             refused_reports: BTreeSet::new(),
@@ -272,6 +275,7 @@
             table: Arc::clone(&self.table),
             customers: Arc::clone(&self.customers),
             upstreams_known: self.upstreams_known,
+            works_known: self.works_known,
             services: Arc::clone(pools),
             hosts: self.named.clone(),
             sharers: self.sharers,
--- a/crates/gateway/src/control/hosts.rs
+++ b/crates/gateway/src/control/hosts.rs
@@ -211,6 +211,10 @@
             let partners = self.partners();
             self.keep_clients(&partners);
             let beat = Rc::new(self.heartbeat(false));
+            if let Some(host) = partners.get(self.beats.get() as usize % partners.len().max(1)) {
+                let (control, host) = (Rc::clone(&self), host.clone());
+                spawn_local(async move { control.compare_works(&host).await });
+            }
             for host in &partners {
                 // One at a time: a host that does not answer is not asked twice at once.
                 if let Some(client) = self.idle_client(host) {
@@ -253,7 +257,7 @@
 
     /// Hosts that get heartbeats: all of a small deployment, else some of each region,
     /// so that the cost of a host does not grow with the deployment.
-    fn partners(&self) -> Vec<HostEntry> {
+    pub(super) fn partners(&self) -> Vec<HostEntry> {
         let beliefs = self.beliefs.borrow();
         let mut by_region: BTreeMap<&str, Vec<&HostEntry>> = BTreeMap::new();
         for host in beliefs.roll.known() {
@@ -327,6 +331,9 @@
                 self.0.hear_works(&from.name, news);
                 HostReply::Taken
             }
+            HostMessage::MissedWorks(known) => {
+                HostReply::Works(self.0.common.suspects.missed(known))
+            }
             HostMessage::Limit(ask) => HostReply::Limit(self.0.answer_limit(&from.name, &ask)),
         }
     }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -157,6 +157,8 @@
             spawn_local(Rc::clone(&self).follow(feed));
         }
         self.keep_tokens();
+        let learning = Rc::clone(&self);
+        spawn_local(async move { learning.learn_works_at_start().await });
         self.meet_hosts(peers).await;
     }
 
--- a/crates/gateway/src/control/works.rs
+++ b/crates/gateway/src/control/works.rs
@@ -3,19 +3,26 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures::future::select_ok;
 use steering::ids::HostName;
 use steering::membership::HostEntry;
-use steering::route::{Feed, HostMessage, WorkNews};
+use steering::route::{Feed, HostMessage, HostReply, WorkNews};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::Control;
 use crate::suspects::FreshNews;
 
+/// Time after which a host that starts serves without what others know.
+const PATIENCE: Duration = Duration::from_secs(1);
+/// Hosts that are asked at once, the near ones first: some of those listed may be gone.
+const ASKED_AT_START: usize = 3;
+/// Pause before it is looked again whether other hosts can be asked.
+const AGAIN_AFTER: Duration = Duration::from_millis(20);
 /// Time over which news are gathered: all that was in flight at an upstream ends together.
 const GATHERED_FOR: Duration = Duration::from_millis(3);
-/// Longest wait for a host to take them; who does not hear learns from its own requests.
+/// Longest wait for a host to take them, or to say what it knows; who does not hear asks later.
 const TELL_LIMIT: Duration = Duration::from_millis(500);
 
 impl Control {
@@ -40,6 +47,46 @@
         }
     }
 
+    /// Learns, before this host serves, what others refuse; from the first that answers.
+    pub(super) async fn learn_works_at_start(&self) {
+        // It ends without an answer too: then this host goes on by its own evidence.
+        let _ = timeout(PATIENCE, self.learn_works()).await;
+        self.beliefs.borrow_mut().works_known = true;
+        self.publish();
+    }
+
+    async fn learn_works(&self) {
+        self.until_list_asked().await;
+        while self.local.borrow().is_none() {
+            sleep(AGAIN_AFTER).await;
+        }
+        let mut hosts = self.partners();
+        let region = |host: &HostEntry| self.common.settings.regions.get(&host.zone);
+        hosts.sort_by_key(|host| region(host) != Some(&self.common.settings.region));
+        let answers = hosts.iter().take(ASKED_AT_START).map(async |host| {
+            let is_answered = self.compare_works(host).await;
+            is_answered.then_some(()).ok_or(())
+        });
+        let answers: Vec<_> = answers.map(Box::pin).collect();
+        if !answers.is_empty() {
+            // With no answer the other hosts are gone, or this one is cut off.
+            let _ = select_ok(answers).await;
+        }
+    }
+
+    /// Asks a host what this one may have missed; true where it has answered.
+    pub(super) async fn compare_works(&self, host: &HostEntry) -> bool {
+        let message = HostMessage::MissedWorks(self.common.suspects.digest());
+        let reply = self.ask_host(host, &message, TELL_LIMIT).await;
+        let Ok(HostReply::Works(states)) = reply else {
+            count("not_compared");
+            return false;
+        };
+        count(if states.is_empty() { "same" } else { "missed" });
+        self.common.suspects.merge(&states, &host.name);
+        true
+    }
+
     /// Takes what another host tells, and passes on to the group what comes from outside.
     pub(super) fn hear_works(self: &Rc<Self>, from: &HostName, news: Vec<WorkNews>) {
         self.common.suspects.hear(&news, from);
@@ -57,7 +104,7 @@
             spawn_local(async move {
                 let told = control.ask_host(&host, &message, TELL_LIMIT).await;
                 let outcome = if told.is_ok() { "told" } else { "not_heard" };
-                metrics::counter!("stagedeck_work_news_total", "outcome" => outcome).increment(1);
+                count(outcome);
                 if let Err(error) = told {
                     let ms = begun.elapsed().as_millis() as u64;
                     tracing::debug!(event = "works_not_told", host = host.name, ms, %error);
@@ -66,3 +113,7 @@
         }
     }
 }
+
+fn count(outcome: &'static str) {
+    metrics::counter!("stagedeck_work_news_total", "outcome" => outcome).increment(1);
+}
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -4,7 +4,8 @@
 use std::time::Instant;
 
 use steering::route::{
-    Admission, ENDS_REFUSED, RefusedWork, Suspects, WorkIdentity, WorkKey, WorkNews, WorkTold,
+    Admission, ENDS_REFUSED, RefusedWork, Suspects, WorkDigest, WorkIdentity, WorkKey, WorkNews,
+    WorkState, WorkTold,
 };
 use tokio::sync::mpsc;
 
@@ -83,6 +84,33 @@
         }
     }
 
+    /// Tells whether another host knows the same.
+    pub fn digest(&self) -> WorkDigest {
+        self.suspects().digest(Instant::now())
+    }
+
+    /// What another host may have missed; empty where it knows the same.
+    pub fn missed(&self, known: WorkDigest) -> Vec<WorkState> {
+        let now = Instant::now();
+        let suspects = self.suspects();
+        match suspects.digest(now) == known {
+            true => Vec::new(),
+            false => suspects.states(now),
+        }
+    }
+
+    /// Takes what this host has missed, as the host `from` knows it.
+    pub fn merge(&self, states: &[WorkState], from: &str) {
+        let now = Instant::now();
+        let mut suspects = self.suspects();
+        suspects.compared(now);
+        for state in states {
+            let before = suspects.ends(state.key);
+            suspects.merge(now, state);
+            note_change(state.key, before, suspects.ends(state.key), from);
+        }
+    }
+
     /// Does what an operator wants of a kind of work, and tells all hosts; false where there is
     /// nothing to be done.
     pub fn order(&self, key: WorkKey, order: WorkTold) -> bool {
--- a/crates/steering/src/route/host_message.rs
+++ b/crates/steering/src/route/host_message.rs
@@ -4,7 +4,7 @@
 
 use super::allowance::{TokenAsk, TokenReply};
 use super::limit::{LimitAsk, LimitReply};
-use super::suspect::WorkNews;
+use super::suspect::{WorkDigest, WorkNews, WorkState};
 use crate::ids::CustomerName;
 
 /// A question, or news.
@@ -18,6 +18,9 @@
     Limit(LimitAsk),
     /// To all hosts: what is learned of work under which upstreams end.
     Works(Vec<WorkNews>),
+    /// To another host: what this one may have missed of such work, by the digest of what it
+    /// knows.
+    MissedWorks(WorkDigest),
 }
 
 /// The answer.
@@ -27,6 +30,8 @@
     Tokens(TokenReply),
     /// Whether a request may be sent to an upstream that names a limit.
     Limit(LimitReply),
+    /// What the host knows of work that is refused, or was; empty where it knows the same.
+    Works(Vec<WorkState>),
     /// News were taken.
     Taken,
 }
--- a/crates/steering/src/route/suspect/suspects.rs
+++ b/crates/steering/src/route/suspect/suspects.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::news::WorkTold;
+use super::state::{WorkDigest, WorkState, digest};
 use super::suspicion::Suspicion;
 use super::work::{WorkIdentity, WorkKey};
 use crate::rendezvous;
@@ -12,6 +13,13 @@
 /// cleared with their next answer.
 const KNOWN_MOST: usize = 4_096;
 
+/// Requests and objects that another host is told of at once, in some 20 KB.
+const STATES_MOST: usize = 256;
+
+/// Time after which what others know counts as missed: that of some questions. A host that
+/// hears nobody lets no request find out, since another host may just have done so.
+const COMPARED_FOR: Duration = Duration::from_secs(3);
+
 /// What may be done with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
@@ -43,6 +51,9 @@
     known: HashMap<WorkKey, Suspicion>,
     /// From 0 to 1, another one on each host.
     apart: f64,
+    /// When another host last told what it knows; none where none ever has, as on a host that is
+    /// alone.
+    compared: Option<Instant>,
 }
 
 impl Suspects {
@@ -51,6 +62,7 @@
         Suspects {
             known: HashMap::new(),
             apart: rendezvous::hash(me.as_bytes()) as f64 / u64::MAX as f64,
+            compared: None,
         }
     }
 
@@ -73,10 +85,26 @@
                 };
             }
         }
-        if admission == Admission::Trial {
-            self.tried(now, work);
+        if admission != Admission::Trial {
+            return admission;
+        }
+        if let Some(wait) = self.hears_nobody_for(now) {
+            return Admission::Refused(wait);
         }
-        admission
+        self.tried(now, work);
+        Admission::Trial
+    }
+
+    /// Time after which to come back to a host that has not heard for too long what others
+    /// know; none where it has, or is alone.
+    fn hears_nobody_for(&self, now: Instant) -> Option<Duration> {
+        let since = now.saturating_duration_since(self.compared?);
+        (since > COMPARED_FOR).then_some(COMPARED_FOR)
+    }
+
+    /// Notes that another host has told all that it knows.
+    pub fn compared(&mut self, now: Instant) {
+        self.compared = Some(now);
     }
 
     /// Whether a request may be sent once more after its upstream has ended. One end is most
@@ -104,7 +132,7 @@
                 self.suspicion(now, work.request, now).refuse(now);
                 true
             }
-            WorkTold::Cleared => self.known.remove(&work.request).is_some(),
+            WorkTold::Cleared => self.clear(now, work.request),
             WorkTold::Tried => self.tried(now, work),
         }
     }
@@ -126,12 +154,57 @@
             };
             is_new |= known.answered(now, sent);
             if known.is_cleared() {
-                self.known.remove(&key);
+                self.clear(now, key);
             }
         }
         is_new
     }
 
+    /// Takes back what is held against `key`; false where nothing is.
+    fn clear(&mut self, now: Instant, key: WorkKey) -> bool {
+        let Some(known) = self.known.get_mut(&key) else {
+            return false;
+        };
+        let is_new = known.ends > 0;
+        known.clear(now);
+        if !known.is_shared() {
+            self.known.remove(&key);
+        }
+        is_new
+    }
+
+    /// Tells whether another host knows the same of what is refused, or was.
+    pub fn digest(&self, now: Instant) -> WorkDigest {
+        let shared = self.shared(now);
+        shared.fold(0, |all, (key, known)| all ^ digest(*key, known.rank()))
+    }
+
+    /// What is refused, or was, as it is told at `now`: what has ended most upstreams comes first.
+    pub fn states(&self, now: Instant) -> Vec<WorkState> {
+        let mut states: Vec<WorkState> = self
+            .shared(now)
+            .map(|(key, known)| known.state(now, *key))
+            .collect();
+        states
+            .sort_unstable_by_key(|state| (std::cmp::Reverse(state.rank.ends), state.last_end_ms));
+        states.truncate(STATES_MOST);
+        states
+    }
+
+    fn shared(&self, now: Instant) -> impl Iterator<Item = (&WorkKey, &Suspicion)> {
+        let shared = self.known.iter();
+        shared.filter(move |(_, known)| known.is_shared() && known.is_remembered(now))
+    }
+
+    /// Takes what another host knows of a request or an object, where that is more.
+    pub fn merge(&mut self, now: Instant, state: &WorkState) {
+        let known = self.suspicion(now, state.key, now);
+        known.merge(now, state);
+        if !known.is_shared() || !known.is_remembered(now) {
+            self.known.remove(&state.key);
+        }
+    }
+
     fn ended(
         &mut self,
         now: Instant,
--- a/crates/steering/src/route/suspect/suspicion.rs
+++ b/crates/steering/src/route/suspect/suspicion.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::state::{WorkRank, WorkState};
 use super::work::WorkKey;
 
 /// Ends from which on it is not sent, but to find out. One tells little: whatever else was in
@@ -30,6 +31,9 @@
 const TRIED_FOR: Duration = Duration::from_secs(3);
 /// Time after which an end is forgotten, where it is not refused for longer.
 const REMEMBERED: Duration = Duration::from_secs(30);
+/// Time for which it is remembered that it was cleared: longer than another host may hold what was
+/// before, and tell it.
+const CLEARED_REMEMBERED: Duration = REFUSED_MOST.saturating_mul(4);
 /// Starts of upstreams remembered, so that one end told by two counts once.
 const STARTS_MOST: usize = 8;
 
@@ -44,7 +48,12 @@
     /// Ends one after the other: what was in flight at several upstreams as all of them ended
     /// counts once, as where a zone loses its power.
     pub ends: u32,
+    /// When the last one was, or when it was cleared where there is none since.
     pub last_end: Instant,
+    /// Times that it was cleared after it had been refused; grows only.
+    clears: u32,
+    /// When it was cleared last.
+    cleared: Option<Instant>,
     /// Since when a request finds out.
     tried_since: Option<Instant>,
     /// Answers since the last end to requests that found out.
@@ -60,6 +69,8 @@
             requests: Vec::new(),
             ends: 0,
             last_end: now,
+            clears: 0,
+            cleared: None,
             tried_since: None,
             answers: 0,
             last_answer: None,
@@ -93,8 +104,10 @@
 
     /// Whether it still says anything.
     pub fn is_remembered(&self, now: Instant) -> bool {
-        let since = now.saturating_duration_since(self.last_end);
-        since < REMEMBERED.max(2 * self.refused_for(1.0))
+        let since = |at: Instant| now.saturating_duration_since(at);
+        let was_cleared = self.cleared.map(since);
+        since(self.last_end) < REMEMBERED.max(2 * self.refused_for(1.0))
+            || was_cleared.is_some_and(|since| since < CLEARED_REMEMBERED)
     }
 
     /// Notes that a request finds out; true where none did before.
@@ -129,7 +142,7 @@
 
     /// Does what an operator wants.
     pub fn refuse(&mut self, now: Instant) {
-        self.ends = ENDS_BY_OPERATOR;
+        self.ends = ENDS_BY_OPERATOR.max(self.ends + 1);
         self.end_at(now);
     }
 
@@ -145,7 +158,7 @@
     pub fn answered(&mut self, now: Instant, sent: Instant) -> bool {
         // What was under way at the last end has found nothing out since.
         let is_doubted = self.is_refused() || !self.requests.is_empty();
-        if is_doubted && sent < self.last_end {
+        if self.ends == 0 || (is_doubted && sent < self.last_end) {
             return false;
         }
         self.answers += 1;
@@ -154,6 +167,75 @@
         true
     }
 
+    /// Takes back all that is held against it.
+    pub fn clear(&mut self, now: Instant) {
+        if self.is_refused() {
+            self.clears += 1;
+            self.cleared = Some(now);
+        }
+        *self = Suspicion {
+            clears: self.clears,
+            cleared: self.cleared,
+            ..Suspicion::new(now)
+        };
+    }
+
+    /// Whether it says anything that other hosts must know as well.
+    pub fn is_shared(&self) -> bool {
+        self.is_refused() || self.clears > 0
+    }
+
+    /// How much is known of it: of two hosts' knowledge the higher holds.
+    pub fn rank(&self) -> WorkRank {
+        WorkRank {
+            clears: self.clears,
+            ends: self.ends,
+            answers: self.answers,
+        }
+    }
+
+    /// What is known of it, to be told at `now`.
+    pub fn state(&self, now: Instant, key: WorkKey) -> WorkState {
+        let age_ms = |at: Instant| now.saturating_duration_since(at).as_millis() as u32;
+        WorkState {
+            key,
+            rank: self.rank(),
+            starts: self.starts.clone(),
+            last_end_ms: age_ms(self.last_end),
+            cleared_ms: self.cleared.map(age_ms),
+            last_answer_ms: self.last_answer.map(age_ms),
+            tried_ms: self.tried_since.map(age_ms),
+        }
+    }
+
+    /// Takes what another host knows, where that is more.
+    pub fn merge(&mut self, now: Instant, state: &WorkState) {
+        if state.rank <= self.rank() {
+            return;
+        }
+        let at = |age_ms: u32| {
+            now.checked_sub(Duration::from_millis(age_ms.into()))
+                .unwrap_or(now)
+        };
+        let cleared = state.cleared_ms.map(at);
+        // Ends after it was cleared there count on.
+        let is_older = cleared.is_some_and(|cleared| cleared < self.last_end);
+        if state.rank.clears > self.clears && state.rank.ends < self.ends && is_older {
+            self.clears = state.rank.clears;
+            self.cleared = cleared;
+            return;
+        }
+        self.clears = state.rank.clears;
+        self.cleared = cleared;
+        self.ends = state.rank.ends;
+        self.answers = state.rank.answers;
+        self.last_end = at(state.last_end_ms);
+        self.last_answer = state.last_answer_ms.map(at);
+        self.tried_since = state.tried_ms.map(at);
+        let known = state.starts.iter().take(STARTS_MOST);
+        self.starts = known.copied().collect();
+    }
+
     /// Whether its answers have shown that it ends no upstream, or does so no more.
     pub fn is_cleared(&self) -> bool {
         self.answers > 0 && (!self.is_refused() || self.answers >= ANSWERS_CLEAR)
--- a/crates/steering/src/route/view.rs
+++ b/crates/steering/src/route/view.rs
@@ -221,6 +221,8 @@
     pub customers: Arc<CustomerTable>,
     /// Whether the upstreams' reports have been read.
     pub upstreams_known: bool,
+    /// Whether other hosts have been asked what work they refuse.
+    pub works_known: bool,
     /// Upstreams by service.
     pub services: Arc<HashMap<ServiceName, ServicePool>>,
     /// Addresses for callers of the hosts that are there, by region.
@@ -276,9 +278,10 @@
 }
 
 impl RouteView {
-    /// Whether requests can be served: a document is in force and upstreams are known.
+    /// Whether requests can be served: a document is in force, upstreams are known, and what
+    /// others refuse, as far as they can be asked.
     pub fn is_ready(&self) -> bool {
-        self.version > 0 && self.upstreams_known
+        self.version > 0 && self.upstreams_known && self.works_known
     }
 
     /// Upstreams by service and region. Those that drain, stand in an evacuated zone or
--- a/crates/steering/tests/route_suspects_hosts.rs
+++ b/crates/steering/tests/route_suspects_hosts.rs
@@ -21,6 +21,8 @@
 const ATTEMPTS: u32 = 2;
 const NEWS_MS: std::ops::Range<u64> = 1..80;
 const ASKED_EVERY_MS: u64 = 100;
+/// Time between two questions of a host to another for what it may have missed.
+const COMPARED_EVERY_MS: u64 = 1_000;
 
 /// What goes wrong, and what else is asked for.
 #[derive(Debug, Clone, Copy)]
@@ -105,12 +107,35 @@
         if self.day.restarts {
             self.hosts[host] = Suspects::new(&name(host));
             self.away_until_ms[host] = ms + 1;
+            // One that starts asks until it has an answer.
+            let others = (1..HOSTS).map(|step| (host + step) % HOSTS);
+            let heard = others.into_iter().find(|other| !self.is_away(*other, ms));
+            if let Some(other) = heard {
+                self.compare(host, other, ms);
+            }
         }
         if self.day.cuts {
             self.away_until_ms[host] = ms + self.rng.random_range(500..6_000);
         }
     }
 
+    /// A host asks another one, where it can, for what it may have missed.
+    fn compare(&mut self, host: usize, other: usize, ms: u64) {
+        if other == host || self.is_away(other, ms) {
+            return;
+        }
+        let now = self.at(ms);
+        self.hosts[host].compared(now);
+        if self.hosts[host].digest(now) == self.hosts[other].digest(now) {
+            return;
+        }
+        let later_ms = ms + self.rng.random_range(NEWS_MS);
+        let later = self.at(later_ms);
+        for state in self.hosts[other].states(now) {
+            self.hosts[host].merge(later, &state);
+        }
+    }
+
     fn request(&mut self, ms: u64) {
         let host = self.rng.random_range(0..HOSTS);
         let crashes = self.rng.random_range(0..=self.day.others) == 0;
@@ -219,6 +244,13 @@
             self.trouble(ms);
             self.deliver(ms);
             self.end_flights(ms);
+            for host in 0..HOSTS {
+                let turn = host as u64 * COMPARED_EVERY_MS / HOSTS as u64;
+                if ms % COMPARED_EVERY_MS == turn && !self.is_away(host, ms) {
+                    let other = self.rng.random_range(0..HOSTS);
+                    self.compare(host, other, ms);
+                }
+            }
             if ms % ASKED_EVERY_MS == 0 {
                 self.request(ms);
             }
