A request that waits is asked about again before it is sent

Upstreams would see: requests that were let in before their work was refused, and then waited for a token or a connection to a far region, sent after it. Cause: found by reading; admission was asked for once, at the door. Change: a request knows how many ends were known when it was let in; just before it is sent, where what an upstream says is looked at as well, one whose work has ended more since and is refused goes nowhere, and its caller is told when to come back. Every way of sending passes there. Conclusion: kept as a guard.

--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -1,7 +1,7 @@
 //! Work under which upstreams end, as requests ask and hosts tell of it.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use steering::route::{
     Admission, ENDS_REFUSED, RefusedWork, Suspects, WorkDigest, WorkIdentity, WorkKey, WorkNews,
@@ -41,11 +41,14 @@
         self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// What may be done with a request that has come.
-    pub fn admit(&self, work: WorkIdentity) -> Admission {
-        let admission = self.suspects().admit(Instant::now(), work);
+    /// What may be done with a request that has come, and the ends known against it.
+    pub fn admit(&self, work: WorkIdentity) -> (Admission, u32) {
+        let mut suspects = self.suspects();
+        let admission = suspects.admit(Instant::now(), work);
+        let ends = suspects.ends_of(work);
+        drop(suspects);
         count(match admission {
-            Admission::Free => return admission,
+            Admission::Free => return (admission, ends),
             Admission::Refused(_) => "refused",
             Admission::Trial => "tried",
         });
@@ -58,7 +61,12 @@
             let told = WorkTold::Tried;
             self.tell(WorkNews { work, told }, true);
         }
-        admission
+        (admission, ends)
+    }
+
+    /// For how long a request that was let in with `ends` known may not be sent any more.
+    pub fn barred_for(&self, work: WorkIdentity, ends: u32) -> Option<Duration> {
+        self.suspects().barred_for(Instant::now(), work, ends)
     }
 
     /// Whether a request may be sent once more after its upstream has ended.
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -62,6 +62,7 @@
     });
     let mut run = Run {
         work,
+        ends_known: 0,
         turned_away: 0,
         traffic,
         head,
--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -55,6 +55,8 @@
     pub tried: Vec<UpstreamId>,
     /// What it is known by where it comes again.
     pub work: WorkIdentity,
+    /// Ends known against it when it was let in.
+    pub ends_known: u32,
     /// Upstreams that were chosen and had no token of their limits.
     pub turned_away: u32,
 }
@@ -79,7 +81,8 @@
 impl Run<'_> {
     /// Sends it until it is answered or given up.
     pub async fn run(&mut self) -> Result<Response<Body>, Refusal> {
-        let admission = self.traffic.common.suspects.admit(self.work);
+        let (admission, ends_known) = self.traffic.common.suspects.admit(self.work);
+        self.ends_known = ends_known;
         if admission != Admission::Free {
             self.trail.work = Some(self.work.request);
         }
@@ -147,6 +150,8 @@
             deadline: self.deadline,
             route: &self.route.name,
             sender: self.sender,
+            work: self.work,
+            ends_known: self.ends_known,
         };
         let begun = Instant::now();
         let missed = match send(self.traffic, choice, &mut sending, sent).await {
@@ -295,11 +300,24 @@
             return self.out_of_time();
         }
         match after(&self.sends, self.route.repeatable, false) {
-            Fate::NotRun => Refusal::NotRun {
+            Fate::NotRun => self.not_sent(),
+            _ => Refusal::MayHaveRun,
+        }
+    }
+
+    /// What is answered where nothing has run: the upstreams refused it, or its work is refused
+    /// since it was let in.
+    fn not_sent(&self) -> Refusal {
+        let suspects = &self.traffic.common.suspects;
+        match suspects.barred_for(self.work, self.ends_known) {
+            Some(come_back) => Refusal::NotRun {
+                cause: Cause::EndsUpstreams,
+                come_back,
+            },
+            None => Refusal::NotRun {
                 cause: Cause::RefusedThere,
                 come_back: NO_DOCUMENT_WAIT,
             },
-            _ => Refusal::MayHaveRun,
         }
     }
 
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -8,7 +8,7 @@
 use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
-use steering::route::{Answered, Choice, Sender, Sent, Upstream};
+use steering::route::{Answered, Choice, Sender, Sent, Upstream, WorkIdentity};
 use steering::statement::Obstacle;
 use upstream::{Body, Holding, Reuse, SendError, TrackedBody, WorkBody, end_to_end};
 
@@ -102,6 +102,10 @@
     pub route: &'a str,
     /// Who sends it.
     pub sender: &'a Sender,
+    /// What it is known by where it comes again.
+    pub work: WorkIdentity,
+    /// Ends known against it when it was let in.
+    pub ends_known: u32,
 }
 
 /// Sends a request once, and passes the answer on if it is one. `sent` is told as soon
@@ -139,6 +143,13 @@
             ..Missed::new(Sent::Not, obstacle)
         });
     }
+    let suspects = &traffic.common.suspects;
+    let barred_for = suspects.barred_for(sending.work, sending.ends_known);
+    if barred_for.is_some() {
+        count_send("not_sent");
+        lease.give_back();
+        return Err(Missed::new(Sent::Not, "its work is refused since"));
+    }
     let Some(request) = request(traffic, upstream, sending) else {
         return Err(Missed::new(Sent::Perhaps, "the body can't be sent again"));
     };
--- a/crates/steering/src/route/suspect/suspects.rs
+++ b/crates/steering/src/route/suspect/suspects.rs
@@ -114,6 +114,25 @@
         known.all(|known| !known.is_refused())
     }
 
+    /// Ends known against a request and its object.
+    pub fn ends_of(&self, work: WorkIdentity) -> u32 {
+        work.keys().map(|key| self.ends(key)).sum()
+    }
+
+    /// For how long a request that was let in with `ends` known may not be sent any more, where its
+    /// work was refused since, or has ended another upstream.
+    pub fn barred_for(&self, now: Instant, work: WorkIdentity, ends: u32) -> Option<Duration> {
+        if self.may_be_repeated(work) || self.ends_of(work) <= ends {
+            return None;
+        }
+        let known = work.keys().filter_map(|key| self.known.get(&key));
+        let refused = known.filter(|known| known.is_refused());
+        let until = refused.map(|known| known.refused_until(self.apart));
+        until
+            .max()
+            .map(|until| until.saturating_duration_since(now))
+    }
+
     /// Takes what this host has seen or was told; true where that is new, and others should be
     /// told.
     pub fn take(&mut self, now: Instant, work: WorkIdentity, told: WorkTold) -> bool {
--- a/crates/steering/tests/route_suspects.rs
+++ b/crates/steering/tests/route_suspects.rs
@@ -389,3 +389,25 @@
     let now = world.at(600);
     assert_eq!(world.suspects.admit(now, request(11)), Admission::Free);
 }
+
+#[test]
+fn a_request_that_waits_is_not_sent_once_its_work_is_refused() {
+    let mut world = World::new();
+    let barred_ms = |world: &World, ms, known| {
+        let barred_for = world.suspects.barred_for(world.at(ms), WORK, known);
+        barred_for.map(|time| time.as_millis() as u64)
+    };
+    world.ends(1, 0, 100);
+    assert_eq!(world.admit(110), Admission::Free);
+    let known = world.suspects.ends_of(WORK);
+    assert_eq!(barred_ms(&world, 110, known), None);
+    world.ends(2, 110, 200);
+    assert_eq!(barred_ms(&world, 200, known), Some(own_ms(5)));
+    let over = 201 + own_ms(5);
+    assert_eq!(world.admit(over), Admission::Trial);
+    let known = world.suspects.ends_of(WORK);
+    assert_eq!(barred_ms(&world, over, known), None, "it finds out");
+    world.ends(3, over, over + 100);
+    let barred = barred_ms(&world, over + 100, known);
+    assert_eq!(barred, Some(own_ms(20)), "another has found out");
+}
