--- a/crates/caller/src/admission.rs
+++ b/crates/caller/src/admission.rs
@@ -16,7 +16,7 @@
     WaitId,
 };
 use tokio::sync::oneshot;
-use tokio::time::timeout_at;
+use tokio::time::timeout;
 
 use crate::shared::lock;
 
@@ -97,7 +97,7 @@
 
     /// The answer has begun.
     pub fn first_byte(&mut self) {
-        let now = Instant::now();
+        let now = clock::now();
         lock(&self.owned).pool.first_byte(now, &self.grant);
         self.outcome = Outcome::Answered(now.saturating_duration_since(self.grant.sent));
     }
@@ -110,7 +110,7 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        let now = Instant::now();
+        let now = clock::now();
         let owned = &mut *lock(&self.owned);
         let steps = owned
             .pool
@@ -132,7 +132,7 @@
         let handle = self
             .handle(key)
             .unwrap_or_else(|| self.insert(key, &limits));
-        let now = Instant::now();
+        let now = clock::now();
         let owned = &mut *lock(&handle.owned);
         owned.pool.configure(now, limits, upstreams, unknown_for);
         let steps = owned.pool.advance(now, &mut owned.rng);
@@ -158,7 +158,7 @@
         let handle = self.handle(key).ok_or(ErrorKind::NoUpstream)?;
         let (wait, answer) = {
             let owned = &mut *lock(&handle.owned);
-            let decision = owned.pool.offer(Instant::now(), offer, &mut owned.rng);
+            let decision = owned.pool.offer(clock::now(), offer, &mut owned.rng);
             match decision {
                 Decision::Granted(grant) => return Ok(handle.permit(grant)),
                 Decision::Refused(kind) => return Err(kind),
@@ -181,7 +181,7 @@
     pub fn advance(&self) {
         let waiting = |handle: &Handle| lock(&handle.owned).pool.load().queued > 0;
         for handle in self.handles().into_iter().filter(waiting) {
-            let now = Instant::now();
+            let now = clock::now();
             let owned = &mut *lock(&handle.owned);
             let steps = owned.pool.advance(now, &mut owned.rng);
             owned.settle(now, steps);
@@ -193,7 +193,7 @@
         let Some(handle) = self.handle(key) else {
             return;
         };
-        let now = Instant::now();
+        let now = clock::now();
         let owned = &mut *lock(&handle.owned);
         let name = upstream.to_owned();
         match report {
@@ -269,7 +269,7 @@
 
 impl Waiting<'_> {
     async fn finish(&mut self, deadline: Instant) -> Result<Permit, ErrorKind> {
-        let answer = timeout_at(deadline.into(), &mut self.answer).await;
+        let answer = timeout(clock::left(deadline), &mut self.answer).await;
         match answer {
             Ok(Ok(answer)) => {
                 self.wait = None;
--- a/crates/caller/src/entry.rs
+++ b/crates/caller/src/entry.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -55,7 +55,7 @@
     suspect: Suspect,
 ) -> Response<Body> {
     let id = new_id();
-    let begun = Instant::now();
+    let begun = clock::now();
     let unwatched = request.headers().contains_key(header::TRANSFER_ENCODING);
     let suspect = suspect.load(Ordering::Acquire);
     let path = request.uri().path().to_owned();
@@ -69,7 +69,7 @@
         answer.headers_mut().insert(header::CONNECTION, close);
     }
     answer.headers_mut().insert(REQUEST_ID_HEADER, value(&id));
-    log(&path, &id, &answer, begun.elapsed());
+    log(&path, &id, &answer, clock::elapsed(begun));
     answer
 }
 
@@ -147,7 +147,7 @@
     let in_flight = InFlight::enter(shared).map_err(Miss::Refused)?;
     let view = shared.view.load_full();
     let mut head = parse(&request, &view, relay.caller, relay.id).map_err(Miss::Refused)?;
-    head.deadline = Instant::now() + Duration::from_millis(relay.deadline_ms);
+    head.deadline = clock::now() + Duration::from_millis(relay.deadline_ms);
     head.repeatable = relay.repeatable;
     let ticket = text(request.headers(), TICKET_HEADER).map(str::to_owned);
     let body = read_body(shared, &head, request.into_body()).await;
--- a/crates/caller/src/local.rs
+++ b/crates/caller/src/local.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use http_body_util::BodyExt;
 use hyper::{Request, Response, Uri, header};
@@ -77,7 +77,7 @@
         let mut ledger = self.shared.ledger();
         match self.used {
             true => ledger.release(&self.keys),
-            false => ledger.give_back(Instant::now(), &self.keys),
+            false => ledger.give_back(clock::now(), &self.keys),
         }
     }
 }
@@ -133,7 +133,7 @@
 
 fn take_limits(shared: &Arc<Shared>, keys: &[LimitKey]) -> Result<LimitGuard, Miss> {
     let mut ledger = shared.ledger();
-    let admitted = ledger.admit(Instant::now(), keys);
+    let admitted = ledger.admit(clock::now(), keys);
     drop(ledger);
     match admitted {
         Ok(()) => Ok(LimitGuard {
@@ -158,7 +158,7 @@
     let Some(unsent) = body.take() else {
         return Err(Miss::MayHaveRun(ErrorKind::OutcomeUnknown));
     };
-    let sent = Instant::now();
+    let sent = clock::now();
     let Some(left) = head.deadline.checked_duration_since(sent) else {
         body.put_back(unsent);
         return Err(Miss::NotRun(ErrorKind::DeadlineBeforeDispatch));
@@ -179,7 +179,7 @@
         id = head.id,
         upstream = upstream.name,
         ok = answer.is_ok(),
-        ms = sent.elapsed().as_millis() as u64
+        ms = clock::elapsed(sent).as_millis() as u64
     );
     match answer {
         Ok(answer) if answer.headers().contains_key(NOT_RUN_HEADER) => {
@@ -216,7 +216,7 @@
             Err(Miss::MayHaveRun(ErrorKind::OutcomeUnknown))
         }
         Err(SendError::Late) => {
-            permit.outcome(Outcome::Answered(sent.elapsed()));
+            permit.outcome(Outcome::Answered(clock::elapsed(sent)));
             Err(Miss::MayHaveRun(ErrorKind::DeadlineAfterDispatch))
         }
     }
--- a/crates/caller/src/look_up.rs
+++ b/crates/caller/src/look_up.rs
@@ -106,7 +106,7 @@
     if count == 0 || leaving || !shared.spent().may_issue() {
         return Vec::new();
     }
-    let lapse = shared.started.elapsed() + shared.config.ticket_ttl;
+    let lapse = clock::elapsed(shared.started) + shared.config.ticket_ttl;
     let mut rng = rand::rng();
     (0..count.min(TICKETS_LIMIT))
         .map(|_| shared.issuer.issue(service, mode, lapse, &mut rng))
--- a/crates/caller/src/request.rs
+++ b/crates/caller/src/request.rs
@@ -106,7 +106,7 @@
         method,
         path,
         headers: end_to_end(request.headers()),
-        deadline: Instant::now() + deadline,
+        deadline: clock::now() + deadline,
         caller,
         class: view.plan.class_of(caller),
     })
--- a/crates/caller/src/shared.rs
+++ b/crates/caller/src/shared.rs
@@ -141,7 +141,7 @@
             gate: Gate::default(),
             issuer,
             claims,
-            started: Instant::now(),
+            started: clock::now(),
             open_connections: AtomicU32::new(0),
             in_flight: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
@@ -165,7 +165,7 @@
 
     /// The control thread says that it runs.
     pub fn tick(&self) {
-        let since_start_ms = self.started.elapsed().as_millis() as u64;
+        let since_start_ms = clock::elapsed(self.started).as_millis() as u64;
         self.control_tick_ms
             .store(since_start_ms, Ordering::Release);
     }
@@ -173,7 +173,7 @@
     /// Time since the control thread last said that it runs.
     pub fn control_silence(&self) -> Duration {
         let last = Duration::from_millis(self.control_tick_ms.load(Ordering::Acquire));
-        self.started.elapsed().saturating_sub(last)
+        clock::elapsed(self.started).saturating_sub(last)
     }
 
     /// Spent tickets.
--- a/crates/caller/src/steer.rs
+++ b/crates/caller/src/steer.rs
@@ -3,7 +3,7 @@
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures::future::{Either, select};
 use hyper::{Request, Response, header};
@@ -106,7 +106,7 @@
                 (miss.kind(), may_retry(shared, head, Attempt::MayHaveRun))
             }
         };
-        let in_time = Instant::now() < head.deadline;
+        let in_time = clock::now() < head.deadline;
         if !again || !in_time || attempts >= ATTEMPTS {
             return Err(failure(miss, kind));
         }
@@ -146,7 +146,7 @@
         .and_then(|number| service.service.operations.get(number));
     let caller = view.plan.class(head.class);
     let rule = view.plan.rule(&service.service, operation, caller);
-    let targets = view.targets(Instant::now(), service, rule);
+    let targets = view.targets(clock::now(), service, rule);
     let views: Vec<_> = targets.iter().map(|target| target.place.clone()).collect();
     let from = view.plan.region(&view.me.zone);
     let mut rng = rand::rng();
@@ -278,7 +278,7 @@
     let Some(unsent) = body.take() else {
         return Err(Miss::MayHaveRun(ErrorKind::OutcomeUnknown));
     };
-    let Some(left) = head.deadline.checked_duration_since(Instant::now()) else {
+    let Some(left) = head.deadline.checked_duration_since(clock::now()) else {
         body.put_back(unsent);
         return Err(Miss::Refused(ErrorKind::DeadlineBeforeDispatch));
     };
@@ -388,7 +388,7 @@
             zone: place.zone.clone(),
             service: head.service.clone(),
             load,
-            heard: Instant::now(),
+            heard: clock::now(),
         });
     }
 }
--- a/crates/caller/src/ticketed.rs
+++ b/crates/caller/src/ticketed.rs
@@ -46,7 +46,7 @@
 impl Once {
     /// Work that any host may run, once the store has its claim.
     fn in_store(id: ClaimId, fingerprint: Fingerprint, rejected_statuses: Vec<u16>) -> Self {
-        let lapse = Instant::now() + KEY_MEMORY;
+        let lapse = clock::now() + KEY_MEMORY;
         Once {
             id,
             attempt: rand::random(),
@@ -75,7 +75,7 @@
     };
     let ticket = ticket::read(ticket_text).map_err(|_| ErrorKind::TicketInvalid)?;
     if shared.issuer.issued(&ticket) {
-        let now = shared.started.elapsed();
+        let now = clock::elapsed(shared.started);
         let ticket = match shared.issuer.verify(ticket_text, &head.service, now) {
             Ok(ticket) => ticket,
             Err(TicketError::Lapsed) => return after_lapse(shared, &ticket, &fingerprint).await,
@@ -146,7 +146,7 @@
     let (recalled, remembered) = {
         let spent = shared.spent();
         // Read under the lock: whoever forgot the ticket before did so at an earlier time.
-        let now = Instant::now();
+        let now = clock::now();
         let remembered = now < lapse_of(shared, ticket) + shared.config.ticket_ttl;
         (spent.recall(&ticket.id, fingerprint), remembered)
     };
@@ -260,7 +260,7 @@
 ) -> Result<Response<Body>, Failure> {
     let spend = shared
         .spent()
-        .spend(Instant::now(), &once.id, &once.fingerprint, once.forget_at);
+        .spend(clock::now(), &once.id, &once.fingerprint, once.forget_at);
     if spend != Spend::Run {
         return tell(spend, once.mode);
     }
@@ -279,7 +279,7 @@
     mut body: WorkBody,
     once: Once,
 ) -> Result<Response<Body>, Failure> {
-    let begun = Instant::now();
+    let begun = clock::now();
     if once.mode == TicketMode::Store
         && let Err(answer) = claim(shared, &once).await
     {
@@ -295,7 +295,7 @@
         };
     }
     // A host that was paused meanwhile must not act on what it held before.
-    let paused = begun.elapsed() > CLAIM_DISPATCH_WINDOW || Instant::now() >= once.lapse;
+    let paused = clock::elapsed(begun) > CLAIM_DISPATCH_WINDOW || clock::now() >= once.lapse;
     let answer = match paused {
         true => Err(ErrorKind::DeadlineBeforeDispatch.into()),
         false => steer(shared, &head, &mut body).await,
--- /dev/null
+++ b/crates/clock/tests/clock.rs
@@ -0,0 +1,57 @@
+//! Ages count the time for which the machine is suspended.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use clock::{Suspensions, TimeSource};
+use rstest::rstest;
+
+/// Goes on by itself, and jumps as after a suspension.
+#[derive(Clone)]
+struct Jumping {
+    begun: Instant,
+    suspended_ms: Arc<AtomicU64>,
+}
+
+impl TimeSource for Jumping {
+    fn since_boot(&self) -> Duration {
+        let suspended = Duration::from_millis(self.suspended_ms.load(Ordering::Relaxed));
+        self.begun.elapsed() + suspended
+    }
+}
+
+#[test]
+fn ages_count_a_suspension() {
+    let source = Jumping {
+        begun: Instant::now(),
+        suspended_ms: Arc::default(),
+    };
+    assert!(clock::install(Box::new(source.clone())));
+    assert!(!clock::install(Box::new(source.clone())), "it is in use");
+    let begun = clock::now();
+    let later = begun + Duration::from_secs(60);
+    assert!(clock::left(later) > Duration::from_secs(5));
+    source.suspended_ms.store(56_000, Ordering::Relaxed);
+    assert!(clock::elapsed(begun) >= Duration::from_secs(56));
+    assert!(clock::left(later) <= Duration::from_secs(4));
+}
+
+#[rstest]
+#[case::awake(1_000, 1_000, None)]
+#[case::read_apart(1_000, 1_040, None)]
+#[case::suspended(1_000, 6_000, Some(5_000))]
+#[case::steady_ahead(1_200, 1_000, None)]
+fn a_suspension_is_what_the_steady_clock_lacks(
+    #[case] steady_ms: u64,
+    #[case] passed_ms: u64,
+    #[case] suspended_ms: Option<u64>,
+) {
+    let begun = Instant::now();
+    let mut suspensions = Suspensions::new(begun, begun);
+    let after = |ms| begun + Duration::from_millis(ms);
+    let suspended = suspensions.look(after(steady_ms), after(passed_ms));
+    assert_eq!(suspended, suspended_ms.map(Duration::from_millis));
+    let next = suspensions.look(after(steady_ms + 10), after(passed_ms + 10));
+    assert_eq!(next, None, "it is told once");
+}
--- a/crates/gateway/src/allowances.rs
+++ b/crates/gateway/src/allowances.rs
@@ -6,7 +6,7 @@
 use steering::ids::CustomerName;
 use steering::route::{Customer, GROUPS, Take, TokenGroup, TokenLeases, group_of};
 use tokio::sync::Notify;
-use tokio::time::timeout_at;
+use tokio::time::timeout;
 
 /// Longest wait for a token: two round trips between far regions. A caller that waits longer
 /// has lost a third of its goal, and is told to come back.
@@ -59,7 +59,7 @@
     /// No tokens yet.
     pub fn new() -> Self {
         Allowances {
-            leases: Mutex::new(TokenLeases::new(Instant::now())),
+            leases: Mutex::new(TokenLeases::new(clock::now())),
             groups: (0..GROUPS).map(|_| Signals::default()).collect(),
         }
     }
@@ -101,7 +101,7 @@
     pub async fn admit(&self, customer: &Customer) -> Result<(), Beyond> {
         let name: &CustomerName = &customer.name;
         let signals = self.signals(group_of(name));
-        let now = Instant::now();
+        let now = clock::now();
         let (taken, runs_low) = {
             let mut leases = self.leases();
             let taken = leases.take(now, name);
@@ -125,14 +125,14 @@
         };
         loop {
             let answered = signals.answered.notified();
-            let taken = self.leases().again(Instant::now(), customer);
+            let taken = self.leases().again(clock::now(), customer);
             waiting.settled = taken != Take::Wait;
             match taken {
                 Take::Taken => return Ok(()),
                 Take::Dry(time) => return Err(Beyond::Used(time)),
                 Take::Wait => signals.waited_for.notify_one(),
             }
-            if timeout_at(end.into(), answered).await.is_err() {
+            if timeout(clock::left(end), answered).await.is_err() {
                 return Err(Beyond::Unheard(UNHEARD_WAIT));
             }
         }
@@ -140,6 +140,6 @@
 
     /// Gives back the token of a request that has not run.
     pub fn give_back(&self, customer: &Customer) {
-        self.leases().give_back(Instant::now(), &customer.name);
+        self.leases().give_back(clock::now(), &customer.name);
     }
 }
--- a/crates/gateway/src/control/beliefs.rs
+++ b/crates/gateway/src/control/beliefs.rs
@@ -101,7 +101,7 @@
         match (before, back) {
             (Some(_), None) => tracing::info!(event = "store_was_not_away", seen_by),
             (_, Some(back)) if before.is_none_or(|before| back > before + SAME_RETURN) => {
-                let ago_ms = back.elapsed().as_millis() as u64;
+                let ago_ms = clock::elapsed(back).as_millis() as u64;
                 tracing::info!(event = "store_returned", seen_by, ago_ms);
             }
             _ => {}
@@ -320,7 +320,10 @@
 }
 
 fn note(change: &CatalogChange, origin: Origin) {
-    let (source, age_ms) = (origin.source, origin.as_of.elapsed().as_millis() as u64);
+    let (source, age_ms) = (
+        origin.source,
+        clock::elapsed(origin.as_of).as_millis() as u64,
+    );
     match change {
         CatalogChange::Gone { id, at_once } => {
             tracing::info!(event = "upstream_gone", upstream = id, at_once, %source, age_ms);
--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -42,7 +42,7 @@
         loop {
             let tightest = tightest(feed, &self.common.bounds());
             self.follower(feed, |own| own.lead.set_tightest(tightest));
-            let rests = self.follower(feed, |own| own.rests(Instant::now()));
+            let rests = self.follower(feed, |own| own.rests(clock::now()));
             if !rests.is_zero() {
                 self.listen(feed, rests, Wait::Listening).await;
                 continue;
@@ -60,7 +60,7 @@
     /// Waits, but no longer than until this host knows that nobody else can tell what it lacks.
     async fn listen(&self, feed: Feed, most: Duration, wait: Wait) {
         let gap_tried = self.follower(feed, |own| Rc::clone(&own.gap_tried));
-        let begun = Instant::now();
+        let begun = clock::now();
         // Either way it is looked again whether there is anything to ask.
         let _ = timeout(most, gap_tried.notified()).await;
         self.follower(feed, |own| own.waited(wait, begun));
@@ -71,12 +71,12 @@
     async fn ask_in_turn(&self, feed: Feed) -> Asked {
         // A host that starts asks its seeds for each feed at once.
         let has_met_hosts = self.local.borrow().is_some();
-        let begun = Instant::now();
+        let begun = clock::now();
         let _turn = match has_met_hosts {
             true => self.outage.turn().await,
             false => None,
         };
-        let now = Instant::now();
+        let now = clock::now();
         self.follower(feed, |own| own.waited(Wait::Turn, begun));
         let (rests, tells) = self.follower(feed, |own| (own.lead.rests(now), own.lead.tells(now)));
         if !rests.is_zero() {
@@ -103,7 +103,7 @@
         // What a host told of the list is without the key.
         let lacks_key = feed == Feed::Hosts && self.key.borrow().is_none();
         let known = version.filter(|_| !lacks_key);
-        let begun = Instant::now();
+        let begun = clock::now();
         let called = match known {
             Some(after) => self.records.watch(feed, after, wait).await,
             None => self.records.read(feed).await,
@@ -123,7 +123,7 @@
             }
             Ok(changes) => {
                 let is_waited = known.is_some() && changes.records.is_empty();
-                let as_of = answer_as_of(begun, Instant::now(), wait, is_waited);
+                let as_of = answer_as_of(begun, clock::now(), wait, is_waited);
                 let news = self.asked(feed, changes, as_of);
                 self.note_asked(feed);
                 Asked::News(news)
@@ -151,7 +151,7 @@
         let mut beliefs = self.beliefs.borrow_mut();
         match error {
             None | Some(RecordError::HistoryGone) => {
-                let now = Instant::now();
+                let now = clock::now();
                 if self.outage.end() {
                     beliefs.roll.was_cut_off(now);
                 }
@@ -213,7 +213,7 @@
             after,
             most_age,
         } = query;
-        let now = Instant::now();
+        let now = clock::now();
         let is_too_old = |own: &mut Follower| {
             let age = own.lead.age(now).unwrap_or(Duration::MAX);
             most_age.is_some_and(|most| age > most)
@@ -247,7 +247,7 @@
 
     /// What other hosts are told of this one's knowledge.
     pub(super) fn news(&self, feed: Feed, version: FeedVersion, records: Vec<Record>) -> News {
-        let now = Instant::now();
+        let now = clock::now();
         let as_of = self.follower(feed, |own| own.lead.as_of());
         let beliefs = self.beliefs.borrow();
         News {
@@ -265,7 +265,7 @@
     /// host is asked for it, and the store where it can't tell.
     pub(super) fn told(&self, from: &HostEntry, news: News) {
         let feed = news.feed;
-        let now = Instant::now();
+        let now = clock::now();
         let at = self.follower(feed, |own| own.version);
         let mut used = Lead::judge(at, news.version);
         let mut taken = Vec::new();
@@ -312,7 +312,7 @@
 
     /// Takes a part of a feed, or all of it; what is worth telling others.
     pub(super) fn take(&self, feed: Feed, changes: Changes, origin: Origin) -> Vec<Record> {
-        let now = Instant::now();
+        let now = clock::now();
         self.take_peer_key(&changes);
         let mut beliefs = self.beliefs.borrow_mut();
         let news = beliefs.take(now, feed, changes, origin);
--- a/crates/gateway/src/control/follower.rs
+++ b/crates/gateway/src/control/follower.rs
@@ -89,13 +89,13 @@
 
     /// Notes that this host has waited since `begun` before it could go on with the feed.
     pub fn waited(&mut self, wait: Wait, begun: Instant) {
-        self.waits.note(wait, begun.elapsed());
+        self.waits.note(wait, clock::elapsed(begun));
     }
 
     /// Takes into the lead that the store was heard, or a host that had asked it. Where this
     /// took long, the log tells how old the belief had become, and what it had waited for most.
     fn renew(&mut self, source: Source, take: impl FnOnce(&mut Lead)) {
-        let now = Instant::now();
+        let now = clock::now();
         let age = self.lead.age(now).unwrap_or_default();
         let longest = self.waits.take();
         if age > self.lead.stale_after() {
@@ -120,7 +120,7 @@
         self.advance(version);
         self.missing = None;
         if let Some(since) = self.lost_since.take() {
-            let away_ms = since.elapsed().as_millis() as u64;
+            let away_ms = clock::elapsed(since).as_millis() as u64;
             tracing::info!(event = "store_regained", feed = %self.feed, away_ms);
         }
     }
--- a/crates/gateway/src/control/group.rs
+++ b/crates/gateway/src/control/group.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::Instant;
 
 use peer::{EncodedNews, PeerClient};
 use steering::ids::HostName;
@@ -51,7 +50,7 @@
 
     fn send_news(&self, news: &News, audience: &[HostEntry]) {
         let feed = news.feed;
-        let news = Rc::new(EncodedNews::new(news, NEWS_MOST_BYTES, Instant::now()));
+        let news = Rc::new(EncodedNews::new(news, NEWS_MOST_BYTES, clock::now()));
         for host in audience {
             if let Some(client) = self.client(host) {
                 let line = (host.name.clone(), feed);
@@ -122,7 +121,7 @@
         let beliefs = self.beliefs.borrow();
         let lenders = beliefs.roll.list().rows();
         let is_near = |host: &HostEntry| host.zone == self.me.zone;
-        let now = Instant::now();
+        let now = clock::now();
         let mut limit_asks = self.limit_asks.borrow_mut();
         limit_asks.forget_idle(now);
         let is_asked = |host: &HostEntry| limit_asks.asks(now, &host.name);
--- a/crates/gateway/src/control/hosts.rs
+++ b/crates/gateway/src/control/hosts.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::TcpListener;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures::future::join_all;
 use peer::{
@@ -183,7 +183,7 @@
 
     async fn remove_lost(&self) {
         let partners = self.partners();
-        let now = Instant::now();
+        let now = clock::now();
         let lost: Vec<HostName> = {
             let beliefs = self.beliefs.borrow();
             let lost = beliefs.roll.lost(now, &partners);
@@ -199,9 +199,9 @@
 
     /// Sends heartbeats for ever.
     async fn beat(self: Rc<Self>) {
-        let mut last = Instant::now();
+        let mut last = clock::now();
         loop {
-            let now = Instant::now();
+            let now = clock::now();
             let gap = now.saturating_duration_since(last);
             if gap > PAUSED {
                 tracing::warn!(event = "paused", ms = gap.as_millis() as u64);
@@ -229,7 +229,7 @@
     async fn tell(self: Rc<Self>, name: HostName, client: Rc<PeerClient>, beat: Rc<Beat>) {
         match client.heartbeat(&beat).await {
             Ok(_) => {
-                let now = Instant::now();
+                let now = clock::now();
                 self.beliefs.borrow_mut().roll.answered(now, &name);
             }
             Err(error) => tracing::debug!(event = "heartbeat_failed", host = name, %error),
@@ -293,7 +293,7 @@
             leaving,
             ..
         } = &beat.heartbeat;
-        let now = Instant::now();
+        let now = clock::now();
         let mut beliefs = self.0.beliefs.borrow_mut();
         let changed = beliefs.roll.hear(now, host, *incarnation, *leaving);
         let version = beliefs.version();
@@ -313,7 +313,7 @@
     }
 
     fn news(&self, from: &HostEntry, incarnation: Incarnation, news: News) {
-        let now = Instant::now();
+        let now = clock::now();
         let mut beliefs = self.0.beliefs.borrow_mut();
         beliefs.roll.hear(now, from, incarnation, false);
         drop(beliefs);
@@ -322,7 +322,7 @@
 
     fn asked(&self, from: &HostEntry, incarnation: Incarnation, ask: HostMessage) -> HostReply {
         let mut beliefs = self.0.beliefs.borrow_mut();
-        beliefs.roll.hear(Instant::now(), from, incarnation, false);
+        beliefs.roll.hear(clock::now(), from, incarnation, false);
         drop(beliefs);
         match ask {
             HostMessage::Tokens(ask) => HostReply::Tokens(self.0.lend(&from.name, &ask)),
--- a/crates/gateway/src/control/learn.rs
+++ b/crates/gateway/src/control/learn.rs
@@ -4,7 +4,7 @@
 //! would be most of what the store ever has to tell.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use peer::{FeedState, StateQuery, ask_state};
 use steering::membership::HostEntry;
@@ -116,7 +116,7 @@
             after,
             most_age: None,
         };
-        let begun = Instant::now();
+        let begun = clock::now();
         let answer = ask_state(teller.peer_address, query, HOST_ANSWER_LIMIT).await;
         self.follower(feed, |own| own.waited(Wait::Host, begun));
         let state = match answer {
--- a/crates/gateway/src/control/limits.rs
+++ b/crates/gateway/src/control/limits.rs
@@ -2,7 +2,7 @@
 //! that this host holds.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use steering::membership::HostEntry;
 use steering::route::{HostMessage, HostReply, LimitAsk, LimitReply, LimitTerms, holders};
@@ -35,9 +35,9 @@
     /// Asks the holders of a limit one after the other.
     async fn token(&self, ask: &LimitAsk) -> Result<(), Dry> {
         let start = ask.start();
-        let end = Instant::now() + WAIT_MOST;
+        let end = clock::now() + WAIT_MOST;
         loop {
-            let now = Instant::now();
+            let now = clock::now();
             if now >= end {
                 return Err(Dry(ASKED_AGAIN_AFTER));
             }
@@ -60,7 +60,7 @@
                 return Ok(());
             }
             let mut asks = self.limit_asks.borrow_mut();
-            asks.answered(Instant::now(), &start, name, reply);
+            asks.answered(clock::now(), &start, name, reply);
         }
     }
 
@@ -93,7 +93,7 @@
     fn give_token(&self, asker: &str, ask: &LimitAsk, holders: usize) -> LimitReply {
         let terms = LimitTerms::default();
         let mut tokens = self.limit_tokens.borrow_mut();
-        let (reply, change) = tokens.take(Instant::now(), asker, ask, holders, &terms);
+        let (reply, change) = tokens.take(clock::now(), asker, ask, holders, &terms);
         if let Some(change) = change {
             tracing::info!(
                 event = "limit_part",
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -22,6 +22,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use clock::Suspensions;
 use peer::{Local, PeerClient};
 use steering::ids::{HostName, Incarnation};
 use steering::membership::HostEntry;
@@ -108,7 +109,7 @@
     let control = Rc::new(Control {
         beliefs: RefCell::new(Beliefs::new(&common)),
         incarnation,
-        pool: RefCell::new(TokenPool::new(incarnation, Instant::now(), may_have_lent)),
+        pool: RefCell::new(TokenPool::new(incarnation, clock::now(), may_have_lent)),
         me,
         routes: RefCell::new(Follower::new(
             Feed::Routes,
@@ -164,7 +165,7 @@
 
     /// Publishes what is believed now.
     fn publish(&self) {
-        let view = self.beliefs.borrow_mut().view(Instant::now());
+        let view = self.beliefs.borrow_mut().view(clock::now());
         let before = self.common.view.swap(view.into());
         let view = self.common.view.load();
         if before.version != view.version {
@@ -174,12 +175,16 @@
 
     /// Publishes again where time alone has changed what is believed.
     async fn look_at_times(self: Rc<Self>) {
+        let mut suspensions = Suspensions::new(Instant::now(), clock::now());
         loop {
-            let now = Instant::now();
+            if let Some(suspended) = suspensions.look(Instant::now(), clock::now()) {
+                self.resume(suspended);
+            }
+            let now = clock::now();
             let next = self.beliefs.borrow().changes_at(now);
             let next = next.map_or(LOOK_AT_TIMES_EVERY, |at| at - now);
             sleep(next.min(LOOK_AT_TIMES_EVERY)).await;
-            let changed = self.beliefs.borrow_mut().expire(Instant::now());
+            let changed = self.beliefs.borrow_mut().expire(clock::now());
             if changed {
                 self.publish();
             }
@@ -187,8 +192,20 @@
         }
     }
 
+    /// Goes on after the machine was suspended, as after a pause of this process: the timers
+    /// stood still, so what is too old by now is asked for at once.
+    fn resume(&self, suspended: Duration) {
+        let ms = suspended.as_millis() as u64;
+        tracing::warn!(event = "suspended", ms);
+        metrics::counter!("stagedeck_suspensions_total").increment(1);
+        self.beliefs.borrow_mut().roll.resume(clock::now());
+        for feed in [Feed::Routes, Feed::Upstreams, Feed::Hosts] {
+            self.follower(feed, |own| own.gap_tried.notify_one());
+        }
+    }
+
     fn count_ages(&self) {
-        let now = Instant::now();
+        let now = clock::now();
         for feed in [Feed::Routes, Feed::Upstreams, Feed::Hosts] {
             if let Some(age) = self.follower(feed, |own| own.lead.age(now)) {
                 metrics::gauge!("stagedeck_belief_age_seconds", "feed" => feed.to_string())
--- a/crates/gateway/src/control/outage.rs
+++ b/crates/gateway/src/control/outage.rs
@@ -5,7 +5,7 @@
 
 use backon::{BackoffBuilder, ExponentialBackoff, ExponentialBuilder};
 use tokio::sync::{Mutex, MutexGuard};
-use tokio::time::sleep_until;
+use tokio::time::sleep;
 
 /// Pause after a first call to the store that fails, doubled after each further one.
 const PAUSE_FIRST: Duration = Duration::from_millis(400);
@@ -44,7 +44,7 @@
         let turn = self.turn.lock().await;
         // It may have ended with the call before.
         let until = self.until.get()?;
-        sleep_until(until.into()).await;
+        sleep(clock::left(until)).await;
         Some(turn)
     }
 
@@ -64,6 +64,6 @@
         let mut pauses = self.pauses.borrow_mut();
         let pauses = pauses.get_or_insert_with(|| self::pauses(pause_most));
         let pause = pauses.next().unwrap_or(pause_most);
-        self.until.set(Some(Instant::now() + pause));
+        self.until.set(Some(clock::now() + pause));
     }
 }
--- a/crates/gateway/src/control/tokens.rs
+++ b/crates/gateway/src/control/tokens.rs
@@ -69,7 +69,7 @@
 
     /// Whether a host of the own zone has spared all that requests wait for.
     async fn ask_near(&self, group: TokenGroup, waiting: Vec<(CustomerName, u32)>) -> bool {
-        let now = Instant::now();
+        let now = clock::now();
         let near = self.near_host(group, now);
         let Some(near) = near.filter(|near| near.name != self.me.name) else {
             return false;
@@ -85,7 +85,7 @@
         let mut leases = self.common.allowances.leases();
         let mut all = true;
         for ((customer, _), spared) in waiting.iter().zip(&spared) {
-            all &= leases.take_spared(Instant::now(), now, customer, spared);
+            all &= leases.take_spared(clock::now(), now, customer, spared);
         }
         drop(leases);
         self.common.allowances.answered(group);
@@ -106,7 +106,7 @@
 
     /// Gives tokens to requests that wait at another host of the zone.
     pub(super) fn spare(&self, wanted: &[(CustomerName, u32)]) -> TokenReply {
-        let now = Instant::now();
+        let now = clock::now();
         let mut leases = self.common.allowances.leases();
         let mut spare = |(customer, need): &(CustomerName, u32)| {
             let spared = leases.spare(now, customer, *need);
@@ -133,7 +133,7 @@
     async fn step(&self, group: TokenGroup) -> Duration {
         let candidates = self.pool_hosts(group);
         let ranked: Vec<&str> = candidates.iter().map(|host| host.name.as_str()).collect();
-        let now = Instant::now();
+        let now = clock::now();
         let near = self.near_host(group, now);
         let spares = near.is_some_and(|near| near.name == self.me.name);
         let step = {
@@ -161,7 +161,7 @@
             // It has gone since it was last asked.
             None => Ok(TokenReply::NoPool),
         };
-        let answered = Instant::now();
+        let answered = clock::now();
         let again = match reply {
             Ok(reply) => {
                 let mut leases = self.common.allowances.leases();
@@ -192,7 +192,7 @@
         let reply = timeout(within, client.ask(message)).await;
         let reply = reply.unwrap_or(Err(PeerError::Late))?;
         let mut beliefs = self.beliefs.borrow_mut();
-        beliefs.roll.answered(Instant::now(), &host.name);
+        beliefs.roll.answered(clock::now(), &host.name);
         Ok(reply)
     }
 
@@ -204,7 +204,7 @@
             let allowance = view.customers.find(customer)?.allowance?;
             Some(TokenBound::new(&allowance, &terms))
         };
-        let now = Instant::now();
+        let now = clock::now();
         let counts = from == self.me.name || self.beliefs.borrow().roll.counts(now, from);
         let mut pool = self.pool.borrow_mut();
         pool.ask(now, from, counts, ask, view.sharers, &bound)
--- a/crates/gateway/src/control/works.rs
+++ b/crates/gateway/src/control/works.rs
@@ -1,7 +1,7 @@
 //! Tells all hosts of work under which upstreams end.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures::future::select_ok;
 use steering::ids::HostName;
@@ -35,7 +35,7 @@
                 gathered.push(next);
             }
             let now = |fresh: &FreshNews| WorkNews {
-                told: fresh.news.told.later(fresh.learned.elapsed()),
+                told: fresh.news.told.later(clock::elapsed(fresh.learned)),
                 ..fresh.news
             };
             self.send_works(gathered.iter().map(now).collect(), self.group());
@@ -98,7 +98,7 @@
 
     fn send_works(self: &Rc<Self>, news: Vec<WorkNews>, audience: Vec<HostEntry>) {
         let message = Rc::new(HostMessage::Works(news));
-        let begun = Instant::now();
+        let begun = clock::now();
         for host in audience {
             let (control, message) = (Rc::clone(self), Rc::clone(&message));
             spawn_local(async move {
@@ -106,7 +106,7 @@
                 let outcome = if told.is_ok() { "told" } else { "not_heard" };
                 count(outcome);
                 if let Err(error) = told {
-                    let ms = begun.elapsed().as_millis() as u64;
+                    let ms = clock::elapsed(begun).as_millis() as u64;
                     tracing::debug!(event = "works_not_told", host = host.name, ms, %error);
                 }
             });
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -205,7 +205,7 @@
     /// Stops the host: it is named to nobody from now on, finishes what it has begun,
     /// and ends before its grace does.
     pub fn stop(self) {
-        let since = Instant::now();
+        let since = clock::now();
         tracing::info!(event = "leaving", host = self.settings.host);
         // Both threads may have ended already; then nobody is left to be told.
         let _ = self.stage.send(Stage::Leaving { since });
@@ -213,14 +213,14 @@
         wait(&self.traffic, end);
         let _ = self.stage.send(Stage::Ended);
         wait(&self.control, end);
-        let took_ms = since.elapsed().as_millis() as u64;
+        let took_ms = clock::elapsed(since).as_millis() as u64;
         tracing::info!(event = "stopped", host = self.settings.host, took_ms);
     }
 }
 
 /// Waits for a thread, until `end` at most.
 fn wait(thread: &JoinHandle<()>, end: Instant) {
-    while !thread.is_finished() && Instant::now() < end {
+    while !thread.is_finished() && clock::now() < end {
         thread::sleep(STOP_POLL);
     }
 }
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -1,6 +1,6 @@
 //! Tokens of the limits that upstreams name, as the thread that serves callers asks for them.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use steering::route::{Choice, LimitAsk};
 use steering::statement::LimitHeard;
@@ -63,7 +63,7 @@
                 metrics::counter!("stagedeck_limited_sends_total", "upstream" => report.id.clone())
                     .increment(1);
             }
-            Err(Dry(wait)) => condition.stated.limit_is_dry(Instant::now(), wait),
+            Err(Dry(wait)) => condition.stated.limit_is_dry(clock::now(), wait),
         }
         token
     }
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -44,7 +44,7 @@
     /// What may be done with a request that has come, and the ends known against it.
     pub fn admit(&self, work: WorkIdentity) -> (Admission, u32) {
         let mut suspects = self.suspects();
-        let admission = suspects.admit(Instant::now(), work);
+        let admission = suspects.admit(clock::now(), work);
         let ends = suspects.ends_of(work);
         drop(suspects);
         count(match admission {
@@ -66,7 +66,7 @@
 
     /// For how long a request that was let in with `ends` known may not be sent any more.
     pub fn barred_for(&self, work: WorkIdentity, ends: u32) -> Option<Duration> {
-        self.suspects().barred_for(Instant::now(), work, ends)
+        self.suspects().barred_for(clock::now(), work, ends)
     }
 
     /// Whether a request may be sent once more after its upstream has ended.
@@ -94,12 +94,12 @@
 
     /// Tells whether another host knows the same.
     pub fn digest(&self) -> WorkDigest {
-        self.suspects().digest(Instant::now())
+        self.suspects().digest(clock::now())
     }
 
     /// What another host may have missed; empty where it knows the same.
     pub fn missed(&self, known: WorkDigest) -> Vec<WorkState> {
-        let now = Instant::now();
+        let now = clock::now();
         let suspects = self.suspects();
         match suspects.digest(now) == known {
             true => Vec::new(),
@@ -109,7 +109,7 @@
 
     /// Takes what this host has missed, as the host `from` knows it.
     pub fn merge(&self, states: &[WorkState], from: &str) {
-        let now = Instant::now();
+        let now = clock::now();
         let mut suspects = self.suspects();
         suspects.compared(now);
         for state in states {
@@ -134,7 +134,7 @@
 
     /// Kinds of work that are refused now.
     pub fn refused(&self) -> Vec<RefusedWork> {
-        self.suspects().refused(Instant::now())
+        self.suspects().refused(clock::now())
     }
 
     /// Ends in a row under the request or its object, now or before, where the news are new.
@@ -145,7 +145,7 @@
             .keys()
             .map(|key| (key, suspects.ends(key)))
             .collect();
-        let is_new = suspects.take(Instant::now(), news.work, news.told);
+        let is_new = suspects.take(clock::now(), news.work, news.told);
         let mut most = 0;
         for (key, before) in before {
             let ends = suspects.ends(key);
@@ -156,7 +156,7 @@
     }
 
     fn tell(&self, news: WorkNews, for_all: bool) {
-        let learned = Instant::now();
+        let learned = clock::now();
         // The thread of control ends with the host.
         let _ = self.news.send(FreshNews {
             learned,
--- a/crates/gateway/src/traffic/destination.rs
+++ b/crates/gateway/src/traffic/destination.rs
@@ -1,7 +1,5 @@
 //! Which service and region a request goes to.
 
-use std::time::Instant;
-
 use steering::ids::{RegionName, ServiceName};
 use steering::route::{RegionPool, Route, Sender, ServicePool, object_hash, place, rank};
 
@@ -31,7 +29,7 @@
         let by_object = object.is_some();
         let object = object.map_or_else(rand::random, |object| object_hash(&service, object));
         let bounds = traffic.common.bounds();
-        let now = Instant::now();
+        let now = clock::now();
         traffic.shares().request(&service, &bounds, now);
         let may = |region: &str| may_run_in(route, sender, region);
         Destination {
@@ -79,7 +77,7 @@
     let own = &traffic.common.settings.region;
     let has = |region: &RegionName| pool.regions.contains_key(region) && may(region);
     let place = place(object);
-    let now = Instant::now();
+    let now = clock::now();
     if has(own) && traffic.shares().stays(service, pool, place, now) {
         return Some(own.clone());
     }
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -1,7 +1,7 @@
 //! A request's way in: its route and body, then its run.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -24,7 +24,7 @@
 
 /// Answers a caller's request.
 pub(super) async fn answer(traffic: &Arc<Traffic>, request: Request<Incoming>) -> Response<Body> {
-    let head = Head::read(&request, traffic.dialect.headers(), Instant::now());
+    let head = Head::read(&request, traffic.dialect.headers(), clock::now());
     let mut trail = Trail::new(&head);
     let answered = route_and_run(traffic, &head, &mut trail, request).await;
     trail.end(&head, &answered);
@@ -76,7 +76,7 @@
         sends: Vec::new(),
         tried: Vec::new(),
     };
-    let time = deadline.saturating_duration_since(Instant::now());
+    let time = deadline.saturating_duration_since(clock::now());
     let answered = match tokio::time::timeout(time, run.run()).await {
         Ok(answered) => answered,
         Err(_) => Err(run.out_of_time()),
@@ -92,9 +92,9 @@
     let Some(customer) = sender.bounded() else {
         return Ok(());
     };
-    let begun = Instant::now();
+    let begun = clock::now();
     let admitted = traffic.common.allowances.admit(customer).await;
-    trail.token_ms = Some(begun.elapsed().as_millis() as u64);
+    trail.token_ms = Some(clock::elapsed(begun).as_millis() as u64);
     admitted.map_err(|beyond| match beyond {
         Beyond::Used(come_back) => Refusal::BeyondAllowance { come_back },
         Beyond::Unheard(come_back) => Refusal::NotRun {
@@ -152,7 +152,7 @@
 /// The refusal of what the document in force does not have. A host that has heard neither the
 /// store nor its tellers for as long as a change may take does not know what is in force.
 fn unknown(traffic: &Traffic, refusal: Refusal) -> Refusal {
-    let age = traffic.common.heard.age(Instant::now());
+    let age = traffic.common.heard.age(clock::now());
     match age.is_some_and(|age| age <= traffic.common.bounds().apply) {
         true => refusal,
         false => Refusal::NotRun {
--- a/crates/gateway/src/traffic/hear.rs
+++ b/crates/gateway/src/traffic/hear.rs
@@ -25,7 +25,7 @@
 /// Takes what an answer states of its upstream.
 pub(super) fn hear(upstream: &Upstream, said: &Said) {
     let statement = &said.statement;
-    let now = Instant::now();
+    let now = clock::now();
     if statement.leaves && upstream.condition().stated.leave(now) {
         let (id, born_ms) = (&upstream.report.id, upstream.report.born_ms);
         tracing::info!(event = "upstream_leaves", upstream = id, born_ms);
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -99,10 +99,10 @@
 }
 
 async fn adapt(traffic: Arc<Traffic>) {
-    let mut last = Instant::now();
+    let mut last = clock::now();
     loop {
         sleep(ADAPT_EVERY).await;
-        let now = Instant::now();
+        let now = clock::now();
         let view = traffic.common.view.load_full();
         let bounds = traffic.common.bounds();
         traffic.shares().adapt(&view, &bounds, now, now - last);
--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -108,7 +108,7 @@
                 Err(_) if self.turned_away < TURNED_AWAY_MOST => continue,
                 Err(Dry(wait)) => return Err(self.limited(wait)),
             };
-            choice.begin(Instant::now(), destination.own_object());
+            choice.begin(clock::now(), destination.own_object());
             if let Some(answer) = self.send(&choice).await {
                 return Ok(answer);
             }
@@ -121,14 +121,14 @@
     /// Takes a token of the limit that the chosen upstream names, where it names one: any send
     /// counts, whichever way it was chosen.
     async fn take_token(&mut self, choice: Choice) -> Result<Choice, Dry> {
-        let Some(heard) = choice.limit(Instant::now()) else {
+        let Some(heard) = choice.limit(clock::now()) else {
             return Ok(choice);
         };
-        let begun = Instant::now();
+        let begun = clock::now();
         let limits = &self.traffic.common.limits;
         let token = limits.token(&choice, heard, self.urgency()).await;
         let waited = self.trail.limit_ms.unwrap_or(0);
-        self.trail.limit_ms = Some(waited + begun.elapsed().as_millis() as u64);
+        self.trail.limit_ms = Some(waited + clock::elapsed(begun).as_millis() as u64);
         self.turned_away += u32::from(token.is_err());
         token.map(|()| Choice {
             has_token: true,
@@ -153,10 +153,10 @@
             work: self.work,
             ends_known: self.ends_known,
         };
-        let begun = Instant::now();
+        let begun = clock::now();
         let missed = match send(self.traffic, choice, &mut sending, sent).await {
             Ok(answer) => {
-                let sent_ms = begun.elapsed().as_millis() as u32;
+                let sent_ms = clock::elapsed(begun).as_millis() as u32;
                 let told = WorkTold::Answered { sent_ms };
                 self.traffic.common.suspects.learn(self.work, told);
                 return Some(answer);
@@ -176,7 +176,7 @@
             self.look_for_end(choice, begun).await;
         }
         let is_lost = missed.sent == Sent::Not && !missed.lacks_token;
-        let may_be_asked = || choice.upstream.may_be_asked_again(Instant::now());
+        let may_be_asked = || choice.upstream.may_be_asked_again(clock::now());
         if is_lost || (missed.sent != Sent::Not && !may_be_asked()) {
             self.tried.push(report.id.clone());
         }
@@ -186,15 +186,15 @@
     /// Finds out whether the upstream has ended under the request, which closed its connection.
     /// A closed connection alone says little: it loses an answer now and then.
     async fn look_for_end(&self, choice: &Choice, sent: Instant) {
-        let closed = Instant::now();
+        let closed = clock::now();
         let report = &choice.upstream.report;
         if !self.traffic.connections.is_refused(report.address).await {
             return;
         }
         let told = WorkTold::Ended {
             start: report.start_hash(),
-            sent_ms: sent.elapsed().as_millis() as u32,
-            ended_ms: closed.elapsed().as_millis() as u32,
+            sent_ms: clock::elapsed(sent).as_millis() as u32,
+            ended_ms: clock::elapsed(closed).as_millis() as u32,
         };
         let work = suspects::name(self.work.request);
         let object = suspects::name(self.work.object);
@@ -210,7 +210,7 @@
 
     fn choose(&self, destination: &Destination) -> Result<Choice, Unchosen> {
         let service = &destination.service;
-        let now = Instant::now();
+        let now = clock::now();
         if self.is_late(now) {
             return Err(self.out_of_time().into());
         }
@@ -281,7 +281,7 @@
 
     fn take_repeat(&self, service: &ServiceName) -> bool {
         let sharers = self.traffic.common.view.load().sharers;
-        let now = Instant::now();
+        let now = clock::now();
         let bounds = self.traffic.common.bounds();
         let mut shares = self.traffic.shares();
         let allowed = shares.repeat(service, &bounds, sharers, self.which_try, now);
@@ -296,7 +296,7 @@
 
     /// What is answered where it may be sent to no other upstream.
     fn given_up(&self) -> Refusal {
-        if self.is_late(Instant::now()) {
+        if self.is_late(clock::now()) {
             return self.out_of_time();
         }
         match after(&self.sends, self.route.repeatable, false) {
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -28,7 +28,7 @@
 
 impl Flight {
     fn begin(choice: &Choice) -> Self {
-        let begun = Instant::now();
+        let begun = clock::now();
         let mut condition = choice.upstream.condition();
         condition.sent(begun);
         condition.works_for(choice.expectation.work.if_fetched);
@@ -41,7 +41,7 @@
     }
 
     fn judge(&self, answered: Answered) {
-        let now = Instant::now();
+        let now = clock::now();
         let id = &self.upstream.report.id;
         let mut condition = self.upstream.condition();
         condition.answered(now, answered);
@@ -61,7 +61,7 @@
         }
         let mut condition = self.upstream.condition();
         condition.stated.unanswered(self.begun);
-        condition.ended(Instant::now());
+        condition.ended(clock::now());
     }
 }
 
@@ -135,7 +135,7 @@
             return Err(Missed::new(Sent::Not, reason));
         }
     };
-    if let Some(obstacle) = choice.barred(Instant::now()) {
+    if let Some(obstacle) = choice.barred(clock::now()) {
         count_send("not_sent");
         lease.give_back();
         return Err(Missed {
@@ -177,7 +177,7 @@
         }
         Err(SendError::Late) => {
             count_send("late");
-            choice.gave_no_answer(Instant::now(), flight.begun.elapsed());
+            choice.gave_no_answer(clock::now(), clock::elapsed(flight.begun));
             Err(Missed::new(Sent::Perhaps, "late"))
         }
     }
@@ -200,7 +200,7 @@
     let headers = request.headers_mut();
     *headers = end_to_end(&sending.parts.headers);
     name_sender(headers, &names.customer, sending.sender)?;
-    let left = sending.deadline.saturating_duration_since(Instant::now());
+    let left = sending.deadline.saturating_duration_since(clock::now());
     headers.insert(&names.deadline_ms, (left.as_millis() as u64).into());
     let id = HeaderValue::from_str(&upstream.report.id).ok()?;
     headers.insert(&names.expected_upstream, id);
@@ -260,7 +260,7 @@
     let load = load.filter(|_| statement.rest.is_none());
     if let Some(load) = load.and_then(|load| traffic.dialect.load(load)) {
         let reporter = &flight.upstream;
-        reporter.reported(Instant::now(), load.running, load.waiting);
+        reporter.reported(clock::now(), load.running, load.waiting);
     }
     if headers.contains_key(&names.not_run) {
         flight.judge(Answered::Refused);
@@ -272,7 +272,7 @@
     }
     flight.judge(Answered::Whole);
     if status.is_success() {
-        let now = Instant::now();
+        let now = clock::now();
         let took = now - flight.begun;
         traffic.shares().learn(now, sending.route, choice, took);
     }
--- a/crates/gateway/src/traffic/trail.rs
+++ b/crates/gateway/src/traffic/trail.rs
@@ -19,7 +19,7 @@
             event = $event,
             id = $trail.id,
             $($($more)+,)?
-            ms = $trail.arrived.elapsed().as_millis() as u64,
+            ms = clock::elapsed($trail.arrived).as_millis() as u64,
             route = $trail.route,
             customer = $trail.customer,
             token_ms = $trail.token_ms,
@@ -200,7 +200,7 @@
     /// Counts the request; the time since it came.
     fn count(&self, outcome: &'static str) -> Duration {
         metrics::counter!("stagedeck_requests_total", "outcome" => outcome).increment(1);
-        self.arrived.elapsed()
+        clock::elapsed(self.arrived)
     }
 }
 
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -4,7 +4,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
@@ -136,7 +136,7 @@
     pub async fn news(&self, news: &EncodedNews) -> Result<(), PeerError> {
         self.call_on(async |connection| {
             let mut request = connection.session.news_request();
-            let now = Instant::now();
+            let now = clock::now();
             let since_reply = connection.replies.borrow().since(news.feed, now);
             let mut params = request.get();
             params.set_age_ms(millis(now.saturating_duration_since(news.as_of)));
@@ -148,7 +148,7 @@
             params.set_store(&write_json(&news.store(now)));
             request.send().promise.await?;
             let mut replies = connection.replies.borrow_mut();
-            replies.note(news.feed, Instant::now());
+            replies.note(news.feed, clock::now());
             Ok(())
         })
         .await
@@ -236,7 +236,7 @@
         request.get().set_incarnation(*incarnation);
         request.get().set_tag(&tag.finalize().into_bytes());
         request.get().set_version(PROTOCOL_VERSION);
-        let replies = RefCell::new(Replies::new(Instant::now()));
+        let replies = RefCell::new(Replies::new(clock::now()));
         let opened = request.send().promise.await?;
         let session = opened.get()?.get_session()?;
         let task = task.0.take().expect("it is taken only here");
@@ -259,7 +259,7 @@
     query: StateQuery,
     deadline: Duration,
 ) -> Result<Option<FeedState>, PeerError> {
-    let begun = Instant::now();
+    let begun = clock::now();
     let call = async {
         let (gate, _task) = open_gate(address, &Rc::default()).await?;
         let mut request = gate.state_request();
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -136,7 +136,7 @@
     ) -> Result<(), Error> {
         let mut nonce = [0; NONCE_BYTES];
         rand::rng().fill_bytes(&mut nonce);
-        self.nonce.replace(Some((nonce, Instant::now())));
+        self.nonce.replace(Some((nonce, clock::now())));
         let mut results = results.get();
         results.set_nonce(&nonce);
         results.set_version(PROTOCOL_VERSION);
@@ -200,7 +200,7 @@
             let mut results = results.get();
             results.set_version(changes.version);
             results.set_records(&records);
-            results.set_age_ms(millis(as_of.elapsed()));
+            results.set_age_ms(millis(clock::elapsed(as_of)));
         }
         Ok(())
     }
@@ -269,7 +269,7 @@
     ) -> Result<(), Error> {
         let params = params.get()?;
         let feed = read_json(params.get_feed()?)?;
-        let now = Instant::now();
+        let now = clock::now();
         let since_reply = Duration::from_millis(params.get_since_reply_ms().into());
         let mut receipts = self.receipts.borrow_mut();
         let in_transit = receipts.in_transit_most(feed, now, since_reply);
--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -13,7 +13,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::{timeout, timeout_at};
+use tokio::time::timeout;
 
 use crate::headers::keep_alive;
 use crate::{Body, TrackedBody};
@@ -123,7 +123,7 @@
         request: Request<Body>,
         deadline: Instant,
     ) -> Result<Response<TrackedBody>, SendError> {
-        let answer = timeout_at(deadline.into(), self.sender.try_send_request(request)).await;
+        let answer = timeout(clock::left(deadline), self.sender.try_send_request(request)).await;
         match answer {
             Ok(Ok(answer)) => {
                 if let Some(told) = keep_alive(answer.headers()) {
@@ -143,7 +143,7 @@
 
     /// Gives the connection back for the next request.
     pub fn give_back(self) {
-        let since = Instant::now();
+        let since = clock::now();
         let idle = Idle {
             sender: self.sender,
             open: self.open,
@@ -182,7 +182,7 @@
         reuse: Reuse,
         deadline: Instant,
     ) -> Result<Lease, String> {
-        let lease = timeout_at(deadline.into(), self.lease(address, limit, reuse)).await;
+        let lease = timeout(clock::left(deadline), self.lease(address, limit, reuse)).await;
         match lease {
             Ok(lease) => lease.map_err(|error| error.to_string()),
             Err(_) => Err("connecting took too long".to_owned()),
@@ -242,11 +242,11 @@
         };
         let mut peers = self.lock();
         let peer = peers.get_mut(&address)?;
-        let now = Instant::now();
+        let now = clock::now();
         peer.idle
             .retain(|idle| idle.until > now && !idle.sender.is_closed());
         let last = peer.idle.last()?;
-        if last.since.elapsed() >= oldest {
+        if clock::elapsed(last.since) >= oldest {
             return None;
         }
         peer.idle.pop()
--- a/crates/upstream/src/probe.rs
+++ b/crates/upstream/src/probe.rs
@@ -1,7 +1,7 @@
 //! Asks an upstream for its health and load.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use derive_more::{Display, Error};
 use http_body_util::{BodyExt, Limited};
@@ -53,7 +53,7 @@
         .header("host", address.to_string())
         .body(full(""))
         .map_err(|error| ProbeError::Nonsense(error.to_string()))?;
-    let deadline = Instant::now() + within;
+    let deadline = clock::now() + within;
     let answer = connections
         .send(address, limit, Reuse::Any, request, deadline)
         .await
--- a/src/commands/drain.rs
+++ b/src/commands/drain.rs
@@ -1,7 +1,7 @@
 //! `drain`: no new work for an upstream or a zone, and the wait until it is quiet.
 
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use operator::{OperatorClient, Status};
 use steering::Document;
@@ -117,17 +117,17 @@
     args: &ChangeArgs,
     progress: &mut dyn FnMut(&str),
 ) -> Outcome {
-    let begun = Instant::now();
+    let begun = clock::now();
     let mut last = None;
     loop {
         let counted = count(drained, args);
-        if begun.elapsed() > limit {
+        if clock::elapsed(begun) > limit {
             let reason = format!("{} is not quiet after {} s", drained.name, limit.as_secs());
             return Outcome::failed(UNAVAILABLE, reason);
         }
         match counted {
-            Ok(0) if begun.elapsed() >= IN_FORCE_WITHIN => {
-                let ms = begun.elapsed().as_millis();
+            Ok(0) if clock::elapsed(begun) >= IN_FORCE_WITHIN => {
+                let ms = clock::elapsed(begun).as_millis();
                 return Outcome::done(format!("{} is quiet after {ms} ms", drained.name));
             }
             Ok(in_flight) if last != Some(in_flight) => {
--- a/src/host/configuration.rs
+++ b/src/host/configuration.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use steering::document::{Proposal, Verdict};
 use steering::history::{Entry, History};
@@ -36,7 +36,7 @@
             return;
         };
         match result {
-            Ok(()) => self.state.borrow_mut().store_answered = Some(Instant::now()),
+            Ok(()) => self.state.borrow_mut().store_answered = Some(clock::now()),
             Err(error) => tracing::debug!(event = "poll_failed", %error),
         }
         self.adopt(history);
--- a/src/host/control.rs
+++ b/src/host/control.rs
@@ -77,7 +77,7 @@
 
     async fn main(parts: ControlParts, peers: TcpListener) {
         let mut commands = parts.commands;
-        let now = Instant::now();
+        let now = clock::now();
         let membership = Membership::new(parts.me.entry.clone(), parts.incarnation, now);
         let local = Local {
             host: parts.me.entry.clone(),
@@ -168,8 +168,8 @@
             self.poll().await;
             sleep(START_RETRY).await;
         }
-        let begun = Instant::now();
-        while !self.knows_others() && begun.elapsed() < OTHERS_LIMIT {
+        let begun = clock::now();
+        while !self.knows_others() && clock::elapsed(begun) < OTHERS_LIMIT {
             sleep(START_RETRY).await;
         }
         self.publish();
@@ -221,7 +221,7 @@
     }
 
     pub fn take_list(&self, listed: Vec<ListedHost>) {
-        let now = Instant::now();
+        let now = clock::now();
         let mut state = self.state.borrow_mut();
         state.store_answered = Some(now);
         state.list_answered = true;
@@ -259,7 +259,7 @@
 
     /// Whether this host is among the first `count` of its zone for a task.
     pub fn is_among(&self, task: &str, count: usize) -> bool {
-        let staying = self.state.borrow().membership.staying(Instant::now());
+        let staying = self.state.borrow().membership.staying(clock::now());
         let key = format!("{task}/{}", self.me.entry.zone);
         let ranked = rendezvous::rank(&key, staying.iter().map(|host| host.name.as_str()));
         ranked
@@ -292,7 +292,7 @@
     /// Peer addresses of the zone's other hosts, as far as they are known.
     pub fn zone_peers(&self) -> Vec<SocketAddr> {
         let state = self.state.borrow();
-        let present = state.membership.present(Instant::now());
+        let present = state.membership.present(clock::now());
         let listed = state.listed.iter().map(|host| &host.entry);
         let mut peers: Vec<SocketAddr> = present
             .iter()
@@ -309,7 +309,7 @@
     /// Known hosts of other zones.
     pub fn other_zones(&self) -> BTreeMap<String, Vec<HostEntry>> {
         let state = self.state.borrow();
-        let mut hosts = self.known_hosts(&state, Instant::now());
+        let mut hosts = self.known_hosts(&state, clock::now());
         hosts.remove(&self.me.entry.zone);
         hosts
     }
--- a/src/host/handler.rs
+++ b/src/host/handler.rs
@@ -1,7 +1,6 @@
 //! What the control thread does with messages of other hosts.
 
 use std::rc::Rc;
-use std::time::Instant;
 
 use peer::{Beat, Exchange, ExchangeReply, PeerHandler};
 use steering::history::{Entry, HistoryError, Position};
@@ -23,7 +22,7 @@
             .state
             .borrow_mut()
             .membership
-            .heard(Instant::now(), beat.heartbeat);
+            .heard(clock::now(), beat.heartbeat);
         let mine = self.0.state.borrow().history.revision();
         if !taken {
             return mine;
@@ -76,17 +75,14 @@
     }
 
     fn borrow(&self, limit: LimitKey, request: LoanRequest) -> Option<LoanGrant> {
-        self.0
-            .shared
-            .ledger()
-            .lend(Instant::now(), &limit, &request)
+        self.0.shared.ledger().lend(clock::now(), &limit, &request)
     }
 }
 
 impl Handler {
     fn is_in_zone(&self, host: &str) -> bool {
         let state = self.0.state.borrow();
-        let present = state.membership.present(Instant::now());
+        let present = state.membership.present(clock::now());
         present.iter().any(|known| known.name == host)
     }
 
--- a/src/host/loans.rs
+++ b/src/host/loans.rs
@@ -1,7 +1,7 @@
 //! The zone's limits: the roster that splits them, and loans between hosts.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use rand::seq::IndexedRandom;
 use steering::ids::{HostName, Incarnation};
@@ -42,7 +42,7 @@
     }
 
     fn renew(self: &Rc<Self>) {
-        let loans = self.shared.ledger().loans(Instant::now());
+        let loans = self.shared.ledger().loans(clock::now());
         for loan in loans {
             let want = if loan.needed { Want::Same } else { Want::Less };
             self.spawn_ask(loan.limit, &loan.lender, want);
@@ -58,7 +58,7 @@
     }
 
     async fn ask(&self, key: &LimitKey, lender: &HostEntry, want: Want) {
-        let now = Instant::now();
+        let now = clock::now();
         let request = self.shared.ledger().request(now, key, &lender.name, want);
         let Some(request) = request else {
             return;
@@ -66,7 +66,7 @@
         let client = self.client(lender.peer_address);
         match client.borrow(key, &request).await {
             Ok(Some(grant)) => {
-                let now = Instant::now();
+                let now = clock::now();
                 self.shared.ledger().take(now, key, &lender.name, &grant);
             }
             Ok(None) => {}
@@ -75,7 +75,7 @@
     }
 
     fn zone_others(&self) -> Vec<HostEntry> {
-        let present = self.state.borrow().membership.present(Instant::now());
+        let present = self.state.borrow().membership.present(clock::now());
         let others = present
             .into_iter()
             .filter(|host| host.name != self.me.entry.name);
@@ -97,7 +97,7 @@
 
     async fn keep_part(&self) {
         let (name, incarnation) = (self.me.entry.name.clone(), self.incarnation);
-        let staying = self.state.borrow().membership.staying(Instant::now());
+        let staying = self.state.borrow().membership.staying(clock::now());
         let leaving = !staying.iter().any(|host| host.name == name);
         let fair = match leaving {
             true => 0,
@@ -129,7 +129,7 @@
     ///
     /// Returns what is kept: never less than is in use or lent.
     fn lower(&self, fair: u32) -> Option<u32> {
-        let now = Instant::now();
+        let now = clock::now();
         let state = &mut *self.state.borrow_mut();
         let name = &self.me.entry.name;
         let held = state.roster.permille(name, self.incarnation);
@@ -150,7 +150,7 @@
         let state = self.state.borrow();
         let limits = state.plan.zone_limits(&self.me.entry.zone);
         let mut ledger = self.shared.ledger();
-        ledger.configure(Instant::now(), &limits, &state.roster);
+        ledger.configure(clock::now(), &limits, &state.roster);
     }
 
     /// Parts of starts that are certainly gone, and of which nobody holds anything.
@@ -159,13 +159,13 @@
     /// and for longer than its loans are good for new work.
     fn gone_parts(&self) -> Vec<(HostName, Incarnation)> {
         let lag = Duration::from_millis(self.config.host_list_lag_ms).max(LOAN_LAPSE * 2);
-        let now = Instant::now();
+        let now = clock::now();
         let state = self.state.borrow();
         let list_age = state
             .store_answered
             .map(|at| now.saturating_duration_since(at));
         // What this start has not watched for long enough can't be judged.
-        let watched = self.shared.started.elapsed() > lag;
+        let watched = clock::elapsed(self.shared.started) > lag;
         if !watched || list_age.is_none_or(|age| age > lag) {
             return Vec::new();
         }
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -18,7 +18,7 @@
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::channel;
 use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use ::caller::{Listeners, Shared, SharedConfig};
 use ::operator::OperatorServer;
@@ -223,7 +223,7 @@
     /// Stops as planned: it leaves look-ups at once, serves until answers and
     /// tickets that are out have lapsed, and ends when nothing is in flight.
     pub fn stop(mut self) {
-        let begun = Instant::now();
+        let begun = clock::now();
         tracing::info!(event = "leaving", host = self.config.host);
         self.shared.leaving.store(true, Ordering::Release);
         let _ = self.commands.send(Command::Leave);
@@ -237,7 +237,7 @@
             let _ = traffic.block_on(serving);
         }
         self.end();
-        let ms = begun.elapsed().as_millis() as u64;
+        let ms = clock::elapsed(begun).as_millis() as u64;
         tracing::info!(event = "stopped", host = self.config.host, ms);
     }
 
--- a/src/host/probes.rs
+++ b/src/host/probes.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use ::caller::Shared;
 use steering::document::Upstream;
@@ -48,7 +48,7 @@
 
 async fn ask(shared: Arc<Shared>, pool: String, upstream: Arc<Upstream>, asked: Asked) {
     // Measured no earlier than it was asked for.
-    let measured = Instant::now();
+    let measured = clock::now();
     let limit = upstream.connection_limit;
     let report = upstream::probe(&shared.connections, upstream.address, limit, WITHIN).await;
     if let Err(error) = &report {
--- a/src/host/report.rs
+++ b/src/host/report.rs
@@ -19,7 +19,7 @@
     }
 
     pub fn status(&self) -> Status {
-        let now = Instant::now();
+        let now = clock::now();
         let state = self.state.borrow();
         let position = state.history.position();
         let silent_ms = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
@@ -79,7 +79,7 @@
     }
 
     pub fn dump(&self) -> serde_json::Value {
-        let now = Instant::now();
+        let now = clock::now();
         let status = self.status();
         let state = self.state.borrow();
         let dump = Dump {
--- a/src/host/spread.rs
+++ b/src/host/spread.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use peer::{Beat, Exchange, ExchangeReply};
 use rand::Rng;
@@ -38,7 +38,7 @@
 
     /// Sends one heartbeat to each of the zone's hosts, and to seeds.
     pub fn beat_now(self: &Rc<Self>) {
-        let now = Instant::now();
+        let now = clock::now();
         let mut targets = self.zone_peers();
         let seeds = self.config.seeds.iter().copied();
         targets.extend(seeds.filter(|seed| *seed != self.me.entry.peer_address));
@@ -180,7 +180,7 @@
         if !in_zone {
             summaries.push(self.own_summary());
         }
-        let now = Instant::now();
+        let now = clock::now();
         let state = self.state.borrow();
         let zones = state.plan.document.zones.len().max(1);
         let most = (SUMMARIES_BY_ZONES / zones).clamp(*SUMMARIES.start(), *SUMMARIES.end());
--- a/src/host/views.rs
+++ b/src/host/views.rs
@@ -25,7 +25,7 @@
         let mut idle_ticks = 0;
         loop {
             timer.tick().await;
-            let paused = self.state.borrow_mut().membership.tick(Instant::now());
+            let paused = self.state.borrow_mut().membership.tick(clock::now());
             if let Some(paused) = paused {
                 let ms = paused.as_millis() as u64;
                 tracing::warn!(event = "was_paused", host = self.me.entry.name, ms);
@@ -46,7 +46,7 @@
 
     /// Makes a view of all that is known and gives it to the traffic threads.
     pub fn publish(&self) {
-        let now = Instant::now();
+        let now = clock::now();
         let state = &mut *self.state.borrow_mut();
         self.shared.tick();
         while let Ok(note) = self.notes.try_recv() {
@@ -175,7 +175,7 @@
 
     /// This host's summary of its zone.
     pub fn own_summary(&self) -> ZoneSummary {
-        let now = Instant::now();
+        let now = clock::now();
         let state = self.state.borrow();
         let zone = &self.me.entry.zone;
         let loads = state.plan.services.keys().filter_map(|service| {
@@ -204,7 +204,7 @@
         if summary.zone == self.me.entry.zone {
             return;
         }
-        let now = Instant::now();
+        let now = clock::now();
         let state = &mut *self.state.borrow_mut();
         let held = state.summaries.entry(summary.zone.clone()).or_default();
         if !held.take(&summary, now) {
@@ -225,7 +225,7 @@
     /// Takes the load that a host of the zone told.
     pub fn take_loads(&self, host: &HostName, loads: Vec<ServiceLoad>) {
         let heard = HeardLoads {
-            heard: Instant::now(),
+            heard: clock::now(),
             loads,
         };
         self.state
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -153,7 +153,7 @@
             true => WARNINGS_PER_S,
             false => LINES_PER_S,
         };
-        self.0.admit(Instant::now(), metadata.callsite(), per_s)
+        self.0.admit(clock::now(), metadata.callsite(), per_s)
     }
 }
 
