--- a/crates/steering/src/route/suspect/suspicion.rs
+++ b/crates/steering/src/route/suspect/suspicion.rs
@@ -17,9 +17,10 @@
 /// Share of the time by which hosts wait apart: each would else find out in the same moment, and
 /// end an upstream of its own.
 const APART_SHARE: f64 = 0.5;
-/// Longest time: an operator who has mended it waits no longer.
-const REFUSED_MOST: Duration = Duration::from_secs(120);
-/// Ends for which it counts where an operator wants it refused: it is for the longest time.
+/// Longest time: each request that finds out may end an upstream. An operator who has mended it
+/// has it served at once.
+const REFUSED_MOST: Duration = Duration::from_secs(3_600);
+/// Ends for which it counts where an operator wants it refused.
 const ENDS_BY_OPERATOR: u32 = ENDS_REFUSED + 3;
 /// Answers, one after the other, after which what was refused is served again: requests for
 /// the same object may be of more than one kind, and some of them harmless.
@@ -124,7 +125,10 @@
             self.starts.remove(0);
         }
         self.starts.push(start);
-        if self.ends == 0 || sent >= self.last_end {
+        // What was sent before it was refused counts on to the third end: that of all ends
+        // together one was by chance is likely, that two were is not.
+        let is_third = self.ends == ENDS_REFUSED && self.starts.len() > ENDS_REFUSED as usize;
+        if self.ends == 0 || is_third || sent >= self.last_end {
             self.ends += 1;
             self.end_at(ended);
         }
