An upstream's end counts against requests that were given up there, and is looked for whoever leaves

Upstreams would see: a request whose callers leave before it crashes its upstream sent again and again, since nobody is left to tell of the end. Cause: found by reading; the look at an upstream that closed a connection was a part of the request's task, which ends with its caller or its time, and what was given up earlier was known to nobody. An upstream at which nobody else waits can still end unseen: open.

--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -5,6 +5,7 @@
 mod forward;
 mod head;
 mod hear;
+mod look;
 mod look_up;
 mod operator;
 mod run;
--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -10,6 +10,7 @@
     Admission, Choice, Fate, Lack, NoRoom, Route, Sender, Sent, Try, UpstreamId, Wish,
     WorkIdentity, WorkTold, after, choose,
 };
+use tokio::task::spawn_local;
 use upstream::{Body, WorkBody};
 
 use super::Traffic;
@@ -17,11 +18,11 @@
 use super::destination::Destination;
 use super::forward::NO_DOCUMENT_WAIT;
 use super::head::Head;
+use super::look::Look;
 use super::send::{Sending, send};
 use super::shares::Shares;
 use super::trail::Trail;
 use crate::limits::Dry;
-use crate::suspects;
 
 /// Time left below which nothing is sent: no answer could come back.
 const TIME_LEAST: Duration = Duration::from_millis(5);
@@ -173,7 +174,15 @@
         );
         *sent = missed.sent;
         if missed.was_closed {
-            self.look_for_end(choice, begun).await;
+            let look = Look {
+                traffic: Arc::clone(self.traffic),
+                upstream: Arc::clone(&choice.upstream),
+                id: self.head.id.clone(),
+                work: self.work,
+                sent: begun,
+            };
+            // It goes on where the caller leaves, or the request's time is over.
+            let _ = spawn_local(look.run()).await;
         }
         let is_lost = missed.sent == Sent::Not && !missed.lacks_token;
         let may_be_asked = || choice.upstream.may_be_asked_again(clock::now());
@@ -183,31 +192,6 @@
         None
     }
 
-    /// Finds out whether the upstream has ended under the request, which closed its connection.
-    /// A closed connection alone says little: it loses an answer now and then.
-    async fn look_for_end(&self, choice: &Choice, sent: Instant) {
-        let closed = clock::now();
-        let report = &choice.upstream.report;
-        if !self.traffic.connections.is_refused(report.address).await {
-            return;
-        }
-        let told = WorkTold::Ended {
-            start: report.start_hash(),
-            sent_ms: clock::elapsed(sent).as_millis() as u32,
-            ended_ms: clock::elapsed(closed).as_millis() as u32,
-        };
-        let work = suspects::name(self.work.request);
-        let object = suspects::name(self.work.object);
-        tracing::info!(
-            event = "upstream_ended",
-            id = self.head.id,
-            upstream = report.id,
-            work,
-            object
-        );
-        self.traffic.common.suspects.learn(self.work, told);
-    }
-
     fn choose(&self, destination: &Destination) -> Result<Choice, Unchosen> {
         let service = &destination.service;
         let now = clock::now();
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -24,10 +24,13 @@
     upstream: Arc<Upstream>,
     begun: Instant,
     judged: Cell<bool>,
+    work: WorkIdentity,
+    /// Whether anything of it may have left this host.
+    is_sent: Cell<bool>,
 }
 
 impl Flight {
-    fn begin(choice: &Choice) -> Self {
+    fn begin(choice: &Choice, work: WorkIdentity) -> Self {
         let begun = clock::now();
         let mut condition = choice.upstream.condition();
         condition.sent(begun);
@@ -37,6 +40,8 @@
             upstream: Arc::clone(&choice.upstream),
             begun,
             judged: Cell::new(false),
+            work,
+            is_sent: Cell::new(false),
         }
     }
 
@@ -56,12 +61,17 @@
 
 impl Drop for Flight {
     fn drop(&mut self) {
+        let is_abandoned = !self.judged.get() && self.is_sent.get();
         if !self.judged.get() {
             self.judge(Answered::Unknown);
         }
+        let now = clock::now();
         let mut condition = self.upstream.condition();
+        if is_abandoned {
+            condition.abandoned.note(now, self.work, self.begun);
+        }
         condition.stated.unanswered(self.begun);
-        condition.ended(clock::now());
+        condition.ended(now);
     }
 }
 
@@ -121,7 +131,7 @@
         false => Reuse::Recent,
     };
     let upstream = &choice.upstream;
-    let flight = Flight::begin(choice);
+    let flight = Flight::begin(choice, sending.work);
     let connections = choice.connections.unwrap_or(CONNECTIONS_DEFAULT);
     let address = upstream.report.address;
     let connected = traffic
@@ -154,6 +164,7 @@
         return Err(Missed::new(Sent::Perhaps, "the body can't be sent again"));
     };
     *sent = Sent::Perhaps;
+    flight.is_sent.set(true);
     match lease.send(request, sending.deadline).await {
         Ok(answer) => {
             count_send("answered");
--- a/crates/steering/src/route/condition.rs
+++ b/crates/steering/src/route/condition.rs
@@ -7,6 +7,7 @@
 use super::holding::Holding;
 use super::pace::ColdPart;
 use super::speed::Speed;
+use super::suspect::Abandoned;
 use crate::statement::{Obstacle, Stated};
 
 /// Time for which a report of load is believed.
@@ -40,6 +41,8 @@
     work: Duration,
     /// Whether another start has its address.
     replaced: bool,
+    /// Requests that it was sent and that were given up.
+    pub abandoned: Abandoned,
     /// What it has said of itself.
     pub stated: Stated,
     /// How much longer than usual it takes.
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -83,8 +83,8 @@
 pub use spread::{PartSpread, RegionSpread, share_by_room};
 pub use store_answers::{Answering, StoreAnswers};
 pub use suspect::{
-    Admission, ENDS_REFUSED, RefusedWork, Suspects, WorkDigest, WorkIdentity, WorkKey, WorkNews,
-    WorkParts, WorkRank, WorkState, WorkTold,
+    Abandoned, Admission, ENDS_REFUSED, RefusedWork, Suspects, WorkDigest, WorkIdentity, WorkKey,
+    WorkNews, WorkParts, WorkRank, WorkState, WorkTold,
 };
 pub use table::RouteTable;
 pub use upstream::{ReportedUpstream, UpstreamId};
