--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -5,20 +5,26 @@
 use platform_standin::{SoakPlan, soak};
 use rstest::rstest;
 
+/// What a soak has beside the usual faults.
+#[derive(Debug, PartialEq)]
+enum Extra {
+    None,
+    Limits,
+    UndisturbedHost,
+    Crashes,
+}
+
 /// Seeds that failed once stay here, each with its cause.
 #[rstest]
-#[case::short(1, false, false)]
+#[case::short(1, Extra::None)]
 // The first fault keeps one host from writing its row: it counts itself and the others, who do
 // not count it, and the parts of an allowance add up to more than the whole.
-#[case::a_host_that_is_not_listed(1023, false, false)]
-#[case::limits(2, true, false)]
-#[case::an_undisturbed_host(3, false, true)]
+#[case::a_host_that_is_not_listed(1023, Extra::None)]
+#[case::limits(2, Extra::Limits)]
+#[case::an_undisturbed_host(3, Extra::UndisturbedHost)]
+#[case::crashing_requests(4, Extra::Crashes)]
 #[tokio::test(flavor = "multi_thread")]
-async fn promises_hold_under_faults(
-    #[case] seed: u64,
-    #[case] limits: bool,
-    #[case] undisturbed_host: bool,
-) {
+async fn promises_hold_under_faults(#[case] seed: u64, #[case] extra: Extra) {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
     std::fs::create_dir_all(&folder).unwrap();
     let plan = SoakPlan {
@@ -26,8 +32,9 @@
         folder,
         seed,
         steps: 25,
-        limits,
-        undisturbed_host,
+        limits: extra == Extra::Limits,
+        crashes: extra == Extra::Crashes,
+        undisturbed_host: extra == Extra::UndisturbedHost,
     };
     let report = soak(&plan).await.unwrap();
     assert!(report.broken.is_empty(), "{report:#?}");
