--- a/crates/steering/src/route/suspect/suspects.rs
+++ b/crates/steering/src/route/suspect/suspects.rs
@@ -13,7 +13,7 @@
 /// cleared with their next answer.
 const KNOWN_MOST: usize = 4_096;
 
-/// Requests and objects that another host is told of at once, in some 20 KB.
+/// Requests and objects that another host is told of at once.
 const STATES_MOST: usize = 256;
 
 /// Time after which what others know counts as missed: that of some questions. A host that
