A clearing outranks what other hosts may still hold, after one end as well

Callers could see: a request that was cleared before and has one end again, answered since, refused after the next end elsewhere. Cause: found by reading the diff; only a clearing after a refusal raised the rank, and a host that had missed the answer brought its one end back.

--- a/crates/steering/src/route/suspect/state.rs
+++ b/crates/steering/src/route/suspect/state.rs
@@ -8,11 +8,11 @@
 /// Tells whether two hosts know the same.
 pub type WorkDigest = u64;
 
-/// How much is known of a request or an object. Each step of what is learned of it raises this,
-/// so that hosts agree whatever order they hear in.
+/// How much is known of a request or an object. Each end, answer and clearing raises this, so
+/// that hosts agree whatever order they hear in; that one finds out does not.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct WorkRank {
-    /// Times that it was cleared after it had been refused.
+    /// Times that it was cleared of what other hosts may hold against it.
     pub clears: u32,
     /// Ends since.
     pub ends: u32,
--- a/crates/steering/src/route/suspect/suspicion.rs
+++ b/crates/steering/src/route/suspect/suspicion.rs
@@ -51,7 +51,7 @@
     pub ends: u32,
     /// When the last one was, or when it was cleared where there is none since.
     pub last_end: Instant,
-    /// Times that it was cleared after it had been refused; grows only.
+    /// Times that it was cleared of what other hosts may hold against it; grows only.
     clears: u32,
     /// When it was cleared last.
     cleared: Option<Instant>,
@@ -173,7 +173,8 @@
 
     /// Takes back all that is held against it.
     pub fn clear(&mut self, now: Instant) {
-        if self.is_refused() {
+        // What other hosts may hold must rank lower than this.
+        if self.ends > 0 && self.is_shared() {
             self.clears += 1;
             self.cleared = Some(now);
         }
--- a/crates/steering/tests/route_suspects.rs
+++ b/crates/steering/tests/route_suspects.rs
@@ -483,3 +483,23 @@
     }
     assert!(matches!(world.admit(1_300), Admission::Refused(_)));
 }
+
+#[test]
+fn an_answer_after_one_end_holds_where_another_host_has_missed_it() {
+    let mut world = World::new();
+    world.ends_twice(WORK, 100);
+    let now = world.at(400);
+    assert!(world.suspects.take(now, WORK, WorkTold::Cleared));
+    world.ends(3, 500, 600);
+    let missed_the_answer = world.suspects.states(world.at(700));
+    assert!(world.answered(800));
+    for state in &missed_the_answer {
+        world.suspects.merge(world.at(900), state);
+    }
+    world.ends(4, 1_000, 1_100);
+    assert_eq!(
+        world.admit(1_200),
+        Admission::Free,
+        "the two are not in a row"
+    );
+}
