--- a/crates/gateway/src/control/works.rs
+++ b/crates/gateway/src/control/works.rs
@@ -1,4 +1,4 @@
-//! Tells all hosts of work under which upstreams end.
+//! Tells other hosts of work under which upstreams end, and asks them what this one has missed.
 
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -124,7 +124,7 @@
         self.suspects().note_alone();
     }
 
-    /// Does what an operator wants of a kind of work, and tells all hosts; false where there is
+    /// Does what an operator wants of a request or an object, and tells all hosts; false where there is
     /// nothing to be done.
     pub fn order(&self, key: WorkKey, order: WorkTold) -> bool {
         let work = WorkIdentity::named(key);
@@ -137,7 +137,7 @@
         is_new
     }
 
-    /// Kinds of work that are refused now.
+    /// Requests and objects that are refused now.
     pub fn refused(&self) -> Vec<RefusedWork> {
         self.suspects().refused(clock::now())
     }
--- a/crates/gateway/src/traffic/operator.rs
+++ b/crates/gateway/src/traffic/operator.rs
@@ -13,7 +13,7 @@
 use super::answers::status;
 use crate::suspects;
 
-/// Path of the list of work that is refused; one kind of it follows as its key.
+/// Path of the list of requests and objects that are refused; the key of one may follow.
 const WORKS_PATH: &str = "/works";
 
 /// Answers an operator. Only who asks from the host itself may change anything.
--- a/crates/steering/src/route/suspect/news.rs
+++ b/crates/steering/src/route/suspect/news.rs
@@ -6,7 +6,7 @@
 
 use super::work::WorkIdentity;
 
-/// Something learned of a kind of work.
+/// Something learned of a request that may come again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkNews {
     /// The work.
