--- a/crates/clock/src/source.rs
+++ b/crates/clock/src/source.rs
@@ -1,6 +1,5 @@
 //! Where the time comes from.
 
-use std::sync::OnceLock;
 use std::time::{Duration, Instant};
 
 use nix::errno::Errno;
@@ -12,22 +11,9 @@
     fn since_boot(&self) -> Duration;
 }
 
-/// The machine's clock of the time since it was booted.
-struct Boot;
-
-impl TimeSource for Boot {
-    fn since_boot(&self) -> Duration {
-        // It was read before, or would not be in use.
-        read_boot().unwrap_or_default()
-    }
-}
-
-/// The steady clock, which stands still while the machine is suspended.
-struct Steady(OnceLock<Instant>);
-
-impl TimeSource for Steady {
+impl<F: Fn() -> Duration + Send + Sync> TimeSource for F {
     fn since_boot(&self) -> Duration {
-        self.0.get_or_init(Instant::now).elapsed()
+        self()
     }
 }
 
@@ -35,13 +21,16 @@
     clock_gettime(ClockId::CLOCK_BOOTTIME).map(Duration::from)
 }
 
-/// The machine's source: the steady clock where it has no other.
+/// The machine's time since it was booted; that of the steady clock, which stands still while the
+/// machine is suspended, where it has no other.
 pub(crate) fn of_machine() -> Box<dyn TimeSource> {
     match read_boot() {
-        Ok(_) => Box::new(Boot),
+        // It has been read once, so that it can be read again.
+        Ok(_) => Box::new(|| read_boot().unwrap_or_default()),
         Err(error) => {
             tracing::warn!(event = "suspensions_not_counted", %error);
-            Box::new(Steady(OnceLock::new()))
+            let begun = Instant::now();
+            Box::new(move || begun.elapsed())
         }
     }
 }
--- a/crates/clock/tests/clock.rs
+++ b/crates/clock/tests/clock.rs
@@ -4,35 +4,20 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use clock::{Suspensions, TimeSource};
+use clock::Suspensions;
 use rstest::rstest;
 
-/// Goes on by itself, and jumps as after a suspension.
-#[derive(Clone)]
-struct Jumping {
-    begun: Instant,
-    suspended_ms: Arc<AtomicU64>,
-}
-
-impl TimeSource for Jumping {
-    fn since_boot(&self) -> Duration {
-        let suspended = Duration::from_millis(self.suspended_ms.load(Ordering::Relaxed));
-        self.begun.elapsed() + suspended
-    }
-}
-
 #[test]
 fn ages_count_a_suspension() {
-    let source = Jumping {
-        begun: Instant::now(),
-        suspended_ms: Arc::default(),
-    };
+    let suspended_ms = Arc::new(AtomicU64::default());
+    let (begun, suspended) = (Instant::now(), Arc::clone(&suspended_ms));
+    let source = move || begun.elapsed() + Duration::from_millis(suspended.load(Ordering::Relaxed));
     assert!(clock::install(Box::new(source.clone())));
-    assert!(!clock::install(Box::new(source.clone())), "it is in use");
+    assert!(!clock::install(Box::new(source)), "it is in use");
     let begun = clock::now();
     let later = begun + Duration::from_secs(60);
     assert!(clock::left(later) > Duration::from_secs(5));
-    source.suspended_ms.store(56_000, Ordering::Relaxed);
+    suspended_ms.store(56_000, Ordering::Relaxed);
     assert!(clock::elapsed(begun) >= Duration::from_secs(56));
     assert!(clock::left(later) <= Duration::from_secs(4));
 }
--- a/crates/steering/src/route/suspect/state.rs
+++ b/crates/steering/src/route/suspect/state.rs
@@ -1,5 +1,7 @@
 //! What hosts know of refused work, as one asks another for what it may have missed.
 
+use std::time::{Duration, Instant};
+
 use serde::{Deserialize, Serialize};
 use twox_hash::XxHash3_64;
 
@@ -39,6 +41,12 @@
     pub tried_ms: Option<u32>,
 }
 
+/// The moment that lies so long before `now`; `now` where the clock does not reach so far back.
+pub(super) fn ago(now: Instant, age_ms: u32) -> Instant {
+    now.checked_sub(Duration::from_millis(age_ms.into()))
+        .unwrap_or(now)
+}
+
 /// A part of the digest that does not depend on the others' order.
 pub(super) fn digest(key: WorkKey, rank: WorkRank) -> WorkDigest {
     let WorkRank {
--- a/crates/steering/src/route/suspect/suspects.rs
+++ b/crates/steering/src/route/suspect/suspects.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::news::WorkTold;
-use super::state::{WorkDigest, WorkState, digest};
+use super::state::{WorkDigest, WorkState, ago, digest};
 use super::suspicion::Suspicion;
 use super::work::{WorkIdentity, WorkKey};
 use crate::rendezvous;
@@ -141,10 +141,7 @@
     /// Takes what this host has seen or was told; true where that is new, and others should be
     /// told.
     pub fn take(&mut self, now: Instant, work: WorkIdentity, told: WorkTold) -> bool {
-        let ago = |ms: u32| {
-            now.checked_sub(Duration::from_millis(ms.into()))
-                .unwrap_or(now)
-        };
+        let ago = |age_ms| ago(now, age_ms);
         match told {
             WorkTold::Ended {
                 start,
--- a/crates/steering/src/route/suspect/suspicion.rs
+++ b/crates/steering/src/route/suspect/suspicion.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::state::{WorkRank, WorkState};
+use super::state::{WorkRank, WorkState, ago};
 use super::work::WorkKey;
 
 /// Ends from which on it is not sent, but to find out. One tells little: whatever else was in
@@ -218,10 +218,7 @@
         if state.rank <= self.rank() {
             return;
         }
-        let at = |age_ms: u32| {
-            now.checked_sub(Duration::from_millis(age_ms.into()))
-                .unwrap_or(now)
-        };
+        let at = |age_ms| ago(now, age_ms);
         let cleared = state.cleared_ms.map(at);
         // Ends after it was cleared there count on.
         let is_older = cleared.is_some_and(|cleared| cleared < self.last_end);
