--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use peer::{FeedState, StateQuery, fetch_feed_state};
+use peer::{FeedState, StateCursor, StateError, StateQuery, fetch_feed_state};
 use steering::membership::HostEntry;
 use steering::route::{
     Changes, Feed, FeedUpdate, FeedVersion, PollSchedule, Record, UpdateKind, max_retry_pause,
@@ -51,6 +51,9 @@
                 self.wait_for_update(feed, delay, Wait::Update).await;
                 continue;
             }
+            if feed != Feed::Hosts && self.refresh_from_group(feed).await {
+                continue;
+            }
             match self.poll_in_turn(feed).await {
                 PollOutcome::Update(update) => self.send_to_all_groups(&update),
                 PollOutcome::Repeat => continue,
@@ -146,7 +149,13 @@
                 let as_of = answer_as_of(started_at, clock::now(), wait, is_long_poll_result);
                 let update = self.apply_answer(feed, changes, as_of);
                 self.mark_requested(feed);
-                PollOutcome::Update(update)
+                let poll_interval =
+                    self.with_follower(feed, |follower| follower.poll_schedule.poll_interval());
+                // Reading a large feed takes so long that the state is old when it is complete.
+                match known.is_none() && clock::elapsed(started_at) > poll_interval {
+                    true => PollOutcome::Repeat,
+                    false => PollOutcome::Update(update),
+                }
             }
             Err(error) => {
                 self.with_follower(feed, |follower| follower.store_failed(started_at, &error));
@@ -206,10 +215,11 @@
             feed,
             after: None,
             max_age: None,
+            cursor: None,
         };
         for seed in seeds.filter(|seed| **seed != settings.peer_address) {
-            match fetch_feed_state(*seed, query, SEED_TIMEOUT).await {
-                Ok(Some(FeedState { changes, as_of }))
+            match fetch_feed_state(*seed, query.clone(), SEED_TIMEOUT).await {
+                Ok(Some(FeedState { changes, as_of, .. }))
                     if self.with_follower(feed, |follower| follower.newest) <= changes.version =>
                 {
                     let version = changes.version;
@@ -228,34 +238,54 @@
         }
     }
 
-    /// Answers another host's request for the state of a feed; none if this host does not have what
-    /// is asked for.
-    pub(super) fn feed_state(&self, query: StateQuery) -> Option<FeedState> {
+    /// Answers another host's request for the state of a feed.
+    pub(super) fn feed_state(&self, query: StateQuery) -> Result<FeedState, StateError> {
         let StateQuery {
             feed,
             after,
             max_age,
+            cursor,
         } = query;
         let now = clock::now();
         let is_too_old = |follower: &mut Follower| {
             let age = follower.poll_schedule.age(now).unwrap_or(Duration::MAX);
             max_age.is_some_and(|max_age| age > max_age)
         };
-        let version = self.with_follower(feed, |follower| follower.version)?;
+        let version = self.with_follower(feed, |follower| follower.version_for_others())?;
         if self.with_follower(feed, is_too_old) {
-            return None;
+            return Err(self.with_follower(feed, |follower| follower.outdated_reason(now)));
         }
-        let records = match after {
-            Some(after) => self.with_follower(feed, |follower| follower.recent.after(after))?,
-            None => self.known_state.borrow().state(now, feed),
+        let (records, next) = match (after, cursor) {
+            (Some(after), cursor) => {
+                let offset = match cursor {
+                    Some(StateCursor::Offset(offset)) => offset,
+                    _ => 0,
+                };
+                let page =
+                    self.with_follower(feed, |follower| follower.changes_page(after, offset));
+                page.ok_or(StateError::Unavailable)?
+            }
+            (None, cursor) => {
+                let from = match &cursor {
+                    Some(StateCursor::Key(key)) => Some(key.as_str()),
+                    _ => None,
+                };
+                let (records, next) = self.known_state.borrow().state_page(now, feed, from);
+                (records, next.map(StateCursor::Key))
+            }
         };
         let changes = Changes {
             whole: after.is_none(),
             records,
             version,
         };
-        let as_of = self.with_follower(feed, |follower| follower.poll_schedule.as_of())?;
-        Some(FeedState { changes, as_of })
+        let as_of = self.with_follower(feed, |follower| follower.poll_schedule.as_of());
+        let as_of = as_of.ok_or(StateError::Unavailable)?;
+        Ok(FeedState {
+            changes,
+            as_of,
+            next,
+        })
     }
 
     /// Applies an answer of the store. Returns the update for other hosts.
@@ -264,9 +294,7 @@
         self.with_follower(feed, |follower| follower.store_answered(version, as_of));
         let source = Source::Store;
         let records = self.apply(feed, changes, Origin { source, as_of });
-        let records = self.with_follower(feed, |follower| {
-            follower.keep_recent(version, whole, records)
-        });
+        let records = self.keep_recent(feed, version, whole, records);
         self.build_update(feed, version, records)
     }
 
@@ -321,9 +349,7 @@
             applied = self.apply(feed, changes, origin);
             match self.known_state.borrow().digest(feed) == update.digest {
                 true => {
-                    applied = self.with_follower(feed, |follower| {
-                        follower.keep_recent(update.version, false, applied)
-                    });
+                    applied = self.keep_recent(feed, update.version, false, applied);
                 }
                 false => {
                     kind = UpdateKind::Gap;
@@ -360,6 +386,21 @@
         to_forward
     }
 
+    /// Keeps applied records for other hosts. Returns the records to pass on.
+    pub(super) fn keep_recent(
+        &self,
+        feed: Feed,
+        version: FeedVersion,
+        whole: bool,
+        applied: Vec<Record>,
+    ) -> Vec<Record> {
+        let feed_records = self.known_state.borrow().record_count(feed);
+        self.with_follower(feed, |follower| {
+            follower.recent.set_feed_records(feed_records);
+            follower.keep_recent(version, whole, applied)
+        })
+    }
+
     pub(super) fn with_follower<T>(&self, feed: Feed, with: impl FnOnce(&mut Follower) -> T) -> T {
         let follower = match feed {
             Feed::Routes => &self.routes,
--- a/crates/gateway/src/control/follower.rs
+++ b/crates/gateway/src/control/follower.rs
@@ -4,15 +4,17 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use peer::{StateCursor, StateError};
 use steering::membership::HostEntry;
 use steering::route::{
-    Feed, FeedDigest, FeedVersion, HOST_ANSWER_LIMIT, PollSchedule, RecentChanges, Record,
-    UpdateKind,
+    Feed, FeedDigest, FeedRank, FeedVersion, HOST_ANSWER_LIMIT, PollSchedule, RecentChanges,
+    Record, UpdateKind,
 };
 use store::RecordError;
 use tokio::sync::Notify;
 
 use super::feed_age::FeedAge;
+use super::known_state::MAX_PAGE_RECORDS;
 use super::origin::Source;
 use super::waits::{LongestWait, Wait};
 use crate::settings::{Bounds, GatewaySettings};
@@ -64,6 +66,8 @@
     /// Whether records were missing after the last update. If records are still missing after the
     /// next one, the whole feed is read again.
     had_gap: bool,
+    /// Whether the state has been up to date since this host started.
+    was_fresh: bool,
 }
 
 impl Follower {
@@ -79,14 +83,14 @@
             held_back: Vec::new(),
             missing: None,
             poll_schedule: PollSchedule::new(
-                &settings.host,
-                &feed.to_string(),
+                FeedRank::new(&feed.to_string(), &settings.host, settings.capacity),
                 shortest_bound(feed, &settings.bounds),
             ),
             gap_found: Rc::default(),
             gap_attempted: Rc::default(),
             is_filling: false,
             had_gap: false,
+            was_fresh: false,
         }
     }
 
@@ -114,6 +118,7 @@
         renew_schedule(&mut self.poll_schedule);
         if let Some(as_of) = self.poll_schedule.as_of() {
             self.age.record(as_of);
+            self.was_fresh |= clock::elapsed(as_of) <= self.poll_schedule.stale_after();
         }
     }
 
@@ -163,6 +168,46 @@
         records
     }
 
+    /// Version of the state that other hosts may load.
+    ///
+    /// # Errors
+    ///
+    /// This host has no state. It is loading if it has just started and no call to the store has
+    /// failed.
+    pub fn version_for_others(&self) -> Result<FeedVersion, StateError> {
+        let is_starting = self.poll_schedule.as_of().is_none();
+        match self.version {
+            Some(version) => Ok(version),
+            None if is_starting && self.poll_schedule.reaches_store() => Err(StateError::Loading),
+            None => Err(StateError::Unavailable),
+        }
+    }
+
+    /// Why this host does not offer a state that is older than queried. If it polls the store or
+    /// receives updates, it will soon have a newer one.
+    pub fn outdated_reason(&self, now: Instant) -> StateError {
+        let age = self.poll_schedule.age(now).unwrap_or(Duration::MAX);
+        match age <= self.poll_schedule.stale_after() || !self.was_fresh {
+            true => StateError::Loading,
+            false => StateError::Unavailable,
+        }
+    }
+
+    /// A page of the changes after a version, and the cursor of the next page if there are more;
+    /// none if some changes are no longer known.
+    pub fn changes_page(
+        &self,
+        after: FeedVersion,
+        offset: usize,
+    ) -> Option<(Vec<Record>, Option<StateCursor>)> {
+        let mut records = self.recent.after(after)?.skip(offset);
+        let page: Vec<Record> = records.by_ref().take(MAX_PAGE_RECORDS).cloned().collect();
+        let next = records
+            .next()
+            .map(|_| StateCursor::Offset(offset + page.len()));
+        Some((page, next))
+    }
+
     /// Holds records back while earlier ones are missing.
     pub fn hold_back(&mut self, applied: Vec<Record>) {
         self.held_back.extend(applied);
@@ -207,7 +252,11 @@
     ) {
         // The sender of the update reaches the store.
         self.store_lost_since = None;
-        let from = &missing.sender.name;
+        let from = FeedRank::new(
+            &self.feed.to_string(),
+            &missing.sender.name,
+            missing.sender.capacity,
+        );
         match kind {
             UpdateKind::Known => self.renew(Source::Update, |schedule| {
                 schedule.received_update(from, kind, as_of)
@@ -221,7 +270,8 @@
             }
             UpdateKind::Gap => {
                 self.poll_schedule.received_update(from, kind, as_of);
-                tracing::debug!(event = "feed_gap", feed = %self.feed, from, again = self.had_gap);
+                let sender = &missing.sender.name;
+                tracing::debug!(event = "feed_gap", feed = %self.feed, from = sender, again = self.had_gap);
                 if std::mem::replace(&mut self.had_gap, true) {
                     self.version = None;
                 }
--- a/crates/gateway/src/control/group.rs
+++ b/crates/gateway/src/control/group.rs
@@ -1,16 +1,17 @@
 //! Sends updates from the store to groups of hosts.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use peer::{EncodedUpdate, PeerClient};
 use steering::ids::HostName;
 use steering::membership::HostEntry;
-use steering::rendezvous;
-use steering::route::{Feed, FeedUpdate, HostTable, Record, host_groups};
+use steering::route::{Feed, FeedUpdate, Record};
 
 use super::Control;
 use super::hosts::HEARTBEAT_TIMEOUT;
+use super::neighbors::Neighbors;
 
 /// Largest size of the records in an update, in bytes; 8 KiB take 0.2 s. Each host reads a larger
 /// document itself: the links of some hosts carry 10 Mbit/s, on which sending 400 KB to a group of
@@ -21,19 +22,20 @@
     /// Sends an update from the store to every host of this host's group, and to one host of each
     /// other group, which passes it on.
     pub(super) fn send_to_all_groups(&self, update: &FeedUpdate) {
-        let mut receivers = self.group();
-        receivers.extend(self.first_hosts(update.feed));
-        self.send_update(update, &receivers);
+        let neighbors = self.neighbors();
+        let first_hosts = neighbors.first_hosts(update.feed);
+        self.send_update(update, neighbors.group.iter().chain(first_hosts));
     }
 
     /// Passes an update from a host of another group on to this host's group.
     pub(super) fn forward_to_group(&self, from: &HostName, feed: Feed, records: Vec<Record>) {
-        let group = self.group();
-        if group.iter().any(|host| host.name == *from) {
+        let neighbors = self.neighbors();
+        if neighbors.is_in_group(from) {
             return;
         }
         if let Some(version) = self.with_follower(feed, |follower| follower.version) {
-            self.send_update(&self.build_update(feed, version, records), &group);
+            let update = self.build_update(feed, version, records);
+            self.send_update(&update, &neighbors.group);
         }
     }
 
@@ -41,15 +43,18 @@
     /// there are several groups, only the first host of a group does so, since other groups rely on
     /// it to pass updates on.
     pub(super) fn send_to_own_group(&self, update: &FeedUpdate) {
-        let group = self.group();
-        let hosts = group.iter().chain([&self.this_host]);
-        let is_first = first_ranked(&update.feed.to_string(), hosts) == Some(&self.this_host);
-        if is_first && !self.is_one_group() {
-            self.send_update(update, &group);
+        let neighbors = self.neighbors();
+        let is_first = neighbors.is_first(update.feed, &self.this_host);
+        if is_first && !neighbors.is_one_group {
+            self.send_update(update, &neighbors.group);
         }
     }
 
-    fn send_update(&self, update: &FeedUpdate, receivers: &[HostEntry]) {
+    fn send_update<'a>(
+        &self,
+        update: &FeedUpdate,
+        receivers: impl IntoIterator<Item = &'a HostEntry>,
+    ) {
         let feed = update.feed;
         let update = Rc::new(EncodedUpdate::new(update, MAX_UPDATE_BYTES, clock::now()));
         for host in receivers {
@@ -61,39 +66,20 @@
         }
     }
 
-    /// The other hosts of this host's group.
-    pub(super) fn group(&self) -> Vec<HostEntry> {
+    /// The hosts with which this host exchanges messages.
+    pub(super) fn neighbors(&self) -> Rc<Neighbors> {
         let known_state = self.known_state.borrow();
-        let groups = self.groups(&known_state.host_table);
-        let own = groups
-            .into_iter()
-            .find(|group| group.contains(&&self.this_host));
-        let others = own.into_iter().flatten();
-        let others = others.filter(|host| host.name != self.this_host.name);
-        others.cloned().collect()
-    }
-
-    /// The host of each other group that ranks first for a feed.
-    pub(super) fn first_hosts(&self, feed: Feed) -> Vec<HostEntry> {
-        let known_state = self.known_state.borrow();
-        let groups = self.groups(&known_state.host_table).into_iter();
-        let others = groups.filter(|group| !group.contains(&&self.this_host));
-        let key = feed.to_string();
-        let first_hosts = others.filter_map(|group| first_ranked(&key, group.into_iter()));
-        first_hosts.cloned().collect()
-    }
-
-    /// Whether the deployment is a single group.
-    pub(super) fn is_one_group(&self) -> bool {
-        self.groups(&self.known_state.borrow().host_table).len() == 1
-    }
-
-    fn groups<'a>(&'a self, host_table: &'a HostTable) -> Vec<Vec<&'a HostEntry>> {
-        let others = host_table.known().map(|host| &host.entry);
-        host_groups(
-            others.chain([&self.this_host]),
-            &self.common.settings.regions,
-        )
+        let host_table = &known_state.host_table;
+        let mut neighbors = self.neighbors.borrow_mut();
+        let current = neighbors
+            .as_ref()
+            .filter(|neighbors| neighbors.version == host_table.version());
+        if let Some(current) = current {
+            return Rc::clone(current);
+        }
+        let regions = &self.common.settings.regions;
+        let changed = Rc::new(Neighbors::new(&self.this_host, host_table, regions));
+        Rc::clone(neighbors.insert(changed))
     }
 
     /// A client of a host; none while a message to the host is in flight.
@@ -119,10 +105,13 @@
     }
 
     /// Drops clients of hosts that this host sends nothing to, or whose address has changed.
-    pub(super) fn prune_clients(&self, heartbeat_targets: &[HostEntry]) {
-        let feeds = [Feed::Routes, Feed::Upstreams, Feed::Hosts];
-        let first_hosts = feeds.into_iter().flat_map(|feed| self.first_hosts(feed));
-        let receivers: Vec<HostEntry> = self.group().into_iter().chain(first_hosts).collect();
+    pub(super) fn prune_clients(&self) {
+        let neighbors = self.neighbors();
+        let receivers = Feed::ALL
+            .iter()
+            .flat_map(|feed| neighbors.first_hosts(*feed))
+            .chain(&neighbors.group)
+            .chain(&neighbors.heartbeat_targets);
         let leases = self.common.allowances.leases();
         let owners: BTreeSet<&HostName> = leases.owners().collect();
         let known_state = self.known_state.borrow();
@@ -134,22 +123,11 @@
         let is_asked = |host: &HostEntry| holder_selector.was_asked_recently(now, &host.name);
         let lenders = lenders
             .filter(|host| owners.contains(&host.name) || is_in_zone(host) || is_asked(host));
-        let receivers: Vec<&HostEntry> = receivers.iter().chain(lenders).collect();
+        let addresses: HashMap<&HostName, SocketAddr> = receivers
+            .chain(lenders)
+            .map(|host| (&host.name, host.peer_address))
+            .collect();
         let mut clients = self.clients.borrow_mut();
-        clients.retain(|name, client| {
-            let mut hosts = heartbeat_targets.iter().chain(receivers.iter().copied());
-            let host = hosts.find(|host| host.name == *name);
-            host.is_some_and(|host| host.peer_address == client.address())
-        });
+        clients.retain(|name, client| addresses.get(name) == Some(&client.address()));
     }
 }
-
-/// The host that ranks first for a key.
-pub(super) fn first_ranked<'a>(
-    key: &str,
-    hosts: impl Iterator<Item = &'a HostEntry> + Clone,
-) -> Option<&'a HostEntry> {
-    let names = hosts.clone().map(|host| host.name.as_str());
-    let first = rendezvous::owner(key, names)?;
-    hosts.into_iter().find(|host| host.name == first)
-}
--- a/crates/gateway/src/control/hosts.rs
+++ b/crates/gateway/src/control/hosts.rs
@@ -1,6 +1,6 @@
 //! Host membership: rows in the store, and heartbeats.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,14 +8,13 @@
 use futures::future::join_all;
 use peer::{
     Exchange, ExchangeReply, FeedState, HeartbeatMessage, LocalHost, PeerClient, PeerHandler,
-    PeerServer, StateQuery,
+    PeerServer, StateError, StateQuery,
 };
 use rand::Rng;
 use steering::history::{Entry, Position};
 use steering::ids::{HostName, Incarnation, Revision};
 use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
 use steering::membership::{Heartbeat, HostEntry};
-use steering::rendezvous;
 use steering::route::{Changes, Feed, FeedUpdate, HostMessage, HostReply, Record};
 use store::{HOSTS_TABLE, OwnRow, PEER_KEY_ROW};
 use tokio::task::spawn_local;
@@ -42,13 +41,11 @@
 /// takes 300 writes a second to a partition of a table: when 295 hosts wrote their rows in 0.3 s,
 /// writes took over 0.8 s and 118 of them were repeated.
 const FIRST_START_SPREAD: Duration = Duration::from_millis(1_200);
+/// Time within which a row in the list reaches the other hosts of a first start.
+const LIST_TIME: Duration = Duration::from_millis(1_300);
 /// Longest random pause before a host that is no seed and finds no shared key creates one. Seeds
 /// come first.
 const MAX_KEY_DELAY: Duration = Duration::from_millis(200);
-/// Maximum number of hosts of this host's region that get heartbeats.
-const MAX_TARGETS_OWN_REGION: usize = 8;
-/// Maximum number of hosts of each other region that get heartbeats.
-const MAX_TARGETS_OTHER_REGION: usize = 2;
 /// Time limit for the last heartbeat and the removal of this host's row.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -154,6 +151,15 @@
         }
     }
 
+    /// Waits, if all hosts of the deployment start at once for the first time, until most of them
+    /// are in the list: those that know few others would all read the store.
+    pub(super) async fn wait_for_first_rows(&self) {
+        if self.common.settings.first_start {
+            let listed_after = FIRST_START_SPREAD + LIST_TIME;
+            sleep(listed_after.saturating_sub(clock::elapsed(self.started_at))).await;
+        }
+    }
+
     /// Keeps the store's list of hosts up to date: restores this host's row if another host has
     /// removed it, and removes rows of lost hosts.
     async fn maintain_host_list(self: Rc<Self>) {
@@ -190,11 +196,13 @@
     }
 
     async fn remove_lost_hosts(&self) {
-        let heartbeat_targets = self.heartbeat_targets();
+        let neighbors = self.neighbors();
         let now = clock::now();
         let lost: Vec<HostName> = {
             let known_state = self.known_state.borrow();
-            let lost = known_state.host_table.lost(now, &heartbeat_targets);
+            let lost = known_state
+                .host_table
+                .lost(now, &neighbors.heartbeat_targets);
             lost.into_iter().cloned().collect()
         };
         for name in lost {
@@ -216,11 +224,11 @@
                 self.known_state.borrow_mut().host_table.resume(now);
             }
             last = now;
-            let heartbeat_targets = self.heartbeat_targets();
-            self.prune_clients(&heartbeat_targets);
+            let neighbors = self.neighbors();
+            self.prune_clients();
             let beat = Rc::new(self.heartbeat(false));
-            self.compare_work_in_turn(&heartbeat_targets);
-            for host in &heartbeat_targets {
+            self.compare_work_in_turn(&neighbors.heartbeat_targets);
+            for host in &neighbors.heartbeat_targets {
                 // At most one heartbeat to a host is in flight.
                 if let Some(client) = self.idle_client(host) {
                     let sending =
@@ -268,36 +276,6 @@
             loads: Vec::new(),
         }
     }
-
-    /// Hosts that get heartbeats: all of a small deployment, otherwise some of each region, so that
-    /// the cost for each host does not grow with the deployment.
-    pub(super) fn heartbeat_targets(&self) -> Vec<HostEntry> {
-        let known_state = self.known_state.borrow();
-        let mut by_region: BTreeMap<&str, Vec<&HostEntry>> = BTreeMap::new();
-        for host in known_state.host_table.known() {
-            let region = self.common.settings.regions.get(&host.entry.zone);
-            let region = region.map_or("", String::as_str);
-            by_region.entry(region).or_default().push(&host.entry);
-        }
-        let mut heartbeat_targets = Vec::new();
-        for (region, hosts) in by_region {
-            let is_own_region = region == self.common.settings.region;
-            let max_targets = if is_own_region {
-                MAX_TARGETS_OWN_REGION
-            } else {
-                MAX_TARGETS_OTHER_REGION
-            };
-            let names = hosts.iter().map(|host| host.name.as_str());
-            let ranked = rendezvous::rank(&self.this_host.name, names);
-            let chosen = ranked.into_iter().take(max_targets);
-            heartbeat_targets.extend(
-                chosen
-                    .filter_map(|name| hosts.iter().find(|host| host.name == name))
-                    .map(|host| (*host).clone()),
-            );
-        }
-        heartbeat_targets
-    }
 }
 
 /// Handles messages from other hosts.
@@ -338,8 +316,11 @@
         known_state
             .host_table
             .record_heartbeat(now, from, incarnation, false);
+        // Messages identify a host without its capacity.
+        let sender = known_state.host_table.get(&from.name);
+        let sender = sender.map_or_else(|| from.clone(), |known| known.entry.clone());
         drop(known_state);
-        self.0.receive_update(from, update);
+        self.0.receive_update(&sender, update);
     }
 
     fn host_message(
@@ -367,7 +348,7 @@
         }
     }
 
-    fn state(&self, query: StateQuery) -> Option<FeedState> {
+    fn state(&self, query: StateQuery) -> Result<FeedState, StateError> {
         self.0.feed_state(query)
     }
 
--- a/crates/gateway/src/control/known_state.rs
+++ b/crates/gateway/src/control/known_state.rs
@@ -2,22 +2,27 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use steering::ids::{HostName, RegionName, ServiceName, ZoneName};
 use steering::route::{
-    Catalog, CatalogChange, Changes, CustomerTable, DocumentChange, Evacuations, Feed, FeedDigest,
-    HostTable, ObservedState, Record, RouteDocument, RouteTable, RouteView, ServicePool,
-    StoreAnswers, StoreUptime,
+    Catalog, CatalogChange, ChangeReport, Changes, CustomerTable, DocumentChange, Evacuations,
+    Feed, FeedDigest, HostTable, ObservedState, Record, RouteDocument, RouteTable, RouteView,
+    ServicePool, StoreAnswers, StoreUptime,
 };
 
-use super::origin::Origin;
+use super::origin::{Origin, Source};
 use crate::host::Common;
 
 /// Maximum number of unreadable reports that are remembered, so that each is logged once.
 const MAX_REFUSED_REPORTS: usize = 1_000;
 
+/// Number of records in a page of a feed's state. A thousand reports take some 70 KB, which a link
+/// of 20 Mbit/s sends to four hosts at once in 0.11 s.
+pub(super) const MAX_PAGE_RECORDS: usize = 1_000;
+
 /// Largest difference between hosts' accounts of one recovery of the store, since messages between
 /// hosts take up to a second.
 const RECOVERY_TOLERANCE: Duration = Duration::from_secs(1);
@@ -147,20 +152,33 @@
         to_forward
     }
 
-    /// All current records of a feed.
-    pub fn state(&self, now: Instant, feed: Feed) -> Vec<Record> {
+    /// A page of the current records of a feed: those after the key `from`, and the key to go on
+    /// from if there are more.
+    pub fn state_page(
+        &self,
+        now: Instant,
+        feed: Feed,
+        from: Option<&str>,
+    ) -> (Vec<Record>, Option<String>) {
+        let from = from.map_or(Bound::Unbounded, Bound::Excluded);
         match feed {
             Feed::Routes => {
                 let zones = self.evacuations.wanted.iter().cloned();
                 let evacuations = zones.map(|zone| Record::Evacuation { zone, wanted: true });
                 let document = Record::Document(Box::new((*self.document).clone()));
-                evacuations.chain([document]).collect()
-            }
-            Feed::Upstreams => self.catalog.state(now),
-            Feed::Hosts => {
-                let rows = self.host_table.list().rows();
-                rows.cloned().map(Record::Host).collect()
+                (evacuations.chain([document]).collect(), None)
             }
+            Feed::Upstreams => take_page(self.catalog.state_after(now, from)),
+            Feed::Hosts => take_page(self.host_table.list().rows_after(from)),
+        }
+    }
+
+    /// Number of records of a feed.
+    pub fn record_count(&self, feed: Feed) -> usize {
+        match feed {
+            Feed::Routes => self.evacuations.wanted.len() + 1,
+            Feed::Upstreams => self.catalog.len(),
+            Feed::Hosts => self.host_table.list().rows().len(),
         }
     }
 
@@ -232,9 +250,7 @@
             }
         }
         let applied = self.catalog.apply(now, changes);
-        for change in &applied {
-            log_change(change, origin);
-        }
+        log_changes(&applied, origin);
         applied.iter().map(Record::from).collect()
     }
 
@@ -330,11 +346,47 @@
     }
 }
 
-fn log_change(change: &CatalogChange, origin: Origin) {
+/// Takes the next page, and the key of its last record if there are more.
+fn take_page<'a>(
+    mut records: impl Iterator<Item = (&'a str, Record)>,
+) -> (Vec<Record>, Option<String>) {
+    let mut page = Vec::new();
+    let mut last_key = None;
+    for (key, record) in records.by_ref().take(MAX_PAGE_RECORDS) {
+        page.push(record);
+        last_key = Some(key);
+    }
+    let next = last_key.filter(|_| records.next().is_some());
+    (page, next.map(str::to_owned))
+}
+
+fn log_changes(changes: &[CatalogChange], origin: Origin) {
     let (source, age_ms) = (
         origin.source,
         clock::elapsed(origin.as_of).as_millis() as u64,
     );
+    match ChangeReport::new(changes) {
+        ChangeReport::Each(changes) => {
+            for change in changes {
+                log_change(change, source, age_ms);
+            }
+        }
+        ChangeReport::Counts {
+            reported,
+            draining,
+            removed,
+        } => tracing::info!(
+            event = "upstreams_changed",
+            reported,
+            draining,
+            removed,
+            %source,
+            age_ms
+        ),
+    }
+}
+
+fn log_change(change: &CatalogChange, source: Source, age_ms: u64) {
     match change {
         CatalogChange::Removed { id, at_once } => {
             tracing::info!(event = "upstream_gone", upstream = id, at_once, %source, age_ms);
--- a/crates/gateway/src/control/learn.rs
+++ b/crates/gateway/src/control/learn.rs
@@ -8,7 +8,7 @@
 
 use peer::{FeedState, StateQuery, fetch_feed_state};
 use steering::membership::HostEntry;
-use steering::route::{Feed, FeedVersion, HOST_ANSWER_LIMIT};
+use steering::route::{BootstrapTree, Feed, FeedVersion, HOST_ANSWER_LIMIT};
 use tokio::time::{sleep, timeout};
 
 use super::Control;
@@ -16,14 +16,12 @@
 use super::origin::{Origin, Source};
 use super::waits::Wait;
 
-/// Multiple of the time after which a feed is stale. A starting host, which could read the store
-/// instead, accepts no state from another host that is older than this.
-const MAX_STATE_AGE_FACTOR: u32 = 2;
-/// Pause before a host that has no state yet is asked again.
-const RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Time after which a starting host reads the store itself. When all hosts start at once, passing
-/// the state on over three hosts takes less.
-const LOAD_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Shortest and longest pause before a host that has no state yet is asked again.
+const RETRY_DELAYS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(400));
+/// Time after which a starting host reads the store itself, although the hosts that it asks still
+/// answer that they are reading. The first of them reads 20,000 upstreams in some 8 s if the store
+/// is in another region and gives 200 rows at a time.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(12);
 
 impl Control {
     /// Reads a whole feed from hosts of this host's group, if there are any.
@@ -34,39 +32,95 @@
 
     async fn load_feed(&self, feed: Feed) {
         self.wait_until_hosts_requested().await;
-        let max_age = self.with_follower(feed, |follower| follower.poll_schedule.stale_after())
-            * MAX_STATE_AGE_FACTOR;
+        self.wait_for_first_rows().await;
+        let stale_after = self.with_follower(feed, |follower| follower.poll_schedule.stale_after());
         let query = StateQuery {
             feed,
             after: None,
-            max_age: Some(max_age),
+            // With an older state this host would have to poll the store at once.
+            max_age: Some(stale_after),
+            cursor: None,
         };
+        // A host that answers without a state is reading it; one that does not answer is skipped.
         for host in self.hosts_to_ask(feed) {
+            let (mut delay, max_delay) = RETRY_DELAYS;
             while let Ok(answer) =
-                fetch_feed_state(host.peer_address, query, HOST_ANSWER_LIMIT).await
+                fetch_feed_state(host.peer_address, query.clone(), HOST_ANSWER_LIMIT).await
             {
                 match answer.filter(|state| self.is_current(feed, state)) {
                     Some(state) => return self.apply_loaded(feed, &host, state),
-                    None => sleep(RETRY_DELAY).await,
+                    None => sleep(delay).await,
                 }
+                delay = (delay * 2).min(max_delay);
             }
         }
     }
 
+    /// Brings a stale feed up to date by the hosts of this host's group, if there is time for it
+    /// before the store has to be polled. Returns whether it is up to date.
+    ///
+    /// The poller of a group may be lost, or not know yet that this host has started. If all its
+    /// listeners polled the store then, each would read every upstream's heartbeat since the last
+    /// update.
+    pub(super) async fn refresh_from_group(&self, feed: Feed) -> bool {
+        let has_time = |follower: &mut Follower| follower.poll_schedule.allows_host_first();
+        if !self.with_follower(feed, has_time) {
+            return false;
+        }
+        let refreshing = self.refresh_feed(feed);
+        let refreshed = timeout(HOST_ANSWER_LIMIT, refreshing).await;
+        let is_refreshed = refreshed.unwrap_or(false);
+        count_gap(
+            feed,
+            if is_refreshed {
+                "refreshed"
+            } else {
+                "not_refreshed"
+            },
+        );
+        is_refreshed
+    }
+
+    async fn refresh_feed(&self, feed: Feed) -> bool {
+        let version = self.with_follower(feed, |follower| follower.version);
+        let Some(parent) = self.hosts_to_ask(feed).into_iter().next() else {
+            return false;
+        };
+        let query = StateQuery {
+            feed,
+            after: version,
+            max_age: Some(
+                self.with_follower(feed, |follower| follower.poll_schedule.poll_interval()),
+            ),
+            cursor: None,
+        };
+        while version.is_some() {
+            let answer =
+                fetch_feed_state(parent.peer_address, query.clone(), HOST_ANSWER_LIMIT).await;
+            match answer {
+                Ok(Some(state)) if self.is_current(feed, &state) => {
+                    self.apply_loaded(feed, &parent, state);
+                    return true;
+                }
+                // The parent is about to be up to date itself.
+                Ok(_) => sleep(RETRY_DELAYS.0).await,
+                Err(_) => return false,
+            }
+        }
+        false
+    }
+
     /// Hosts of the group to ask, in order. Empty if the deployment is a single group: its hosts
     /// start faster when each reads the few rows itself.
     fn hosts_to_ask(&self, feed: Feed) -> Vec<HostEntry> {
-        if self.is_one_group() {
+        let neighbors = self.neighbors();
+        if neighbors.is_one_group {
             return Vec::new();
         }
-        let group = self.group();
-        let names = group.iter().map(|host| host.name.as_str());
-        let names_to_ask: Vec<String> = self.with_follower(feed, |follower| {
-            let names_to_ask = follower.poll_schedule.bootstrap_hosts(names);
-            names_to_ask.into_iter().map(str::to_owned).collect()
-        });
-        let find = |name: &String| group.iter().find(|host| host.name == *name).cloned();
-        names_to_ask.iter().filter_map(find).collect()
+        let group = neighbors.group.iter().chain([&self.this_host]);
+        let tree = BootstrapTree::new(&feed.to_string(), group);
+        let ancestors = tree.ancestors(&self.this_host.name);
+        ancestors.into_iter().cloned().collect()
     }
 
     fn is_current(&self, feed: Feed, state: &FeedState) -> bool {
@@ -74,15 +128,15 @@
     }
 
     fn apply_loaded(&self, feed: Feed, from: &HostEntry, state: FeedState) {
-        let FeedState { changes, as_of } = state;
+        let FeedState { changes, as_of, .. } = state;
         let version = changes.version;
-        tracing::info!(event = "learned_from_host", feed = %feed, from = from.name, version);
+        let age_ms = clock::elapsed(as_of).as_millis() as u64;
+        tracing::info!(event = "learned_from_host", feed = %feed, from = from.name, version, age_ms);
         let source = Source::State;
+        let whole = changes.whole;
         let records = self.apply(feed, changes, Origin { source, as_of });
-        self.with_follower(feed, |follower| {
-            follower.loaded(version, as_of);
-            follower.keep_recent(version, true, records);
-        });
+        self.with_follower(feed, |follower| follower.loaded(version, as_of));
+        self.keep_recent(feed, version, whole, records);
     }
 
     /// Requests missing records from the hosts that sent newer updates, until the task is aborted.
@@ -107,9 +161,10 @@
             (follower.version, follower.poll_schedule.reaches_store())
         });
         let is_filled = self.fill_after(feed, missing, version).await;
-        // The whole feed is many times larger, but a host that can't reach the store has no other
-        // source.
-        if !is_filled && version.is_some() && !reaches_store {
+        // The whole feed is many times larger. A host that can't reach the store has no other
+        // source, and all hosts of a large deployment would make the store send many times more.
+        let prefers_hosts = !reaches_store || !self.neighbors().is_one_group;
+        if !is_filled && version.is_some() && prefers_hosts {
             self.fill_after(feed, missing, None).await;
         }
     }
@@ -126,6 +181,7 @@
             feed,
             after,
             max_age: None,
+            cursor: None,
         };
         let started_at = clock::now();
         let answer = fetch_feed_state(sender.peer_address, query, HOST_ANSWER_LIMIT).await;
@@ -144,7 +200,7 @@
                 return false;
             }
         };
-        let FeedState { changes, as_of } = state;
+        let FeedState { changes, as_of, .. } = state;
         let (version, whole) = (changes.version, changes.whole);
         let source = Source::State;
         let records = self.apply(feed, changes, Origin { source, as_of });
@@ -156,10 +212,8 @@
             self.with_follower(feed, |follower| follower.hold_back(records));
             return false;
         }
-        let records = self.with_follower(feed, |follower| {
-            follower.gap_filled(version, as_of);
-            follower.keep_recent(version, whole, records)
-        });
+        self.with_follower(feed, |follower| follower.gap_filled(version, as_of));
+        let records = self.keep_recent(feed, version, whole, records);
         self.forward_to_group(&sender.name, feed, records);
         true
     }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod known_state;
 mod learn;
 mod limits;
+mod neighbors;
 mod origin;
 mod outage;
 mod tokens;
@@ -39,6 +40,7 @@
 pub(crate) use feed_age::FeedAge;
 use follower::Follower;
 use known_state::KnownState;
+use neighbors::Neighbors;
 use outage::Outage;
 use update_sender::UpdateSender;
 
@@ -52,6 +54,8 @@
     records: Box<dyn RecordStore>,
     this_host: HostEntry,
     incarnation: Incarnation,
+    /// When this host started.
+    started_at: Instant,
     known_state: RefCell<KnownState>,
     routes: RefCell<Follower>,
     upstreams: RefCell<Follower>,
@@ -63,6 +67,8 @@
     key: RefCell<Option<Rc<[u8]>>>,
     /// Identity and key for connections to other hosts; none until the shared key is known.
     local: RefCell<Option<LocalHost>>,
+    /// Hosts with which this host exchanges messages; none before they are first needed.
+    neighbors: RefCell<Option<Rc<Neighbors>>>,
     /// Clients of the hosts that receive heartbeats, updates or token requests.
     clients: RefCell<BTreeMap<HostName, Rc<PeerClient>>>,
     /// Updates that are being sent to other hosts.
@@ -103,12 +109,14 @@
         relay_address: settings.caller_address,
         peer_address: settings.peer_address,
         operator_address: settings.ready_address,
+        capacity: settings.capacity,
     };
     let incarnation = rand::random();
     let may_have_lent = !common.settings.first_start;
     let control = Rc::new(Control {
         known_state: RefCell::new(KnownState::new(&common)),
         incarnation,
+        started_at: clock::now(),
         pool: RefCell::new(TokenPool::new(incarnation, clock::now(), may_have_lent)),
         this_host,
         routes: RefCell::new(Follower::new(
@@ -126,6 +134,7 @@
         hosts_requested: watch::Sender::default(),
         key: RefCell::default(),
         local: RefCell::default(),
+        neighbors: RefCell::default(),
         clients: RefCell::default(),
         update_sender: UpdateSender::default(),
         unresponsive_zone_hosts: RefCell::default(),
--- a/crates/gateway/src/control/tokens.rs
+++ b/crates/gateway/src/control/tokens.rs
@@ -6,6 +6,7 @@
 use peer::PeerError;
 use steering::ids::CustomerName;
 use steering::membership::HostEntry;
+use steering::rendezvous;
 use steering::route::{
     CustomerTable, GROUPS, HostMessage, HostReply, KEEP_ALIVE, LeaseStep, TokenBound, TokenGroup,
     TokenReply, TokenRequest, group_of,
@@ -14,7 +15,6 @@
 use tokio::time::{sleep, timeout};
 
 use super::Control;
-use super::group::first_ranked;
 use super::known_state::KnownState;
 
 /// Longest wait for an answer. A new session between distant regions takes some 0.3 s.
@@ -264,3 +264,13 @@
         others.chain([&self.this_host])
     }
 }
+
+/// The host that ranks first for a key.
+fn first_ranked<'a>(
+    key: &str,
+    hosts: impl Iterator<Item = &'a HostEntry> + Clone,
+) -> Option<&'a HostEntry> {
+    let names = hosts.clone().map(|host| host.name.as_str());
+    let first = rendezvous::owner(key, names)?;
+    hosts.into_iter().find(|host| host.name == first)
+}
--- a/crates/gateway/src/control/work_updates.rs
+++ b/crates/gateway/src/control/work_updates.rs
@@ -46,11 +46,12 @@
                     .aged_by(clock::elapsed(pending.learned_at)),
                 ..pending.update
             };
-            self.send_work(batch.iter().map(current).collect(), self.group());
+            let neighbors = self.neighbors();
+            self.send_work(batch.iter().map(current).collect(), &neighbors.group);
             let for_all = batch.iter().filter(|pending| pending.for_all);
             let for_all: Vec<WorkUpdate> = for_all.map(current).collect();
             if !for_all.is_empty() {
-                self.send_work(for_all, self.first_hosts(Feed::Upstreams));
+                self.send_work(for_all, neighbors.first_hosts(Feed::Upstreams));
             }
         }
     }
@@ -68,7 +69,7 @@
         while self.local.borrow().is_none() {
             sleep(RETRY_DELAY).await;
         }
-        let mut hosts = self.heartbeat_targets();
+        let mut hosts = self.neighbors().heartbeat_targets.clone();
         let region = |host: &HostEntry| self.common.settings.regions.get(&host.zone);
         hosts.sort_by_key(|host| region(host) != Some(&self.common.settings.region));
         let answers = hosts.iter().take(HOSTS_ASKED_AT_START).map(async |host| {
@@ -110,16 +111,16 @@
     /// Applies updates of another host, and passes those from other groups on to this host's group.
     pub(super) fn receive_work_updates(self: &Rc<Self>, from: &HostName, updates: Vec<WorkUpdate>) {
         self.common.suspects.receive(&updates, from);
-        let group = self.group();
-        if group.iter().all(|host| host.name != *from) {
-            self.send_work(updates, group);
+        let neighbors = self.neighbors();
+        if !neighbors.is_in_group(from) {
+            self.send_work(updates, &neighbors.group);
         }
     }
 
-    fn send_work(self: &Rc<Self>, updates: Vec<WorkUpdate>, receivers: Vec<HostEntry>) {
+    fn send_work(self: &Rc<Self>, updates: Vec<WorkUpdate>, receivers: &[HostEntry]) {
         let message = Rc::new(HostMessage::Works(updates));
         let started_at = clock::now();
-        for host in receivers {
+        for host in receivers.iter().cloned() {
             let (control, message) = (Rc::clone(self), Rc::clone(&message));
             spawn_local(async move {
                 let result = control.ask_host(&host, &message, SEND_TIMEOUT).await;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use steering::host_capacity::HostCapacity;
 use steering::ids::{HostName, RegionName, ZoneName};
 use steering::route::AllowanceTolerance;
 
@@ -39,6 +40,8 @@
     pub store_address: SocketAddr,
     /// Number of files and sockets that the process may have open.
     pub open_files: u32,
+    /// Capacity of the machine.
+    pub capacity: HostCapacity,
     /// Bounds set by operators.
     pub bounds: Bounds,
 }
@@ -102,6 +105,7 @@
                 moved(self.store_address, other.store_address),
             ),
             ("open_files", self.open_files != other.open_files),
+            ("capacity", self.capacity != other.capacity),
         ];
         let changes = changes.into_iter().filter(|(_, differs)| *differs);
         changes.map(|(name, _)| name).collect()
@@ -145,6 +149,7 @@
             first_start: false,
             store_address: free,
             open_files: 1_024,
+            capacity: HostCapacity::default(),
             bounds: Bounds::default(),
         }
     }
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -4,7 +4,7 @@
 # change is not understood by older hosts. Version 1, in which each heartbeat
 # named its host and each load its service, was never released.
 
-const protocolVersion :UInt16 = 10;
+const protocolVersion :UInt16 = 11;
 
 interface Gate {
   # What a host offers before it knows who calls.
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -32,6 +32,9 @@
 use crate::transit::ReplyTimes;
 use crate::{ENTRIES_LIMIT, age_ms, instant_before, reader_options, session_tag};
 
+/// Maximum number of pages of a feed's state; a host that sends more never ends.
+const MAX_PAGES: usize = 4_096;
+
 /// Why a call to another host failed.
 #[derive(Debug, Display, Error, From)]
 pub enum PeerError {
@@ -251,40 +254,72 @@
     }
 }
 
-/// Fetches the records that a host has applied from a feed; the shared key is not needed.
-/// Returns none if the host can't answer the query.
+/// Fetches the records that a host has applied from a feed, page by page; the shared key is not
+/// needed. Returns none if the host is still reading the feed.
+///
+/// The first page of a whole feed determines the version of the result: records of later pages
+/// may be newer, and the host's next update shows whether any are missing.
 ///
 /// # Errors
 ///
-/// Fails if the host can't be reached, or does not answer within `deadline`.
+/// Fails if the host can't be reached, does not have what is queried, or takes longer than `page_timeout` to connect or to send
+/// a page.
 pub async fn fetch_feed_state(
     address: SocketAddr,
-    query: StateQuery,
-    deadline: Duration,
+    mut query: StateQuery,
+    page_timeout: Duration,
 ) -> Result<Option<FeedState>, PeerError> {
-    let started = clock::now();
-    let call = async {
-        let (gate, _task) = open_gate(address, &Rc::default()).await?;
-        let mut request = gate.state_request();
-        request.get().set_query(&write_json(&query));
-        let answer = request.send().promise.await?;
-        let answer = answer.get()?;
-        let version = answer.get_version();
-        if version == 0 {
-            return Ok(None);
+    let traffic = Rc::default();
+    let connecting = open_gate(address, &traffic);
+    let connected = timeout(page_timeout, connecting).await;
+    let (gate, _task) = connected.unwrap_or(Err(PeerError::Timeout))?;
+    let Some(mut state) = fetch_page(&gate, &query, page_timeout).await? else {
+        return Ok(None);
+    };
+    let mut pages = 1;
+    while state.next.is_some() {
+        if pages == MAX_PAGES {
+            let reason = format!("more than {MAX_PAGES} pages");
+            return Err(capnp::Error::failed(reason).into());
         }
-        let (whole, records) = read_records(answer.get_records()?)?;
-        let changes = Changes {
-            whole,
-            records,
-            version,
+        query.cursor = state.next.take();
+        let Some(page) = fetch_page(&gate, &query, page_timeout).await? else {
+            return Ok(None);
         };
-        let as_of = instant_before(started, Duration::from_millis(answer.get_age_ms().into()));
-        Ok(Some(FeedState { changes, as_of }))
+        state.append(page);
+        pages += 1;
+    }
+    Ok(Some(state))
+}
+
+/// Fetches one page of a feed's state.
+async fn fetch_page(
+    gate: &gate::Client,
+    query: &StateQuery,
+    page_timeout: Duration,
+) -> Result<Option<FeedState>, PeerError> {
+    let started = clock::now();
+    let mut request = gate.state_request();
+    request.get().set_query(&write_json(query));
+    let answer = timeout(page_timeout, request.send().promise).await;
+    let answer = answer.map_err(|_| PeerError::Timeout)??;
+    let answer = answer.get()?;
+    let version = answer.get_version();
+    if version == 0 {
+        return Ok(None);
+    }
+    let (whole, records, next) = read_records(answer.get_records()?)?;
+    let changes = Changes {
+        whole,
+        records,
+        version,
     };
-    timeout(deadline, call)
-        .await
-        .unwrap_or(Err(PeerError::Timeout))
+    let as_of = instant_before(started, Duration::from_millis(answer.get_age_ms().into()));
+    Ok(Some(FeedState {
+        changes,
+        as_of,
+        next,
+    }))
 }
 
 /// Connects to a host, without a session.
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -7,6 +7,7 @@
 
 use capnp::{Error, text_list};
 use steering::history::Position;
+use steering::host_capacity::HostCapacity;
 use steering::ids::Incarnation;
 use steering::limiter::{LoanGrant, LoanRequest};
 use steering::load_estimate::{SUMMARY_HOSTS, ServiceLoad, ZoneSummary};
@@ -102,6 +103,8 @@
         relay_address: address(1, from.get_relay_v4(), from.get_relay_port())?,
         peer_address: address(2, from.get_peer_v4(), from.get_peer_port())?,
         operator_address: address(3, from.get_operator_v4(), from.get_operator_port())?,
+        // The store's list of hosts has the capacity.
+        capacity: HostCapacity::default(),
     })
 }
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -26,7 +26,8 @@
 
 pub use client::{PeerClient, PeerError, fetch_feed_state};
 pub use messages::{
-    EncodedUpdate, Exchange, ExchangeReply, FeedState, HeartbeatMessage, LocalHost, StateQuery,
+    EncodedUpdate, Exchange, ExchangeReply, FeedState, HeartbeatMessage, LocalHost, StateCursor,
+    StateError, StateQuery,
 };
 pub use names::{ServiceId, ServiceNames, service_id};
 pub use server::{PeerHandler, PeerServer};
--- a/crates/peer/src/messages.rs
+++ b/crates/peer/src/messages.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 use steering::history::{Entry, Position, Snapshot};
 use steering::ids::{Incarnation, Revision};
@@ -122,10 +123,45 @@
     /// Instant, by this host's clock, at which the underlying answer of the store was valid. May
     /// be too early, never too late.
     pub as_of: Instant,
+    /// Cursor to query the rest with; none if this is the last page.
+    pub next: Option<StateCursor>,
+}
+
+impl FeedState {
+    /// Appends the next page.
+    pub(crate) fn append(&mut self, page: FeedState) {
+        self.changes.records.extend(page.changes.records);
+        // A list of changes includes those made while it was fetched.
+        if !self.changes.whole {
+            self.changes.version = page.changes.version;
+        }
+        self.as_of = self.as_of.min(page.as_of);
+        self.next = page.next;
+    }
+}
+
+/// Why a host does not answer a query for its state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+pub enum StateError {
+    /// The host has just started and is reading the feed. It will have the state soon.
+    #[display("the feed is being read")]
+    Loading,
+    /// The host does not have what is queried, and may never have it.
+    #[display("no such state")]
+    Unavailable,
+}
+
+/// Position in the answer to a query that takes several pages.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StateCursor {
+    /// The next page begins after the record with this key.
+    Key(String),
+    /// The next page begins after this number of changes.
+    Offset(usize),
 }
 
 /// Query for the records that a host has applied from a feed of the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StateQuery {
     /// The queried feed.
     pub feed: Feed,
@@ -134,4 +170,7 @@
     /// Maximum age of the underlying answer of the store; none accepts any age.
     #[serde(rename = "most_age")]
     pub max_age: Option<Duration>,
+    /// Start of the queried page; none queries the first page.
+    #[serde(default)]
+    pub cursor: Option<StateCursor>,
 }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -15,7 +15,7 @@
 use steering::ids::{HostName, Incarnation, Revision};
 use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
 use steering::membership::HostEntry;
-use steering::route::{FeedUpdate, HostMessage, HostReply, StoreUptime, TokenReply};
+use steering::route::{Feed, FeedUpdate, HostMessage, HostReply, StoreUptime, TokenReply};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio_util::compat::TokioAsyncReadCompatExt;
@@ -25,7 +25,7 @@
     read_summaries, write_grant, write_json, write_position, write_records, write_summaries,
 };
 use crate::messages::{
-    Exchange, ExchangeReply, FeedState, HeartbeatMessage, LocalHost, StateQuery,
+    Exchange, ExchangeReply, FeedState, HeartbeatMessage, LocalHost, StateError, StateQuery,
 };
 use crate::names::ServiceNames;
 use crate::peer_capnp::{PROTOCOL_VERSION, gate, session};
@@ -34,13 +34,12 @@
 use crate::{NONCE_BYTES, age_ms, instant_before, reader_options, session_tag};
 
 const MAX_CONNECTIONS: usize = 512;
-/// Maximum size of an answer with the changes since a version, in bytes. A host with a link of
-/// 10 Mbit/s sends about thirty such answers at once, which takes 0.8 s at this size, and changes
+/// Maximum size of the changes of a document that are sent to a host, in bytes. A host with a link
+/// of 10 Mbit/s sends about thirty such answers at once, which takes 0.8 s at this size, and changes
 /// must take effect within seconds. A host that lacks more than this reads the store.
-const MAX_CHANGES_BYTES: usize = 32 << 10;
-/// Maximum size of an answer with all records of a feed, in bytes; reports of 12,000 upstreams
-/// take about 700 KB.
-const MAX_STATE_BYTES: usize = 2 << 20;
+const MAX_DOCUMENT_CHANGES_BYTES: usize = 32 << 10;
+/// Maximum size of a page of a feed's records, in bytes.
+const MAX_PAGE_BYTES: usize = 2 << 20;
 
 /// Handles messages of other hosts; calls must not block, since they run on the server's thread.
 pub trait PeerHandler {
@@ -53,10 +52,13 @@
     /// Applies an update of a feed of the store. The default, for hosts that serve no routes,
     /// ignores the update.
     fn feed_update(&self, _from: &HostEntry, _incarnation: Incarnation, _update: FeedUpdate) {}
-    /// Returns the records that this host has applied from a feed of the store; none if the host
-    /// can't answer the query.
-    fn state(&self, _query: StateQuery) -> Option<FeedState> {
-        None
+    /// Returns the records that this host has applied from a feed of the store.
+    ///
+    /// # Errors
+    ///
+    /// The host can't answer the query, or not yet.
+    fn state(&self, _query: StateQuery) -> Result<FeedState, StateError> {
+        Err(StateError::Unavailable)
     }
     /// Processes a message about state that hosts share. The default, for hosts that serve no
     /// routes, answers that there is no such state.
@@ -195,21 +197,27 @@
         mut results: gate::StateResults,
     ) -> Result<(), Error> {
         let query: StateQuery = read_json(params.get()?.get_query()?)?;
-        let max_bytes = match query.after {
-            Some(_) => MAX_CHANGES_BYTES,
-            None => MAX_STATE_BYTES,
+        let max_bytes = match (query.feed, query.after) {
+            (Feed::Routes, Some(_)) => MAX_DOCUMENT_CHANGES_BYTES,
+            _ => MAX_PAGE_BYTES,
         };
-        let Some(state) = self.handler.state(query) else {
-            return Ok(());
+        let state = match self.handler.state(query) {
+            Ok(state) => state,
+            // Version 0 stands for a feed that is being read.
+            Err(StateError::Loading) => return Ok(()),
+            Err(error) => return Err(Error::failed(error.to_string())),
         };
-        let FeedState { changes, as_of } = state;
-        let encoded = write_records(&(changes.whole, &changes.records), max_bytes);
-        if let Some(records) = encoded {
-            let mut results = results.get();
-            results.set_version(changes.version);
-            results.set_records(&records);
-            results.set_age_ms(age_ms(clock::elapsed(as_of)));
-        }
+        let FeedState {
+            changes,
+            as_of,
+            next,
+        } = state;
+        let encoded = write_records(&(changes.whole, &changes.records, &next), max_bytes);
+        let records = encoded.ok_or_else(|| Error::failed(StateError::Unavailable.to_string()))?;
+        let mut results = results.get();
+        results.set_version(changes.version);
+        results.set_records(&records);
+        results.set_age_ms(age_ms(clock::elapsed(as_of)));
         Ok(())
     }
 }
--- a/crates/peer/tests/messages.rs
+++ b/crates/peer/tests/messages.rs
@@ -11,6 +11,7 @@
 };
 use rstest::rstest;
 use steering::history::{Entry, Position};
+use steering::host_capacity::HostCapacity;
 use steering::ids::{HostName, Incarnation, Revision, ServiceName};
 use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
 use steering::load_estimate::{ServiceLoad, ZoneSummary};
@@ -86,6 +87,7 @@
         relay_address,
         peer_address,
         operator_address,
+        capacity: HostCapacity::default(),
     }
 }
 
--- a/crates/standin/src/measure/capacity/worlds.rs
+++ b/crates/standin/src/measure/capacity/worlds.rs
@@ -6,6 +6,7 @@
 use serde_json::{Value, json};
 use steering::Document;
 use steering::document::{Block, Change, Edit, Kind, ObjectId};
+use steering::host_capacity::HostCapacity;
 use steering::membership::HostEntry;
 use steering::plan::Plan;
 use steering::view::View;
@@ -25,6 +26,7 @@
         relay_address: any,
         peer_address: any,
         operator_address: any,
+        capacity: HostCapacity::default(),
     }
 }
 
--- a/crates/standin/src/measure/look_up.rs
+++ b/crates/standin/src/measure/look_up.rs
@@ -10,6 +10,7 @@
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
 use steering::blocks::{BlockTable, ClassId};
+use steering::host_capacity::HostCapacity;
 use steering::lookup::Directory;
 use steering::membership::HostEntry;
 use steering::rendezvous;
@@ -81,6 +82,7 @@
         relay_address: any,
         peer_address: any,
         operator_address: any,
+        capacity: HostCapacity::default(),
     };
     let mut view = View::new(host(0, 0), 1);
     view.plan = std::sync::Arc::new(steering::plan::Plan::new(std::sync::Arc::new(document)));
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod document;
 pub mod error;
 pub mod history;
+pub mod host_capacity;
 pub mod ids;
 pub mod labels;
 pub mod limiter;
--- a/crates/steering/src/membership.rs
+++ b/crates/steering/src/membership.rs
@@ -12,6 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::host_capacity::HostCapacity;
 use crate::ids::{HostName, Incarnation, ZoneName};
 
 /// Name, zone and addresses of a host.
@@ -29,6 +30,9 @@
     pub peer_address: SocketAddr,
     /// Address for operators.
     pub operator_address: SocketAddr,
+    /// Capacity of the host's machine; unknown in messages that only identify the host.
+    #[serde(default)]
+    pub capacity: HostCapacity,
 }
 
 /// The message that a host sends to every other host of its zone, once per
--- a/crates/steering/src/rendezvous.rs
+++ b/crates/steering/src/rendezvous.rs
@@ -20,7 +20,8 @@
         .max_by_key(|member| (score(key, member), *member))
 }
 
-fn score(key: &str, member: &str) -> u64 {
+/// Returns the score of a member for `key`.
+pub(crate) fn score(key: &str, member: &str) -> u64 {
     XxHash3_64::oneshot_with_seed(hash(key.as_bytes()), member.as_bytes())
 }
 
--- a/crates/steering/src/route/catalog.rs
+++ b/crates/steering/src/route/catalog.rs
@@ -1,6 +1,8 @@
 //! The registered upstreams, as known to this host.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::feed::{Changes, FeedDigest, Record};
@@ -19,7 +21,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Listed {
     /// The upstream's report.
-    pub report: ReportedUpstream,
+    pub report: Arc<ReportedUpstream>,
     /// End of the warm-up; `None` if the upstream did not report that it is cold.
     pub cold_until: Option<Instant>,
     /// Whether the report vanished around an outage of the store. It is dropped once the
@@ -27,6 +29,8 @@
     vanished: bool,
     /// Hash of the report without its time-dependent fields.
     fingerprint: u64,
+    /// Hash of the upstream's identity and start time.
+    pub start_hash: u64,
 }
 
 /// A change of the catalog.
@@ -52,6 +56,10 @@
 #[derive(Debug, Default)]
 pub struct Catalog {
     listed: BTreeMap<UpstreamId, Listed>,
+    /// Digest of the reports that have not vanished, updated with each change.
+    digest: FeedDigest,
+    /// Number of reports that have vanished.
+    vanished: usize,
     is_read: bool,
     /// Time at which the store answered again after an outage.
     store_returned_at: Option<Instant>,
@@ -87,7 +95,7 @@
 
     /// Returns whether the report of any listed upstream has vanished.
     pub fn has_missing(&self) -> bool {
-        self.listed.values().any(|listed| listed.vanished)
+        self.vanished > 0
     }
 
     /// Applies changes of the feed in order, or a complete snapshot, and returns what has
@@ -105,7 +113,7 @@
                     applied_changes.push(CatalogChange::Reported(report.clone()));
                 }
                 // An invalid report names no upstream any more, whoever wrote it.
-                Record::Unusable { key, .. } if self.listed.remove(key).is_some() => {
+                Record::Unusable { key, .. } if self.take(key).is_some() => {
                     let id = key.clone();
                     applied_changes.push(CatalogChange::Removed { id, at_once: true });
                 }
@@ -140,23 +148,40 @@
     fn put(&mut self, now: Instant, report: ReportedUpstream) -> bool {
         let cold_until = (!report.cold_for.is_zero()).then(|| now + report.cold_for);
         let fingerprint = report.fingerprint();
-        let known = self.listed.get(&report.id);
-        if known.is_some_and(|known| report.is_before(&known.report)) {
-            return false;
+        let known = self.listed.get_mut(&report.id);
+        if let Some(known) = known {
+            if report.is_before(&known.report) {
+                return false;
+            }
+            let is_same = known.fingerprint == fingerprint
+                && !known.vanished
+                && !warm_up_changed(known.cold_until, cold_until);
+            if is_same {
+                known.cold_until = cold_until;
+                return false;
+            }
         }
-        let changed = known.is_none_or(|known| {
-            known.fingerprint != fingerprint
-                || known.vanished
-                || warm_up_changed(known.cold_until, cold_until)
-        });
+        self.take(&report.id);
+        self.digest ^= fingerprint;
         let listed = Listed {
             cold_until,
             vanished: false,
             fingerprint,
-            report,
+            start_hash: report.start_hash(),
+            report: Arc::new(report),
         };
         self.listed.insert(listed.report.id.clone(), listed);
-        changed
+        true
+    }
+
+    /// Takes a report out of the list.
+    fn take(&mut self, id: &str) -> Option<Listed> {
+        let listed = self.listed.remove(id)?;
+        match listed.vanished {
+            true => self.vanished -= 1,
+            false => self.digest ^= listed.fingerprint,
+        }
+        Some(listed)
     }
 
     /// Removes a report, at once or when its upstream has had time to renew it. Returns
@@ -167,21 +192,25 @@
             back <= now && now <= expired_until
         });
         match self.listed.get_mut(id) {
-            Some(listed) if listed.vanished || may_have_expired => {
+            Some(listed) if listed.vanished => false,
+            Some(listed) if may_have_expired => {
                 listed.vanished = true;
+                self.vanished += 1;
+                self.digest ^= listed.fingerprint;
                 false
             }
-            Some(_) => self.listed.remove(id).is_some(),
-            None => false,
+            _ => self.take(id).is_some(),
         }
     }
 
     /// Drops reports that were not renewed in time. Returns true if any was dropped.
     pub fn expire(&mut self, now: Instant) -> bool {
-        let before = self.listed.len();
-        let waits = self.grace_until(now).is_some();
-        self.listed.retain(|_, listed| waits || !listed.vanished);
-        before != self.listed.len()
+        if self.vanished == 0 || self.grace_until(now).is_some() {
+            return false;
+        }
+        self.listed.retain(|_, listed| !listed.vanished);
+        self.vanished = 0;
+        true
     }
 
     /// Returns whether a complete snapshot has been read.
@@ -189,23 +218,40 @@
         self.is_read
     }
 
-    /// Returns the current reports, with remaining warm-up times as of now.
-    pub fn state(&self, now: Instant) -> Vec<Record> {
-        let current = self.listed.values().filter(|l| !l.vanished);
-        let reports = current.map(|listed| ReportedUpstream {
-            cold_for: listed
-                .cold_until
-                .map_or(Duration::ZERO, |until| until.saturating_duration_since(now)),
-            ..listed.report.clone()
-        });
-        reports.map(Record::Upstream).collect()
+    /// Returns the current reports from an identity on, in order, with remaining warm-up
+    /// times as of now.
+    pub fn state_after(
+        &self,
+        now: Instant,
+        from: Bound<&str>,
+    ) -> impl Iterator<Item = (&str, Record)> {
+        let listed = self.listed.range::<str, _>((from, Bound::Unbounded));
+        let current = listed.filter(|(_, listed)| !listed.vanished);
+        current.map(move |(id, listed)| {
+            let report = ReportedUpstream {
+                cold_for: listed
+                    .cold_until
+                    .map_or(Duration::ZERO, |until| until.saturating_duration_since(now)),
+                ..ReportedUpstream::clone(&listed.report)
+            };
+            (id.as_str(), Record::Upstream(report))
+        })
+    }
+
+    /// Returns the number of listed upstreams.
+    pub fn len(&self) -> usize {
+        self.listed.len()
+    }
+
+    /// Returns whether no upstream is listed.
+    pub fn is_empty(&self) -> bool {
+        self.listed.is_empty()
     }
 
     /// Returns the digest of the current reports, the same whichever way they were learned.
     pub fn digest(&self) -> FeedDigest {
-        let current = self.listed.values().filter(|l| !l.vanished);
-        // The digest must not depend on the order in which reports were learned.
-        current.fold(0, |digest, listed| digest ^ listed.fingerprint)
+        // A sum by XOR does not depend on the order in which reports were learned.
+        self.digest
     }
 
     /// Returns every registered upstream.
--- a/crates/steering/src/route/choice.rs
+++ b/crates/steering/src/route/choice.rs
@@ -185,7 +185,9 @@
     let mut candidates = Candidates::default();
     for (rank, index) in rank(requirements.object, members).enumerate() {
         let upstream = &pool.upstreams[index];
-        let obstacle = upstream.state().obstacle(now);
+        let obstacle = upstream
+            .observed_state()
+            .and_then(|state| state.obstacle(now));
         if let Some(obstacle) = obstacle {
             candidates.skipped.add(upstream, obstacle, HOMES_COMPARED);
             continue;
--- a/crates/steering/src/route/feed.rs
+++ b/crates/steering/src/route/feed.rs
@@ -34,6 +34,11 @@
     Hosts,
 }
 
+impl Feed {
+    /// All feeds, in the order of their numbers.
+    pub const ALL: [Feed; 3] = [Feed::Routes, Feed::Upstreams, Feed::Hosts];
+}
+
 /// A record of a feed.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Record {
--- a/crates/steering/src/route/feed_timing.rs
+++ b/crates/steering/src/route/feed_timing.rs
@@ -25,6 +25,8 @@
 /// may allow, which is 2 s in the tightest known deployment.
 pub const LAPSE_PROPAGATION_LIMIT: Duration = Duration::from_secs(1);
 
+/// Time for which a request may be under way whose upstream was selected before a change.
+const REQUEST_UNDER_WAY: Duration = Duration::from_millis(200);
 /// Time reserved for the first answered store call of a host that was cut off, before it
 /// counts as in contact again.
 const FIRST_ANSWER_TIME: Duration = Duration::from_millis(200);
@@ -45,6 +47,14 @@
         self.tightest_bound.mul_f64(STALE_SHARE)
     }
 
+    /// Returns whether a host whose state is stale has the time to ask another host before it
+    /// polls the store. Where bounds are tighter, waiting for a host that does not answer
+    /// would leave too little time for the store's answer.
+    pub fn allows_host_first(self) -> bool {
+        let asked_in_turn = HOST_ANSWER_LIMIT + STORE_CALL_LIMIT + REQUEST_UNDER_WAY;
+        self.stale_after() + asked_in_turn <= self.tightest_bound
+    }
+
     /// Returns the time between two polls.
     pub fn poll_interval(self) -> Duration {
         self.tightest_bound.mul_f64(POLL_INTERVAL_SHARE)
--- /dev/null
+++ b/crates/steering/src/route/heartbeat_targets.rs
@@ -0,0 +1,77 @@
+//! Selects the hosts to which a host sends heartbeats.
+
+use std::collections::BTreeMap;
+
+use super::host_groups::MAX_GROUP_SIZE;
+use crate::ids::RegionName;
+use crate::membership::HostEntry;
+use crate::rendezvous;
+
+/// Number of heartbeat targets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct TargetCounts {
+    own_region: usize,
+    each_other_region: usize,
+}
+
+/// Targets in a deployment of one group.
+const SMALL_DEPLOYMENT: TargetCounts = TargetCounts {
+    own_region: 8,
+    each_other_region: 2,
+};
+/// Targets in a larger deployment. A host knows its targets and the hosts whose target it is
+/// to be alive, eight of its region on average, which is enough to advertise to callers.
+const LARGE_DEPLOYMENT: TargetCounts = TargetCounts {
+    own_region: 4,
+    each_other_region: 1,
+};
+
+/// Returns the hosts to which `this_host` sends heartbeats: all of a small deployment,
+/// otherwise some of each region, so that the cost for each host does not grow with the
+/// deployment.
+///
+/// In its own region a host's successor by hash is always a target, so that every host is
+/// watched by at least one other. The others are drawn by hash: such a graph spreads what
+/// hosts exchange with their targets in a logarithmic number of rounds.
+pub fn heartbeat_targets<'a>(
+    this_host: &str,
+    own_region: &str,
+    others: impl IntoIterator<Item = (&'a HostEntry, &'a RegionName)>,
+) -> Vec<&'a HostEntry> {
+    let mut by_region: BTreeMap<&str, Vec<&HostEntry>> = BTreeMap::new();
+    let mut count = 1;
+    for (host, region) in others {
+        count += 1;
+        by_region.entry(region).or_default().push(host);
+    }
+    let counts = match count <= MAX_GROUP_SIZE {
+        true => SMALL_DEPLOYMENT,
+        false => LARGE_DEPLOYMENT,
+    };
+    let mut targets = Vec::new();
+    for (region, mut hosts) in by_region {
+        let is_own = region == own_region;
+        let max = match is_own {
+            true => counts.own_region,
+            false => counts.each_other_region,
+        };
+        hosts
+            .sort_by_cached_key(|host| std::cmp::Reverse(rendezvous::score(this_host, &host.name)));
+        if is_own && hosts.len() > max {
+            move_successor_to_front(this_host, &mut hosts);
+        }
+        targets.extend(hosts.into_iter().take(max));
+    }
+    targets
+}
+
+/// Moves the host that follows `this_host` in the order of the names' hashes to the front.
+fn move_successor_to_front(this_host: &str, hosts: &mut [&HostEntry]) {
+    let own = rendezvous::hash(this_host.as_bytes());
+    // Differences wrap around, so the last host is followed by the first.
+    let distance = |host: &HostEntry| rendezvous::hash(host.name.as_bytes()).wrapping_sub(own);
+    let successor = (0..hosts.len()).min_by_key(|index| distance(hosts[*index]));
+    if let Some(index) = successor {
+        hosts[..=index].rotate_right(1);
+    }
+}
--- a/crates/steering/src/route/host_list.rs
+++ b/crates/steering/src/route/host_list.rs
@@ -1,6 +1,7 @@
 //! The store's list of hosts, as known to this host.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 
 use twox_hash::XxHash3_64;
 
@@ -12,6 +13,8 @@
 #[derive(Debug, Default)]
 pub struct HostList {
     rows: BTreeMap<HostName, HostEntry>,
+    /// Digest of `rows`, updated with each change.
+    digest: FeedDigest,
     is_read: bool,
 }
 
@@ -22,13 +25,13 @@
         self.is_read |= changes.whole;
         let mut changed_records = Vec::new();
         for name in self.missing_from(changes) {
-            self.rows.remove(&name);
+            self.remove(&name);
             changed_records.push(Record::HostGone(name));
         }
         for record in &changes.records {
             let changed = match record {
                 Record::Host(entry) => self.put(entry),
-                Record::HostGone(name) => self.rows.remove(name).is_some(),
+                Record::HostGone(name) => self.remove(name),
                 _ => false,
             };
             if changed {
@@ -39,8 +42,19 @@
     }
 
     fn put(&mut self, entry: &HostEntry) -> bool {
-        let before = self.rows.insert(entry.name.clone(), entry.clone());
-        before.as_ref() != Some(entry)
+        if self.rows.get(&entry.name) == Some(entry) {
+            return false;
+        }
+        self.remove(&entry.name);
+        self.digest ^= fingerprint(entry);
+        self.rows.insert(entry.name.clone(), entry.clone());
+        true
+    }
+
+    fn remove(&mut self, name: &str) -> bool {
+        let removed = self.rows.remove(name);
+        self.digest ^= removed.as_ref().map_or(0, fingerprint);
+        removed.is_some()
     }
 
     /// Returns the hosts that are missing in a complete snapshot.
@@ -76,15 +90,19 @@
     }
 
     /// Returns all rows.
-    pub fn rows(&self) -> impl Iterator<Item = &HostEntry> + Clone {
+    pub fn rows(&self) -> impl ExactSizeIterator<Item = &HostEntry> + Clone {
         self.rows.values()
     }
 
+    /// Returns the rows from a name on, in order.
+    pub fn rows_after(&self, from: Bound<&str>) -> impl Iterator<Item = (&str, Record)> {
+        let rows = self.rows.range::<str, _>((from, Bound::Unbounded));
+        rows.map(|(name, row)| (name.as_str(), Record::Host(row.clone())))
+    }
+
     /// Returns the digest of the rows, the same whichever way they were learned.
     pub fn digest(&self) -> FeedDigest {
-        self.rows
-            .values()
-            .fold(0, |digest, row| digest ^ fingerprint(row))
+        self.digest
     }
 }
 
@@ -96,7 +114,8 @@
         relay_address,
         peer_address,
         operator_address,
+        capacity,
     } = entry;
     let addresses = format!("{caller_address} {relay_address} {peer_address} {operator_address}");
-    XxHash3_64::oneshot(format!("{name} {zone} {addresses}").as_bytes())
+    XxHash3_64::oneshot(format!("{name} {zone} {addresses} {capacity:?}").as_bytes())
 }
--- a/crates/steering/src/route/host_table.rs
+++ b/crates/steering/src/route/host_table.rs
@@ -43,6 +43,8 @@
     hosts: BTreeMap<HostName, KnownHost>,
     this_host: HostName,
     list: HostList,
+    /// Increases when a host is added or removed, or its entry changes.
+    version: u64,
     /// Time at which this host's own row was removed from the list.
     row_removed_at: Option<Instant>,
 }
@@ -73,6 +75,10 @@
             let same = |known: &&mut KnownHost| known.entry.peer_address == entry.peer_address;
             if let Some(known) = known.filter(same) {
                 known.listed = true;
+                if known.entry.capacity != entry.capacity {
+                    known.entry.capacity = entry.capacity;
+                    self.version += 1;
+                }
                 continue;
             }
             let host = KnownHost {
@@ -84,13 +90,21 @@
                 entry: entry.clone(),
             };
             self.hosts.insert(entry.name.clone(), host);
+            self.version += 1;
         }
         let list = &self.list;
+        let count = self.hosts.len();
         self.hosts
             .retain(|name, host| list.has(name) || is_recent(host, now));
+        self.version += u64::from(self.hosts.len() != count);
         changed_records
     }
 
+    /// Returns a number that increases when a host is added or removed, or its entry changes.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Returns the store's list.
     pub fn list(&self) -> &HostList {
         &self.list
@@ -107,15 +121,23 @@
         let before = self.is_advertised(now, &entry.name);
         let known = self.hosts.get(&entry.name);
         let listed = known.is_some_and(|known| known.listed) || self.list.has(&entry.name);
+        // Only the list has the capacity.
+        let capacity = known.map_or(entry.capacity, |known| known.entry.capacity);
         let host = KnownHost {
-            entry: entry.clone(),
+            entry: HostEntry {
+                capacity,
+                ..entry.clone()
+            },
             incarnation: Some(incarnation),
             last_heard: Some(now),
             last_seen: now,
             listed,
             leaving,
         };
-        self.hosts.insert(entry.name.clone(), host);
+        let replaced = self.hosts.insert(entry.name.clone(), host);
+        let is_same =
+            replaced.is_some_and(|replaced| replaced.entry == self.hosts[&entry.name].entry);
+        self.version += u64::from(!is_same);
         before == leaving
     }
 
@@ -134,6 +156,11 @@
             .filter(move |host| is_advertised(host, now))
     }
 
+    /// Returns another host.
+    pub fn get(&self, name: &str) -> Option<&KnownHost> {
+        self.hosts.get(name)
+    }
+
     /// Returns all other hosts that may be alive.
     pub fn known(&self) -> impl Iterator<Item = &KnownHost> {
         self.hosts.values()
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -6,8 +6,10 @@
 
 mod allowance;
 mod average;
+mod bootstrap_tree;
 mod caller_timeouts;
 mod catalog;
+mod change_report;
 mod choice;
 mod customer;
 mod document;
@@ -15,8 +17,10 @@
 mod estimate;
 mod expectation;
 mod feed;
+mod feed_rank;
 mod feed_timing;
 mod health;
+mod heartbeat_targets;
 mod homes;
 mod host_groups;
 mod host_list;
@@ -48,8 +52,10 @@
     TokenDemand, TokenGrant, TokenGroup, TokenLeases, TokenPool, TokenReply, TokenRequest,
     ZoneLoan, group_of,
 };
+pub use bootstrap_tree::BootstrapTree;
 pub use caller_timeouts::CallerTimeouts;
 pub use catalog::{Catalog, CatalogChange};
+pub use change_report::ChangeReport;
 pub use choice::{Choice, choose};
 pub use customer::{Allowance, AuthError, Credentials, Customer, CustomerTable, Sender};
 pub use document::{CallerLimits, Route, RouteDocument, ServiceTerms, WeightedService};
@@ -57,10 +63,12 @@
 pub use estimate::{Affinity, Estimate, LastSent, WorkTime};
 pub use expectation::Expectation;
 pub use feed::{Changes, Feed, FeedDigest, FeedUpdate, FeedVersion, Record};
+pub use feed_rank::FeedRank;
 pub use feed_timing::{
     FeedTiming, HOST_ANSWER_LIMIT, LAPSE_PROPAGATION_LIMIT, STORE_CALL_LIMIT, max_retry_pause,
 };
 pub use health::AnswerOutcome;
+pub use heartbeat_targets::heartbeat_targets;
 pub use homes::{object_hash, rank, unit_hash};
 pub use host_groups::host_groups;
 pub use host_list::HostList;
--- a/crates/steering/src/route/poll_schedule.rs
+++ b/crates/steering/src/route/poll_schedule.rs
@@ -4,14 +4,8 @@
 use std::time::{Duration, Instant};
 
 use super::feed::FeedVersion;
+use super::feed_rank::FeedRank;
 use super::feed_timing::FeedTiming;
-use crate::ids::HostName;
-use crate::rendezvous;
-
-/// Number of hosts to which one host of a group sends its whole state when all start at
-/// once. With 4, a zone of 40 hosts is served in three steps. Each host then sends some 70
-/// KB four times, which takes 0.1 s on a link of 20 Mbit/s.
-const MAX_BOOTSTRAP_CHILDREN: usize = 4;
 
 /// A host's schedule for following one feed.
 ///
@@ -24,8 +18,8 @@
 /// it on and however long the messages took.
 #[derive(Debug)]
 pub struct PollSchedule {
-    this_host: HostName,
-    feed: String,
+    /// Rank of this host for the feed.
+    rank: FeedRank,
     timing: FeedTiming,
     /// Time at which the updates from the hosts that this host listens to were current in
     /// the store, at the earliest.
@@ -51,12 +45,11 @@
 }
 
 impl PollSchedule {
-    /// Creates the schedule of a host that has received nothing yet. `tightest_bound` is
-    /// the shortest time within which a change of the feed must take effect.
-    pub fn new(this_host: &str, feed: &str, tightest_bound: Duration) -> Self {
+    /// Creates the schedule of a host that has received nothing yet. `rank` is this host's
+    /// rank for the feed, `tightest_bound` the shortest time within which a change of the feed must take effect.
+    pub fn new(rank: FeedRank, tightest_bound: Duration) -> Self {
         PollSchedule {
-            this_host: this_host.to_owned(),
-            feed: feed.to_owned(),
+            rank,
             timing: FeedTiming { tightest_bound },
             received_as_of: None,
             as_of: None,
@@ -75,6 +68,12 @@
         self.timing.stale_after()
     }
 
+    /// Returns whether this host has the time to ask another host once its state is stale;
+    /// see [`FeedTiming::allows_host_first`].
+    pub fn allows_host_first(&self) -> bool {
+        self.timing.allows_host_first()
+    }
+
     /// Returns the time between two polls.
     pub fn poll_interval(&self) -> Duration {
         self.timing.poll_interval()
@@ -135,12 +134,11 @@
         self.as_of = self.as_of.max(Some(as_of));
     }
 
-    /// Records an update from the host `from` that was current in the store at `as_of`.
+    /// Records an update from a host of rank `from` that was current in the store at `as_of`.
     /// This host listens only to higher-ranked hosts, and to any host while it can't reach
     /// the store itself.
-    pub fn received_update(&mut self, from: &str, kind: UpdateKind, as_of: Instant) {
-        let first = rendezvous::owner(&self.feed, [self.this_host.as_str(), from]);
-        if first == Some(from) || !self.reaches_store {
+    pub fn received_update(&mut self, from: FeedRank, kind: UpdateKind, as_of: Instant) {
+        if from > self.rank || !self.reaches_store {
             self.received_as_of = self.received_as_of.max(Some(as_of));
         }
         match kind {
@@ -178,27 +176,6 @@
         self.reaches_store = false;
     }
 
-    /// Returns the hosts that this host, just started and without any state, asks instead
-    /// of the store: hosts of its group that rank before it, the nearest first; none if
-    /// this host ranks first. These hosts form a tree, so that a whole group can start at
-    /// once and no host answers more than `MAX_BOOTSTRAP_CHILDREN` others.
-    pub fn bootstrap_hosts<'a>(&self, group: impl IntoIterator<Item = &'a str>) -> Vec<&'a str> {
-        let ranked = rendezvous::rank(&self.feed, group);
-        let ranks_higher = |name: &&str| {
-            rendezvous::owner(&self.feed, [self.this_host.as_str(), *name]) == Some(*name)
-        };
-        let mut place = ranked
-            .iter()
-            .filter(|name| **name != self.this_host && ranks_higher(name))
-            .count();
-        let mut sources = Vec::new();
-        while place > 0 {
-            place = (place - 1) / MAX_BOOTSTRAP_CHILDREN;
-            sources.push(ranked[place]);
-        }
-        sources
-    }
-
     /// Decides how to handle an update up to `version` if this host is at version `at`. A
     /// gap may also show later as different digests after the update is applied.
     pub fn classify(at: Option<FeedVersion>, version: FeedVersion) -> UpdateKind {
--- a/crates/steering/src/route/recent_changes.rs
+++ b/crates/steering/src/route/recent_changes.rs
@@ -4,9 +4,9 @@
 
 use super::feed::{FeedVersion, Record};
 
-/// Maximum number of buffered records: the changes of some seconds, even while a quarter of
-/// 1,400 upstreams is new.
-const MAX_RECORDS: usize = 600;
+/// Number of records that are buffered in any case. Beyond it the buffer may have as many
+/// records as the feed: sending the whole feed would take no more.
+const MIN_RECORDS: usize = 600;
 /// Maximum number of buffered changes of the feed: about ten seconds of them.
 const MAX_BATCHES: usize = 16;
 
@@ -17,6 +17,8 @@
     since: Option<FeedVersion>,
     batches: VecDeque<Batch>,
     records: usize,
+    /// Number of records of the whole feed.
+    feed_records: usize,
 }
 
 #[derive(Debug)]
@@ -32,10 +34,16 @@
     pub fn reset(&mut self, version: FeedVersion) {
         *self = RecentChanges {
             since: Some(version),
+            feed_records: self.feed_records,
             ..RecentChanges::default()
         };
     }
 
+    /// Records the number of records of the whole feed.
+    pub fn set_feed_records(&mut self, feed_records: usize) {
+        self.feed_records = feed_records;
+    }
+
     /// Appends the records that led to `version`.
     pub fn push(&mut self, version: FeedVersion, records: &[Record]) {
         if self.since.is_none() || records.is_empty() {
@@ -46,7 +54,8 @@
             version,
             records: records.to_vec(),
         });
-        while self.records > MAX_RECORDS || self.batches.len() > MAX_BATCHES {
+        let max_records = self.feed_records.max(MIN_RECORDS);
+        while self.records > max_records || self.batches.len() > MAX_BATCHES {
             let Some(first) = self.batches.pop_front() else {
                 break;
             };
@@ -57,12 +66,12 @@
 
     /// Returns the records after `after`, in order; `None` if some of them are no longer
     /// buffered.
-    pub fn after(&self, after: FeedVersion) -> Option<Vec<Record>> {
+    pub fn after(&self, after: FeedVersion) -> Option<impl Iterator<Item = &Record>> {
         if self.since.is_none_or(|since| after < since) {
             return None;
         }
         let batches = self.batches.iter();
-        let newer = batches.filter(|batch| batch.version > after);
-        Some(newer.flat_map(|batch| batch.records.clone()).collect())
+        let newer = batches.filter(move |batch| batch.version > after);
+        Some(newer.flat_map(|batch| &batch.records))
     }
 }
--- a/crates/steering/src/route/upstream_state.rs
+++ b/crates/steering/src/route/upstream_state.rs
@@ -167,7 +167,7 @@
 /// to be at one upstream would be extrapolated to two hundred. The sample is therefore
 /// weighed against the typical load, as a Poisson count with a Gamma prior (Gelman et al.,
 /// "Bayesian Data Analysis", section 2.6).
-fn estimate_others(own: f64, hosts: usize, typical_load: Option<f64>) -> f64 {
+pub(super) fn estimate_others(own: f64, hosts: usize, typical_load: Option<f64>) -> f64 {
     let sample = 1.0 / hosts.saturating_sub(1).max(1) as f64;
     match typical_load.filter(|typical_load| *typical_load > 0.0) {
         Some(typical_load) => (LOAD_PRIOR_SHAPE + own) / (LOAD_PRIOR_SHAPE / typical_load + sample),
--- a/crates/steering/src/route/view.rs
+++ b/crates/steering/src/route/view.rs
@@ -1,9 +1,9 @@
 //! Immutable snapshot of all that a host knows about routes and upstreams, as used by
 //! requests.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use super::catalog::Catalog;
@@ -14,8 +14,8 @@
 use super::region_load::RegionLoad;
 use super::requirements::Requirements;
 use super::table::RouteTable;
-use super::upstream::{ReportedUpstream, UpstreamId};
-use super::upstream_state::UpstreamState;
+use super::upstream::ReportedUpstream;
+use super::upstream_state::{UpstreamState, estimate_others};
 use super::zone_health::ZoneHealth;
 use crate::ids::{HostName, RegionName, ServiceName, ZoneName};
 use crate::statement::Obstacle;
@@ -34,20 +34,41 @@
 #[derive(Debug)]
 pub struct Upstream {
     /// The upstream's registration report.
-    pub report: ReportedUpstream,
+    pub report: Arc<ReportedUpstream>,
     /// Hash of the upstream's identity, the same on every host.
     pub hash: u64,
     /// End of the warm-up; `None` if the upstream is warm.
     pub cold_until: Option<Instant>,
-    state: Arc<Mutex<UpstreamState>>,
+    state: Arc<LazyState>,
     zone: Arc<Mutex<ZoneHealth>>,
     region: Arc<Mutex<RegionLoad>>,
 }
 
+/// This host's observations of one start of an upstream process, created when needed: a host
+/// sends requests to a small part of the upstreams of a large deployment.
+#[derive(Debug, Default)]
+struct LazyState(OnceLock<Box<Mutex<UpstreamState>>>);
+
+impl LazyState {
+    fn get(&self) -> Option<MutexGuard<'_, UpstreamState>> {
+        self.0.get().map(|state| lock(state))
+    }
+
+    fn get_or_create(&self) -> MutexGuard<'_, UpstreamState> {
+        lock(self.0.get_or_init(Box::default))
+    }
+}
+
 impl Upstream {
     /// Locks and returns this host's observations of the upstream.
     pub fn state(&self) -> MutexGuard<'_, UpstreamState> {
-        lock(&self.state)
+        self.state.get_or_create()
+    }
+
+    /// Locks and returns this host's observations of the upstream; `None` before the first
+    /// one.
+    pub fn observed_state(&self) -> Option<MutexGuard<'_, UpstreamState>> {
+        self.state.get()
     }
 
     /// Locks and returns this host's observations of the upstream's zone.
@@ -69,7 +90,16 @@
         let typical_load = lock(&self.region).use_of_slots(now);
         let typical_load =
             typical_load.map(|use_of_slots| use_of_slots * f64::from(self.report.slots));
-        self.state().load(now, hosts, typical_load)
+        match self.observed_state() {
+            Some(state) => state.load(now, hosts, typical_load),
+            None => estimate_others(0.0, hosts, typical_load),
+        }
+    }
+
+    /// Returns whether the upstream may be sent a request.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        self.observed_state()
+            .is_none_or(|state| state.is_usable(now))
     }
 
     /// Returns whether a request that the upstream refused or broke off may be sent there
@@ -98,7 +128,7 @@
     /// limit no longer moves objects: an upstream that receives nothing can't declare
     /// another limit, so its objects return and bring its current limit with the answers.
     fn recent_limit_per_s(&self, now: Instant) -> Option<f64> {
-        let limit = self.state().statements.known_limit(now)?;
+        let limit = self.observed_state()?.statements.known_limit(now)?;
         (limit.age < LIMIT_REASSIGNS_FOR).then_some(limit.per_s)
     }
 
@@ -129,8 +159,9 @@
 /// Returns whether the observations of a process start without a report must be kept. The
 /// report may come back, and the upstream's statements still hold then. A request in flight
 /// holds the state as well, as its answer may bring a statement.
-fn must_be_kept(state: &Arc<Mutex<UpstreamState>>, now: Instant) -> bool {
-    Arc::strong_count(state) > 1 || lock(state).statements.is_remembered(now)
+fn must_be_kept(state: &Arc<LazyState>, now: Instant) -> bool {
+    let is_remembered = |state: MutexGuard<'_, UpstreamState>| state.statements.is_remembered(now);
+    Arc::strong_count(state) > 1 || state.get().is_some_and(is_remembered)
 }
 
 fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -170,12 +201,9 @@
         if capacity == 0.0 {
             return f64::INFINITY;
         }
-        let load = |upstream: &Arc<Upstream>| {
-            let is_usable = upstream.state().is_usable(now);
-            match is_usable {
-                true => upstream.load(now, hosts),
-                false => upstream.capacity(now, typical_work),
-            }
+        let load = |upstream: &Arc<Upstream>| match upstream.is_usable(now) {
+            true => upstream.load(now, hosts),
+            false => upstream.capacity(now, typical_work),
         };
         self.upstreams.iter().map(load).sum::<f64>() / capacity
     }
@@ -208,7 +236,9 @@
         let mut counts = StatementCounts::default();
         let pools = self.regions.values();
         for upstream in pools.flat_map(|region| &region.upstreams) {
-            let state = upstream.state();
+            let Some(state) = upstream.observed_state() else {
+                continue;
+            };
             counts.limiting += usize::from(state.statements.known_limit(now).is_some());
             match state.obstacle(now) {
                 Some(Obstacle::Rests(_) | Obstacle::TrialPending) => counts.resting += 1,
@@ -282,12 +312,22 @@
     }
 }
 
+/// One start of an upstream process.
+#[derive(Debug, Default)]
+struct ObservedUpstream {
+    state: Arc<LazyState>,
+    /// The upstream as in the last view; shared with the next one unless it changes.
+    upstream: Option<Arc<Upstream>>,
+    /// Whether the catalog lists the start.
+    is_listed: bool,
+}
+
 /// Observations of this host, which outlive a view.
 #[derive(Debug, Default)]
 pub struct ObservedState {
-    /// Each start of an upstream process has its own entry, even if two starts share an
-    /// identity.
-    upstreams: HashMap<(UpstreamId, Option<u64>), Arc<Mutex<UpstreamState>>>,
+    /// By the hash of the start: each start of an upstream process has its own entry, even if
+    /// two starts share an identity.
+    upstreams: HashMap<u64, ObservedUpstream>,
     zones: HashMap<ZoneName, Arc<Mutex<ZoneHealth>>>,
     regions: HashMap<(ServiceName, RegionName), Arc<Mutex<RegionLoad>>>,
 }
@@ -310,42 +350,81 @@
         states: &mut ObservedState,
         now: Instant,
     ) -> HashMap<ServiceName, ServicePool> {
+        for observed in states.upstreams.values_mut() {
+            observed.is_listed = false;
+        }
         let mut pools: HashMap<ServiceName, ServicePool> = HashMap::new();
         for entry in catalog.listed() {
             let report = &entry.report;
-            let state = states.upstreams.entry(report.start()).or_default();
-            let zone = states.zones.entry(report.zone.clone()).or_default();
+            let observed = states.upstreams.entry(entry.start_hash).or_default();
+            observed.is_listed = true;
             let Some(region) = regions.get(&report.zone) else {
                 continue;
             };
             if report.draining || evacuations.wanted.contains(&report.zone) {
+                observed.upstream = None;
                 continue;
             }
             let warm_up = document.services.get(&report.service);
             let warm_up = warm_up.map_or(Duration::ZERO, |terms| terms.warm_up);
             let cold_after_evacuation = evacuations.ended.get(&report.zone).map(|at| *at + warm_up);
-            let at = (report.service.clone(), region.clone());
-            let upstream = Upstream {
-                hash: crate::rendezvous::hash(report.id.as_bytes()),
-                cold_until: entry.cold_until.max(cold_after_evacuation),
-                state: Arc::clone(state),
-                zone: Arc::clone(zone),
-                region: Arc::clone(states.regions.entry(at).or_default()),
-                report: report.clone(),
+            let cold_until = entry.cold_until.max(cold_after_evacuation);
+            let is_same = |upstream: &&Arc<Upstream>| {
+                Arc::ptr_eq(&upstream.report, report) && upstream.cold_until == cold_until
+            };
+            let upstream = match observed.upstream.as_ref().filter(is_same) {
+                Some(upstream) => Arc::clone(upstream),
+                None => {
+                    let zone = states.zones.entry(report.zone.clone()).or_default();
+                    let at = (report.service.clone(), region.clone());
+                    let region = states.regions.entry(at).or_default();
+                    Arc::new(Upstream {
+                        hash: crate::rendezvous::hash(report.id.as_bytes()),
+                        cold_until,
+                        state: Arc::clone(&observed.state),
+                        zone: Arc::clone(zone),
+                        region: Arc::clone(region),
+                        report: Arc::clone(report),
+                    })
+                }
             };
-            let pool = pools.entry(report.service.clone()).or_default();
-            let region = pool.regions.entry(region.clone()).or_default();
-            region.upstreams.push(Arc::new(upstream));
+            observed.upstream = Some(Arc::clone(&upstream));
+            region_pool(&mut pools, &report.service, region)
+                .upstreams
+                .push(upstream);
         }
         for (name, pool) in &mut pools {
             pool.terms = document.services.get(name).cloned();
         }
         let regions = &mut states.regions;
         regions.retain(|(service, _), _| pools.contains_key(service));
-        let current: HashSet<_> = catalog.listed().map(|l| l.report.start()).collect();
-        states
-            .upstreams
-            .retain(|start, state| current.contains(start) || must_be_kept(state, now));
+        states.upstreams.retain(|_, observed| {
+            if !observed.is_listed {
+                observed.upstream = None;
+            }
+            observed.is_listed || must_be_kept(&observed.state, now)
+        });
         pools
     }
 }
+
+/// Returns the pool of a service in a region, which is created if necessary.
+fn region_pool<'a>(
+    pools: &'a mut HashMap<ServiceName, ServicePool>,
+    service: &str,
+    region: &str,
+) -> &'a mut RegionPool {
+    if !pools.contains_key(service) {
+        pools.insert(service.to_owned(), ServicePool::default());
+    }
+    let pool = pools
+        .get_mut(service)
+        .expect("the entry exists or was just inserted");
+    if !pool.regions.contains_key(region) {
+        pool.regions
+            .insert(region.to_owned(), RegionPool::default());
+    }
+    pool.regions
+        .get_mut(region)
+        .expect("the entry exists or was just inserted")
+}
--- a/crates/steering/tests/membership.rs
+++ b/crates/steering/tests/membership.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
+use steering::host_capacity::HostCapacity;
 use steering::membership::{HostEntry, Membership};
 
 const MS: Duration = Duration::from_millis(1);
@@ -18,6 +19,7 @@
         relay_address: any,
         peer_address: any,
         operator_address: any,
+        capacity: HostCapacity::default(),
     }
 }
 
--- a/crates/steering/tests/route_belief_age.rs
+++ b/crates/steering/tests/route_belief_age.rs
@@ -9,8 +9,9 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
+use steering::host_capacity::HostCapacity;
 use steering::rendezvous;
-use steering::route::{PollSchedule, UpdateKind};
+use steering::route::{FeedRank, PollSchedule, UpdateKind};
 
 const FEED: &str = "upstreams";
 const DURATION: Duration = Duration::from_secs(60);
@@ -23,6 +24,10 @@
     Duration::from_millis(ms)
 }
 
+fn rank(host: &str) -> FeedRank {
+    FeedRank::new(FEED, host, HostCapacity::default())
+}
+
 fn random_up_to(most: Duration, rng: &mut StdRng) -> Duration {
     rng.random_range(Duration::ZERO..=most)
 }
@@ -90,7 +95,7 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let names: Vec<String> = (0..groups * GROUP_SIZE).map(|n| format!("h{n}")).collect();
         let hosts = names.iter().map(|name| Host {
-            schedule: PollSchedule::new(name, FEED, bound),
+            schedule: PollSchedule::new(rank(name), bound),
             fault: Fault::None,
             state_time: None,
             frozen_until: Duration::ZERO,
@@ -274,7 +279,8 @@
             Some(known) if state_time <= known => UpdateKind::Known,
             _ => UpdateKind::New,
         };
-        own.schedule.received_update(&self.names[from], kind, as_of);
+        own.schedule
+            .received_update(rank(&self.names[from]), kind, as_of);
         own.state_time = own.state_time.max(Some(state_time));
         let group = self.group(host);
         if !group.contains(&from) {
@@ -294,7 +300,7 @@
                 let own = &mut self.hosts[host];
                 own.frozen_until = self.now + lasts;
                 own.state_time = None;
-                own.schedule = PollSchedule::new(&self.names[host], FEED, self.bound);
+                own.schedule = PollSchedule::new(rank(&self.names[host]), self.bound);
             }
             Fault::PacketLoss | Fault::None => {}
         }
--- a/crates/steering/tests/route_catalog.rs
+++ b/crates/steering/tests/route_catalog.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
-use steering::route::{Catalog, CatalogChange, Changes, Record, ReportedUpstream};
+use steering::route::{Catalog, CatalogChange, ChangeReport, Changes, Record, ReportedUpstream};
 
 fn report(id: &str) -> ReportedUpstream {
     ReportedUpstream {
@@ -234,3 +234,21 @@
     assert_eq!(catalog.apply(now, &delta(vec![bad])), []);
     assert_eq!(catalog.apply(now, &delta(vec![present("i-1")])).len(), 1);
 }
+
+/// A host that starts in a deployment of 10,000 upstreams would otherwise write 10,000 lines.
+#[test]
+fn log_entries_do_not_grow_with_the_number_of_changes() {
+    let mut catalog = Catalog::default();
+    let now = Instant::now();
+    let all = (0..10_000).map(|n| present(&format!("i-{n}"))).collect();
+    let changes = catalog.apply(now, &snapshot(all));
+    assert_eq!(changes.len(), 10_000);
+    let expected = ChangeReport::Counts {
+        reported: 10_000,
+        draining: 0,
+        removed: 0,
+    };
+    assert_eq!(ChangeReport::new(&changes), expected);
+    let few = catalog.apply(now, &delta(vec![removed("i-1"), removed("i-2")]));
+    assert_eq!(ChangeReport::new(&few), ChangeReport::Each(&few));
+}
--- a/crates/steering/tests/route_hosts.rs
+++ b/crates/steering/tests/route_hosts.rs
@@ -4,9 +4,16 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
+use steering::host_capacity::HostCapacity;
 use steering::membership::HostEntry;
 use steering::rendezvous;
-use steering::route::{Changes, HostTable, PollSchedule, Record, UpdateKind, host_groups};
+use steering::route::{
+    Changes, FeedRank, HostTable, PollSchedule, Record, UpdateKind, host_groups,
+};
+
+fn rank(feed: &str, host: &str) -> FeedRank {
+    FeedRank::new(feed, host, HostCapacity::default())
+}
 
 fn host(name: &str) -> HostEntry {
     let address = "127.0.0.1:1".parse().unwrap();
@@ -17,6 +24,7 @@
         relay_address: address,
         peer_address: address,
         operator_address: address,
+        capacity: HostCapacity::default(),
     }
 }
 
@@ -146,7 +154,7 @@
     let start = Instant::now();
     let mut schedules: Vec<PollSchedule> = names
         .iter()
-        .map(|this_host| PollSchedule::new(this_host, "upstreams", bound))
+        .map(|this_host| PollSchedule::new(rank("upstreams", this_host), bound))
         .collect();
     let mut last_known = vec![start; names.len()];
     let first = rendezvous::owner("upstreams", names).unwrap();
@@ -163,7 +171,11 @@
             polls[host] += u32::from((20..100).contains(&tick));
             last_known[host] = now;
             for other in (0..names.len()).filter(|other| *other != host) {
-                schedules[other].received_update(names[host], UpdateKind::New, now);
+                schedules[other].received_update(
+                    rank("upstreams", names[host]),
+                    UpdateKind::New,
+                    now,
+                );
                 last_known[other] = now;
             }
         }
@@ -192,11 +204,11 @@
     let names = ["a", "b"];
     let first = rendezvous::owner("upstreams", names).unwrap();
     let second = if first == "a" { "b" } else { "a" };
-    let mut schedule = PollSchedule::new(second, "upstreams", Duration::from_secs(2));
+    let mut schedule = PollSchedule::new(rank("upstreams", second), Duration::from_secs(2));
     assert!(schedule.forwards_updates(now), "no update has arrived");
-    schedule.received_update(first, UpdateKind::New, now);
+    schedule.received_update(rank("upstreams", first), UpdateKind::New, now);
     assert!(!schedule.poll_delay(now).is_zero() && !schedule.forwards_updates(now));
-    schedule.received_update(first, UpdateKind::Gap, now);
+    schedule.received_update(rank("upstreams", first), UpdateKind::Gap, now);
     assert!(schedule.poll_delay(now).is_zero(), "a gap needs a poll");
     assert!(
         !schedule.forwards_updates(now),
@@ -208,57 +220,21 @@
     assert!(schedule.forwards_updates(later), "the first host is silent");
 }
 
-/// Each starting host asks a higher-ranked one, so that the state of the first reaches all,
-/// and no host is asked by more than four others.
-#[rstest]
-#[case::alone(1)]
-#[case::small(9)]
-#[case::zone(33)]
-#[case::large_zone(200)]
-fn starting_hosts_form_a_tree(#[case] count: usize) {
-    let names: Vec<String> = (0..count).map(|n| format!("h{n}")).collect();
-    let group = || names.iter().map(String::as_str);
-    let ranked = rendezvous::rank("upstreams", group());
-    let mut polls = vec![0; count];
-    for (place, this_host) in ranked.iter().enumerate() {
-        let schedule = PollSchedule::new(this_host, "upstreams", Duration::from_secs(4));
-        let others = group().filter(|name| name != this_host);
-        let sources = schedule.bootstrap_hosts(others);
-        let places: Vec<usize> = sources
-            .iter()
-            .map(|source| ranked.iter().position(|name| name == source).unwrap())
-            .collect();
-        assert_eq!(
-            places.is_empty(),
-            place == 0,
-            "only the first host polls the store"
-        );
-        assert!(places.iter().all(|source| *source < place));
-        assert!(places.is_sorted_by(|near, far| near > far));
-        assert_eq!(places.last().copied(), (place > 0).then_some(0));
-        assert!(places.len() <= 5, "{} steps", places.len());
-        if let Some(nearest) = places.first() {
-            polls[*nearest] += 1;
-        }
-    }
-    assert!(polls.iter().all(|by| *by <= 4), "{polls:?}");
-}
-
 #[test]
 fn host_without_store_accepts_updates_from_any_host() {
     let now = Instant::now();
     let tightest_bound = Duration::from_secs(4);
     let first = rendezvous::owner("routes", ["h1", "h2"]).unwrap();
     let other = if first == "h1" { "h2" } else { "h1" };
-    let mut schedule = PollSchedule::new(first, "routes", tightest_bound);
-    schedule.received_update(other, UpdateKind::New, now);
+    let mut schedule = PollSchedule::new(rank("routes", first), tightest_bound);
+    schedule.received_update(rank("routes", other), UpdateKind::New, now);
     assert!(schedule.poll_delay(now).is_zero(), "this host ranks first");
     schedule.poll_failed();
-    schedule.received_update(other, UpdateKind::New, now);
+    schedule.received_update(rank("routes", other), UpdateKind::New, now);
     assert_eq!(schedule.poll_delay(now), schedule.stale_after());
     schedule.polled(now);
     let later = now + schedule.stale_after();
-    schedule.received_update(other, UpdateKind::New, later);
+    schedule.received_update(rank("routes", other), UpdateKind::New, later);
     assert!(
         schedule.poll_delay(later).is_zero(),
         "this host reaches the store again"
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -24,6 +24,7 @@
 use ::operator::OperatorServer;
 use derive_more::{Display, Error, From};
 use rand::Rng;
+use steering::host_capacity::HostCapacity;
 use steering::ids::Incarnation;
 use steering::membership::HostEntry;
 use steering::ticket::Issuer;
@@ -145,6 +146,7 @@
                 .advertised
                 .operator_address
                 .unwrap_or(addresses.operator),
+            capacity: HostCapacity::default(),
         };
         let platform = HttpPlatform::new(
             config.platform_address,
