Roll-outs: versions get requests by an order, on trial within a share, and are judged by all hosts together

Operators of a newcomer order roll-outs; versions in reports were not decoded and orders were not read.

Change. - steering/route/rollout: orders, statuses, the rule by which versions of a service are used, the share of a trial, evidence by route, a sequential test (Wald, 1945) with an excess beside it, and the coordinator's stages, all without a network. - The host that polls the operators' rows coordinates; each stage is written under the condition that the row is as read, with the state for operators in the same transaction, and travels as a record of the operators' feed. - Each host sends to a version on trial at most a share of the requests that it has received itself; a host that has heard nothing for half of the time to stop goes by the old version; completed is written when every listed host reports that it has moved and nothing of it runs at the old version. - platform/rollout.rs translates; reports carry the version.

Not measured: the path of a request without an order by a benchmark.

--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -144,7 +144,10 @@
                 sleep(STALE_ANSWER_DELAY).await;
                 PollOutcome::Repeat
             }
-            Ok(changes) => {
+            Ok(mut changes) => {
+                if feed == Feed::Routes {
+                    changes.records.extend(self.pending_routes.take());
+                }
                 let is_long_poll_result = known.is_some() && changes.records.is_empty();
                 let as_of = answer_as_of(started_at, clock::now(), wait, is_long_poll_result);
                 let update = self.apply_answer(feed, changes, as_of);
--- a/crates/gateway/src/control/hosts.rs
+++ b/crates/gateway/src/control/hosts.rs
@@ -344,6 +344,15 @@
             HostMessage::MissedWorks(known) => {
                 HostReply::Works(self.0.common.suspects.missed(known))
             }
+            HostMessage::Rollout {
+                service,
+                order_revision,
+                progress,
+            } => {
+                self.0
+                    .record_progress(&from.name, &service, order_revision, progress);
+                HostReply::Taken
+            }
             HostMessage::Limit(ask) => HostReply::Limit(self.0.answer_limit(&from.name, &ask)),
         }
     }
--- a/crates/gateway/src/control/known_state.rs
+++ b/crates/gateway/src/control/known_state.rs
@@ -9,8 +9,8 @@
 use steering::ids::{HostName, RegionName, ServiceName, ZoneName};
 use steering::route::{
     Catalog, CatalogChange, ChangeReport, Changes, CustomerTable, DocumentChange, Evacuations,
-    Feed, FeedDigest, HostTable, ObservedState, Record, RouteDocument, RouteTable, RouteView,
-    ServicePool, StoreAnswers, StoreUptime,
+    Feed, FeedDigest, HostTable, ObservedState, Record, RolloutOrder, Rollouts, RouteDocument,
+    RouteTable, RouteView, ServicePool, StoreAnswers, StoreUptime,
 };
 
 use super::origin::{Origin, Source};
@@ -34,6 +34,7 @@
     table: Arc<RouteTable>,
     customers: Arc<CustomerTable>,
     evacuations: Evacuations,
+    rollouts: Rollouts,
     catalog: Catalog,
     store: StoreAnswers,
     observed: ObservedState,
@@ -62,6 +63,7 @@
             table: Arc::default(),
             customers: Arc::default(),
             evacuations: Evacuations::default(),
+            rollouts: Rollouts::new(common.settings.versions_need_orders),
             catalog: Catalog::default(),
             store: StoreAnswers::default(),
             observed: ObservedState::default(),
@@ -166,7 +168,9 @@
                 let zones = self.evacuations.wanted.iter().cloned();
                 let evacuations = zones.map(|zone| Record::Evacuation { zone, wanted: true });
                 let document = Record::Document(Box::new((*self.document).clone()));
-                (evacuations.chain([document]).collect(), None)
+                let rollouts = self.rollouts.records();
+                let records = evacuations.chain([document]).chain(rollouts);
+                (records.collect(), None)
             }
             Feed::Upstreams => take_page(self.catalog.state_after(now, from)),
             Feed::Hosts => take_page(self.host_table.list().rows_after(from)),
@@ -185,7 +189,9 @@
     /// Digest of all current records of a feed.
     pub fn digest(&self, feed: Feed) -> FeedDigest {
         match feed {
-            Feed::Routes => self.evacuations.digest() ^ self.document.version,
+            Feed::Routes => {
+                self.evacuations.digest() ^ self.rollouts.digest() ^ self.document.version
+            }
             Feed::Upstreams => self.catalog.digest(),
             Feed::Hosts => self.host_table.list().digest(),
         }
@@ -193,6 +199,10 @@
 
     fn apply_routes(&mut self, now: Instant, changes: Changes) -> Vec<Record> {
         let mut to_forward = Vec::new();
+        let mut withdrawn: BTreeSet<ServiceName> = match changes.whole {
+            true => self.rollouts.ordered().cloned().collect(),
+            false => BTreeSet::new(),
+        };
         let mut evacuated = match changes.whole {
             true => BTreeSet::new(),
             false => self.evacuations.wanted.clone(),
@@ -206,6 +216,17 @@
                 }
                 Record::Evacuation { zone, wanted: true } => drop(evacuated.insert(zone)),
                 Record::Evacuation { zone, .. } => drop(evacuated.remove(&zone)),
+                Record::RolloutOrder(order) => {
+                    withdrawn.remove(&order.service);
+                    if self.rollouts.order(&order) {
+                        log_order(&order);
+                        to_forward.push(Record::RolloutOrder(order));
+                    }
+                }
+                Record::RolloutOrderGone(service) => drop(withdrawn.insert(service)),
+                Record::Rollout(status) if self.rollouts.update(&status) => {
+                    to_forward.push(Record::Rollout(status));
+                }
                 Record::Unusable { key, reason } => {
                     let version = self.document.version;
                     tracing::warn!(event = "document_refused", key, reason, in_force = version);
@@ -214,6 +235,12 @@
                 _ => {}
             }
         }
+        for service in withdrawn {
+            if self.rollouts.withdraw(&service) {
+                tracing::info!(event = "rollout_withdrawn", service);
+                to_forward.push(Record::RolloutOrderGone(service));
+            }
+        }
         let changed = self.evacuations.take(now, evacuated);
         if !changed.is_empty() {
             tracing::info!(event = "evacuations", zones = ?self.evacuations.wanted);
@@ -291,6 +318,7 @@
                 &self.catalog,
                 &self.evacuations,
                 &self.regions,
+                &self.rollouts,
                 &mut self.observed,
                 now,
             );
@@ -328,6 +356,44 @@
         (Some(count), Some(region_hosts))
     }
 
+    /// Orders and statuses of roll-outs.
+    pub fn rollouts(&self) -> &Rollouts {
+        &self.rollouts
+    }
+
+    /// Whether the document has a service.
+    pub fn has_service(&self, service: &str) -> bool {
+        self.document.services.contains_key(service)
+    }
+
+    /// Whether a service has upstreams, all of the same version.
+    pub fn has_only_version(&self, service: &str, version: &str) -> bool {
+        let listed = self.catalog.listed();
+        let mut of_service = listed
+            .map(|listed| &listed.report)
+            .filter(|report| report.service == service && !report.draining)
+            .peekable();
+        of_service.peek().is_some() && of_service.all(|report| report.version == version)
+    }
+
+    /// Whether requests of this host run at a version of a service that is being replaced.
+    pub fn uses_old_version(&self, service: &str) -> bool {
+        let Some(pools) = &self.pools else {
+            return true;
+        };
+        let Some(pool) = pools.get(service) else {
+            return false;
+        };
+        let is_replaced = pool
+            .rollout
+            .as_ref()
+            .is_some_and(|rollout| rollout.trial_per_mille.is_none());
+        let old = pool.regions.values();
+        let old = old.filter_map(|region| region.other_version.as_deref());
+        let mut old = old.flat_map(|region| &region.upstreams);
+        !is_replaced || old.any(|upstream| upstream.is_working())
+    }
+
     /// Version of the document in force.
     pub fn version(&self) -> u64 {
         self.document.version
@@ -360,6 +426,23 @@
     (page, next.map(str::to_owned))
 }
 
+fn log_order(order: &RolloutOrder) {
+    let RolloutOrder {
+        service,
+        to_version,
+        duration,
+        revision,
+    } = order;
+    let duration_ms = duration.as_millis() as u64;
+    tracing::info!(
+        event = "rollout_ordered",
+        service,
+        version = to_version,
+        duration_ms,
+        revision
+    );
+}
+
 fn log_changes(changes: &[CatalogChange], origin: Origin) {
     let (source, age_ms) = (
         origin.source,
@@ -395,6 +478,7 @@
             event = "upstream_reported",
             upstream = report.id,
             service = report.service,
+            version = report.version,
             draining = report.draining,
             cold_ms = report.cold_for.as_millis() as u64,
             %source,
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod neighbors;
 mod origin;
 mod outage;
+mod rollouts;
 mod tokens;
 mod update_sender;
 mod waits;
@@ -27,7 +28,7 @@
 use peer::{LocalHost, PeerClient};
 use steering::ids::{HostName, Incarnation};
 use steering::membership::HostEntry;
-use steering::route::{Feed, HolderSelector, LimitTokens, TokenPool};
+use steering::route::{Feed, HolderSelector, LimitTokens, Record, TokenPool};
 use store::RecordStore;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
@@ -42,6 +43,7 @@
 use known_state::KnownState;
 use neighbors::Neighbors;
 use outage::Outage;
+use rollouts::CoordinatedRollouts;
 use update_sender::UpdateSender;
 
 /// Longest interval between checks for expired state. Other hosts are treated as failed after
@@ -73,6 +75,10 @@
     clients: RefCell<BTreeMap<HostName, Rc<PeerClient>>>,
     /// Updates that are being sent to other hosts.
     update_sender: UpdateSender,
+    /// Roll-outs that this host coordinates.
+    coordinated: RefCell<CoordinatedRollouts>,
+    /// Records of this host that its next update of the operators' rows carries.
+    pending_routes: RefCell<Vec<Record>>,
     /// Pools of customers' allowances that this host keeps.
     pool: RefCell<TokenPool>,
     /// Hosts of this host's zone that did not answer a token request, and when they were asked.
@@ -137,6 +143,8 @@
         neighbors: RefCell::default(),
         clients: RefCell::default(),
         update_sender: UpdateSender::default(),
+        coordinated: RefCell::default(),
+        pending_routes: RefCell::default(),
         unresponsive_zone_hosts: RefCell::default(),
         limit_tokens: RefCell::default(),
         holder_selector: RefCell::default(),
@@ -167,6 +175,7 @@
             spawn_local(Rc::clone(&self).follow(feed));
         }
         self.maintain_tokens();
+        spawn_local(Rc::clone(&self).run_rollouts());
         let loading = Rc::clone(&self);
         spawn_local(async move { loading.load_refused_work().await });
         self.run_membership(peers).await;
@@ -177,6 +186,11 @@
         let view = self.known_state.borrow_mut().view(clock::now());
         let before = self.common.view.swap(view.into());
         let view = self.common.view.load();
+        let services = &view.services;
+        self.common.rollouts.retain(|service| {
+            let pool = services.get(service);
+            pool.is_some_and(|pool| pool.rollout.is_some())
+        });
         if before.version != view.version {
             self.forget_customers(&view.customers);
         }
--- /dev/null
+++ b/crates/gateway/src/control/rollouts.rs
@@ -0,0 +1,373 @@
+//! Carries out roll-outs: coordinates them, or reports to the host that does.
+//!
+//! The host that polls the operators' rows coordinates. It writes each stage under the
+//! condition that the row is as it has read it, so that of two hosts that coordinate at the
+//! same time only one succeeds. It sends the stage to the other hosts with its next update.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use steering::ids::{HostName, ServiceName};
+use steering::route::{
+    Coordinator, Feed, HostMessage, HostProgress, OrderError, Record, RolloutOrder, RolloutReason,
+    RolloutStatus, StageChange,
+};
+use store::{RecordError, RowVersion};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use super::Control;
+
+/// Interval between decisions on roll-outs.
+const DECISION_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval between a host's reports to the coordinator.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest wait for the coordinator's answer.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A roll-out that this host coordinates.
+pub(super) struct CoordinatedRollout {
+    coordinator: Coordinator,
+    order_revision: u64,
+    /// Version of the row; 0 while there is none.
+    row_version: RowVersion,
+    /// A time by the store's clock, and the same time by this host's clock.
+    store_clock: (Duration, Instant),
+}
+
+impl CoordinatedRollout {
+    fn store_time(&self, now: Instant) -> Duration {
+        let (store_time, at) = self.store_clock;
+        store_time + now.saturating_duration_since(at)
+    }
+}
+
+/// An undecided roll-out as known to this host.
+struct KnownRollout {
+    service: ServiceName,
+    order: Option<RolloutOrder>,
+    status: Option<RolloutStatus>,
+}
+
+impl Control {
+    /// Coordinates and reports until the task is aborted.
+    pub(super) async fn run_rollouts(self: Rc<Self>) {
+        let mut refused = BTreeSet::new();
+        let mut last_report = clock::now();
+        loop {
+            sleep(DECISION_INTERVAL).await;
+            let rollouts = self.undecided_rollouts();
+            if rollouts.is_empty() {
+                self.coordinated.borrow_mut().clear();
+                continue;
+            }
+            let coordinates = self.polls_routes();
+            let now = clock::now();
+            let is_report_due = now.saturating_duration_since(last_report) >= REPORT_INTERVAL;
+            if is_report_due {
+                last_report = now;
+            }
+            for rollout in rollouts {
+                if is_report_due {
+                    self.report_progress(&rollout);
+                }
+                if coordinates {
+                    self.coordinate(rollout, &mut refused).await;
+                }
+            }
+            if !coordinates {
+                self.coordinated.borrow_mut().clear();
+            }
+        }
+    }
+
+    fn undecided_rollouts(&self) -> Vec<KnownRollout> {
+        let known_state = self.known_state.borrow();
+        let active = known_state.rollouts().active();
+        let known = active.into_iter().map(|(service, rollout)| KnownRollout {
+            service: service.clone(),
+            order: rollout.order.cloned(),
+            status: rollout.status.cloned(),
+        });
+        known.collect()
+    }
+
+    /// Whether this host polls the operators' rows and the store answers it.
+    fn polls_routes(&self) -> bool {
+        let now = clock::now();
+        self.with_follower(Feed::Routes, |follower| {
+            let schedule = &follower.poll_schedule;
+            let is_fresh = schedule
+                .fresh_for(now)
+                .is_some_and(|fresh| !fresh.is_zero());
+            is_fresh && schedule.reaches_store() && schedule.forwards_updates(now)
+        })
+    }
+
+    /// Decides the next stage of a roll-out and records it in the store.
+    async fn coordinate(&self, rollout: KnownRollout, refused: &mut BTreeSet<(ServiceName, u64)>) {
+        let KnownRollout {
+            service,
+            order,
+            status,
+        } = rollout;
+        let revision = match (&order, &status) {
+            (Some(order), _) => order.revision,
+            (None, Some(status)) => status.order_revision,
+            (None, None) => return,
+        };
+        if let Some(order) = &order
+            && let Err(error) = self.check_order(order)
+        {
+            if refused.insert((service.clone(), revision)) {
+                let version = &order.to_version;
+                tracing::warn!(event = "rollout_refused", service, version, %error);
+            }
+            return;
+        }
+        let is_known = |known: &CoordinatedRollout| known.order_revision == revision;
+        let is_taken_over = self
+            .coordinated
+            .borrow()
+            .get(&service)
+            .is_some_and(is_known);
+        if !is_taken_over && !self.take_over(&service, revision).await {
+            return;
+        }
+        let now = clock::now();
+        let next = {
+            let coordinated = self.coordinated.borrow();
+            let Some(rollout) = coordinated.get(&service) else {
+                return;
+            };
+            let store_time = rollout.store_time(now);
+            match (&order, status) {
+                (Some(order), None) => Some(self.first_status(order, store_time)),
+                (_, None) => None,
+                (order, Some(status)) => {
+                    let known_state = self.known_state.borrow();
+                    let hosts = known_state.host_table.list().rows();
+                    let change = rollout.coordinator.next_stage(
+                        order.as_ref(),
+                        &status,
+                        self.common.bounds().exposure,
+                        store_time,
+                        now,
+                        hosts.map(|host| &host.name),
+                    );
+                    let is_own = status.coordinator == self.this_host.name;
+                    let change = change.or((!is_own).then_some(StageChange {
+                        stage: status.stage,
+                        reason: status.reason,
+                    }));
+                    change.map(|change| self.next_status(status, change, store_time))
+                }
+            }
+        };
+        if let Some(status) = next {
+            self.write_status(status).await;
+        }
+    }
+
+    /// Whether an order can be carried out.
+    fn check_order(&self, order: &RolloutOrder) -> Result<(), OrderError> {
+        let known_state = self.known_state.borrow();
+        if !known_state.has_service(&order.service) {
+            return Err(OrderError::UnknownService);
+        }
+        match known_state.has_only_version(&order.service, &order.to_version) {
+            true => Err(OrderError::SameVersion),
+            false => Ok(()),
+        }
+    }
+
+    /// Reads the row of a roll-out before this host coordinates it. Returns whether the store
+    /// answered.
+    async fn take_over(&self, service: &ServiceName, order_revision: u64) -> bool {
+        let row = match self.records.read_rollout(service).await {
+            Ok(row) => row,
+            Err(error) => {
+                tracing::warn!(event = "rollout_not_read", service, %error);
+                return false;
+            }
+        };
+        let rollout = CoordinatedRollout {
+            coordinator: Coordinator::default(),
+            order_revision,
+            row_version: row.version,
+            store_clock: (row.store_time, clock::now()),
+        };
+        self.coordinated
+            .borrow_mut()
+            .insert(service.clone(), rollout);
+        if let Some(status) = row.status {
+            self.publish_status(status);
+        }
+        true
+    }
+
+    fn first_status(&self, order: &RolloutOrder, store_time: Duration) -> RolloutStatus {
+        // The order may have been written just after the poll before the one that found it.
+        let schedule_delay = self.with_follower(Feed::Routes, |follower| {
+            let schedule = &follower.poll_schedule;
+            schedule.poll_interval() + schedule.poll_wait()
+        });
+        RolloutStatus {
+            service: order.service.clone(),
+            to_version: order.to_version.clone(),
+            order_revision: order.revision,
+            sequence: 1,
+            stage: Coordinator::first_stage(self.common.bounds().exposure),
+            reason: RolloutReason::Ordered,
+            coordinator: self.this_host.name.clone(),
+            ordered_at: store_time.saturating_sub(schedule_delay),
+            changed_at: store_time,
+        }
+    }
+
+    fn next_status(
+        &self,
+        status: RolloutStatus,
+        change: StageChange,
+        store_time: Duration,
+    ) -> RolloutStatus {
+        let is_same = status.stage == change.stage;
+        RolloutStatus {
+            sequence: status.sequence + 1,
+            stage: change.stage,
+            reason: change.reason,
+            coordinator: self.this_host.name.clone(),
+            changed_at: if is_same {
+                status.changed_at
+            } else {
+                store_time
+            },
+            ..status
+        }
+    }
+
+    /// Writes a status if the row is as this host has read it.
+    async fn write_status(&self, status: RolloutStatus) {
+        let service = status.service.clone();
+        let row_version = {
+            let coordinated = self.coordinated.borrow();
+            coordinated.get(&service).map(|rollout| rollout.row_version)
+        };
+        let Some(row_version) = row_version else {
+            return;
+        };
+        let written = self.records.write_rollout(&status, row_version).await;
+        match written {
+            Ok(Some(version)) => {
+                self.log_stage(&status);
+                if let Some(rollout) = self.coordinated.borrow_mut().get_mut(&service) {
+                    rollout.row_version = version;
+                }
+                self.publish_status(status);
+            }
+            Ok(None) => {
+                tracing::info!(event = "rollout_conflict", service);
+                self.coordinated.borrow_mut().remove(&service);
+            }
+            Err(error) => {
+                tracing::warn!(event = "rollout_not_written", service, %error);
+                // The write may have taken effect.
+                if matches!(error, RecordError::NoAnswer(_)) {
+                    self.coordinated.borrow_mut().remove(&service);
+                }
+            }
+        }
+    }
+
+    fn log_stage(&self, status: &RolloutStatus) {
+        let coordinated = self.coordinated.borrow();
+        let rollout = coordinated.get(&status.service);
+        let total = rollout.map(|rollout| rollout.coordinator.evidence().total());
+        let total = total.unwrap_or_default();
+        let worst = rollout.and_then(|rollout| {
+            let routes = rollout.coordinator.evidence().by_route();
+            let worst = routes.into_iter().max_by_key(|(_, counts)| counts.new.bad);
+            worst.map(|(route, _)| route.to_owned())
+        });
+        tracing::info!(
+            event = "rollout_stage",
+            service = status.service,
+            version = status.to_version,
+            stage = %status.stage,
+            reason = %status.reason,
+            sequence = status.sequence,
+            answers = total.new.answers,
+            bad = total.new.bad,
+            usual_answers = total.old.answers,
+            usual_bad = total.old.bad,
+            worst_route = worst,
+        );
+        metrics::counter!("stagedeck_rollout_stages_total", "stage" => status.stage.to_string())
+            .increment(1);
+    }
+
+    /// Applies a status, and sends it to the other hosts with the next update.
+    fn publish_status(&self, status: RolloutStatus) {
+        self.pending_routes
+            .borrow_mut()
+            .push(Record::Rollout(status));
+        self.with_follower(Feed::Routes, |follower| follower.gap_attempted.notify_one());
+    }
+
+    /// Reports what this host has counted to the coordinator.
+    fn report_progress(self: &Rc<Self>, rollout: &KnownRollout) {
+        let Some(status) = &rollout.status else {
+            return;
+        };
+        let counters = &self.common.rollouts;
+        let progress = HostProgress {
+            incarnation: self.incarnation,
+            sequence: status.sequence,
+            uses_old_version: self.known_state.borrow().uses_old_version(&status.service),
+            counts: counters.counts(&status.service, status.order_revision),
+        };
+        if status.coordinator == self.this_host.name {
+            let this_host = self.this_host.name.clone();
+            self.record_progress(&this_host, &status.service, status.order_revision, progress);
+            return;
+        }
+        let known_state = self.known_state.borrow();
+        let coordinator = known_state.host_table.get(&status.coordinator);
+        let Some(coordinator) = coordinator.map(|host| host.entry.clone()) else {
+            return;
+        };
+        let message = HostMessage::Rollout {
+            service: status.service.clone(),
+            order_revision: status.order_revision,
+            progress,
+        };
+        let control = Rc::clone(self);
+        spawn_local(async move {
+            let sent = control
+                .ask_host(&coordinator, &message, REPORT_TIMEOUT)
+                .await;
+            if let Err(error) = sent {
+                tracing::debug!(event = "rollout_not_reported", to = coordinator.name, %error);
+            }
+        });
+    }
+
+    /// Records a report, if this host coordinates the roll-out.
+    pub(super) fn record_progress(
+        &self,
+        host: &HostName,
+        service: &str,
+        order_revision: u64,
+        progress: HostProgress,
+    ) {
+        let mut coordinated = self.coordinated.borrow_mut();
+        let rollout = coordinated.get_mut(service);
+        if let Some(rollout) = rollout.filter(|known| known.order_revision == order_revision) {
+            rollout.coordinator.report(clock::now(), host, progress);
+        }
+    }
+}
+
+/// Roll-outs that a host coordinates, by service.
+pub(super) type CoordinatedRollouts = BTreeMap<ServiceName, CoordinatedRollout>;
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -17,6 +17,7 @@
 use crate::allowances::Allowances;
 use crate::control;
 use crate::limits::LimitCalls;
+use crate::rollouts::RolloutCounters;
 use crate::settings::{Bounds, GatewaySettings};
 use crate::suspects::SharedSuspects;
 use crate::traffic;
@@ -112,6 +113,7 @@
     pub allowances: Arc<Allowances>,
     pub limits: LimitCalls,
     pub suspects: Arc<SharedSuspects>,
+    pub rollouts: Arc<RolloutCounters>,
     pub stage: watch::Receiver<Stage>,
 }
 
@@ -164,6 +166,7 @@
             allowances: Arc::new(Allowances::new()),
             limits,
             suspects: Arc::new(suspects),
+            rollouts: Arc::default(),
             stage: stage_receiver,
         };
         let bounds = Arc::clone(&common.bounds);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod control;
 mod host;
 mod limits;
+mod rollouts;
 mod settings;
 mod suspects;
 mod traffic;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -6,7 +6,7 @@
 
 use steering::host_capacity::HostCapacity;
 use steering::ids::{HostName, RegionName, ZoneName};
-use steering::route::AllowanceTolerance;
+use steering::route::{AllowanceTolerance, ExposureBound};
 
 /// Location, addresses and bounds of a host.
 #[derive(Debug, Clone, PartialEq)]
@@ -42,6 +42,8 @@
     pub open_files: u32,
     /// Capacity of the machine.
     pub capacity: HostCapacity,
+    /// Whether upstreams of another version than most get requests only by an operator's order.
+    pub versions_need_orders: bool,
     /// Bounds set by operators.
     pub bounds: Bounds,
 }
@@ -68,6 +70,10 @@
     pub warm_up_overage: f64,
     /// Additional requests per second to an upstream that is warming up.
     pub warm_up_slack: f64,
+    /// Bound on the requests that a bad version may get during a roll-out.
+    pub exposure: ExposureBound,
+    /// Time within which all hosts stop sending to a bad version.
+    pub rollback_time: Duration,
     /// How closely customers' allowances are enforced.
     pub allowances: AllowanceTolerance,
     /// Longest time for which the answer to a host lookup may be valid.
@@ -124,6 +130,8 @@
             retry_slack: 10.0,
             warm_up_overage: 1.0,
             warm_up_slack: 0.0,
+            exposure: ExposureBound { share: 0.05 },
+            rollback_time: Duration::from_secs(5),
             allowances: AllowanceTolerance::default(),
             max_lookup_ttl: Duration::from_secs(5),
             max_region_shift: 0.15,
@@ -150,6 +158,7 @@
             store_address: free,
             open_files: 1_024,
             capacity: HostCapacity::default(),
+            versions_need_orders: false,
             bounds: Bounds::default(),
         }
     }
--- a/crates/gateway/src/traffic/destination.rs
+++ b/crates/gateway/src/traffic/destination.rs
@@ -1,9 +1,12 @@
 //! Selects the service and region for a request.
 
+use std::time::Instant;
+
 use steering::ids::{RegionName, ServiceName};
 use steering::route::{RegionPool, Route, Sender, ServicePool, object_hash, rank, unit_hash};
 
 use super::Traffic;
+use crate::settings::Bounds;
 
 /// Service and region for a request.
 pub(super) struct Destination {
@@ -13,6 +16,8 @@
     /// Hash of the request's object, or a random number if it has none.
     pub object: u64,
     pub by_object: bool,
+    /// Whether the request may be sent to a version of the service that is on trial.
+    pub is_on_trial: bool,
 }
 
 impl Destination {
@@ -33,6 +38,7 @@
         traffic.stats().count_request(&service, &bounds, now);
         let is_allowed = |region: &str| may_run_in(route, sender, region);
         Destination {
+            is_on_trial: is_on_trial(traffic, &service, object, &bounds, now),
             region: select_region(traffic, &service, object, &is_allowed),
             service,
             object,
@@ -60,6 +66,32 @@
     }
 }
 
+/// Whether a request may be sent to a version of its service that is on trial. A host that has
+/// not heard for long how the roll-out goes sends nothing there.
+fn is_on_trial(
+    traffic: &Traffic,
+    service: &ServiceName,
+    object: u64,
+    bounds: &Bounds,
+    now: Instant,
+) -> bool {
+    let view = traffic.common.view.load();
+    let pool = view.services.get(service);
+    let Some(rollout) = pool.and_then(|pool| pool.rollout.as_ref()) else {
+        return false;
+    };
+    let position = unit_hash(object ^ rollout.order_revision);
+    let counters = &traffic.common.rollouts;
+    let is_selected = counters.request_received(service, rollout, bounds.exposure, position);
+    is_selected && knows_rollout(traffic, bounds, now)
+}
+
+/// Whether this host's state of roll-outs is recent enough to send to a new version.
+pub(super) fn knows_rollout(traffic: &Traffic, bounds: &Bounds, now: Instant) -> bool {
+    let age = traffic.common.document_age.age(now);
+    age.is_some_and(|age| age <= bounds.rollback_time / 2)
+}
+
 /// Whether the route and the customer both allow a region.
 fn may_run_in(route: &Route, sender: &Sender, region: &str) -> bool {
     route.may_run_in(region) && sender.may_run_in(region)
--- a/crates/gateway/src/traffic/request_log.rs
+++ b/crates/gateway/src/traffic/request_log.rs
@@ -4,7 +4,7 @@
 
 use hyper::Response;
 use steering::ids::{CustomerName, RegionName, RequestId, RuleName, ServiceName};
-use steering::route::{Choice, UpstreamId, WorkKey};
+use steering::route::{Choice, SoftwareVersion, UpstreamId, WorkKey};
 use upstream::Body;
 
 use super::answers::{Cause, Refusal};
@@ -33,6 +33,7 @@
             load = $request_log.load,
             load_age_ms = $request_log.load_age_ms,
             cold = $request_log.cold,
+            software = $request_log.software,
             expected_ms = $request_log.expected_ms,
             held = $request_log.held,
             speed = $request_log.speed,
@@ -79,6 +80,8 @@
     pub load_age_ms: Option<u64>,
     /// Whether the upstream was considered to be warming up.
     pub cold: bool,
+    /// Version of the upstream's software; none if it reports none.
+    pub software: Option<SoftwareVersion>,
     /// Expected time until the answer, in milliseconds.
     pub expected_ms: u64,
     /// Estimated probability that the upstream holds the object.
@@ -118,6 +121,7 @@
             load: 0.0,
             load_age_ms: None,
             cold: false,
+            software: None,
             expected_ms: 0,
             held: 0.0,
             speed: 0.0,
@@ -136,6 +140,8 @@
         self.load = choice.load;
         self.load_age_ms = choice.load_age.map(|age| age.as_millis() as u64);
         self.cold = choice.cold;
+        let version = &choice.upstream.report.version;
+        self.software = (!version.is_empty()).then(|| version.clone());
         let expected = &choice.expectation;
         self.expected_ms = (expected.wait + expected.work.mean()).as_millis() as u64;
         self.held = round(expected.work.hit_probability);
--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -8,8 +8,9 @@
 use hyper::http::request::Parts;
 use steering::ids::ServiceName;
 use steering::route::{
-    Admission, CallerAttempt, Choice, Requirements, RetryDecision, Route, SendOutcome, Sender,
-    Unavailable, UnavailableCause, UpstreamId, WorkEvent, WorkIdentity, choose, decide_retry,
+    Admission, CallerAttempt, Choice, RegionPool, Requirements, RetryDecision, Route, SendOutcome,
+    Sender, Unavailable, UnavailableCause, UpstreamId, WorkEvent, WorkIdentity, choose,
+    decide_retry,
 };
 use tokio::task::spawn_local;
 use upstream::{Body, RequestBody};
@@ -17,7 +18,7 @@
 use super::Traffic;
 use super::answers::{Cause, Refusal};
 use super::crash_check::CrashCheck;
-use super::destination::Destination;
+use super::destination::{Destination, knows_rollout};
 use super::forward::DEFAULT_RETRY_AFTER;
 use super::head::Head;
 use super::request_log::RequestLog;
@@ -238,7 +239,11 @@
         for (region, pool) in destination.regions_to_ask(pool, self.route, self.sender) {
             let is_own_region = *region == settings.region;
             requirements.region_hosts = view.region_hosts.as_deref().filter(|_| is_own_region);
-            match choose(pool, &requirements, now) {
+            let chosen = match pool.other_version.as_deref() {
+                Some(other) => self.choose_version(pool, other, destination, &requirements, now),
+                None => choose(pool, &requirements, now),
+            };
+            match chosen {
                 Ok(choice) => return Ok(choice),
                 Err(error) => unavailable = error,
             }
@@ -251,6 +256,36 @@
         Err(self.selection_error(unavailable))
     }
 
+    /// Selects an upstream during a roll-out, in which some upstreams have another version.
+    fn choose_version(
+        &self,
+        pool: &RegionPool,
+        other: &RegionPool,
+        destination: &Destination,
+        requirements: &Requirements<'_>,
+        now: Instant,
+    ) -> Result<Choice, Unavailable> {
+        let may_try = destination.is_on_trial && self.sends.is_empty();
+        if may_try && let Ok(choice) = choose(other, requirements, now) {
+            let counters = &self.traffic.common.rollouts;
+            counters.sent_on_trial(&destination.service);
+            return Ok(choice);
+        }
+        let view = self.traffic.common.view.load();
+        let rollout = view.services.get(&destination.service);
+        let rollout = rollout.and_then(|pool| pool.rollout.as_ref());
+        if rollout.is_some_and(|rollout| rollout.trial_per_mille.is_some()) {
+            return choose(pool, requirements, now);
+        }
+        // All requests go to the new version, unless this host no longer knows that.
+        let bounds = self.traffic.common.bounds();
+        let (first, second) = match knows_rollout(self.traffic, &bounds, now) {
+            true => (pool, other),
+            false => (other, pool),
+        };
+        choose(first, requirements, now).or_else(|_| choose(second, requirements, now))
+    }
+
     /// Fraction of the possible wait that the request accepts. More urgent requests accept longer
     /// waits, so they are refused last.
     fn urgency(&self) -> f64 {
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -8,7 +8,10 @@
 use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
-use steering::route::{AnswerOutcome, Choice, SendOutcome, Sender, Upstream, WorkIdentity};
+use steering::ids::RuleName;
+use steering::route::{
+    AnswerOutcome, AnswerQuality, Choice, SendOutcome, Sender, Upstream, WorkIdentity,
+};
 use steering::statement::Obstacle;
 use upstream::{Body, GuardedBody, RequestBody, Reuse, SendError, TrackedBody, end_to_end};
 
@@ -109,7 +112,7 @@
     /// Time after which an answer is useless.
     pub deadline: Instant,
     /// Name of the route.
-    pub route: &'a str,
+    pub route: &'a RuleName,
     /// Who sent the request.
     pub sender: &'a Sender,
     /// Identity of the request and its object for crash detection.
@@ -171,7 +174,14 @@
     };
     *sent = SendOutcome::Perhaps;
     in_flight.is_sent.set(true);
-    match lease.send(request, outgoing.deadline).await {
+    let result = lease.send(request, outgoing.deadline).await;
+    if matches!(result, Err(SendError::Lost { .. } | SendError::Timeout)) {
+        traffic
+            .common
+            .rollouts
+            .answered(outgoing.route, upstream, AnswerQuality::Failed);
+    }
+    match result {
         Ok(answer) => {
             count_send("answered");
             accept_answer(traffic, choice, answer, outgoing, in_flight)
@@ -299,13 +309,21 @@
         ));
     }
     in_flight.record(AnswerOutcome::Complete);
+    let mut quality = AnswerQuality::Good;
     if status.is_success() {
         let now = clock::now();
         let took = now - in_flight.started_at;
-        traffic
+        let ratio = traffic
             .stats()
             .record_answer(now, outgoing.route, choice, took);
+        quality = ratio.map_or(quality, AnswerQuality::of_time);
+    } else if status.is_server_error() {
+        quality = AnswerQuality::Failed;
     }
+    traffic
+        .common
+        .rollouts
+        .answered(outgoing.route, &choice.upstream, quality);
     let (mut parts, body) = answer.into_parts();
     parts.headers = end_to_end(&parts.headers);
     let body = GuardedBody::new(body, in_flight).boxed_unsync();
--- a/crates/gateway/src/traffic/stats.rs
+++ b/crates/gateway/src/traffic/stats.rs
@@ -158,8 +158,15 @@
         routes[&route.name].clone()
     }
 
-    /// Learns from the response time of a request.
-    pub fn record_answer(&mut self, now: Instant, route: &str, choice: &Choice, took: Duration) {
+    /// Learns from the response time of a request. Returns the ratio to the expected time; none
+    /// if the route has been removed.
+    pub fn record_answer(
+        &mut self,
+        now: Instant,
+        route: &str,
+        choice: &Choice,
+        took: Duration,
+    ) -> Option<f64> {
         let service = &choice.upstream.report.service;
         let expected = &choice.expectation;
         let least = took.mul_f64(MIN_WORK_FRACTION);
@@ -167,11 +174,10 @@
         self.update_average(service, work);
         let routes = self.estimates.get_mut(service);
         // A new document may have removed the route meanwhile.
-        let Some(estimate) = routes.and_then(|routes| routes.get_mut(route)) else {
-            return;
-        };
+        let estimate = routes.and_then(|routes| routes.get_mut(route))?;
         let ratio = estimate.learn(expected.affinity, choice.cold, expected.speed, work);
         choice.upstream.state().speed.take(now, ratio);
+        Some(ratio)
     }
 
     /// Drops the state of routes that are not in a new document.
--- a/crates/steering/src/route/feed.rs
+++ b/crates/steering/src/route/feed.rs
@@ -8,9 +8,10 @@
 
 use super::document::RouteDocument;
 use super::document_change::DocumentChange;
+use super::rollout::{RolloutOrder, RolloutStatus};
 use super::store_answers::StoreUptime;
 use super::upstream::{ReportedUpstream, UpstreamId};
-use crate::ids::{HostName, ZoneName};
+use crate::ids::{HostName, ServiceName, ZoneName};
 use crate::membership::HostEntry;
 
 /// Position in a feed; increases with each change.
@@ -54,6 +55,13 @@
         /// Whether the zone must get no work.
         wanted: bool,
     },
+    /// An operator's order to roll out a version.
+    RolloutOrder(RolloutOrder),
+    /// The order of a service was withdrawn.
+    RolloutOrderGone(ServiceName),
+    /// The status of a roll-out. Hosts send it to each other; the operator's rows never
+    /// contain it.
+    Rollout(RolloutStatus),
     /// An upstream's report.
     Upstream(ReportedUpstream),
     /// An upstream's report was removed.
--- a/crates/steering/src/route/host_message.rs
+++ b/crates/steering/src/route/host_message.rs
@@ -4,8 +4,9 @@
 
 use super::allowance::{TokenReply, TokenRequest};
 use super::limit::{LimitReply, LimitTokenRequest};
+use super::rollout::HostProgress;
 use super::suspect::{WorkDigest, WorkState, WorkUpdate};
-use crate::ids::CustomerName;
+use crate::ids::{CustomerName, ServiceName};
 
 /// A request or an update to another host.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -22,6 +23,15 @@
     /// Request for the updates about such requests that the sender may have missed, with a
     /// digest of what it knows.
     MissedWorks(WorkDigest),
+    /// Report to the host that coordinates a roll-out.
+    Rollout {
+        /// The service.
+        service: ServiceName,
+        /// Revision of the order.
+        order_revision: u64,
+        /// Progress of the sender.
+        progress: HostProgress,
+    },
 }
 
 /// Answer to a [`HostMessage`].
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -35,6 +35,7 @@
 mod region_load;
 mod requirements;
 mod retry_decision;
+mod rollout;
 mod sent_objects;
 mod speed;
 mod spread;
@@ -86,6 +87,11 @@
 pub use region_load::RegionLoad;
 pub use requirements::Requirements;
 pub use retry_decision::{RetryDecision, SendOutcome, decide_retry};
+pub use rollout::{
+    ActiveRollout, AnswerCounts, AnswerQuality, Coordinator, Evidence, ExposureBound, HostProgress,
+    OrderError, RolloutOrder, RolloutReason, RolloutStage, RolloutStatus, Rollouts, RouteCounts,
+    SoftwareVersion, StageChange, TrialShare, Verdict, VersionRule, VersionUsage,
+};
 pub use sent_objects::SentObjects;
 pub use speed::Speed;
 pub use spread::{RegionShare, WeightedRoundRobin, share_by_capacity};
@@ -99,6 +105,7 @@
 pub use upstream::{ReportedUpstream, UpstreamId};
 pub use upstream_state::UpstreamState;
 pub use view::{
-    Evacuations, ObservedState, RegionPool, RouteView, ServicePool, StatementCounts, Upstream,
+    Evacuations, ObservedState, RegionPool, RouteView, ServicePool, ServiceRollout,
+    StatementCounts, Upstream,
 };
 pub use zone_health::ZoneHealth;
--- /dev/null
+++ b/crates/steering/src/route/rollout/mod.rs
@@ -0,0 +1,23 @@
+//! Moves a service's requests to another version of its upstreams' software.
+//!
+//! One host coordinates a roll-out. It decides the stage from the answers that all hosts
+//! count, and records it in the store; the other hosts apply it. Each host bounds by itself
+//! how many requests it sends to a version that is on trial.
+
+mod coordinator;
+mod evidence;
+mod order;
+mod rollouts;
+mod status;
+mod trial_share;
+mod verdict;
+mod versions;
+
+pub use coordinator::{Coordinator, HostProgress, StageChange};
+pub use evidence::{AnswerCounts, AnswerQuality, Evidence, RouteCounts};
+pub use order::{OrderError, RolloutOrder, SoftwareVersion};
+pub use rollouts::{ActiveRollout, Rollouts};
+pub use status::{RolloutReason, RolloutStage, RolloutStatus};
+pub use trial_share::{ExposureBound, TrialShare};
+pub use verdict::Verdict;
+pub use versions::{VersionRule, VersionUsage};
--- a/crates/steering/src/route/upstream.rs
+++ b/crates/steering/src/route/upstream.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use twox_hash::XxHash3_64;
 
+use super::rollout::SoftwareVersion;
 use crate::ids::{ServiceName, ZoneName};
 
 /// Identity of an upstream. A restarted process has another identity, or the same identity
@@ -26,6 +27,9 @@
     pub address: SocketAddr,
     /// Availability zone of the upstream.
     pub zone: ZoneName,
+    /// Version of the upstream's software; empty if not reported.
+    #[serde(default)]
+    pub version: SoftwareVersion,
     /// Requests that the upstream works on concurrently; at least 1.
     pub slots: u32,
     /// Whether the upstream accepts no more work.
@@ -60,12 +64,14 @@
             service,
             address,
             zone,
+            version,
             slots,
             draining,
             ..
         } = self;
-        let text =
-            format!("{id}\n{started_ms:?}\n{service}\n{address}\n{zone}\n{slots}\n{draining}");
+        let text = format!(
+            "{id}\n{started_ms:?}\n{service}\n{address}\n{zone}\n{version}\n{slots}\n{draining}"
+        );
         XxHash3_64::oneshot(text.as_bytes())
     }
 }
--- a/crates/steering/src/route/upstream_state.rs
+++ b/crates/steering/src/route/upstream_state.rs
@@ -148,6 +148,11 @@
         stated.or_else(failed).or_else(silent)
     }
 
+    /// Returns whether requests of this host are in flight.
+    pub fn is_working(&self) -> bool {
+        self.in_flight > 0
+    }
+
     /// Returns whether the upstream may be sent a request.
     pub fn is_usable(&self, now: Instant) -> bool {
         self.obstacle(now).is_none()
--- a/crates/steering/src/route/view.rs
+++ b/crates/steering/src/route/view.rs
@@ -13,6 +13,7 @@
 use super::homes::unit_hash;
 use super::region_load::RegionLoad;
 use super::requirements::Requirements;
+use super::rollout::{Rollouts, SoftwareVersion, VersionRule, VersionUsage};
 use super::table::RouteTable;
 use super::upstream::ReportedUpstream;
 use super::upstream_state::{UpstreamState, estimate_others};
@@ -30,6 +31,10 @@
 /// are requested unevenly, and requests beyond the limit get no token.
 const KEPT_RATE_FACTOR: f64 = 1.5;
 
+/// Share of the new version's upstreams that is used on trial, relative to the share of the
+/// requests.
+const TRIAL_UPSTREAMS_FACTOR: f64 = 1.5;
+
 /// An upstream that may receive requests.
 #[derive(Debug)]
 pub struct Upstream {
@@ -96,6 +101,12 @@
         }
     }
 
+    /// Returns whether requests of this host run at the upstream.
+    pub fn is_working(&self) -> bool {
+        self.observed_state()
+            .is_some_and(|state| state.is_working())
+    }
+
     /// Returns whether the upstream may be sent a request.
     pub fn is_usable(&self, now: Instant) -> bool {
         self.observed_state()
@@ -173,9 +184,22 @@
 pub struct RegionPool {
     /// Upstreams that accept work, ordered by identity.
     pub upstreams: Vec<Arc<Upstream>>,
+    /// During a roll-out, the upstreams of the version on trial, or of the old version once
+    /// all requests go to the new one.
+    pub other_version: Option<Box<RegionPool>>,
 }
 
 impl RegionPool {
+    /// Keeps the upstreams that are used while their version is on trial. With all of them,
+    /// each would get too few requests to show how the version behaves under load.
+    fn keep_for_trial(&mut self, order_revision: u64, share_per_mille: u16) {
+        let share = f64::from(share_per_mille) / 1_000.0 * TRIAL_UPSTREAMS_FACTOR;
+        let count = (self.upstreams.len() as f64 * share).ceil() as usize;
+        let place = |upstream: &Arc<Upstream>| unit_hash(upstream.hash ^ order_revision);
+        self.upstreams.sort_by(|a, b| place(a).total_cmp(&place(b)));
+        self.upstreams.truncate(count.max(1));
+    }
+
     /// Returns the sum of the upstreams' slots.
     pub fn slots(&self) -> u32 {
         self.upstreams
@@ -216,6 +240,20 @@
     pub regions: BTreeMap<RegionName, RegionPool>,
     /// Settings of the service; `None` if the document does not list it.
     pub terms: Option<ServiceTerms>,
+    /// The roll-out that has not been decided yet, if any.
+    pub rollout: Option<ServiceRollout>,
+}
+
+/// A roll-out that has not been decided yet.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServiceRollout {
+    /// Revision of the order.
+    pub order_revision: u64,
+    /// The version that is rolled out.
+    pub version: SoftwareVersion,
+    /// Thousandths of the requests that go to the version while it is on trial; `None` once
+    /// all requests go to it.
+    pub trial_per_mille: Option<u16>,
 }
 
 /// Number of a service's upstreams whose statements to this host restrict the work sent to
@@ -231,6 +269,21 @@
 }
 
 impl ServicePool {
+    /// Applies the rule of a roll-out to the pools.
+    fn begin_rollout(&mut self, rule: &VersionRule) {
+        self.rollout = rule.rollout();
+        let trial = self.rollout.as_ref();
+        let Some((order_revision, share_per_mille)) =
+            trial.and_then(|rollout| Some((rollout.order_revision, rollout.trial_per_mille?)))
+        else {
+            return;
+        };
+        let pools = self.regions.values_mut();
+        for pool in pools.filter_map(|pool| pool.other_version.as_mut()) {
+            pool.keep_for_trial(order_revision, share_per_mille);
+        }
+    }
+
     /// Counts the service's upstreams by their statements.
     pub fn statement_counts(&self, now: Instant) -> StatementCounts {
         let mut counts = StatementCounts::default();
@@ -347,9 +400,11 @@
         catalog: &Catalog,
         evacuations: &Evacuations,
         regions: &BTreeMap<ZoneName, RegionName>,
+        rollouts: &Rollouts,
         states: &mut ObservedState,
         now: Instant,
     ) -> HashMap<ServiceName, ServicePool> {
+        let rules = version_rules(rollouts, catalog);
         for observed in states.upstreams.values_mut() {
             observed.is_listed = false;
         }
@@ -365,6 +420,14 @@
                 observed.upstream = None;
                 continue;
             }
+            let usage = match rules.get(report.service.as_str()) {
+                Some(rule) => rule.usage(&report.version),
+                None => VersionUsage::Regular,
+            };
+            if usage == VersionUsage::Unused {
+                observed.upstream = None;
+                continue;
+            }
             let warm_up = document.services.get(&report.service);
             let warm_up = warm_up.map_or(Duration::ZERO, |terms| terms.warm_up);
             let cold_after_evacuation = evacuations.ended.get(&report.zone).map(|at| *at + warm_up);
@@ -389,12 +452,18 @@
                 }
             };
             observed.upstream = Some(Arc::clone(&upstream));
-            region_pool(&mut pools, &report.service, region)
-                .upstreams
-                .push(upstream);
+            let pool = region_pool(&mut pools, &report.service, region);
+            let pool = match usage {
+                VersionUsage::Other => pool.other_version.get_or_insert_default(),
+                _ => pool,
+            };
+            pool.upstreams.push(upstream);
         }
         for (name, pool) in &mut pools {
             pool.terms = document.services.get(name).cloned();
+            if let Some(rule) = rules.get(name.as_str()) {
+                pool.begin_rollout(rule);
+            }
         }
         let regions = &mut states.regions;
         regions.retain(|(service, _), _| pools.contains_key(service));
@@ -408,6 +477,34 @@
     }
 }
 
+/// Returns the rules of the services whose upstreams are used depending on their version.
+fn version_rules<'a>(
+    rollouts: &'a Rollouts,
+    catalog: &'a Catalog,
+) -> HashMap<&'a str, VersionRule> {
+    let mut versions: HashMap<&str, BTreeMap<&str, usize>> = HashMap::new();
+    for service in rollouts.services() {
+        versions.insert(service, BTreeMap::new());
+    }
+    if versions.is_empty() && !rollouts.orders_required() {
+        return HashMap::new();
+    }
+    let reports = catalog.listed().map(|listed| &listed.report);
+    for report in reports.filter(|report| !report.draining) {
+        let of_service = match rollouts.orders_required() {
+            true => Some(versions.entry(report.service.as_str()).or_default()),
+            false => versions.get_mut(report.service.as_str()),
+        };
+        if let Some(of_service) = of_service {
+            *of_service.entry(report.version.as_str()).or_default() += 1;
+        }
+    }
+    let rules = versions.into_iter();
+    rules
+        .map(|(service, versions)| (service, rollouts.rule(service, &versions)))
+        .collect()
+}
+
 /// Returns the pool of a service in a region, which is created if necessary.
 fn region_pool<'a>(
     pools: &'a mut HashMap<ServiceName, ServicePool>,
--- a/crates/steering/tests/route_catalog.rs
+++ b/crates/steering/tests/route_catalog.rs
@@ -12,6 +12,7 @@
         service: "surcos".to_owned(),
         address: "127.0.0.1:9000".parse().unwrap(),
         zone: "quito-norte".to_owned(),
+        version: String::new(),
         slots: 3,
         draining: false,
         cold_for: Duration::ZERO,
--- a/crates/steering/tests/route_view.rs
+++ b/crates/steering/tests/route_view.rs
@@ -6,8 +6,8 @@
 
 use rstest::rstest;
 use steering::route::{
-    Catalog, Changes, Evacuations, ObservedState, Record, ReportedUpstream, RouteDocument,
-    RouteView, Upstream,
+    Catalog, Changes, Evacuations, ObservedState, Record, ReportedUpstream, Rollouts,
+    RouteDocument, RouteView, Upstream,
 };
 use steering::statement::Obstacle;
 
@@ -21,6 +21,7 @@
         service: "s1".to_owned(),
         address: "127.0.0.1:9".parse().unwrap(),
         zone: "duran".to_owned(),
+        version: String::new(),
         slots,
         draining: false,
         cold_for: Duration::ZERO,
@@ -50,6 +51,7 @@
             &self.catalog,
             &Evacuations::default(),
             &regions,
+            &Rollouts::default(),
             &mut self.observed,
             now,
         );
--- a/crates/steering/tests/route_world/mod.rs
+++ b/crates/steering/tests/route_world/mod.rs
@@ -7,7 +7,7 @@
 
 use steering::route::{
     Catalog, Changes, Choice, Estimate, Evacuations, ObservedState, Record, RegionPool,
-    ReportedUpstream, Requirements, RouteDocument, RouteView, ServicePool, ServiceTerms,
+    ReportedUpstream, Requirements, Rollouts, RouteDocument, RouteView, ServicePool, ServiceTerms,
     Unavailable, Upstream,
 };
 
@@ -20,6 +20,7 @@
         service: "s1".to_owned(),
         address: "127.0.0.1:9".parse().unwrap(),
         zone: ["duran", "puerto"][number % 2].to_owned(),
+        version: String::new(),
         slots: SLOTS,
         draining: false,
         cold_for,
@@ -53,6 +54,7 @@
         &catalog,
         &Evacuations::default(),
         &regions,
+        &Rollouts::default(),
         &mut ObservedState::default(),
         now,
     );
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -16,7 +16,10 @@
 pub use config::{ConfigStore, PollError};
 pub use hosts::{HostList, ListedHost};
 pub use http::{HttpPlatform, wire};
-pub use records::{HOSTS_TABLE, OwnRow, PEER_KEY_ROW, RecordError, RecordStore, StoreFuture};
+pub use records::{
+    HOSTS_TABLE, OwnRow, PEER_KEY_ROW, ROLLOUTS_TABLE, RecordError, RecordStore, RolloutRow,
+    RowVersion, StoreFuture,
+};
 pub use roster::RosterStore;
 pub use table::{
     ABSENT, Commit, Condition, Key, ObjectStore, Platform, Row, StoreError, Table, Transaction,
--- a/crates/store/src/records.rs
+++ b/crates/store/src/records.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
-use steering::route::{Changes, Feed, FeedVersion};
+use steering::route::{Changes, Feed, FeedVersion, RolloutStatus};
 
 /// Future of a call to the store; not `Send`, since all calls are made on one thread.
 pub type StoreFuture<'a, T> = Pin<Box<dyn Future<Output = Result<T, RecordError>> + 'a>>;
@@ -20,6 +20,20 @@
     pub value: Vec<u8>,
 }
 
+/// Version of a row; 0 if there is no row.
+pub type RowVersion = u64;
+
+/// The row of a roll-out, as read from the store.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RolloutRow {
+    /// Version of the row; 0 if there is none.
+    pub version: RowVersion,
+    /// Status in the row; none if there is no row or it can't be decoded.
+    pub status: Option<RolloutStatus>,
+    /// Time by the store's clock at which the row was read.
+    pub store_time: Duration,
+}
+
 /// Why a call to the store failed.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 pub enum RecordError {
@@ -46,6 +60,10 @@
 /// this name.
 pub const PEER_KEY_ROW: &str = "*peer-key";
 
+/// Table with the statuses of roll-outs. The key is the name of the service, the value a
+/// [`steering::route::RolloutStatus`] as JSON.
+pub const ROLLOUTS_TABLE: &str = "rollouts";
+
 /// The store, as used by hosts that serve routes.
 pub trait RecordStore {
     /// Reads all records of a feed.
@@ -57,6 +75,15 @@
     fn put(&self, table: &'static str, row: OwnRow) -> StoreFuture<'_, ()>;
     /// Inserts a row; returns false if the row exists.
     fn create(&self, table: &'static str, row: OwnRow) -> StoreFuture<'_, bool>;
+    /// Reads the row of a service's last roll-out.
+    fn read_rollout(&self, service: &str) -> StoreFuture<'_, RolloutRow>;
+    /// Writes the status of a roll-out, also for operators, if its row still has the version
+    /// `expected`. Returns the new version of the row; none if the row has another version.
+    fn write_rollout(
+        &self,
+        status: &RolloutStatus,
+        expected: RowVersion,
+    ) -> StoreFuture<'_, Option<RowVersion>>;
     /// Removes a row; succeeds if there is no such row.
     fn remove(&self, table: &'static str, key: &str) -> StoreFuture<'_, ()>;
 }
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -19,6 +19,9 @@
 const STATE_EVENTS: &[&str] = &[
     "document_taken",
     "evacuations",
+    "rollout_ordered",
+    "rollout_withdrawn",
+    "rollout_stage",
     "store_lost",
     "store_regained",
     "history_gone",
