Region use in one pass without locks for upstreams that were never observed; ranks without logarithms among equal weights

Each second a host went three times over all upstreams of each region, taking the region's lock for each, and each request that leaves its region summed the slots of all upstreams. One pass, the region's use read once; slots summed once for each view; among equal weights the ranking compares hashes.

--- a/crates/steering/src/route/homes.rs
+++ b/crates/steering/src/route/homes.rs
@@ -22,9 +22,21 @@
 /// The order is computed lazily: most requests need only the first one or two of thousands
 /// of members.
 pub fn rank(object: u64, members: impl Iterator<Item = (u64, f64)>) -> impl Iterator<Item = usize> {
-    let scored = members.enumerate().map(|(index, (hash, weight))| Scored {
-        score: score(object, hash, weight),
-        index,
+    let mut weights = (f64::INFINITY, 0.0_f64);
+    let scored = members.enumerate().map(|(index, (hash, weight))| {
+        weights = (weights.0.min(weight), weights.1.max(weight));
+        let score = unit(XxHash3_64::oneshot_with_seed(object, &hash.to_le_bytes()));
+        (Scored { score, index }, weight)
+    });
+    let scored: Vec<(Scored, f64)> = scored.collect();
+    // Among equal weights the hash alone has the same order as the weighted score.
+    let is_weighted = weights.0 < weights.1;
+    let scored = scored.into_iter().map(|(scored, weight)| match is_weighted {
+        true => Scored {
+            score: weight / -scored.score.ln(),
+            ..scored
+        },
+        false => scored,
     });
     let mut scored: BinaryHeap<Scored> = scored.collect();
     iter::from_fn(move || scored.pop().map(|score| score.index))
@@ -57,11 +69,6 @@
 
 impl Eq for Scored {}
 
-fn score(object: u64, member: u64, weight: f64) -> f64 {
-    let mixed = XxHash3_64::oneshot_with_seed(object, &member.to_le_bytes());
-    weight / -unit(mixed).ln()
-}
-
 /// Maps an object's hash to a number above 0 and below 1.
 pub fn unit_hash(object: u64) -> f64 {
     unit(XxHash3_64::oneshot(&object.to_le_bytes()))
--- a/crates/steering/src/route/view.rs
+++ b/crates/steering/src/route/view.rs
@@ -187,6 +187,8 @@
     /// During a roll-out, the upstreams of the version on trial, or of the old version once
     /// all requests go to the new one.
     pub other_version: Option<Box<RegionPool>>,
+    /// Sum of the upstreams' slots, computed when first needed.
+    slots: OnceLock<u32>,
 }
 
 impl RegionPool {
@@ -198,14 +200,13 @@
         let place = |upstream: &Arc<Upstream>| unit_hash(upstream.hash ^ order_revision);
         self.upstreams.sort_by(|a, b| place(a).total_cmp(&place(b)));
         self.upstreams.truncate(count.max(1));
+        self.slots = OnceLock::new();
     }
 
     /// Returns the sum of the upstreams' slots.
     pub fn slots(&self) -> u32 {
-        self.upstreams
-            .iter()
-            .map(|upstream| upstream.report.slots)
-            .sum()
+        let slots = self.upstreams.iter().map(|upstream| upstream.report.slots);
+        *self.slots.get_or_init(|| slots.sum())
     }
 
     /// Returns the number of requests that the upstreams may work on concurrently within
@@ -221,15 +222,30 @@
     /// full. `hosts` is the number of hosts that send to the upstreams, `typical_work` the
     /// typical work time.
     pub fn utilization(&self, now: Instant, hosts: usize, typical_work: Option<Duration>) -> f64 {
-        let capacity = self.capacity(now, typical_work);
+        let region = self.upstreams.first().map(|upstream| &upstream.region);
+        let use_of_slots = region.and_then(|region| lock(region).use_of_slots(now));
+        let (mut load, mut capacity) = (0.0, 0.0);
+        for upstream in &self.upstreams {
+            // A host has observed a small part of the upstreams of a large deployment.
+            let Some(state) = upstream.observed_state() else {
+                let slots = f64::from(upstream.report.slots);
+                capacity += slots;
+                load += estimate_others(0.0, hosts, use_of_slots.map(|share| share * slots));
+                continue;
+            };
+            let is_usable = state.is_usable(now);
+            drop(state);
+            let own_capacity = upstream.capacity(now, typical_work);
+            capacity += own_capacity;
+            load += match is_usable {
+                true => upstream.load(now, hosts),
+                false => own_capacity,
+            };
+        }
         if capacity == 0.0 {
             return f64::INFINITY;
         }
-        let load = |upstream: &Arc<Upstream>| match upstream.is_usable(now) {
-            true => upstream.load(now, hosts),
-            false => upstream.capacity(now, typical_work),
-        };
-        self.upstreams.iter().map(load).sum::<f64>() / capacity
+        load / capacity
     }
 }
 
