Fewer heartbeats to other regions; one type a file in the view of routes and the control thread

Hosts of other regions get every second heartbeat of a large deployment; the question replaces the heartbeat to the host that is asked: five messages a second in place of seven. The view's types have files of their own (upstream, region_pool, service_pool, evacuations, observed_state), as have the log of changes, pages of a state, and the exchange of states.

--- a/crates/gateway/src/control/follower.rs
+++ b/crates/gateway/src/control/follower.rs
@@ -14,8 +14,9 @@
 use tokio::sync::Notify;
 
 use super::feed_age::FeedAge;
-use super::known_state::MAX_PAGE_RECORDS;
+
 use super::origin::Source;
+use super::state_page::MAX_PAGE_RECORDS;
 use super::waits::{LongestWait, Wait};
 use crate::settings::{Bounds, GatewaySettings};
 
--- a/crates/gateway/src/control/group.rs
+++ b/crates/gateway/src/control/group.rs
@@ -107,11 +107,12 @@
     /// Drops clients of hosts that this host sends nothing to, or whose address has changed.
     pub(super) fn prune_clients(&self) {
         let neighbors = self.neighbors();
-        let receivers = Feed::ALL
+        let receivers: Vec<&HostEntry> = Feed::ALL
             .iter()
             .flat_map(|feed| neighbors.first_hosts(*feed))
             .chain(&neighbors.group)
-            .chain(&neighbors.heartbeat_targets);
+            .chain(neighbors.heartbeat_targets.all())
+            .collect();
         let leases = self.common.allowances.leases();
         let owners: BTreeSet<&HostName> = leases.owners().collect();
         let known_state = self.known_state.borrow();
@@ -124,6 +125,7 @@
         let lenders = lenders
             .filter(|host| owners.contains(&host.name) || is_in_zone(host) || is_asked(host));
         let addresses: HashMap<&HostName, SocketAddr> = receivers
+            .into_iter()
             .chain(lenders)
             .map(|host| (&host.name, host.peer_address))
             .collect();
--- a/crates/gateway/src/control/hosts.rs
+++ b/crates/gateway/src/control/hosts.rs
@@ -202,7 +202,7 @@
             let known_state = self.known_state.borrow();
             let lost = known_state
                 .host_table
-                .lost(now, &neighbors.heartbeat_targets);
+                .lost(now, neighbors.heartbeat_targets.all());
             lost.into_iter().cloned().collect()
         };
         for name in lost {
@@ -227,8 +227,14 @@
             let neighbors = self.neighbors();
             self.prune_clients();
             let beat = Rc::new(self.heartbeat(false));
-            self.compare_work_in_turn(&neighbors.heartbeat_targets);
-            for host in &neighbors.heartbeat_targets {
+            let targets = &neighbors.heartbeat_targets;
+            // The question about refused work is a sign of life as well.
+            let asked = self.compare_work_in_turn(targets);
+            let number = self.heartbeats_sent.get();
+            for host in targets.of_heartbeat(number) {
+                if asked.as_ref() == Some(&host.name) {
+                    continue;
+                }
                 // At most one heartbeat to a host is in flight.
                 if let Some(client) = self.idle_client(host) {
                     let sending =
--- a/crates/gateway/src/control/known_state.rs
+++ b/crates/gateway/src/control/known_state.rs
@@ -8,21 +8,19 @@
 
 use steering::ids::{HostName, RegionName, ServiceName, ZoneName};
 use steering::route::{
-    Catalog, CatalogChange, ChangeReport, Changes, CustomerTable, DocumentChange, Evacuations,
-    Feed, FeedDigest, HostTable, ObservedState, Record, RolloutOrder, Rollouts, RouteDocument,
-    RouteTable, RouteView, ServicePool, StoreAnswers, StoreUptime,
+    Catalog, Changes, CustomerTable, DocumentChange, Evacuations, Feed, FeedDigest, HostTable,
+    ObservedState, Record, Rollouts, RouteDocument, RouteTable, RouteView, ServicePool,
+    StoreAnswers, StoreUptime,
 };
 
-use super::origin::{Origin, Source};
+use super::change_log::{log_changes, log_order};
+use super::origin::Origin;
+use super::state_page::take_page;
 use crate::host::Common;
 
 /// Maximum number of unreadable reports that are remembered, so that each is logged once.
 const MAX_REFUSED_REPORTS: usize = 1_000;
 
-/// Number of records in a page of a feed's state. A thousand reports take some 70 KB, which a link
-/// of 20 Mbit/s sends to four hosts at once in 0.11 s.
-pub(super) const MAX_PAGE_RECORDS: usize = 1_000;
-
 /// Largest difference between hosts' accounts of one recovery of the store, since messages between
 /// hosts take up to a second.
 const RECOVERY_TOLERANCE: Duration = Duration::from_secs(1);
@@ -411,78 +409,3 @@
         advertised
     }
 }
-
-/// Takes the next page, and the key of its last record if there are more.
-fn take_page<'a>(
-    mut records: impl Iterator<Item = (&'a str, Record)>,
-) -> (Vec<Record>, Option<String>) {
-    let mut page = Vec::new();
-    let mut last_key = None;
-    for (key, record) in records.by_ref().take(MAX_PAGE_RECORDS) {
-        page.push(record);
-        last_key = Some(key);
-    }
-    let next = last_key.filter(|_| records.next().is_some());
-    (page, next.map(str::to_owned))
-}
-
-fn log_order(order: &RolloutOrder) {
-    let RolloutOrder {
-        service,
-        to_version,
-        duration,
-        revision,
-    } = order;
-    let duration_ms = duration.as_millis() as u64;
-    tracing::info!(
-        event = "rollout_ordered",
-        service,
-        version = to_version,
-        duration_ms,
-        revision
-    );
-}
-
-fn log_changes(changes: &[CatalogChange], origin: Origin) {
-    let (source, age_ms) = (
-        origin.source,
-        clock::elapsed(origin.as_of).as_millis() as u64,
-    );
-    match ChangeReport::new(changes) {
-        ChangeReport::Each(changes) => {
-            for change in changes {
-                log_change(change, source, age_ms);
-            }
-        }
-        ChangeReport::Counts {
-            reported,
-            draining,
-            removed,
-        } => tracing::info!(
-            event = "upstreams_changed",
-            reported,
-            draining,
-            removed,
-            %source,
-            age_ms
-        ),
-    }
-}
-
-fn log_change(change: &CatalogChange, source: Source, age_ms: u64) {
-    match change {
-        CatalogChange::Removed { id, at_once } => {
-            tracing::info!(event = "upstream_gone", upstream = id, at_once, %source, age_ms);
-        }
-        CatalogChange::Reported(report) => tracing::info!(
-            event = "upstream_reported",
-            upstream = report.id,
-            service = report.service,
-            version = report.version,
-            draining = report.draining,
-            cold_ms = report.cold_for.as_millis() as u64,
-            %source,
-            age_ms
-        ),
-    }
-}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -1,6 +1,8 @@
 //! The control thread: keeps the state of routes, upstreams and hosts, and publishes views of it.
 
+mod change_log;
 mod feed_age;
+mod feed_state;
 mod feeds;
 mod follower;
 mod group;
@@ -12,6 +14,7 @@
 mod origin;
 mod outage;
 mod rollouts;
+mod state_page;
 mod tokens;
 mod update_sender;
 mod waits;
--- a/crates/gateway/src/control/neighbors.rs
+++ b/crates/gateway/src/control/neighbors.rs
@@ -4,7 +4,9 @@
 
 use steering::ids::{RegionName, ZoneName};
 use steering::membership::HostEntry;
-use steering::route::{Feed, FeedRank, HostTable, heartbeat_targets, host_groups};
+use steering::route::{
+    Feed, FeedRank, HeartbeatTargets, HostTable, heartbeat_targets, host_groups,
+};
 
 /// Hosts with which this host exchanges messages, derived from one version of the host table.
 #[derive(Debug)]
@@ -18,7 +20,7 @@
     /// The highest-ranked host of each other group, for each feed.
     first_hosts: [Vec<HostEntry>; Feed::ALL.len()],
     /// Hosts that get heartbeats.
-    pub heartbeat_targets: Vec<HostEntry>,
+    pub heartbeat_targets: HeartbeatTargets<HostEntry>,
 }
 
 impl Neighbors {
@@ -54,7 +56,14 @@
                 .collect(),
             is_one_group: others.is_empty(),
             first_hosts,
-            heartbeat_targets: heartbeat_targets.into_iter().cloned().collect(),
+            heartbeat_targets: HeartbeatTargets {
+                every: heartbeat_targets.every.into_iter().cloned().collect(),
+                every_second: heartbeat_targets
+                    .every_second
+                    .into_iter()
+                    .cloned()
+                    .collect(),
+            },
         }
     }
 
--- a/crates/gateway/src/control/work_updates.rs
+++ b/crates/gateway/src/control/work_updates.rs
@@ -6,7 +6,7 @@
 use futures::future::select_ok;
 use steering::ids::HostName;
 use steering::membership::HostEntry;
-use steering::route::{Feed, HostMessage, HostReply, WorkUpdate};
+use steering::route::{Feed, HeartbeatTargets, HostMessage, HostReply, WorkUpdate};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
@@ -69,7 +69,8 @@
         while self.local.borrow().is_none() {
             sleep(RETRY_DELAY).await;
         }
-        let mut hosts = self.neighbors().heartbeat_targets.clone();
+        let neighbors = self.neighbors();
+        let mut hosts: Vec<&HostEntry> = neighbors.heartbeat_targets.all().collect();
         let region = |host: &HostEntry| self.common.settings.regions.get(&host.zone);
         hosts.sort_by_key(|host| region(host) != Some(&self.common.settings.region));
         let answers = hosts.iter().take(HOSTS_ASKED_AT_START).map(async |host| {
@@ -83,16 +84,23 @@
         }
     }
 
-    /// Asks the next of the given hosts for updates that this host may have missed.
-    pub(super) fn compare_work_in_turn(self: &Rc<Self>, heartbeat_targets: &[HostEntry]) {
-        if heartbeat_targets.is_empty() {
+    /// Asks the next of the given hosts for updates that this host may have missed. Returns its
+    /// name.
+    pub(super) fn compare_work_in_turn(
+        self: &Rc<Self>,
+        targets: &HeartbeatTargets<HostEntry>,
+    ) -> Option<HostName> {
+        let count = targets.all().count();
+        if count == 0 {
             self.common.suspects.note_alone();
-            return;
+            return None;
         }
-        let host = heartbeat_targets[self.heartbeats_sent.get() as usize % heartbeat_targets.len()]
-            .clone();
+        let turn = self.heartbeats_sent.get() as usize % count;
+        let host = targets.all().nth(turn)?.clone();
+        let name = host.name.clone();
         let control = Rc::clone(self);
         spawn_local(async move { control.compare_work(&host).await });
+        Some(name)
     }
 
     /// Asks a host for updates that this host may have missed. Returns whether it answered.
@@ -104,6 +112,10 @@
             return false;
         };
         count(if states.is_empty() { "same" } else { "missed" });
+        self.known_state
+            .borrow_mut()
+            .host_table
+            .answered(clock::now(), &host.name);
         self.common.suspects.merge(&states, &host.name);
         true
     }
--- a/crates/steering/src/route/catalog.rs
+++ b/crates/steering/src/route/catalog.rs
@@ -7,7 +7,7 @@
 
 use super::feed::{Changes, FeedDigest, Record};
 use super::feed_timing::LAPSE_PROPAGATION_LIMIT;
-use super::upstream::{ReportedUpstream, UpstreamId};
+use super::reported_upstream::{ReportedUpstream, UpstreamId};
 
 /// Time after the store's return within which live upstreams register again; operators give
 /// about 2 s.
--- a/crates/steering/src/route/choice.rs
+++ b/crates/steering/src/route/choice.rs
@@ -7,10 +7,11 @@
 use super::expectation::{Expectation, UpstreamSnapshot, predict};
 use super::homes::rank;
 use super::pace::cold_share;
+use super::region_pool::RegionPool;
+use super::reported_upstream::UpstreamId;
 use super::requirements::Requirements;
 use super::unavailable::{SkippedUpstreams, Unavailable};
-use super::upstream::UpstreamId;
-use super::view::{RegionPool, Upstream};
+use super::upstream::Upstream;
 use crate::ids::HostName;
 use crate::statement::{KnownLimit, Obstacle};
 
--- a/crates/steering/src/route/feed.rs
+++ b/crates/steering/src/route/feed.rs
@@ -8,9 +8,9 @@
 
 use super::document::RouteDocument;
 use super::document_change::DocumentChange;
+use super::reported_upstream::{ReportedUpstream, UpstreamId};
 use super::rollout::{RolloutOrder, RolloutStatus};
 use super::store_answers::StoreUptime;
-use super::upstream::{ReportedUpstream, UpstreamId};
 use crate::ids::{HostName, ServiceName, ZoneName};
 use crate::membership::HostEntry;
 
--- a/crates/steering/src/route/heartbeat_targets.rs
+++ b/crates/steering/src/route/heartbeat_targets.rs
@@ -26,6 +26,32 @@
     each_other_region: 1,
 };
 
+/// Hosts to which a host sends heartbeats.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct HeartbeatTargets<H> {
+    /// Hosts that get every heartbeat.
+    pub every: Vec<H>,
+    /// Hosts that get every second heartbeat: in a large deployment those of other regions,
+    /// which are advertised only to callers that ask far from their own region.
+    pub every_second: Vec<H>,
+}
+
+impl<H> HeartbeatTargets<H> {
+    /// Returns all targets.
+    pub fn all(&self) -> impl Iterator<Item = &H> + Clone {
+        self.every.iter().chain(&self.every_second)
+    }
+
+    /// Returns the targets of the heartbeat with this number.
+    pub fn of_heartbeat(&self, number: u64) -> impl Iterator<Item = &H> {
+        let second = self
+            .every_second
+            .iter()
+            .filter(move |_| number.is_multiple_of(2));
+        self.every.iter().chain(second)
+    }
+}
+
 /// Returns the hosts to which `this_host` sends heartbeats: all of a small deployment,
 /// otherwise some of each region, so that the cost for each host does not grow with the
 /// deployment.
@@ -37,18 +63,22 @@
     this_host: &str,
     own_region: &str,
     others: impl IntoIterator<Item = (&'a HostEntry, &'a RegionName)>,
-) -> Vec<&'a HostEntry> {
+) -> HeartbeatTargets<&'a HostEntry> {
     let mut by_region: BTreeMap<&str, Vec<&HostEntry>> = BTreeMap::new();
     let mut count = 1;
     for (host, region) in others {
         count += 1;
         by_region.entry(region).or_default().push(host);
     }
-    let counts = match count <= MAX_GROUP_SIZE {
-        true => SMALL_DEPLOYMENT,
-        false => LARGE_DEPLOYMENT,
+    let is_large = count > MAX_GROUP_SIZE;
+    let counts = match is_large {
+        true => LARGE_DEPLOYMENT,
+        false => SMALL_DEPLOYMENT,
+    };
+    let mut targets = HeartbeatTargets {
+        every: Vec::new(),
+        every_second: Vec::new(),
     };
-    let mut targets = Vec::new();
     for (region, mut hosts) in by_region {
         let is_own = region == own_region;
         let max = match is_own {
@@ -60,7 +90,11 @@
         if is_own && hosts.len() > max {
             move_successor_to_front(this_host, &mut hosts);
         }
-        targets.extend(hosts.into_iter().take(max));
+        let of_region = match is_large && !is_own {
+            true => &mut targets.every_second,
+            false => &mut targets.every,
+        };
+        of_region.extend(hosts.into_iter().take(max));
     }
     targets
 }
--- a/crates/steering/src/route/homes.rs
+++ b/crates/steering/src/route/homes.rs
@@ -31,13 +31,15 @@
     let scored: Vec<(Scored, f64)> = scored.collect();
     // Among equal weights the hash alone has the same order as the weighted score.
     let is_weighted = weights.0 < weights.1;
-    let scored = scored.into_iter().map(|(scored, weight)| match is_weighted {
-        true => Scored {
-            score: weight / -scored.score.ln(),
-            ..scored
-        },
-        false => scored,
-    });
+    let scored = scored
+        .into_iter()
+        .map(|(scored, weight)| match is_weighted {
+            true => Scored {
+                score: weight / -scored.score.ln(),
+                ..scored
+            },
+            false => scored,
+        });
     let mut scored: BinaryHeap<Scored> = scored.collect();
     iter::from_fn(move || scored.pop().map(|score| score.index))
 }
--- a/crates/steering/src/route/host_table.rs
+++ b/crates/steering/src/route/host_table.rs
@@ -192,12 +192,16 @@
     }
 
     /// Returns the heartbeat partners that have been silent for so long that they are lost.
-    pub fn lost<'a>(&self, now: Instant, partners: &'a [HostEntry]) -> Vec<&'a HostName> {
+    pub fn lost<'a>(
+        &self,
+        now: Instant,
+        partners: impl IntoIterator<Item = &'a HostEntry>,
+    ) -> Vec<&'a HostName> {
         let is_lost = |name: &HostName| {
             let host = self.hosts.get(name);
             host.is_some_and(|host| now.saturating_duration_since(host.last_seen) > LOST_AFTER)
         };
-        let names = partners.iter().map(|partner| &partner.name);
+        let names = partners.into_iter().map(|partner| &partner.name);
         names.filter(|name| is_lost(name)).collect()
     }
 
--- a/crates/steering/src/route/limit/message.rs
+++ b/crates/steering/src/route/limit/message.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::ZoneName;
-use crate::route::upstream::UpstreamId;
+use crate::route::reported_upstream::UpstreamId;
 
 /// Request for a token for one request to an upstream with a limit. Hosts of versions that do not
 /// know this message do not answer, and are treated as silent.
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -15,6 +15,7 @@
 mod document;
 mod document_change;
 mod estimate;
+mod evacuations;
 mod expectation;
 mod feed;
 mod feed_rank;
@@ -28,15 +29,19 @@
 mod host_table;
 mod key_hash;
 mod limit;
+mod observed_state;
 mod pace;
 mod poll_schedule;
 mod quantile;
 mod recent_changes;
 mod region_load;
+mod region_pool;
+mod reported_upstream;
 mod requirements;
 mod retry_decision;
 mod rollout;
 mod sent_objects;
+mod service_pool;
 mod speed;
 mod spread;
 mod store_answers;
@@ -62,6 +67,7 @@
 pub use document::{CallerLimits, Route, RouteDocument, ServiceTerms, WeightedService};
 pub use document_change::DocumentChange;
 pub use estimate::{Affinity, Estimate, LastSent, WorkTime};
+pub use evacuations::Evacuations;
 pub use expectation::Expectation;
 pub use feed::{Changes, Feed, FeedDigest, FeedUpdate, FeedVersion, Record};
 pub use feed_rank::FeedRank;
@@ -69,7 +75,7 @@
     FeedTiming, HOST_ANSWER_LIMIT, LAPSE_PROPAGATION_LIMIT, STORE_CALL_LIMIT, max_retry_pause,
 };
 pub use health::AnswerOutcome;
-pub use heartbeat_targets::heartbeat_targets;
+pub use heartbeat_targets::{HeartbeatTargets, heartbeat_targets};
 pub use homes::{object_hash, rank, unit_hash};
 pub use host_groups::host_groups;
 pub use host_list::HostList;
@@ -80,11 +86,14 @@
     HolderSelector, LimitReply, LimitTokenRequest, LimitTokens, LimitTolerance, MAX_HOLDERS,
     ShareChange, holder_share, holders,
 };
+pub use observed_state::ObservedState;
 pub use pace::{CallerAttempt, ColdSends, RetryShare, cold_share};
 pub use poll_schedule::{PollSchedule, UpdateKind};
 pub use quantile::Quantile;
 pub use recent_changes::RecentChanges;
 pub use region_load::RegionLoad;
+pub use region_pool::RegionPool;
+pub use reported_upstream::{ReportedUpstream, UpstreamId};
 pub use requirements::Requirements;
 pub use retry_decision::{RetryDecision, SendOutcome, decide_retry};
 pub use rollout::{
@@ -93,6 +102,7 @@
     SoftwareVersion, StageChange, TrialShare, Verdict, VersionRule, VersionUsage,
 };
 pub use sent_objects::SentObjects;
+pub use service_pool::{ServicePool, ServiceRollout, StatementCounts};
 pub use speed::Speed;
 pub use spread::{RegionShare, WeightedRoundRobin, share_by_capacity};
 pub use store_answers::{StoreAnswers, StoreUptime};
@@ -102,10 +112,7 @@
 };
 pub use table::RouteTable;
 pub use unavailable::{Unavailable, UnavailableCause};
-pub use upstream::{ReportedUpstream, UpstreamId};
+pub use upstream::Upstream;
 pub use upstream_state::UpstreamState;
-pub use view::{
-    Evacuations, ObservedState, RegionPool, RouteView, ServicePool, ServiceRollout,
-    StatementCounts, Upstream,
-};
+pub use view::RouteView;
 pub use zone_health::ZoneHealth;
--- /dev/null
+++ b/crates/steering/src/route/region_pool.rs
@@ -0,0 +1,82 @@
+//! Upstreams of a service in one region.
+
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
+
+use super::homes::unit_hash;
+use super::upstream::{Upstream, lock};
+use super::upstream_state::estimate_others;
+
+/// Share of the new version's upstreams that is used on trial, relative to the share of the
+/// requests.
+const TRIAL_UPSTREAMS_FACTOR: f64 = 1.5;
+
+/// Upstreams of a service in a region.
+#[derive(Debug, Default)]
+pub struct RegionPool {
+    /// Upstreams that accept work, ordered by identity.
+    pub upstreams: Vec<Arc<Upstream>>,
+    /// During a roll-out, the upstreams of the version on trial, or of the old version once
+    /// all requests go to the new one.
+    pub other_version: Option<Box<RegionPool>>,
+    /// Sum of the upstreams' slots, computed when first needed.
+    slots: OnceLock<u32>,
+}
+
+impl RegionPool {
+    /// Keeps the upstreams that are used while their version is on trial. With all of them,
+    /// each would get too few requests to show how the version behaves under load.
+    pub(super) fn keep_for_trial(&mut self, order_revision: u64, share_per_mille: u16) {
+        let share = f64::from(share_per_mille) / 1_000.0 * TRIAL_UPSTREAMS_FACTOR;
+        let count = (self.upstreams.len() as f64 * share).ceil() as usize;
+        let place = |upstream: &Arc<Upstream>| unit_hash(upstream.hash ^ order_revision);
+        self.upstreams.sort_by(|a, b| place(a).total_cmp(&place(b)));
+        self.upstreams.truncate(count.max(1));
+        self.slots = OnceLock::new();
+    }
+
+    /// Returns the sum of the upstreams' slots.
+    pub fn slots(&self) -> u32 {
+        let slots = self.upstreams.iter().map(|upstream| upstream.report.slots);
+        *self.slots.get_or_init(|| slots.sum())
+    }
+
+    /// Returns the number of requests that the upstreams may work on concurrently within
+    /// the rate limits that they declare. `typical_work` is the typical work time.
+    pub fn capacity(&self, now: Instant, typical_work: Option<Duration>) -> f64 {
+        let upstreams = self.upstreams.iter();
+        upstreams
+            .map(|upstream| upstream.capacity(now, typical_work))
+            .sum()
+    }
+
+    /// Returns the load relative to the capacity; 1 is full. Unusable upstreams count as
+    /// full. `hosts` is the number of hosts that send to the upstreams, `typical_work` the
+    /// typical work time.
+    pub fn utilization(&self, now: Instant, hosts: usize, typical_work: Option<Duration>) -> f64 {
+        let region = self.upstreams.first().map(|upstream| &upstream.region);
+        let use_of_slots = region.and_then(|region| lock(region).use_of_slots(now));
+        let (mut load, mut capacity) = (0.0, 0.0);
+        for upstream in &self.upstreams {
+            // A host has observed a small part of the upstreams of a large deployment.
+            let Some(state) = upstream.observed_state() else {
+                let slots = f64::from(upstream.report.slots);
+                capacity += slots;
+                load += estimate_others(0.0, hosts, use_of_slots.map(|share| share * slots));
+                continue;
+            };
+            let is_usable = state.is_usable(now);
+            drop(state);
+            let own_capacity = upstream.capacity(now, typical_work);
+            capacity += own_capacity;
+            load += match is_usable {
+                true => upstream.load(now, hosts),
+                false => own_capacity,
+            };
+        }
+        if capacity == 0.0 {
+            return f64::INFINITY;
+        }
+        load / capacity
+    }
+}
--- a/crates/steering/src/route/requirements.rs
+++ b/crates/steering/src/route/requirements.rs
@@ -4,7 +4,7 @@
 
 use super::document::ServiceTerms;
 use super::estimate::Estimate;
-use super::upstream::UpstreamId;
+use super::reported_upstream::UpstreamId;
 use crate::ids::HostName;
 
 /// Criteria for the selection of an upstream.
--- a/crates/steering/src/route/rollout/versions.rs
+++ b/crates/steering/src/route/rollout/versions.rs
@@ -4,7 +4,7 @@
 
 use super::order::{RolloutOrder, SoftwareVersion};
 use super::status::{RolloutStage, RolloutStatus};
-use crate::route::view::ServiceRollout;
+use crate::route::service_pool::ServiceRollout;
 
 /// Rule by which the upstreams of a service are used, depending on their version.
 #[derive(Debug, Clone, Default, PartialEq)]
--- a/crates/steering/src/route/unavailable.rs
+++ b/crates/steering/src/route/unavailable.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use super::upstream::UpstreamId;
-use super::view::Upstream;
+use super::reported_upstream::UpstreamId;
+use super::upstream::Upstream;
 use crate::statement::Obstacle;
 
 /// Minimum time after which a refused caller may retry.
--- a/crates/steering/src/route/zone_health.rs
+++ b/crates/steering/src/route/zone_health.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use super::health::{AnswerOutcome, ejection_time};
-use super::upstream::UpstreamId;
+use super::reported_upstream::UpstreamId;
 
 /// Number of failing upstreams of a zone, without any answer from the zone in between, from
 /// which the zone itself is suspected to be down. A single failing upstream is no evidence
--- a/crates/steering/tests/route_heartbeats.rs
+++ b/crates/steering/tests/route_heartbeats.rs
@@ -33,7 +33,7 @@
     let others = others.map(|(host, region)| (host, region));
     let targets = heartbeat_targets(&this_host.name, region, others);
     targets
-        .iter()
+        .all()
         .map(|host| host.name[1..].parse().unwrap())
         .collect()
 }
@@ -75,3 +75,20 @@
         rounds += 1;
     }
 }
+
+/// Hosts of other regions get every second heartbeat of a large deployment, and are heard within
+/// the 3.5 s for which a host is advertised.
+#[rstest]
+#[case::one_group(32, 12, 12)]
+#[case::whole_fleet(986, 6, 4)]
+fn far_hosts_get_every_second_heartbeat(
+    #[case] count: usize,
+    #[case] even: usize,
+    #[case] odd: usize,
+) {
+    let hosts = deployment(count);
+    let others = hosts[1..].iter().map(|(host, region)| (host, region));
+    let targets = heartbeat_targets(&hosts[0].0.name, &hosts[0].1, others);
+    assert_eq!(targets.of_heartbeat(2).count(), even);
+    assert_eq!(targets.of_heartbeat(3).count(), odd);
+}
