A fleet whose store drops its history loads from its groups; a coordinator goes on from what it has written

Where the store drops its history, every host that polls reads the whole table: 3.5 MB each on the fleet (found by reading). A coordinator of a roll-out could write two stages under one number between two polls, and hosts would keep the first (found by reading). Where the bound leaves the time, a host without history loads from its group, and hosts that are reading say so. The coordinator keeps what it has written, reads the row before it judges an order, and leaves decided ones as they are; hosts without orders are not woken.

--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -297,6 +297,9 @@
         if changed {
             self.publish();
         }
+        if feed == Feed::Routes && !to_forward.is_empty() {
+            self.routes_changed.notify_one();
+        }
         to_forward
     }
 
--- a/crates/gateway/src/control/follower.rs
+++ b/crates/gateway/src/control/follower.rs
@@ -173,15 +173,14 @@
     ///
     /// # Errors
     ///
-    /// This host has no state. It is loading if it has just started and no call to the store has
-    /// failed.
+    /// This host has no state: it has just started, or the store has dropped the history. It is
+    /// loading the feed unless a call to the store has failed.
     pub fn version_for_others(&self) -> Result<FeedVersion, StateError> {
-        let is_starting = self.poll_schedule.as_of().is_none();
-        match self.version {
-            Some(version) => Ok(version),
-            None if is_starting && self.poll_schedule.reaches_store() => Err(StateError::Loading),
-            None => Err(StateError::Unavailable),
-        }
+        let unavailable = match self.poll_schedule.reaches_store() {
+            true => StateError::Loading,
+            false => StateError::Unavailable,
+        };
+        self.version.ok_or(unavailable)
     }
 
     /// Why this host does not offer a state that is older than queried. If it polls the store or
--- a/crates/gateway/src/control/learn.rs
+++ b/crates/gateway/src/control/learn.rs
@@ -16,7 +16,7 @@
 use super::origin::{Origin, Source};
 use super::waits::Wait;
 
-/// Shortest and longest pause before a host that has no state yet is asked again.
+/// Shortest and longest pause between two requests to a host that is still reading.
 const RETRY_DELAYS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(400));
 /// Time after which a starting host reads the store itself, although the hosts that it asks still
 /// answer that they are reading. The first of them reads 20,000 upstreams in some 8 s if the store
@@ -56,17 +56,25 @@
         }
     }
 
-    /// Brings a stale feed up to date by the hosts of this host's group, if there is time for it
-    /// before the store has to be polled. Returns whether it is up to date.
+    /// Brings an outdated feed up to date from this host's group, if there is time for it before
+    /// the store has to be polled. Returns whether it is up to date.
     ///
     /// The poller of a group may be lost, or not know yet that this host has started. If all its
     /// listeners polled the store then, each would read every upstream's heartbeat since the last
     /// update.
     pub(super) async fn refresh_from_group(&self, feed: Feed) -> bool {
-        let has_time = |follower: &mut Follower| follower.poll_schedule.allows_host_first();
-        if !self.with_follower(feed, has_time) {
+        let may_refresh = |follower: &mut Follower| {
+            let schedule = &follower.poll_schedule;
+            schedule.allows_host_first() && schedule.as_of().is_some()
+        };
+        if !self.with_follower(feed, may_refresh) {
             return false;
         }
+        if self.with_follower(feed, |follower| follower.version.is_none()) {
+            // The store has dropped its history, and the whole feed has to be loaded again.
+            self.load_from_group(feed).await;
+            return self.with_follower(feed, |follower| follower.version.is_some());
+        }
         let refreshing = self.refresh_feed(feed);
         let refreshed = timeout(HOST_ANSWER_LIMIT, refreshing).await;
         let is_refreshed = refreshed.unwrap_or(false);
@@ -94,7 +102,7 @@
             ),
             cursor: None,
         };
-        while version.is_some() {
+        loop {
             let answer =
                 fetch_feed_state(parent.peer_address, query.clone(), HOST_ANSWER_LIMIT).await;
             match answer {
@@ -107,7 +115,6 @@
                 Err(_) => return false,
             }
         }
-        false
     }
 
     /// Hosts of the group to ask, in order. Empty if the deployment is a single group: its hosts
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -34,7 +34,7 @@
 use steering::route::{Feed, HolderSelector, LimitTokens, Record, TokenPool};
 use store::RecordStore;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -80,6 +80,8 @@
     update_sender: UpdateSender,
     /// Roll-outs that this host coordinates.
     coordinated: RefCell<CoordinatedRollouts>,
+    /// Notified when a record of the operators' rows was applied.
+    routes_changed: Notify,
     /// Records of this host that its next update of the operators' rows carries.
     pending_routes: RefCell<Vec<Record>>,
     /// Pools of customers' allowances that this host keeps.
@@ -147,6 +149,7 @@
         clients: RefCell::default(),
         update_sender: UpdateSender::default(),
         coordinated: RefCell::default(),
+        routes_changed: Notify::new(),
         pending_routes: RefCell::default(),
         unresponsive_zone_hosts: RefCell::default(),
         limit_tokens: RefCell::default(),
--- a/crates/gateway/src/control/rollouts.rs
+++ b/crates/gateway/src/control/rollouts.rs
@@ -32,6 +32,8 @@
     order_revision: u64,
     /// Version of the row; 0 while there is none.
     row_version: RowVersion,
+    /// The last status that this host has read or written; it is applied with the next update.
+    last_status: Option<RolloutStatus>,
     /// A time by the store's clock, and the same time by this host's clock.
     store_clock: (Duration, Instant),
 }
@@ -41,6 +43,18 @@
         let (store_time, at) = self.store_clock;
         store_time + now.saturating_duration_since(at)
     }
+
+    /// The newer one of a status that this host knows and the last one that it has read or
+    /// written.
+    fn newest(&self, known: Option<RolloutStatus>) -> Option<RolloutStatus> {
+        let last = self.last_status.clone();
+        let last = last.filter(|last| last.order_revision == self.order_revision);
+        match (known, last) {
+            (Some(known), Some(last)) if last.is_newer_than(&known) => Some(last),
+            (None, last) => last,
+            (known, _) => known,
+        }
+    }
 }
 
 /// An undecided roll-out as known to this host.
@@ -56,12 +70,13 @@
         let mut refused = BTreeSet::new();
         let mut last_report = clock::now();
         loop {
-            sleep(DECISION_INTERVAL).await;
             let rollouts = self.undecided_rollouts();
             if rollouts.is_empty() {
                 self.coordinated.borrow_mut().clear();
+                self.routes_changed.notified().await;
                 continue;
             }
+            sleep(DECISION_INTERVAL).await;
             let coordinates = self.polls_routes();
             let now = clock::now();
             let is_report_due = now.saturating_duration_since(last_report) >= REPORT_INTERVAL;
@@ -117,15 +132,6 @@
             (None, Some(status)) => status.order_revision,
             (None, None) => return,
         };
-        if let Some(order) = &order
-            && let Err(error) = self.check_order(order)
-        {
-            if refused.insert((service.clone(), revision)) {
-                let version = &order.to_version;
-                tracing::warn!(event = "rollout_refused", service, version, %error);
-            }
-            return;
-        }
         let is_known = |known: &CoordinatedRollout| known.order_revision == revision;
         let is_taken_over = self
             .coordinated
@@ -135,34 +141,24 @@
         if !is_taken_over && !self.take_over(&service, revision).await {
             return;
         }
-        let now = clock::now();
         let next = {
             let coordinated = self.coordinated.borrow();
             let Some(rollout) = coordinated.get(&service) else {
                 return;
             };
-            let store_time = rollout.store_time(now);
-            match (&order, status) {
-                (Some(order), None) => Some(self.first_status(order, store_time)),
+            match (&order, rollout.newest(status)) {
+                (Some(order), None) => match self.check_order(order) {
+                    Ok(()) => Some(self.first_status(order, rollout.store_time(clock::now()))),
+                    Err(error) => {
+                        if refused.insert((service.clone(), revision)) {
+                            let version = &order.to_version;
+                            tracing::warn!(event = "rollout_refused", service, version, %error);
+                        }
+                        None
+                    }
+                },
                 (_, None) => None,
-                (order, Some(status)) => {
-                    let known_state = self.known_state.borrow();
-                    let hosts = known_state.host_table.list().rows();
-                    let change = rollout.coordinator.next_stage(
-                        order.as_ref(),
-                        &status,
-                        self.common.bounds().exposure,
-                        store_time,
-                        now,
-                        hosts.map(|host| &host.name),
-                    );
-                    let is_own = status.coordinator == self.this_host.name;
-                    let change = change.or((!is_own).then_some(StageChange {
-                        stage: status.stage,
-                        reason: status.reason,
-                    }));
-                    change.map(|change| self.next_status(status, change, store_time))
-                }
+                (order, Some(status)) => self.next_status(rollout, order.as_ref(), status),
             }
         };
         if let Some(status) = next {
@@ -196,6 +192,7 @@
             coordinator: Coordinator::default(),
             order_revision,
             row_version: row.version,
+            last_status: row.status.clone(),
             store_clock: (row.store_time, clock::now()),
         };
         self.coordinated
@@ -226,25 +223,43 @@
         }
     }
 
+    /// The status that follows, if the stage changes or another host has coordinated so far.
     fn next_status(
         &self,
+        rollout: &CoordinatedRollout,
+        order: Option<&RolloutOrder>,
         status: RolloutStatus,
-        change: StageChange,
-        store_time: Duration,
-    ) -> RolloutStatus {
-        let is_same = status.stage == change.stage;
-        RolloutStatus {
+    ) -> Option<RolloutStatus> {
+        let now = clock::now();
+        let store_time = rollout.store_time(now);
+        let known_state = self.known_state.borrow();
+        let hosts = known_state.host_table.list().rows();
+        let change = rollout.coordinator.next_stage(
+            order,
+            &status,
+            self.common.bounds().exposure,
+            store_time,
+            now,
+            hosts.map(|host| &host.name),
+        );
+        let is_taken_over = status.coordinator != self.this_host.name && !status.stage.is_final();
+        let unchanged = StageChange {
+            stage: status.stage,
+            reason: status.reason,
+        };
+        let StageChange { stage, reason } = change.or(is_taken_over.then_some(unchanged))?;
+        let changed_at = match stage == status.stage {
+            true => status.changed_at,
+            false => store_time,
+        };
+        Some(RolloutStatus {
             sequence: status.sequence + 1,
-            stage: change.stage,
-            reason: change.reason,
+            stage,
+            reason,
             coordinator: self.this_host.name.clone(),
-            changed_at: if is_same {
-                status.changed_at
-            } else {
-                store_time
-            },
+            changed_at,
             ..status
-        }
+        })
     }
 
     /// Writes a status if the row is as this host has read it.
@@ -263,6 +278,7 @@
                 self.log_stage(&status);
                 if let Some(rollout) = self.coordinated.borrow_mut().get_mut(&service) {
                     rollout.row_version = version;
+                    rollout.last_status = Some(status.clone());
                 }
                 self.publish_status(status);
             }
--- a/crates/gateway/src/traffic/destination.rs
+++ b/crates/gateway/src/traffic/destination.rs
@@ -66,8 +66,8 @@
     }
 }
 
-/// Whether a request may be sent to a version of its service that is on trial. A host that has
-/// not heard for long how the roll-out goes sends nothing there.
+/// Whether a request may be sent to a version of its service that is on trial. A host whose
+/// state of the roll-out is old sends nothing there.
 fn is_on_trial(
     traffic: &Traffic,
     service: &ServiceName,
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -32,7 +32,7 @@
 use crate::transit::ReplyTimes;
 use crate::{ENTRIES_LIMIT, age_ms, instant_before, reader_options, session_tag};
 
-/// Maximum number of pages of a feed's state; a host that sends more never ends.
+/// Maximum number of pages of a feed's state, so that a faulty host can't send pages forever.
 const MAX_PAGES: usize = 4_096;
 
 /// Why a call to another host failed.
--- a/crates/steering/src/route/feed_timing.rs
+++ b/crates/steering/src/route/feed_timing.rs
@@ -47,7 +47,7 @@
         self.tightest_bound.mul_f64(STALE_SHARE)
     }
 
-    /// Returns whether a host whose state is stale has the time to ask another host before it
+    /// Returns whether a host with outdated state has the time to query another host before it
     /// polls the store. Where bounds are tighter, waiting for a host that does not answer
     /// would leave too little time for the store's answer.
     pub fn allows_host_first(self) -> bool {
--- a/crates/steering/src/route/poll_schedule.rs
+++ b/crates/steering/src/route/poll_schedule.rs
@@ -68,7 +68,7 @@
         self.timing.stale_after()
     }
 
-    /// Returns whether this host has the time to ask another host once its state is stale;
+    /// Returns whether this host has the time to query another host once its state is outdated;
     /// see [`FeedTiming::allows_host_first`].
     pub fn allows_host_first(&self) -> bool {
         self.timing.allows_host_first()
--- a/crates/steering/src/route/rollout/verdict.rs
+++ b/crates/steering/src/route/rollout/verdict.rs
@@ -25,7 +25,7 @@
 const EXCESSES: [(u64, f64); 2] = [(10, 4.0), (25, 2.0)];
 /// Fewest answers of a route by which a version is found good on it.
 const MIN_ROUTE_ANSWERS: u64 = 20;
-/// Share of the old version's answers from which a route must be tried on the new version.
+/// Share of the old version's answers from which a route needs answers of the new version.
 const MIN_ROUTE_SHARE: f64 = 0.02;
 
 /// What the answers say about a version.
--- a/crates/steering/tests/route_news_timing.rs
+++ b/crates/steering/tests/route_news_timing.rs
@@ -56,6 +56,13 @@
         "the poller terminates, and the store rejects the receiver",
         |t| HOP * 3 + t.timing.stale_after() + HOP * 2 + IN_FLIGHT,
     ),
+    (
+        "the poller terminates, and the receiver queries another host that does not answer",
+        |t| match t.timing.allows_host_first() {
+            true => t.timing.stale_after() + HOST_ANSWER_LIMIT + SLOW_POLL + IN_FLIGHT,
+            false => t.timing.stale_after() + SLOW_POLL + IN_FLIGHT,
+        },
+    ),
     ("the store drops its history between two polls", |t| {
         t.timing.poll_interval() + HOP + FULL_READ + HOP * 2 + IN_FLIGHT
     }),
@@ -83,7 +90,8 @@
 
 #[rstest]
 fn no_update_path_exceeds_its_bound(
-    #[values((2_000, 3_000), (2_500, 4_000), (3_000, 4_000), (4_000, 4_000))] bounds: (u64, u64),
+    #[values((2_000, 3_000), (2_500, 4_000), (3_000, 4_000), (4_000, 4_000), (5_000, 5_000))]
+    bounds: (u64, u64),
 ) {
     let (tightest_bound, contact) = (ms(bounds.0), ms(bounds.1));
     let timing = FeedTiming { tightest_bound };
@@ -100,3 +108,18 @@
         assert!(duration <= contact, "{path}: {duration:?} of {contact:?}");
     }
 }
+
+#[rstest]
+#[case::small_deployments(2_000, false)]
+#[case::hundreds_of_hosts(3_000, false)]
+#[case::wider_bounds(4_000, true)]
+#[case::whole_fleet(5_000, true)]
+fn another_host_is_queried_first_where_bounds_leave_the_time(
+    #[case] tightest_bound_ms: u64,
+    #[case] expected: bool,
+) {
+    let timing = FeedTiming {
+        tightest_bound: ms(tightest_bound_ms),
+    };
+    assert_eq!(timing.allows_host_first(), expected);
+}
