--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -11,9 +11,11 @@
   challenge @0 () -> (nonce :Data, version :UInt16);
   # Proves the shared key: the tag is an HMAC over the nonce and the name.
   open @1 (host :Host, incarnation :UInt64, tag :Data, version :UInt16) -> (session :Session);
-  # All that this host has taken from a feed of the store, or what it took since a version;
-  # version 0 says that it can't tell. The query is JSON, the records are in the postcard
-  # format. Also for hosts that can't reach the store and so don't hold the key; the store
+  # All that this host has applied from a feed of the store, or the changes since a version, in
+  # pages. Version 0 says that it is still reading the feed; an error that it does not have what
+  # is queried. The query is JSON; `records` has, in the postcard format, whether the feed is
+  # whole, the records of the page, and the cursor of the next one. Up to version 10 there were no
+  # pages, and version 0 said that the host can't tell. Also for hosts that can't reach the store and so don't hold the key; the store
   # tells the same to whoever reaches it. `ageMs` is the age of the store's answer on which it rests;
   # up to version 8 it was not told.
   state @2 (query :Data) -> (version :UInt64, records :Data, ageMs :UInt32);
