--- a/crates/peer/tests/state_pages.rs
+++ b/crates/peer/tests/state_pages.rs
@@ -1,4 +1,5 @@
-//! A feed's state is fetched page by page, and what a host can't answer is told apart.
+//! A feed's state is fetched page by page; a host that is loading is distinguished from one without
+//! the state.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
--- a/crates/steering/tests/route_bootstrap.rs
+++ b/crates/steering/tests/route_bootstrap.rs
@@ -42,8 +42,8 @@
         .collect()
 }
 
-/// Each host asks a higher-ranked one, so that the state of the first reaches all, and no
-/// host is asked by more than its link can serve.
+/// Each host loads from a higher-ranked one, so that the state of the first reaches all, and
+/// no host has more children than its link can serve.
 #[rstest]
 #[case::alone(0, 1, UNKNOWN, 0)]
 #[case::few(0, 9, UNKNOWN, 2)]
--- a/crates/steering/tests/route_heartbeats.rs
+++ b/crates/steering/tests/route_heartbeats.rs
@@ -39,7 +39,8 @@
 }
 
 /// Heartbeats that each host sends per round, the fewest and the most that any host
-/// receives, and the rounds until what one host tells one target in turn has reached all.
+/// receives, and the rounds until one host's state has reached all if each host queries one
+/// target per round.
 #[rstest]
 #[case::one_group(32, 12, (1, 32), 24)]
 #[case::hundred(100, 6, (1, 20), 30)]
@@ -76,8 +77,8 @@
     }
 }
 
-/// Hosts of other regions get every second heartbeat of a large deployment, and are heard within
-/// the 3.5 s for which a host is advertised.
+/// In a large deployment hosts of other regions get every second heartbeat, so one every 2 s; a
+/// host is advertised for 3.5 s after its last one.
 #[rstest]
 #[case::one_group(32, 12, 12)]
 #[case::whole_fleet(986, 6, 4)]
--- a/crates/steering/tests/route_rollout.rs
+++ b/crates/steering/tests/route_rollout.rs
@@ -192,7 +192,7 @@
     let to_new = match status.stage {
         RolloutStage::Trial { share_per_mille } => {
             let position = rng.random();
-            // A host that has not heard for half the time goes by the old version.
+            // A host that is cut off uses the old version.
             host.cut_until <= now && host.share.may_send(EXPOSURE, share_per_mille, position)
         }
         RolloutStage::Moving | RolloutStage::Completed => true,
