A feed that is being read from the store is asked of other groups at the same time

Cause: the first host of each group reads the whole feed at a start of all hosts, a call for each page of 200 rows. 10,002 reports are 51 calls, one after the other; 0.3 s where the store is near, 4 s in another region (75 ms each, by the distances; not measured by itself), and its group waits.

Change: while a host has no state of a feed and reads it, it asks the first hosts of the other groups in turn, from 150 ms on; whoever is done first decides. A host that the store turns away loads from another group as well.

--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -50,7 +50,7 @@
             if feed != Feed::Hosts && self.refresh_from_group(feed).await {
                 continue;
             }
-            match self.poll_in_turn(feed).await {
+            match self.poll_or_load(feed).await {
                 PollOutcome::Update(update) => self.send_to_all_groups(&update),
                 PollOutcome::Repeat => continue,
                 PollOutcome::NoUpdate => {}
@@ -74,7 +74,7 @@
 
     /// Calls the store when it is this feed's turn, unless the call is no longer needed by then.
     /// Returns the update for other hosts. The turn ends with the call.
-    async fn poll_in_turn(&self, feed: Feed) -> PollOutcome {
+    pub(super) async fn poll_in_turn(&self, feed: Feed) -> PollOutcome {
         // A starting host does not wait for a turn, so that it asks its seeds for all feeds at
         // once.
         let has_joined = self.local.borrow().is_some();
--- a/crates/gateway/src/control/learn.rs
+++ b/crates/gateway/src/control/learn.rs
@@ -130,11 +130,11 @@
         ancestors.into_iter().cloned().collect()
     }
 
-    fn is_current(&self, feed: Feed, state: &FeedState) -> bool {
+    pub(super) fn is_current(&self, feed: Feed, state: &FeedState) -> bool {
         self.with_follower(feed, |follower| follower.newest) <= state.changes.version
     }
 
-    fn apply_loaded(&self, feed: Feed, from: &HostEntry, state: FeedState) {
+    pub(super) fn apply_loaded(&self, feed: Feed, from: &HostEntry, state: FeedState) {
         let FeedState { changes, as_of, .. } = state;
         let version = changes.version;
         let age_ms = clock::elapsed(as_of).as_millis() as u64;
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod limits;
 mod neighbors;
 mod origin;
+mod other_groups;
 mod outage;
 mod rollouts;
 mod state_page;
--- /dev/null
+++ b/crates/gateway/src/control/other_groups.rs
@@ -0,0 +1,82 @@
+//! Loads a whole feed from other groups of hosts.
+
+use std::pin::pin;
+use std::time::Duration;
+
+use peer::{StateQuery, fetch_feed_state};
+use rand::Rng;
+use steering::membership::HostEntry;
+use steering::route::{Feed, HOST_ANSWER_LIMIT};
+use tokio::time::{sleep, timeout};
+
+use super::Control;
+use super::feeds::PollOutcome;
+
+/// Time after which other groups are asked for a feed that is being read from the store. A feed of
+/// one page has been read by then, also from a store in another region.
+const ASK_DELAY: Duration = Duration::from_millis(150);
+/// Pause between two rounds of questions to hosts that are still reading.
+const ROUND_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which other groups are still asked after the store did not give the feed.
+const LOAD_TIMEOUT: Duration = HOST_ANSWER_LIMIT.saturating_mul(2);
+
+impl Control {
+    /// Polls the store if it is this feed's turn. While this host has no state of the feed, it
+    /// asks the other groups for theirs at the same time: reading the feed takes a call for each
+    /// page, and a group near the store is done many times sooner than one in another region.
+    pub(super) async fn poll_or_load(&self, feed: Feed) -> PollOutcome {
+        let has_state = || self.with_follower(feed, |follower| follower.version.is_some());
+        if feed == Feed::Hosts || has_state() || self.neighbors().is_one_group {
+            return self.poll_in_turn(feed).await;
+        }
+        let mut loading = pin!(self.load_from_other_groups(feed));
+        let outcome = tokio::select! {
+            outcome = self.poll_in_turn(feed) => outcome,
+            () = &mut loading => return PollOutcome::NoUpdate,
+        };
+        if matches!(outcome, PollOutcome::NoUpdate) && !has_state() {
+            // After a timeout the store is polled again.
+            let _ = timeout(LOAD_TIMEOUT, loading).await;
+        }
+        outcome
+    }
+
+    /// Asks the first hosts of the other groups, in turn, until one of them has given its state.
+    async fn load_from_other_groups(&self, feed: Feed) {
+        sleep(ASK_DELAY).await;
+        let max_age = self.with_follower(feed, |follower| follower.poll_schedule.stale_after());
+        let query = StateQuery {
+            feed,
+            after: None,
+            max_age: Some(max_age),
+            cursor: None,
+        };
+        loop {
+            for host in self.first_hosts_in_turn(feed) {
+                let answer =
+                    fetch_feed_state(host.peer_address, query.clone(), HOST_ANSWER_LIMIT).await;
+                match answer {
+                    Ok(Some(state)) if self.is_current(feed, &state) => {
+                        return self.apply_loaded(feed, &host, state);
+                    }
+                    Ok(_) => {}
+                    Err(error) => {
+                        tracing::debug!(event = "group_not_heard", feed = %feed, host = host.name, %error);
+                    }
+                }
+            }
+            sleep(ROUND_INTERVAL).await;
+        }
+    }
+
+    /// The first host of each other group. Hosts begin at different groups, so that not all of
+    /// them load from the same one.
+    fn first_hosts_in_turn(&self, feed: Feed) -> Vec<HostEntry> {
+        let mut hosts = self.neighbors().first_hosts(feed).to_vec();
+        if !hosts.is_empty() {
+            let first = rand::rng().random_range(0..hosts.len());
+            hosts.rotate_left(first);
+        }
+        hosts
+    }
+}
