A starting host reads the hosts of its zone, and loads the list from one of them

Cause: each host reads the whole list of hosts at its start, 987 rows on the fleet, in 5 pages of 200; calls grow with the hosts, bytes with their square.

Change: rows are ordered by zone. A host reads the first 100 rows, with the shared key; if there are more, the rows of its zone, and loads the list from a host of the zone, in the same tree as the feeds. Only the first of a zone reads all pages. A zone of more than 32 hosts is a group whatever else there is, so that the feeds are loaded before the whole list is known. Deployments of up to 99 hosts read the list as before, in one call.

Tests: host_rows.rs counts what a start reads at 90, 986 and 3,700 hosts in 9 and 88 zones (1, 2, 2 and 4 calls, pages of 200 rows); listeners.rs starts real hosts beside 150 rows of another zone. Neither can run on the code before. HostTable::lost returns the rows, since a row's key needs the zone; two assertions compare rows instead of names.

--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -13,6 +13,7 @@
 
 use super::Control;
 use super::follower::{Follower, MissingRecords, shortest_bound};
+use super::list_progress::ListProgress;
 use super::origin::{Origin, Source};
 use super::waits::Wait;
 
@@ -27,6 +28,8 @@
     Repeat,
     /// No update, or none that other hosts need.
     NoUpdate,
+    /// The store gave the hosts of this host's zone. Load the others from them.
+    ZoneHosts,
 }
 
 impl Control {
@@ -53,6 +56,10 @@
             match self.poll_or_load(feed).await {
                 PollOutcome::Update(update) => self.send_to_all_groups(&update),
                 PollOutcome::Repeat => continue,
+                PollOutcome::ZoneHosts => {
+                    self.load_host_list().await;
+                    continue;
+                }
                 PollOutcome::NoUpdate => {}
             }
             let interval =
@@ -123,6 +130,9 @@
         let started_at = clock::now();
         let result = match known {
             Some(after) => self.records.watch(feed, after, wait).await,
+            None if feed == Feed::Hosts && self.lacks_list() => {
+                self.records.read_hosts(&self.this_host.zone).await
+            }
             None => self.records.read(feed).await,
         };
         self.with_follower(feed, |follower| {
@@ -140,6 +150,13 @@
                 sleep(STALE_ANSWER_DELAY).await;
                 PollOutcome::Repeat
             }
+            Ok(changes) if known.is_none() && !changes.whole => {
+                self.advance_list(ListProgress::OwnZone);
+                let source = Source::Store;
+                let as_of = started_at;
+                self.apply(feed, changes, Origin { source, as_of });
+                PollOutcome::ZoneHosts
+            }
             Ok(mut changes) => {
                 if feed == Feed::Routes {
                     changes.records.extend(self.pending_routes.take());
@@ -198,7 +215,7 @@
 
     fn mark_requested(&self, feed: Feed) {
         if feed == Feed::Hosts {
-            self.hosts_requested.send_replace(true);
+            self.advance_list(ListProgress::Complete);
         }
     }
 
--- a/crates/gateway/src/control/hosts.rs
+++ b/crates/gateway/src/control/hosts.rs
@@ -16,11 +16,12 @@
 use steering::limiter::{LimitKey, LoanGrant, LoanRequest};
 use steering::membership::{Heartbeat, HostEntry};
 use steering::route::{Changes, Feed, FeedUpdate, HostMessage, HostReply, Record};
-use store::{HOSTS_TABLE, OwnRow, PEER_KEY_ROW};
+use store::{HOSTS_TABLE, OwnRow, PEER_KEY_ROW, host_row_key};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 use super::Control;
+use super::list_progress::ListProgress;
 use super::outage::{MAX_ROW_BACKOFF, backoff};
 use crate::host::Stage;
 
@@ -79,7 +80,8 @@
         let beat = self.heartbeat(true);
         let clients: Vec<Rc<PeerClient>> = self.clients.borrow().values().cloned().collect();
         let heartbeats = join_all(clients.iter().map(|client| client.heartbeat(&beat)));
-        let removed = self.records.remove(HOSTS_TABLE, &self.this_host.name);
+        let own_key = host_row_key(&self.this_host.zone, &self.this_host.name);
+        let removed = self.records.remove(HOSTS_TABLE, &own_key);
         let (_, removed) = futures::join!(heartbeats, timeout(LEAVE_TIMEOUT, removed));
         if !matches!(removed, Ok(Ok(()))) {
             tracing::warn!(event = "own_row_not_removed");
@@ -88,7 +90,7 @@
 
     /// The key shared by all hosts. The first host that finds none creates it.
     async fn peer_key(&self) -> Rc<[u8]> {
-        self.wait_until_hosts_requested().await;
+        self.wait_for_list(ListProgress::OwnZone).await;
         if !self.is_seed() && self.key.borrow().is_none() {
             sleep(rand::rng().random_range(Duration::ZERO..MAX_KEY_DELAY)).await;
             self.poll_store(Feed::Hosts).await;
@@ -108,13 +110,6 @@
         }
     }
 
-    /// Waits until the first request for the list of hosts has completed.
-    pub(super) async fn wait_until_hosts_requested(&self) {
-        let mut hosts_requested = self.hosts_requested.subscribe();
-        // The sender lives as long as this host.
-        let _ = hosts_requested.wait_for(|requested| *requested).await;
-    }
-
     async fn create_key(&self) {
         let mut value = vec![0; PEER_KEY_BYTES];
         rand::rng().fill(value.as_mut_slice());
@@ -184,7 +179,7 @@
         let mut backoff = backoff(MAX_ROW_BACKOFF);
         while *self.common.stage.borrow() == Stage::Serving {
             let row = OwnRow {
-                key: self.this_host.name.clone(),
+                key: host_row_key(&self.this_host.zone, &self.this_host.name),
                 value: value.clone(),
             };
             match self.records.put(HOSTS_TABLE, row).await {
@@ -198,16 +193,17 @@
     async fn remove_lost_hosts(&self) {
         let neighbors = self.neighbors();
         let now = clock::now();
-        let lost: Vec<HostName> = {
+        let lost: Vec<HostEntry> = {
             let known_state = self.known_state.borrow();
             let lost = known_state
                 .host_table
                 .lost(now, neighbors.heartbeat_targets.all());
             lost.into_iter().cloned().collect()
         };
-        for name in lost {
+        for HostEntry { name, zone, .. } in lost {
             tracing::info!(event = "host_lost", lost = name);
-            if let Err(error) = self.records.remove(HOSTS_TABLE, &name).await {
+            let key = host_row_key(&zone, &name);
+            if let Err(error) = self.records.remove(HOSTS_TABLE, &key).await {
                 tracing::warn!(event = "row_not_removed", lost = name, %error);
             }
         }
--- a/crates/gateway/src/control/learn.rs
+++ b/crates/gateway/src/control/learn.rs
@@ -30,9 +30,11 @@
         let _ = timeout(LOAD_TIMEOUT, self.load_feed(feed)).await;
     }
 
-    async fn load_feed(&self, feed: Feed) {
-        self.wait_until_hosts_requested().await;
-        self.wait_for_first_rows().await;
+    pub(super) async fn load_feed(&self, feed: Feed) {
+        if feed != Feed::Hosts {
+            self.wait_for_group().await;
+            self.wait_for_first_rows().await;
+        }
         let stale_after = self.with_follower(feed, |follower| follower.poll_schedule.stale_after());
         let query = StateQuery {
             feed,
@@ -120,11 +122,11 @@
     /// Hosts of the group to ask, in order. Empty if the deployment is a single group: its hosts
     /// start faster when each reads the few rows itself.
     fn hosts_to_ask(&self, feed: Feed) -> Vec<HostEntry> {
-        let neighbors = self.neighbors();
-        if neighbors.is_one_group {
-            return Vec::new();
-        }
-        let group = neighbors.group.iter().chain([&self.this_host]);
+        let group = match feed == Feed::Hosts || !self.knows_list() {
+            true => self.zone_hosts(),
+            false => self.neighbors().group_to_ask().to_vec(),
+        };
+        let group = group.iter().chain([&self.this_host]);
         let tree = BootstrapTree::new(&feed.to_string(), group);
         let ancestors = tree.ancestors(&self.this_host.name);
         ancestors.into_iter().cloned().collect()
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -6,10 +6,12 @@
 mod feeds;
 mod follower;
 mod group;
+mod host_list;
 mod hosts;
 mod known_state;
 mod learn;
 mod limits;
+mod list_progress;
 mod neighbors;
 mod origin;
 mod other_groups;
@@ -45,6 +47,7 @@
 pub(crate) use feed_age::FeedAge;
 use follower::Follower;
 use known_state::KnownState;
+use list_progress::ListProgress;
 use neighbors::Neighbors;
 use outage::Outage;
 use rollouts::CoordinatedRollouts;
@@ -67,8 +70,8 @@
     upstreams: RefCell<Follower>,
     hosts: RefCell<Follower>,
     outage: Outage,
-    /// Whether the first request for the list of hosts has completed, successfully or not.
-    hosts_requested: watch::Sender<bool>,
+    /// What this host has read of the list of hosts since its start.
+    list_progress: watch::Sender<ListProgress>,
     /// Key shared by all hosts of the deployment; none until it is known.
     key: RefCell<Option<Rc<[u8]>>>,
     /// Identity and key for connections to other hosts; none until the shared key is known.
@@ -143,7 +146,7 @@
         )),
         hosts: RefCell::new(Follower::new(Feed::Hosts, &common.settings, Arc::default())),
         outage: Outage::default(),
-        hosts_requested: watch::Sender::default(),
+        list_progress: watch::Sender::default(),
         key: RefCell::default(),
         local: RefCell::default(),
         neighbors: RefCell::default(),
--- a/crates/gateway/src/control/neighbors.rs
+++ b/crates/gateway/src/control/neighbors.rs
@@ -72,6 +72,14 @@
         &self.first_hosts[feed as usize]
     }
 
+    /// The other hosts of the group, to load feeds from; none if the deployment is a single group.
+    pub fn group_to_ask(&self) -> &[HostEntry] {
+        match self.is_one_group {
+            true => &[],
+            false => &self.group,
+        }
+    }
+
     /// Whether `this_host` ranks first of its group for a feed.
     pub fn is_first(&self, feed: Feed, this_host: &HostEntry) -> bool {
         let own = rank(feed, this_host);
--- a/crates/gateway/src/control/other_groups.rs
+++ b/crates/gateway/src/control/other_groups.rs
@@ -11,6 +11,7 @@
 
 use super::Control;
 use super::feeds::PollOutcome;
+use super::list_progress::ListProgress;
 
 /// Time after which other groups are asked for a feed that is being read from the store. A feed of
 /// one page has been read by then, also from a store in another region.
@@ -26,7 +27,7 @@
     /// page, and a group near the store is done many times sooner than one in another region.
     pub(super) async fn poll_or_load(&self, feed: Feed) -> PollOutcome {
         let has_state = || self.with_follower(feed, |follower| follower.version.is_some());
-        if feed == Feed::Hosts || has_state() || self.neighbors().is_one_group {
+        if feed == Feed::Hosts || has_state() {
             return self.poll_in_turn(feed).await;
         }
         let mut loading = pin!(self.load_from_other_groups(feed));
@@ -34,7 +35,8 @@
             outcome = self.poll_in_turn(feed) => outcome,
             () = &mut loading => return PollOutcome::NoUpdate,
         };
-        if matches!(outcome, PollOutcome::NoUpdate) && !has_state() {
+        let is_unread = matches!(outcome, PollOutcome::NoUpdate) && !has_state();
+        if is_unread && !self.neighbors().is_one_group {
             // After a timeout the store is polled again.
             let _ = timeout(LOAD_TIMEOUT, loading).await;
         }
@@ -44,6 +46,7 @@
     /// Asks the first hosts of the other groups, in turn, until one of them has given its state.
     async fn load_from_other_groups(&self, feed: Feed) {
         sleep(ASK_DELAY).await;
+        self.wait_for_list(ListProgress::Complete).await;
         let max_age = self.with_follower(feed, |follower| follower.poll_schedule.stale_after());
         let query = StateQuery {
             feed,
--- a/crates/gateway/src/control/work_updates.rs
+++ b/crates/gateway/src/control/work_updates.rs
@@ -65,7 +65,7 @@
     }
 
     async fn ask_for_refused_work(&self) {
-        self.wait_until_hosts_requested().await;
+        self.wait_for_group().await;
         while self.local.borrow().is_none() {
             sleep(RETRY_DELAY).await;
         }
--- a/crates/steering/src/route/host_groups.rs
+++ b/crates/steering/src/route/host_groups.rs
@@ -7,7 +7,7 @@
 
 /// Maximum size of a group that is larger than a zone. One host sends each member of its
 /// group about four small messages per second.
-pub(super) const MAX_GROUP_SIZE: usize = 32;
+pub const MAX_GROUP_SIZE: usize = 32;
 
 /// Divides hosts into groups: a single group if they are few, else one per region, else one
 /// per zone. Hosts with the same list of hosts compute the same groups.
--- a/crates/steering/src/route/host_table.rs
+++ b/crates/steering/src/route/host_table.rs
@@ -196,13 +196,12 @@
         &self,
         now: Instant,
         partners: impl IntoIterator<Item = &'a HostEntry>,
-    ) -> Vec<&'a HostName> {
-        let is_lost = |name: &HostName| {
-            let host = self.hosts.get(name);
+    ) -> Vec<&'a HostEntry> {
+        let is_lost = |partner: &&HostEntry| {
+            let host = self.hosts.get(&partner.name);
             host.is_some_and(|host| now.saturating_duration_since(host.last_seen) > LOST_AFTER)
         };
-        let names = partners.into_iter().map(|partner| &partner.name);
-        names.filter(|name| is_lost(name)).collect()
+        partners.into_iter().filter(is_lost).collect()
     }
 
     /// Restarts every host's liveness timers after a pause of this host, which caused the
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -77,7 +77,7 @@
 pub use health::AnswerOutcome;
 pub use heartbeat_targets::{HeartbeatTargets, heartbeat_targets};
 pub use homes::{object_hash, rank, unit_hash};
-pub use host_groups::host_groups;
+pub use host_groups::{MAX_GROUP_SIZE, host_groups};
 pub use host_list::HostList;
 pub use host_message::{HostMessage, HostReply};
 pub use host_table::{HostTable, KnownHost};
--- a/crates/steering/tests/route_hosts.rs
+++ b/crates/steering/tests/route_hosts.rs
@@ -116,7 +116,10 @@
         advertised(&host_table, later(70)).is_empty(),
         "no host was heard either"
     );
-    assert_eq!(host_table.lost(later(131), &partners), ["a", "b"]);
+    assert_eq!(
+        host_table.lost(later(131), &partners),
+        [&host("a"), &host("b")]
+    );
 }
 
 #[test]
@@ -129,7 +132,7 @@
     let partners = [host("a"), host("b")];
     assert!(host_table.lost(later(50), &partners).is_empty());
     // This host sends no heartbeats to `c`, so the silence of `c` means nothing.
-    assert_eq!(host_table.lost(later(70), &partners), ["a"]);
+    assert_eq!(host_table.lost(later(70), &partners), [&host("a")]);
 }
 
 #[rstest]
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod claims;
 mod config;
+mod host_rows;
 mod hosts;
 mod http;
 mod records;
@@ -14,6 +15,7 @@
 
 pub use claims::{ClaimRequest, ClaimStore, ReceiptWrite};
 pub use config::{ConfigStore, PollError};
+pub use host_rows::{host_of_row, host_row_key, zone_row_keys};
 pub use hosts::{HostList, ListedHost};
 pub use http::{HttpPlatform, wire};
 pub use records::{
--- a/crates/store/src/records.rs
+++ b/crates/store/src/records.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
+use steering::ids::ZoneName;
 use steering::route::{Changes, Feed, FeedVersion, RolloutStatus};
 
 /// Future of a call to the store; not `Send`, since all calls are made on one thread.
@@ -51,8 +52,8 @@
     InvalidAnswer(#[error(not(source))] String),
 }
 
-/// Table of [`Feed::Hosts`]. Contains a row for each host: the key is the host's name, the value
-/// its [`steering::membership::HostEntry`] as JSON.
+/// Table of [`Feed::Hosts`]. Contains a row for each host: the key is that of
+/// [`host_row_key`](crate::host_row_key), the value its [`steering::membership::HostEntry`] as JSON.
 pub const HOSTS_TABLE: &str = "hosts";
 
 /// Row of [`HOSTS_TABLE`] with the shared key by which hosts authenticate each other. The row is in
@@ -68,6 +69,9 @@
 pub trait RecordStore {
     /// Reads all records of a feed.
     fn read(&self, feed: Feed) -> StoreFuture<'_, Changes>;
+    /// Reads the list of hosts if it is short. Otherwise reads the rows of a zone and the shared
+    /// key, which are not a complete snapshot.
+    fn read_hosts(&self, zone: &ZoneName) -> StoreFuture<'_, Changes>;
     /// Waits up to `wait` for changes after the version `after`; returns no records if there are
     /// none.
     fn watch(&self, feed: Feed, after: FeedVersion, wait: Duration) -> StoreFuture<'_, Changes>;
