A host waits longer before it writes its row again, and looks whether it stands

Cause: when 986 hosts start within 1.2 s, their rows wait in the store: a part of a table takes 300 writes a second. An attempt that gets no answer within 0.8 s is still among them; the host wrote again after 0.4 s.

Change: pauses of 1.2 to 3.2 s, and no further attempt once the list shows the row.

Not mended: the first writes themselves, 820 a second to one part. A part for each zone would spread them, at the price of a call for each zone where the whole list is read.

Tried and reverted: the list of hosts asked of the group before the store, and updates that rest on this host's own poll not taken as another's.

--- a/crates/gateway/src/control/hosts.rs
+++ b/crates/gateway/src/control/hosts.rs
@@ -22,7 +22,7 @@
 
 use super::Control;
 use super::list_progress::ListProgress;
-use super::outage::{MAX_ROW_BACKOFF, backoff};
+use super::outage::{MAX_ROW_BACKOFF, backoff, row_backoff};
 use crate::host::Stage;
 
 const PEER_KEY_BYTES: usize = 32;
@@ -159,25 +159,23 @@
     /// removed it, and removes rows of lost hosts.
     async fn maintain_host_list(self: Rc<Self>) {
         loop {
-            let is_listed = self
-                .known_state
-                .borrow()
-                .host_table
-                .list()
-                .lists(&self.this_host);
-            if !is_listed {
-                self.write_own_row().await;
-            }
+            self.write_own_row().await;
             self.remove_lost_hosts().await;
             sleep(LIST_CHECK_INTERVAL).await;
         }
     }
 
-    /// Writes this host's row, with retries until the store has accepted it.
+    fn is_listed(&self) -> bool {
+        let known_state = self.known_state.borrow();
+        known_state.host_table.list().lists(&self.this_host)
+    }
+
+    /// Writes this host's row if the list lacks it, with retries until the store has accepted it
+    /// or the list shows it.
     async fn write_own_row(&self) {
         let value = serde_json::to_vec(&self.this_host).expect("entries are valid JSON");
-        let mut backoff = backoff(MAX_ROW_BACKOFF);
-        while *self.common.stage.borrow() == Stage::Serving {
+        let mut backoff = row_backoff();
+        while !self.is_listed() && *self.common.stage.borrow() == Stage::Serving {
             let row = OwnRow {
                 key: host_row_key(&self.this_host.zone, &self.this_host.name),
                 value: value.clone(),
--- a/crates/gateway/src/control/outage.rs
+++ b/crates/gateway/src/control/outage.rs
@@ -9,15 +9,27 @@
 
 /// Pause after the first failed call to the store, doubled after each further failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(400);
+/// Shortest pause between attempts to write a host's own row.
+const MIN_ROW_BACKOFF: Duration = Duration::from_millis(1_200);
 /// Longest pause between attempts to write a host's own rows, which are not urgent.
 pub(super) const MAX_ROW_BACKOFF: Duration = Duration::from_millis(3_200);
 
 /// Jittered exponential backoff between failed calls to the store, at most `max_delay`. The jitter
 /// prevents hosts that failed together from retrying together.
 pub(super) fn backoff(max_delay: Duration) -> ExponentialBackoff {
+    backoff_from(INITIAL_BACKOFF, max_delay)
+}
+
+/// Backoff between attempts to write a host's own row. When all hosts start, their writes wait in
+/// the store for a second or more; an attempt that got no answer is still among them.
+pub(super) fn row_backoff() -> ExponentialBackoff {
+    backoff_from(MIN_ROW_BACKOFF, MAX_ROW_BACKOFF)
+}
+
+fn backoff_from(min_delay: Duration, max_delay: Duration) -> ExponentialBackoff {
     // The jitter adds up to the same amount again.
     let max_delay = max_delay / 2;
-    let backoff = ExponentialBuilder::new().with_min_delay(INITIAL_BACKOFF.min(max_delay));
+    let backoff = ExponentialBuilder::new().with_min_delay(min_delay.min(max_delay));
     let backoff = backoff.with_max_delay(max_delay).without_max_times();
     backoff.with_jitter().build()
 }
