--- a/crates/gateway/src/control/learn.rs
+++ b/crates/gateway/src/control/learn.rs
@@ -122,9 +122,10 @@
     /// Hosts of the group to ask, in order. Empty if the deployment is a single group: its hosts
     /// start faster when each reads the few rows itself.
     fn hosts_to_ask(&self, feed: Feed) -> Vec<HostEntry> {
-        let group = match feed == Feed::Hosts || !self.knows_list() {
-            true => self.zone_hosts(),
-            false => self.neighbors().group_to_ask().to_vec(),
+        let group = match self.knows_list() {
+            true => self.neighbors().group_to_ask().to_vec(),
+            // Groups are formed by the list.
+            false => self.zone_hosts(),
         };
         let group = group.iter().chain([&self.this_host]);
         let tree = BootstrapTree::new(&feed.to_string(), group);
