An object's homes are found by one multiplication a member

Change: a pool keeps its members' hashes by weight (HomeIndex), built when first needed. One pass finds the first four of each weight by one 64-bit multiplication a member; logarithms are taken of these alone, and the whole ranking is made only where more are needed. Still weighted rendezvous hashing with exact weights: a member that leaves takes its own objects only. The hash of object and member is another one, so that homes move once.

--- a/crates/gateway/src/traffic/destination.rs
+++ b/crates/gateway/src/traffic/destination.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use steering::ids::{RegionName, ServiceName};
-use steering::route::{RegionPool, Route, Sender, ServicePool, object_hash, rank, unit_hash};
+use steering::route::{HomeIndex, RegionPool, Route, Sender, ServicePool, object_hash, unit_hash};
 
 use super::Traffic;
 use crate::settings::Bounds;
@@ -134,6 +134,6 @@
         let hash = steering::rendezvous::hash(name.as_bytes());
         (hash, f64::from(pool.slots()))
     });
-    let first = rank(object, members).next();
+    let first = HomeIndex::new(members).rank(object).next();
     first.map(|first| regions[first].0.clone())
 }
--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -97,6 +97,8 @@
     Restart,
     /// What customers cost a request, by how many there are.
     Customers,
+    /// What it costs a request to select its upstream, by the number of upstreams.
+    Choice,
     /// What it costs a request to be looked up among work under which upstreams end.
     Suspects,
     /// What each role costs, at several sizes, fitted.
@@ -117,6 +119,7 @@
             let figures = match name {
                 Measurement::Overhead => measure::overhead::run()?,
                 Measurement::Customers => measure::customers::run(),
+                Measurement::Choice => measure::choice::run(),
                 Measurement::Suspects => measure::suspects::run(),
                 Measurement::Balance => measure::balance::run(plots.as_deref())?,
                 Measurement::Shift => measure::shift::run(plots.as_deref())?,
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod balance;
 pub mod capacity;
+pub mod choice;
 pub mod claims;
 pub mod config;
 pub mod customers;
--- a/crates/steering/src/route/choice.rs
+++ b/crates/steering/src/route/choice.rs
@@ -5,7 +5,6 @@
 
 use super::estimate::{Affinity, LastSent};
 use super::expectation::{Expectation, UpstreamSnapshot, predict};
-use super::homes::rank;
 use super::pace::cold_share;
 use super::region_pool::RegionPool;
 use super::reported_upstream::UpstreamId;
@@ -181,10 +180,8 @@
     now: Instant,
     max: usize,
 ) -> Candidates {
-    let members = pool.upstreams.iter();
-    let members = members.map(|upstream| (upstream.hash, f64::from(upstream.report.slots)));
     let mut candidates = Candidates::default();
-    for (rank, index) in rank(requirements.object, members).enumerate() {
+    for (rank, index) in pool.rank(requirements.object).enumerate() {
         let upstream = &pool.upstreams[index];
         let obstacle = upstream
             .observed_state()
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -22,13 +22,14 @@
 mod feed_timing;
 mod health;
 mod heartbeat_targets;
-mod homes;
+mod home_index;
 mod host_groups;
 mod host_list;
 mod host_message;
 mod host_table;
 mod key_hash;
 mod limit;
+mod object_hash;
 mod observed_state;
 mod pace;
 mod poll_schedule;
@@ -76,7 +77,7 @@
 };
 pub use health::AnswerOutcome;
 pub use heartbeat_targets::{HeartbeatTargets, heartbeat_targets};
-pub use homes::{object_hash, rank, unit_hash};
+pub use home_index::HomeIndex;
 pub use host_groups::{MAX_GROUP_SIZE, host_groups};
 pub use host_list::HostList;
 pub use host_message::{HostMessage, HostReply};
@@ -86,6 +87,7 @@
     HolderSelector, LimitReply, LimitTokenRequest, LimitTokens, LimitTolerance, MAX_HOLDERS,
     ShareChange, holder_share, holders,
 };
+pub use object_hash::{object_hash, unit_hash};
 pub use observed_state::ObservedState;
 pub use pace::{CallerAttempt, ColdSends, RetryShare, cold_share};
 pub use poll_schedule::{PollSchedule, UpdateKind};
--- a/crates/steering/src/route/region_pool.rs
+++ b/crates/steering/src/route/region_pool.rs
@@ -3,7 +3,8 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
-use super::homes::unit_hash;
+use super::home_index::HomeIndex;
+use super::object_hash::unit_hash;
 use super::upstream::{Upstream, lock};
 use super::upstream_state::estimate_others;
 
@@ -21,6 +22,8 @@
     pub other_version: Option<Box<RegionPool>>,
     /// Sum of the upstreams' slots, computed when first needed.
     slots: OnceLock<u32>,
+    /// Ranking of the upstreams for objects, built when first needed.
+    homes: OnceLock<HomeIndex>,
 }
 
 impl RegionPool {
@@ -33,6 +36,16 @@
         self.upstreams.sort_by(|a, b| place(a).total_cmp(&place(b)));
         self.upstreams.truncate(count.max(1));
         self.slots = OnceLock::new();
+        self.homes = OnceLock::new();
+    }
+
+    /// Returns the positions of the upstreams in the order of an object's homes, weighted by
+    /// their slots.
+    pub fn rank(&self, object: u64) -> impl Iterator<Item = usize> + '_ {
+        let members = self.upstreams.iter();
+        let members = members.map(|upstream| (upstream.hash, f64::from(upstream.report.slots)));
+        let homes = self.homes.get_or_init(|| HomeIndex::new(members));
+        homes.rank(object)
     }
 
     /// Returns the sum of the upstreams' slots.
--- a/crates/steering/src/route/upstream.rs
+++ b/crates/steering/src/route/upstream.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
-use super::homes::unit_hash;
+use super::object_hash::unit_hash;
 use super::region_load::RegionLoad;
 use super::reported_upstream::ReportedUpstream;
 use super::requirements::Requirements;
