Requests wait up to a second at a host that starts

Cause: where all hosts start again, every host refuses what comes until it has the document and the reports; callers come back after 0.5 s, mostly once, and meet another host that starts.

Change: for 3 s after its start a host that is not ready holds a request for up to 1 s, a quarter of the time until its deadline at most, 256 requests at a time; then it refuses as before. A host that can't be ready refuses at once after these 3 s.

Tests: route_start_wait.rs for the decision; starting.rs sends the first request of a host's life, which was refused in every start before (60 s of starts) and is served now.

--- a/crates/gateway/src/control/hosts.rs
+++ b/crates/gateway/src/control/hosts.rs
@@ -151,7 +151,7 @@
     pub(super) async fn wait_for_first_rows(&self) {
         if self.common.settings.first_start {
             let listed_after = FIRST_START_SPREAD + LIST_TIME;
-            sleep(listed_after.saturating_sub(clock::elapsed(self.started_at))).await;
+            sleep(listed_after.saturating_sub(clock::elapsed(self.common.started_at))).await;
         }
     }
 
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -63,8 +63,6 @@
     records: Box<dyn RecordStore>,
     this_host: HostEntry,
     incarnation: Incarnation,
-    /// When this host started.
-    started_at: Instant,
     known_state: RefCell<KnownState>,
     routes: RefCell<Follower>,
     upstreams: RefCell<Follower>,
@@ -131,7 +129,6 @@
     let control = Rc::new(Control {
         known_state: RefCell::new(KnownState::new(&common)),
         incarnation,
-        started_at: clock::now(),
         pool: RefCell::new(TokenPool::new(incarnation, clock::now(), may_have_lent)),
         this_host,
         routes: RefCell::new(Follower::new(
@@ -196,6 +193,10 @@
         let view = self.known_state.borrow_mut().view(clock::now());
         let before = self.common.view.swap(view.into());
         let view = self.common.view.load();
+        let is_ready = view.is_ready();
+        self.common
+            .is_ready
+            .send_if_modified(|known| std::mem::replace(known, is_ready) != is_ready);
         let services = &view.services;
         self.common.rollouts.retain(|service| {
             let pool = services.get(service);
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -115,6 +115,10 @@
     pub suspects: Arc<SharedSuspects>,
     pub rollouts: Arc<RolloutCounters>,
     pub stage: watch::Receiver<Stage>,
+    /// When this host started.
+    pub started_at: Instant,
+    /// Whether requests can be served, by the latest view.
+    pub is_ready: Arc<watch::Sender<bool>>,
 }
 
 impl Common {
@@ -168,6 +172,8 @@
             suspects: Arc::new(suspects),
             rollouts: Arc::default(),
             stage: stage_receiver,
+            started_at: clock::now(),
+            is_ready: Arc::default(),
         };
         let bounds = Arc::clone(&common.bounds);
         let shared = common.clone();
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -15,6 +15,7 @@
 use super::head::{Head, credentials};
 use super::request_log::RequestLog;
 use super::run::Run;
+use super::start_waits::wait_until_ready;
 use crate::allowances::AllowanceError;
 
 /// Largest body that is kept in memory so that it can be sent again.
@@ -38,6 +39,8 @@
     request_log: &mut RequestLog,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Refusal> {
+    let time_left = head.deadline.saturating_duration_since(head.arrived);
+    wait_until_ready(traffic, time_left).await;
     let (parts, body) = request.into_parts();
     let MatchedRoute {
         route,
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -11,6 +11,7 @@
 mod run;
 mod send;
 mod server;
+mod start_waits;
 mod statements;
 mod stats;
 
@@ -26,6 +27,7 @@
 
 use crate::host::{Common, RenderMetrics, Sockets, Stage};
 use crate::wire_format::WireFormat;
+use start_waits::StartWaits;
 use statements::UnknownStatements;
 use stats::TrafficStats;
 
@@ -46,6 +48,7 @@
     stats: Mutex<TrafficStats>,
     /// Names of unknown statements in upstreams' answers.
     unknown_statements: UnknownStatements,
+    start_waits: StartWaits,
     /// Open connections of callers. A connection closes only after its last answer has been written
     /// completely.
     open_connections: AtomicU32,
@@ -78,6 +81,7 @@
         stats: Mutex::new(TrafficStats::new(&common.settings)),
         connections: Connections::default(),
         unknown_statements: UnknownStatements::default(),
+        start_waits: StartWaits::default(),
         open_connections: AtomicU32::default(),
         wire_format,
         render_metrics,
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -45,6 +45,7 @@
 mod service_pool;
 mod speed;
 mod spread;
+mod start_wait;
 mod store_answers;
 mod suspect;
 mod table;
@@ -107,6 +108,7 @@
 pub use service_pool::{ServicePool, ServiceRollout, StatementCounts};
 pub use speed::Speed;
 pub use spread::{RegionShare, WeightedRoundRobin, share_by_capacity};
+pub use start_wait::start_wait;
 pub use store_answers::{StoreAnswers, StoreUptime};
 pub use suspect::{
     AbandonedRequests, Admission, CRASHES_TO_REFUSE, RefusedWork, Suspects, WorkDigest, WorkEvent,
