--- a/crates/steering/src/route/start_wait.rs
+++ b/crates/steering/src/route/start_wait.rs
@@ -5,7 +5,7 @@
 /// Time after its start in which a host that is not ready counts as starting. A host that
 /// can't be ready, for want of a document, refuses requests at once after that.
 const START_TIME: Duration = Duration::from_secs(3);
-/// Longest wait of a request. A start takes about a second where all hosts start at once.
+/// Longest wait of a request.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 /// Part of the time until its deadline for which a request may wait; most of it is left for
 /// the request itself.
@@ -16,8 +16,7 @@
 /// the request's deadline.
 ///
 /// Where all hosts start at once, a caller that is refused meets another host that starts,
-/// and most callers ask again only once. Where one host starts, the wait is as long as the
-/// retry time of a refusal.
+/// and most callers retry only once.
 pub fn start_wait(started_for: Duration, time_left: Duration) -> Duration {
     let starting_for = START_TIME.saturating_sub(started_for);
     let max_wait = time_left.mul_f64(WAIT_SHARE);
