Log when a zone's upstreams are suspected to be down, and when they answer again

A failed send names one upstream; no line told that a host reached no upstream of a zone, since when and by what evidence. ZoneHealth returns its changes.

--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -10,7 +10,7 @@
 use hyper::{Request, Response, StatusCode};
 use steering::ids::RuleName;
 use steering::route::{
-    AnswerOutcome, AnswerQuality, Choice, SendOutcome, Sender, Upstream, WorkIdentity,
+    AnswerOutcome, AnswerQuality, Choice, SendOutcome, Sender, Upstream, WorkIdentity, ZoneChange,
 };
 use steering::statement::Obstacle;
 use upstream::{Body, GuardedBody, RequestBody, Reuse, SendError, TrackedBody, end_to_end};
@@ -57,11 +57,28 @@
             tracing::info!(event = "upstream_rest_over", upstream = id);
         }
         drop(state);
-        self.upstream.zone().answered(now, id, answered);
+        let change = self.upstream.zone().answered(now, id, answered);
+        if let Some(change) = change {
+            log_zone_change(&self.upstream, change);
+        }
         self.is_recorded.set(true);
     }
 }
 
+fn log_zone_change(upstream: &Upstream, change: ZoneChange) {
+    let zone = &upstream.report.zone;
+    match change {
+        ZoneChange::Suspected {
+            failing,
+            expires_in,
+        } => {
+            let expires_in_ms = expires_in.as_millis() as u64;
+            tracing::warn!(event = "zone_suspected", zone, failing, expires_in_ms);
+        }
+        ZoneChange::Answers => tracing::info!(event = "zone_answers", zone),
+    }
+}
+
 impl Drop for InFlight {
     fn drop(&mut self) {
         let is_abandoned = !self.is_recorded.get() && self.is_sent.get();
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -119,4 +119,4 @@
 pub use upstream::Upstream;
 pub use upstream_state::UpstreamState;
 pub use view::RouteView;
-pub use zone_health::ZoneHealth;
+pub use zone_health::{ZoneChange, ZoneHealth};
--- a/crates/steering/src/route/zone_health.rs
+++ b/crates/steering/src/route/zone_health.rs
@@ -1,7 +1,7 @@
 //! Detects zones that can't be reached, from all requests to their upstreams.
 
 use std::collections::BTreeSet;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::health::{AnswerOutcome, ejection_time};
 use super::reported_upstream::UpstreamId;
@@ -11,6 +11,20 @@
 /// about the others.
 const MIN_FAILING_UPSTREAMS: usize = 2;
 
+/// Change of what this host takes for a zone's reachability.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ZoneChange {
+    /// The zone is suspected to be down.
+    Suspected {
+        /// Number of its upstreams that have failed since the zone last answered.
+        failing: usize,
+        /// Time until the suspicion expires.
+        expires_in: Duration,
+    },
+    /// The zone answers again.
+    Answers,
+}
+
 /// Reachability of a zone. Without this check, each upstream of a zone that lost its power
 /// would cost each host a request that waits for a connection.
 #[derive(Debug, Default)]
@@ -23,13 +37,21 @@
 }
 
 impl ZoneHealth {
-    /// Records the result of a request to one of the zone's upstreams.
-    pub fn answered(&mut self, now: Instant, upstream: &str, outcome: AnswerOutcome) {
+    /// Records the result of a request to one of the zone's upstreams. Returns what it changes.
+    pub fn answered(
+        &mut self,
+        now: Instant,
+        upstream: &str,
+        outcome: AnswerOutcome,
+    ) -> Option<ZoneChange> {
         match outcome {
-            AnswerOutcome::Complete | AnswerOutcome::Refused => *self = ZoneHealth::default(),
+            AnswerOutcome::Complete | AnswerOutcome::Refused => {
+                let before = std::mem::take(self);
+                before.suspected_until.map(|_| ZoneChange::Answers)
+            }
             AnswerOutcome::Unreachable => self.failed(now, upstream),
             // An upstream that breaks off an answer can be reached.
-            AnswerOutcome::Broken | AnswerOutcome::Unknown => {}
+            AnswerOutcome::Broken | AnswerOutcome::Unknown => None,
         }
     }
 
@@ -39,12 +61,18 @@
         self.suspected_until.is_some_and(|until| until > now)
     }
 
-    fn failed(&mut self, now: Instant, upstream: &str) {
+    fn failed(&mut self, now: Instant, upstream: &str) -> Option<ZoneChange> {
         self.failing.insert(upstream.to_owned());
         // Requests sent before the suspicion began fail during it and add no evidence.
-        if self.failing.len() >= MIN_FAILING_UPSTREAMS && !self.is_suspected_down(now) {
-            self.suspected_until = Some(now + ejection_time(self.suspicions));
-            self.suspicions += 1;
+        if self.failing.len() < MIN_FAILING_UPSTREAMS || self.is_suspected_down(now) {
+            return None;
         }
+        let expires_in = ejection_time(self.suspicions);
+        self.suspected_until = Some(now + expires_in);
+        self.suspicions += 1;
+        Some(ZoneChange::Suspected {
+            failing: self.failing.len(),
+            expires_in,
+        })
     }
 }
--- a/crates/steering/tests/route_condition.rs
+++ b/crates/steering/tests/route_condition.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
-use steering::route::{AnswerOutcome, RegionLoad, UpstreamState, ZoneHealth};
+use steering::route::{AnswerOutcome, RegionLoad, UpstreamState, ZoneChange, ZoneHealth};
 
 /// Much longer than the time constant of the average.
 const LONG: Duration = Duration::from_secs(60);
@@ -126,6 +126,22 @@
     assert_eq!(zone.is_suspected_down(now + SOON), suspected);
 }
 
+#[test]
+fn each_change_of_a_zones_reachability_is_returned_once() {
+    let now = Instant::now();
+    let mut zone = ZoneHealth::default();
+    let first = zone.answered(now, "a", AnswerOutcome::Unreachable);
+    let second = zone.answered(now, "b", AnswerOutcome::Unreachable);
+    let third = zone.answered(now, "c", AnswerOutcome::Unreachable);
+    assert!(matches!(
+        second,
+        Some(ZoneChange::Suspected { failing: 2, .. })
+    ));
+    assert_eq!((first, third), (None, None));
+    let answers = [COMPLETE, COMPLETE].map(|outcome| zone.answered(now, "a", outcome));
+    assert_eq!(answers, [Some(ZoneChange::Answers), None]);
+}
+
 #[test]
 fn suspected_zone_is_probed_with_increasing_intervals_until_it_answers() {
     let mut now = Instant::now();
