Failing test: callers of hosts that are cut off from all upstreams are served

Six hosts as processes, nine upstreams in three zones, each behind a gate that finds which process a connection belongs to and harms only the connections of the hosts that are cut off: silence, resets, or resets of new connections only. One host, a zone, a region of one zone, five of six hosts.

The soak plays such cuts too (--cuts).

--- /dev/null
+++ b/tests/cut_from_upstreams.rs
@@ -0,0 +1,59 @@
+//! Hosts that are cut off from all upstreams, while callers, the store and the other hosts still
+//! reach them.
+
+use std::path::Path;
+use std::time::Duration;
+
+use platform_standin::{Cut, CutPlan, play_cut};
+use rstest::rstest;
+use tokio::sync::Mutex;
+
+/// Time of the cut after which callers must be served nearly as often as elsewhere.
+const DETECTED_AFTER: Duration = Duration::from_secs(2);
+const CUT_TIME: Duration = Duration::from_secs(5);
+/// Share of first tries served at hosts that are cut off, relative to the others.
+const MIN_SHARE_AT_FIRST: f64 = 0.5;
+const MIN_SHARE: f64 = 0.95;
+
+/// Runs one play at a time: each starts six hosts.
+static ONE_PLAY: Mutex<()> = Mutex::const_new(());
+
+#[rstest]
+#[case::one_host(1, &[0])]
+#[case::a_zone(2, &[0, 1])]
+#[case::a_region_of_one_zone(3, &[4, 5])]
+#[case::five_of_six_hosts(4, &[0, 1, 2, 3, 4])]
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_hosts_that_are_cut_off_from_all_upstreams_are_served(
+    #[case] seed: u64,
+    #[case] hosts: &[usize],
+    #[values(Cut::Silences, Cut::Resets, Cut::ResetsNew)] cut: Cut,
+) {
+    let _one_play = ONE_PLAY.lock().await;
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("cut-{seed}-{cut:?}"));
+    std::fs::create_dir_all(&folder).unwrap();
+    let plan = CutPlan {
+        stagedeck: env!("CARGO_BIN_EXE_stagedeck").into(),
+        folder,
+        seed,
+        hosts: hosts.to_vec(),
+        cut,
+        time: CUT_TIME,
+    };
+    let report = play_cut(&plan).await.unwrap();
+    assert_eq!(report.run_twice, Vec::<String>::new());
+    let (at_first, others_at_first) = report.tries(Duration::ZERO..DETECTED_AFTER);
+    let (cut_off, others) = report.tries(DETECTED_AFTER..CUT_TIME);
+    let (back, _) = report.tries(CUT_TIME..Duration::MAX);
+    println!("first {at_first:?} {others_at_first:?}, later {cut_off:?} {others:?}, back {back:?}");
+    assert!(others.share() >= MIN_SHARE, "{others:?}");
+    assert!(
+        cut_off.share() >= MIN_SHARE * others.share(),
+        "{cut_off:?}, {others:?}"
+    );
+    assert!(
+        at_first.share() >= MIN_SHARE_AT_FIRST * others_at_first.share(),
+        "{at_first:?}, {others_at_first:?}"
+    );
+    assert!(back.share() >= MIN_SHARE, "{back:?}");
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -12,6 +12,7 @@
     Limits,
     UndisturbedHost,
     Crashes,
+    Cuts,
 }
 
 /// Seeds that failed once are kept here, each with its cause.
@@ -35,6 +36,7 @@
         steps: 25,
         limits: extra == Extra::Limits,
         crashes: extra == Extra::Crashes,
+        cuts: extra == Extra::Cuts,
         undisturbed_host: extra == Extra::UndisturbedHost,
     };
     let report = soak(&plan).await.unwrap();
