A connection attempt that is given up is no longer counted as open

An attempt that its caller's deadline ended was dropped before its count was taken back, so that the upstream's connections were used up one by one until the process ended.

The reservation is a guard now. Connections can be opened over any stream, with the host that relays it, and errors tell whether the address or this process was at fault.

--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -11,6 +11,8 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use steering::ids::{HostName, RegionName};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
@@ -29,6 +31,9 @@
 const CLOSE_MARGIN: Duration = Duration::from_millis(300);
 /// Maximum idle time of a connection for [`Reuse::Recent`].
 const MAX_RECENT_IDLE_TIME: Duration = Duration::from_millis(500);
+/// Maximum age of a relayed connection that is used again, so that connections return to the direct
+/// path gradually.
+const MAX_RELAYED_AGE: Duration = Duration::from_secs(10);
 const MAX_HEADERS: usize = 128;
 /// Size of the read buffer, in bytes. The default buffer of hyper grows with large answers, and
 /// the peak memory of a host counts.
@@ -76,6 +81,65 @@
     }
 }
 
+/// Another host that relays a connection.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Relay {
+    /// Name of the host.
+    pub host: HostName,
+    /// Region of the host.
+    pub region: RegionName,
+}
+
+/// Why no connection was opened.
+#[derive(Debug, Display, Error)]
+pub enum ConnectError {
+    /// As many connections to the address as allowed are in use.
+    #[display("all connections are in use")]
+    AllInUse,
+    /// The process can't open a connection, most often because no descriptor is left.
+    #[display("{_0}")]
+    Local(std::io::Error),
+    /// The address could not be reached in time, or refused the connection.
+    #[display("{_0}")]
+    Unreachable(std::io::Error),
+}
+
+impl ConnectError {
+    /// Classifies the error of a connection attempt.
+    fn of_peer(error: std::io::Error) -> Self {
+        match error.kind() {
+            ErrorKind::TimedOut
+            | ErrorKind::ConnectionRefused
+            | ErrorKind::ConnectionReset
+            | ErrorKind::ConnectionAborted
+            | ErrorKind::HostUnreachable
+            | ErrorKind::NetworkUnreachable
+            | ErrorKind::NotConnected
+            | ErrorKind::BrokenPipe
+            | ErrorKind::UnexpectedEof => ConnectError::Unreachable(error),
+            _ => ConnectError::Local(error),
+        }
+    }
+}
+
+/// A counted connection that is being opened.
+struct Reservation(Option<Arc<AtomicU32>>);
+
+impl Reservation {
+    /// Leaves the connection counted.
+    fn keep(mut self) -> Arc<AtomicU32> {
+        self.0.take().expect("only this function takes it")
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        if let Some(count) = self.0.take() {
+            count.fetch_sub(1, Ordering::AcqRel);
+        }
+    }
+}
+
 /// An open connection that is not in use.
 struct IdleConnection {
     sender: SendRequest<Body>,
@@ -89,6 +153,9 @@
 pub(crate) struct OpenConnection {
     count: Arc<AtomicU32>,
     task: AbortHandle,
+    opened_at: Instant,
+    /// `None` for a direct connection.
+    relay: Option<Relay>,
 }
 
 impl Drop for OpenConnection {
@@ -122,6 +189,11 @@
 }
 
 impl Lease {
+    /// The host that relays the connection; `None` if it is direct.
+    pub fn relay(&self) -> Option<&Relay> {
+        self.open.relay.as_ref()
+    }
+
     /// Sends a request, and waits for the headers of the answer.
     pub async fn send(
         mut self,
@@ -155,11 +227,15 @@
     /// Returns the connection for the next request.
     pub fn give_back(self) {
         let since = clock::now();
+        let mut expires_at = since + self.max_idle_time;
+        if self.open.relay.is_some() {
+            expires_at = expires_at.min(self.open.opened_at + MAX_RELAYED_AGE);
+        }
         let idle = IdleConnection {
             sender: self.sender,
             open: self.open,
             since,
-            expires_at: since + self.max_idle_time,
+            expires_at,
         };
         let mut peers = self.connections.lock();
         peers.entry(self.address).or_default().idle.push(idle);
@@ -228,28 +304,79 @@
         open.unwrap_or(0)
     }
 
-    async fn lease(
+    /// Returns an open connection that is not in use; `None` if there is none. `may_use` is asked
+    /// with the relay of a connection.
+    pub async fn take_open(
         &self,
         address: SocketAddr,
-        max_connections: u32,
         reuse: Reuse,
-    ) -> std::io::Result<Lease> {
-        while let Some(mut idle) = self.take_idle(address, reuse) {
+        may_use: impl Fn(Option<&Relay>) -> bool,
+    ) -> Option<Lease> {
+        while let Some(mut idle) = self.take_idle(address, reuse, &may_use) {
             if idle.sender.ready().await.is_ok() {
-                return Ok(self.new_lease(address, idle.sender, idle.open));
+                return Some(self.new_lease(address, idle.sender, idle.open));
             }
         }
+        None
+    }
+
+    /// Opens a direct connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ConnectError::Unreachable`] if the address does not accept a connection within
+    /// 300 ms.
+    pub async fn open_direct(
+        &self,
+        address: SocketAddr,
+        max_connections: u32,
+    ) -> Result<Lease, ConnectError> {
+        let connecting = async {
+            let connected = timeout(CONNECT_TIMEOUT, connect(address)).await;
+            connected.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()))
+        };
+        self.open_with(address, max_connections, None, connecting)
+            .await
+    }
+
+    /// Opens a connection over the stream that `connecting` returns.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ConnectError`] if all connections are in use or `connecting` fails.
+    pub async fn open_with<S>(
+        &self,
+        address: SocketAddr,
+        max_connections: u32,
+        relay: Option<Relay>,
+        connecting: impl Future<Output = std::io::Result<S>>,
+    ) -> Result<Lease, ConnectError>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
         let count = self.reserve(address, max_connections)?;
-        let connected = timeout(CONNECT_TIMEOUT, connect(address)).await;
-        let timed_out = || Err(std::io::ErrorKind::TimedOut.into());
-        let (sender, task) = match connected.unwrap_or_else(|_| timed_out()) {
-            Ok(connected) => connected,
-            Err(error) => {
-                count.fetch_sub(1, Ordering::AcqRel);
-                return Err(error);
-            }
+        let reservation = Reservation(Some(count));
+        let stream = connecting.await.map_err(ConnectError::of_peer)?;
+        let (sender, task) = handshake(stream).await.map_err(ConnectError::of_peer)?;
+        let open = OpenConnection {
+            count: reservation.keep(),
+            task,
+            opened_at: clock::now(),
+            relay,
         };
-        Ok(self.new_lease(address, sender, OpenConnection { count, task }))
+        Ok(self.new_lease(address, sender, open))
+    }
+
+    async fn lease(
+        &self,
+        address: SocketAddr,
+        max_connections: u32,
+        reuse: Reuse,
+    ) -> Result<Lease, ConnectError> {
+        match self.take_open(address, reuse, |_| true).await {
+            Some(lease) => Ok(lease),
+            None => self.open_direct(address, max_connections).await,
+        }
     }
 
     fn new_lease(
@@ -267,7 +394,12 @@
         }
     }
 
-    fn take_idle(&self, address: SocketAddr, reuse: Reuse) -> Option<IdleConnection> {
+    fn take_idle(
+        &self,
+        address: SocketAddr,
+        reuse: Reuse,
+        may_use: impl Fn(Option<&Relay>) -> bool,
+    ) -> Option<IdleConnection> {
         let oldest = match reuse {
             Reuse::Any => MAX_IDLE_TIME,
             Reuse::Recent => MAX_RECENT_IDLE_TIME,
@@ -277,11 +409,14 @@
         let now = clock::now();
         peer.idle
             .retain(|idle| idle.expires_at > now && !idle.sender.is_closed());
-        let last = peer.idle.last()?;
-        if clock::elapsed(last.since) >= oldest {
+        let last = peer
+            .idle
+            .iter()
+            .rposition(|idle| may_use(idle.open.relay.as_ref()))?;
+        if clock::elapsed(peer.idle[last].since) >= oldest {
             return None;
         }
-        peer.idle.pop()
+        Some(peer.idle.remove(last))
     }
 
     /// Counts a new connection; first closes an idle one if all are open.
@@ -289,14 +424,14 @@
         &self,
         address: SocketAddr,
         max_connections: u32,
-    ) -> std::io::Result<Arc<AtomicU32>> {
+    ) -> Result<Arc<AtomicU32>, ConnectError> {
         let mut peers = self.lock();
         let peer = peers.entry(address).or_default();
         if peer.open.load(Ordering::Acquire) >= max_connections {
             peer.idle.pop();
         }
         if peer.open.load(Ordering::Acquire) >= max_connections {
-            return Err(std::io::Error::other("all connections are in use"));
+            return Err(ConnectError::AllInUse);
         }
         peer.open.fetch_add(1, Ordering::AcqRel);
         Ok(Arc::clone(&peer.open))
@@ -307,9 +442,16 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> std::io::Result<(SendRequest<Body>, AbortHandle)> {
+async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+async fn handshake<S>(stream: S) -> std::io::Result<(SendRequest<Body>, AbortHandle)>
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
     let (sender, connection) = http1::Builder::new()
         .max_headers(MAX_HEADERS)
         .read_buf_exact_size(Some(READ_BUFFER_BYTES))
