Decision: connections to a zone's upstreams are direct, or relayed by another host

ZonePath weighs failures of direct connections against what other hosts reach: several upstreams of a zone fail, or several requests stay without an answer, and none is answered in between; then relays are tried, few at first. One that opens shows that only this host's links are cut. Trials lead back.

--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -51,6 +51,7 @@
 mod table;
 mod unavailable;
 mod upstream;
+mod upstream_paths;
 mod upstream_state;
 mod view;
 mod zone_health;
@@ -117,6 +118,10 @@
 pub use table::RouteTable;
 pub use unavailable::{Unavailable, UnavailableCause};
 pub use upstream::Upstream;
+pub use upstream_paths::{
+    ConnectPlan, DirectResult, PathChange, Place, RelayFailure, RelayHost, UpstreamPaths, ZonePath,
+    relay_order,
+};
 pub use upstream_state::UpstreamState;
 pub use view::RouteView;
 pub use zone_health::{ZoneChange, ZoneHealth};
--- /dev/null
+++ b/crates/steering/tests/route_upstream_paths.rs
@@ -0,0 +1,248 @@
+//! Direct and relayed paths to upstreams.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use steering::route::{
+    AnswerOutcome, DirectResult, PathChange, Place, RelayFailure, RelayHost, UpstreamPaths,
+    ZonePath, relay_order,
+};
+
+const WORK: Duration = Duration::from_millis(200);
+const MOMENT: Duration = Duration::from_millis(10);
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Sends a request on a direct connection and ends it after `took`.
+fn direct(
+    path: &mut ZonePath,
+    at: Instant,
+    upstream: &str,
+    outcome: AnswerOutcome,
+    took: Duration,
+) {
+    path.direct_sent(at, WORK);
+    let result = DirectResult {
+        sent_at: at,
+        work: WORK,
+        outcome,
+    };
+    path.direct_ended(at + took, upstream, result);
+}
+
+/// A path over which a relay was opened, at `now`.
+fn relayed(now: Instant) -> ZonePath {
+    let mut path = ZonePath::default();
+    path.direct_failed("a");
+    path.direct_failed("b");
+    assert!(path.plan(now, false).relays);
+    assert_eq!(path.relay_opened(now), Some(PathChange::Relayed));
+    path
+}
+
+#[rstest]
+#[case::nothing(&[], false)]
+#[case::one_upstream_that_is_down(&[("a", AnswerOutcome::Unreachable), ("a", AnswerOutcome::Unreachable)], false)]
+#[case::two_upstreams(&[("a", AnswerOutcome::Unreachable), ("b", AnswerOutcome::Unreachable)], true)]
+#[case::two_that_break_connections(&[("a", AnswerOutcome::Broken), ("b", AnswerOutcome::Broken)], true)]
+#[case::the_only_one_of_the_zone(&[("a", AnswerOutcome::Unreachable); 3], true)]
+#[case::another_answers_in_between(&[("a", AnswerOutcome::Unreachable), ("c", AnswerOutcome::Complete), ("b", AnswerOutcome::Unreachable)], false)]
+#[case::a_full_one_answers_in_between(&[("a", AnswerOutcome::Broken), ("c", AnswerOutcome::Refused), ("b", AnswerOutcome::Broken)], false)]
+#[case::callers_leave(&[("a", AnswerOutcome::Unknown), ("b", AnswerOutcome::Unknown)], false)]
+fn relays_are_tried_if_several_upstreams_of_a_zone_fail(
+    #[case] seen: &[(&str, AnswerOutcome)],
+    #[case] tried: bool,
+) {
+    let now = Instant::now();
+    let mut path = ZonePath::default();
+    for (upstream, outcome) in seen {
+        direct(&mut path, now, upstream, *outcome, MOMENT);
+    }
+    assert_eq!(path.plan(now + MOMENT, false).relays, tried);
+}
+
+#[test]
+fn one_failure_is_enough_if_another_zone_is_reached_through_relays() {
+    let now = Instant::now();
+    let mut paths = UpstreamPaths::default();
+    for upstream in ["a", "b"] {
+        paths.zone("east").direct_failed(upstream);
+    }
+    paths.zone("west").direct_failed("c");
+    assert!(paths.plan(now, "east").relays);
+    assert!(!paths.plan(now, "west").relays);
+    paths.zone("east").relay_opened(now);
+    assert!(paths.plan(now, "west").relays);
+    assert!(!paths.plan(now, "south").relays, "nothing failed there");
+}
+
+#[rstest]
+#[case::several_requests(3, SECOND, true)]
+#[case::few_requests(2, SECOND, false)]
+#[case::not_for_long(3, WORK, false)]
+fn relays_are_tried_if_nothing_answers(
+    #[case] requests: u32,
+    #[case] silent: Duration,
+    #[case] tried: bool,
+) {
+    let now = Instant::now();
+    let mut path = ZonePath::default();
+    for _ in 0..requests {
+        path.direct_sent(now, WORK);
+    }
+    assert_eq!(path.plan(now + silent, false).relays, tried);
+}
+
+#[test]
+fn requests_that_time_out_without_any_answer_are_failures() {
+    let now = Instant::now();
+    let mut path = ZonePath::default();
+    direct(&mut path, now, "a", AnswerOutcome::Unknown, SECOND);
+    direct(&mut path, now, "b", AnswerOutcome::Unknown, SECOND);
+    assert!(path.plan(now + SECOND, false).relays);
+}
+
+#[test]
+fn upstreams_that_other_hosts_do_not_reach_either_are_down() {
+    let now = Instant::now();
+    let mut path = ZonePath::default();
+    path.direct_failed("a");
+    path.direct_failed("b");
+    let first = path.plan(now, false);
+    assert_eq!(
+        (first.relays, first.change),
+        (true, Some(PathChange::TriesRelays))
+    );
+    assert!(path.plan(now, false).relays);
+    assert_eq!(path.relay_failed(now, RelayFailure::UpstreamDown), None);
+    let failed = path.relay_failed(now, RelayFailure::UpstreamDown);
+    assert_eq!(failed, Some(PathChange::RelaysFail));
+    // Not again at once.
+    path.direct_failed("a");
+    path.direct_failed("b");
+    assert!(!path.plan(now + MOMENT, false).relays);
+    assert!(path.plan(now + SECOND, false).relays);
+}
+
+#[test]
+fn few_relays_are_tried_before_one_is_opened() {
+    let now = Instant::now();
+    let mut path = ZonePath::default();
+    path.direct_failed("a");
+    path.direct_failed("b");
+    let relays = (0..20).filter(|_| path.plan(now, false).relays).count();
+    assert_eq!(relays, 4);
+    path.relay_opened(now);
+    let relays = (0..20).filter(|_| path.plan(now, false).relays).count();
+    assert_eq!(relays, 20);
+}
+
+#[test]
+fn failed_relays_do_not_lead_back_to_a_path_that_is_cut() {
+    let now = Instant::now();
+    let mut path = relayed(now);
+    for _ in 0..10 {
+        assert_eq!(path.relay_failed(now, RelayFailure::NoHost), None);
+    }
+    assert!(path.plan(now, false).relays);
+}
+
+#[test]
+fn open_direct_connections_are_used_while_they_answer() {
+    let now = Instant::now();
+    let mut path = relayed(now);
+    assert!(!path.plan(now, false).uses_open_direct);
+    direct(&mut path, now, "a", AnswerOutcome::Complete, MOMENT);
+    let plan = path.plan(now + MOMENT, false);
+    assert!(plan.uses_open_direct && plan.relays);
+    assert!(!path.plan(now + SECOND, false).uses_open_direct);
+}
+
+#[test]
+fn direct_path_returns_after_trials_in_a_row() {
+    let start = Instant::now();
+    let mut path = relayed(start);
+    assert!(!path.plan(start, false).tries_direct);
+    let mut now = start;
+    let mut trials = Vec::new();
+    for passed in [false, true, false, true, true] {
+        while !path.plan(now, false).tries_direct {
+            now += MOMENT;
+        }
+        trials.push(path.trial_ended(now, passed));
+    }
+    assert_eq!(trials[..4], [None; 4]);
+    assert_eq!(trials[4], Some(PathChange::Direct(now - start)));
+    assert!(now - start >= SECOND * 5, "a trial a second");
+    let plan = path.plan(now, false);
+    assert!(!plan.relays && plan.uses_open_direct);
+}
+
+#[test]
+fn a_path_that_fails_right_after_its_return_is_relayed_again_within_seconds() {
+    let mut now = Instant::now();
+    let mut path = relayed(now);
+    for _ in 0..5 {
+        path.trial_ended(now, true);
+        path.trial_ended(now, true);
+        path.direct_failed("a");
+        path.direct_failed("b");
+        let back_at = now;
+        while !path.plan(now, false).relays {
+            now += MOMENT;
+        }
+        assert!(now - back_at <= SECOND * 2 + MOMENT);
+        path.relay_opened(now);
+    }
+}
+
+fn relay_host(name: &str, zone: &str, region: &str) -> RelayHost {
+    RelayHost {
+        name: name.to_owned(),
+        zone: zone.to_owned(),
+        region: region.to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+    }
+}
+
+#[rstest]
+#[case::all_well(&[], &["near", "region", "there", "far"])]
+#[case::the_near_one_has_failed(&["near"], &["region", "there", "far", "near"])]
+fn near_hosts_are_asked_first(#[case] failed: &[&str], #[case] expected: &[&str]) {
+    let hosts = [
+        relay_host("far", "z", "r3"),
+        relay_host("there", "y", "r2"),
+        relay_host("region", "b", "r1"),
+        relay_host("near", "a", "r1"),
+    ];
+    let own = Place {
+        zone: "a",
+        region: "r1",
+    };
+    let upstream = Place {
+        zone: "y",
+        region: "r2",
+    };
+    for random in 0..4 {
+        let has_failed = |host: &RelayHost| failed.contains(&host.name.as_str());
+        let order = relay_order(hosts.iter(), own, upstream, has_failed, random);
+        let names: Vec<&str> = order.iter().map(|host| host.name.as_str()).collect();
+        assert_eq!(names, expected);
+    }
+}
+
+#[test]
+fn hosts_at_the_same_distance_share_the_relays() {
+    let hosts = ["a", "b", "c"].map(|name| relay_host(name, "zone", "region"));
+    let place = Place {
+        zone: "zone",
+        region: "region",
+    };
+    let first = |random| {
+        relay_order(hosts.iter(), place, place, |_| false, random)[0]
+            .name
+            .clone()
+    };
+    let firsts: Vec<String> = (0..3).map(first).collect();
+    assert_eq!(firsts, ["a", "b", "c"]);
+}
