Relays between hosts: request, proofs under the shared key, frames

A host requests a connection to an upstream by its id; both sides prove that they have the shared key, each for this one connection. The upstream's bytes come in frames, so that an answer that ends with its connection is told from one that was lost with the relaying host.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,6 +8,7 @@
 mod codec;
 mod messages;
 mod names;
+pub mod relay;
 mod server;
 mod traffic;
 mod transit;
