A host that is cut off from upstreams reaches them through other hosts

Cause: no other way existed. Each send went over a connection of the host's own; what the host could not reach it took for unreachable (one link of a path taken for its end), though callers, the store and other hosts reached it and other hosts reached the upstreams. Evidence: 251 connects timed out in 4 s on one host and 103 requests were refused with no_upstream, while its neighbour served 280 of 281.

Change: another host opens the connection and passes bytes on; every decision, token and count stays where the caller came in. ZonePath decides, under traffic/paths the host asks others and serves them. A refused connection counts as a crash only if other hosts are refused too; losses on this host's own cut links do not count against the version of an upstream.

--- a/crates/gateway/src/control/hosts.rs
+++ b/crates/gateway/src/control/hosts.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::TcpListener;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures::future::join_all;
@@ -129,6 +130,7 @@
             _ => None,
         });
         if let Some(key) = key {
+            self.common.relay_key.store(Some(Arc::new(key.to_vec())));
             self.key.replace(Some(key.as_slice().into()));
         }
     }
--- a/crates/gateway/src/control/known_state.rs
+++ b/crates/gateway/src/control/known_state.rs
@@ -9,7 +9,7 @@
 use steering::ids::{HostName, RegionName, ServiceName, ZoneName};
 use steering::route::{
     Catalog, Changes, CustomerTable, DocumentChange, Evacuations, Feed, FeedDigest, HostTable,
-    ObservedState, Record, Rollouts, RouteDocument, RouteTable, RouteView, ServicePool,
+    ObservedState, Record, RelayHost, Rollouts, RouteDocument, RouteTable, RouteView, ServicePool,
     StoreAnswers, StoreUptime,
 };
 
@@ -45,6 +45,9 @@
     pub refused_work_loaded: bool,
     /// Hosts in the last view; compared to detect changes caused by time alone.
     advertised: BTreeMap<RegionName, Vec<SocketAddr>>,
+    /// The same hosts, as relays, and the version of the host table that they are of.
+    relay_hosts: Arc<BTreeMap<HostName, RelayHost>>,
+    relay_hosts_version: u64,
     region_hosts: Option<Vec<HostName>>,
     /// Keys of unreadable reports that were logged.
     refused_reports: BTreeSet<String>,
@@ -70,6 +73,8 @@
             upstreams_loaded: false,
             refused_work_loaded: false,
             advertised: BTreeMap::new(),
+            relay_hosts: Arc::default(),
+            relay_hosts_version: 0,
             region_hosts: None,
             refused_reports: BTreeSet::new(),
             sharing_hosts: None,
@@ -307,6 +312,11 @@
         if advertised != self.advertised {
             tracing::info!(event = "hosts_named", hosts = ?advertised);
         }
+        let version = self.host_table.version();
+        if advertised != self.advertised || version != self.relay_hosts_version {
+            self.relay_hosts = self.advertised_relays(now).into();
+            self.relay_hosts_version = version;
+        }
         self.advertised = advertised;
         (self.sharing_hosts, self.region_hosts) = self.hosts_sharing_bounds(now);
         self.upstreams_loaded = self.catalog.is_read();
@@ -331,6 +341,7 @@
             refused_work_loaded: self.refused_work_loaded,
             services: Arc::clone(pools),
             hosts: self.advertised.clone(),
+            relay_hosts: Arc::clone(&self.relay_hosts),
             sharing_hosts: self.sharing_hosts,
             region_hosts: self.region_hosts.clone(),
         }
@@ -397,6 +408,22 @@
         self.document.version
     }
 
+    /// The other hosts that callers may be sent to, as relays.
+    fn advertised_relays(&self, now: Instant) -> BTreeMap<HostName, RelayHost> {
+        let hosts = self.host_table.advertised(now);
+        let relays = hosts.filter_map(|host| {
+            let entry = &host.entry;
+            let relay = RelayHost {
+                name: entry.name.clone(),
+                zone: entry.zone.clone(),
+                region: self.regions.get(&entry.zone)?.clone(),
+                address: entry.relay_address,
+            };
+            Some((entry.name.clone(), relay))
+        });
+        relays.collect()
+    }
+
     /// Caller addresses of the other hosts that callers may be sent to, by region.
     fn advertised_hosts(&self, now: Instant) -> BTreeMap<RegionName, Vec<SocketAddr>> {
         let mut advertised: BTreeMap<RegionName, Vec<SocketAddr>> = BTreeMap::new();
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -118,8 +118,7 @@
         name: settings.host.clone(),
         zone: settings.zone.clone(),
         caller_address: settings.caller_address,
-        // Hosts that serve routes do not relay requests to each other.
-        relay_address: settings.caller_address,
+        relay_address: settings.relay_address,
         peer_address: settings.peer_address,
         operator_address: settings.ready_address,
         capacity: settings.capacity,
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -6,7 +6,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use derive_more::{Display, Error, From};
 use steering::route::RouteView;
 use store::RecordStore;
@@ -57,6 +57,7 @@
     pub ready: TcpListener,
     pub look_ups: TcpListener,
     pub peers: TcpListener,
+    pub relays: TcpListener,
     pub metrics: Option<TcpListener>,
 }
 
@@ -79,6 +80,7 @@
             ready: bind("ready_address", settings.ready_address)?,
             look_ups: bind("look_up_address", settings.look_up_address)?,
             peers: bind("peer_address", settings.peer_address)?,
+            relays: bind("relay_address", settings.relay_address)?,
             metrics: settings
                 .metrics_address
                 .map(|address| bind("metrics_address", address))
@@ -114,6 +116,8 @@
     pub limits: LimitCalls,
     pub suspects: Arc<SharedSuspects>,
     pub rollouts: Arc<RolloutCounters>,
+    /// Key shared by all hosts, by which they prove themselves for relays; none until it is known.
+    pub relay_key: Arc<ArcSwapOption<Vec<u8>>>,
     pub stage: watch::Receiver<Stage>,
     /// When this host started.
     pub started_at: Instant,
@@ -154,6 +158,7 @@
         settings.look_up_address = sockets.look_ups.local_addr()?;
         settings.ready_address = sockets.ready.local_addr()?;
         settings.peer_address = sockets.peers.local_addr()?;
+        settings.relay_address = sockets.relays.local_addr()?;
         if let Some(metrics) = &sockets.metrics {
             settings.metrics_address = Some(metrics.local_addr()?);
         }
@@ -171,6 +176,7 @@
             limits,
             suspects: Arc::new(suspects),
             rollouts: Arc::default(),
+            relay_key: Arc::default(),
             stage: stage_receiver,
             started_at: clock::now(),
             is_ready: Arc::default(),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -28,6 +28,8 @@
     pub look_up_address: SocketAddr,
     /// Address for messages of other hosts.
     pub peer_address: SocketAddr,
+    /// Address at which other hosts request relays to upstreams.
+    pub relay_address: SocketAddr,
     /// Address for metrics and operators' commands; none to serve neither.
     pub metrics_address: Option<SocketAddr>,
     /// Peer addresses of some hosts, which a starting host asks if the store does not answer; may
@@ -106,6 +108,10 @@
                 moved(self.look_up_address, other.look_up_address),
             ),
             ("peer_address", moved(self.peer_address, other.peer_address)),
+            (
+                "relay_address",
+                moved(self.relay_address, other.relay_address),
+            ),
             (
                 "store_address",
                 moved(self.store_address, other.store_address),
@@ -152,6 +158,7 @@
             ready_address: free,
             look_up_address: free,
             peer_address: free,
+            relay_address: free,
             metrics_address: None,
             seeds: Vec::new(),
             first_start: false,
--- a/crates/gateway/src/traffic/crash_check.rs
+++ b/crates/gateway/src/traffic/crash_check.rs
@@ -7,6 +7,7 @@
 use steering::route::{Upstream, WorkEvent, WorkIdentity};
 
 use super::Traffic;
+use super::paths::{RelayAnswer, ask_relays};
 use crate::suspects;
 
 /// Checks an upstream that has closed a request's connection. A closed connection alone is weak
@@ -26,7 +27,7 @@
     pub async fn run(self) {
         let closed_at = clock::now();
         let report = &self.upstream.report;
-        if !self.traffic.connections.is_refused(report.address).await {
+        if !self.has_ended().await {
             return;
         }
         tracing::info!(
@@ -45,6 +46,19 @@
         }
     }
 
+    /// Whether nothing listens at the upstream's address. A refusal that only this host gets comes
+    /// from its own links.
+    async fn has_ended(&self) -> bool {
+        let Traffic {
+            connections, paths, ..
+        } = &*self.traffic;
+        if paths.is_relayed(&self.upstream) {
+            return ask_relays(&self.traffic, &self.upstream).await == RelayAnswer::Refuses;
+        }
+        connections.is_refused(self.upstream.report.address).await
+            && ask_relays(&self.traffic, &self.upstream).await != RelayAnswer::Reached
+    }
+
     fn record_crash(&self, work: WorkIdentity, sent_at: Instant, closed_at: Instant) {
         let event = WorkEvent::Crashed {
             start: self.upstream.report.start_hash(),
--- a/crates/gateway/src/traffic/destination.rs
+++ b/crates/gateway/src/traffic/destination.rs
@@ -93,7 +93,7 @@
 }
 
 /// Whether the route and the customer both allow a region.
-fn may_run_in(route: &Route, sender: &Sender, region: &str) -> bool {
+pub(super) fn may_run_in(route: &Route, sender: &Sender, region: &str) -> bool {
     route.may_run_in(region) && sender.may_run_in(region)
 }
 
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -7,6 +7,7 @@
 mod head;
 mod look_up;
 mod operator;
+mod paths;
 mod request_log;
 mod run;
 mod send;
@@ -27,6 +28,7 @@
 
 use crate::host::{Common, RenderMetrics, Sockets, Stage};
 use crate::wire_format::WireFormat;
+use paths::Paths;
 use start_waits::StartWaits;
 use statements::UnknownStatements;
 use stats::TrafficStats;
@@ -44,12 +46,13 @@
     common: Common,
     wire_format: Arc<dyn WireFormat>,
     connections: Connections,
+    paths: Paths,
     render_metrics: RenderMetrics,
     stats: Mutex<TrafficStats>,
     /// Names of unknown statements in upstreams' answers.
     unknown_statements: UnknownStatements,
     start_waits: StartWaits,
-    /// Open connections of callers. A connection closes only after its last answer has been written
+    /// Open connections of callers, and connections relayed for other hosts. A connection closes only after its last answer has been written
     /// completely.
     open_connections: AtomicU32,
 }
@@ -67,6 +70,22 @@
     fn is_leaving(&self) -> bool {
         *self.common.stage.borrow() != Stage::Serving
     }
+
+    /// Whether this host accepts no new connections of callers any more.
+    fn has_stopped_accepting(&self) -> bool {
+        match *self.common.stage.borrow() {
+            Stage::Serving => false,
+            Stage::Leaving { since } => clock::elapsed(since) >= self.accept_time(),
+            Stage::Ended => true,
+        }
+    }
+
+    /// Whether open connections that a host relays are used for further requests. Those of one that
+    /// is leaving or has failed are not.
+    fn may_relay(&self, host: &str) -> bool {
+        let is_advertised = self.common.view.load().relay_hosts.contains_key(host);
+        is_advertised && !self.paths.has_failed(host)
+    }
 }
 
 /// Serves until the host is leaving and the last connection has closed.
@@ -80,6 +99,7 @@
     let traffic = Arc::new(Traffic {
         stats: Mutex::new(TrafficStats::new(&common.settings)),
         connections: Connections::default(),
+        paths: Paths::default(),
         unknown_statements: UnknownStatements::default(),
         start_waits: StartWaits::default(),
         open_connections: AtomicU32::default(),
@@ -88,6 +108,8 @@
         common,
     });
     let callers = server::accept(&traffic, sockets.callers, server::Purpose::Callers);
+    let relays = paths::serve_relays(Arc::clone(&traffic), sockets.relays);
+    spawn_local(relays);
     server::accept(&traffic, sockets.ready, server::Purpose::Checks);
     server::accept(&traffic, sockets.look_ups, server::Purpose::Checks);
     if let Some(metrics) = sockets.metrics {
@@ -117,6 +139,8 @@
         metrics::gauge!("stagedeck_document_version").set(view.version as f64);
         metrics::gauge!("stagedeck_works_refused")
             .set(traffic.common.suspects.refused().len() as f64);
+        let relayed_zones = traffic.paths.upstreams().relayed_zones();
+        metrics::gauge!("stagedeck_zones_relayed").set(relayed_zones as f64);
         metrics::gauge!("stagedeck_sharers").set(view.sharing_hosts.unwrap_or(0) as f64);
         for (service, pool) in view.services.iter() {
             record_statement_counts(service, pool, now);
--- /dev/null
+++ b/crates/gateway/src/traffic/paths/trial.rs
@@ -0,0 +1,42 @@
+//! Finds out whether the direct path to a zone's upstreams is back.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::Request;
+use steering::route::Upstream;
+use upstream::full;
+
+use super::log_change;
+use crate::traffic::Traffic;
+
+/// Time limit of a trial; longer than a round trip between regions.
+const TRIAL_TIME: Duration = Duration::from_millis(600);
+/// Identity of an upstream that none has, so that the request is refused at once and never runs.
+const NO_UPSTREAM: &str = "none";
+
+/// Sends a request that is addressed to no upstream over a new direct connection. Any answer shows
+/// that the path is back.
+pub(super) async fn run(traffic: Arc<Traffic>, upstream: Arc<Upstream>, max_connections: u32) {
+    let deadline = clock::now() + TRIAL_TIME;
+    let address = upstream.report.address;
+    let exchange = async {
+        let connecting = traffic.connections.open_direct(address, max_connections);
+        let lease = connecting.await.ok()?;
+        let names = traffic.wire_format.headers();
+        let request = Request::get("/")
+            .header(&names.expected_upstream, NO_UPSTREAM)
+            .header(&names.request_id, NO_UPSTREAM)
+            .header(&names.deadline_ms, TRIAL_TIME.as_millis() as u64)
+            .body(full(""));
+        let request = request.expect("the headers are valid");
+        lease.send(request, deadline).await.ok()
+    };
+    let answer = tokio::time::timeout(clock::remaining(deadline), exchange).await;
+    let passed = matches!(answer, Ok(Some(_)));
+    let zone = &upstream.report.zone;
+    let mut paths = traffic.paths.upstreams();
+    let change = paths.zone(zone).trial_ended(clock::now(), passed);
+    drop(paths);
+    log_change(zone, change);
+}
--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -18,7 +18,7 @@
 use super::Traffic;
 use super::answers::{Cause, Refusal};
 use super::crash_check::CrashCheck;
-use super::destination::{Destination, knows_rollout};
+use super::destination::{Destination, knows_rollout, may_run_in};
 use super::forward::DEFAULT_RETRY_AFTER;
 use super::head::Head;
 use super::request_log::RequestLog;
@@ -156,6 +156,7 @@
             deadline: self.deadline,
             route: &self.route.name,
             sender: self.sender,
+            may_pass: &|region| may_run_in(self.route, self.sender, region),
             work: self.work,
             crashes_known: self.crashes_known,
         };
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -1,26 +1,45 @@
 //! Sends a request to an upstream once.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use http_body_util::BodyExt;
 use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
-use steering::ids::RuleName;
+use steering::ids::{HostName, RuleName};
 use steering::route::{
-    AnswerOutcome, AnswerQuality, Choice, SendOutcome, Sender, Upstream, WorkIdentity, ZoneChange,
+    AnswerOutcome, AnswerQuality, Choice, DirectResult, SendOutcome, Sender, Upstream,
+    WorkIdentity, ZoneChange,
 };
 use steering::statement::Obstacle;
-use upstream::{Body, GuardedBody, RequestBody, Reuse, SendError, TrackedBody, end_to_end};
+use upstream::{Body, GuardedBody, Lease, RequestBody, Reuse, SendError, TrackedBody, end_to_end};
 
 use super::Traffic;
 use super::head::Head;
+use super::paths::{Wanted, connect};
 use super::statements::{AnswerHead, apply_statement};
 
-/// Maximum number of connections to an upstream whose service declares no limit.
-const DEFAULT_CONNECTIONS: u32 = 256;
+/// Time without an answer after which a request counts against the host that relays it.
+const RELAY_SILENT_AFTER: Duration = Duration::from_millis(1_200);
+
+/// The connection that a request was sent on.
+#[derive(Debug, Default)]
+enum Connection {
+    /// Nothing was sent.
+    #[default]
+    None,
+    /// This host's own.
+    Direct {
+        /// Whether the request is the first one on it.
+        is_new: bool,
+        /// Longest expected work on the request.
+        work: Duration,
+    },
+    /// Through a host.
+    Relayed(HostName),
+}
 
 /// A request in flight at an upstream. Its drop records the end of the request.
 struct InFlight {
@@ -30,10 +49,12 @@
     work: WorkIdentity,
     /// Whether any part of the request may have left this host.
     is_sent: Cell<bool>,
+    connection: RefCell<Connection>,
+    traffic: Arc<Traffic>,
 }
 
 impl InFlight {
-    fn begin(choice: &Choice, work: WorkIdentity) -> Self {
+    fn begin(traffic: &Arc<Traffic>, choice: &Choice, work: WorkIdentity) -> Self {
         let started_at = clock::now();
         let mut state = choice.upstream.state();
         state.request_sent(started_at);
@@ -45,6 +66,47 @@
             is_recorded: Cell::new(false),
             work,
             is_sent: Cell::new(false),
+            connection: RefCell::default(),
+            traffic: Arc::clone(traffic),
+        }
+    }
+
+    /// Records the connection that the request is about to be sent on.
+    fn sent_on(&self, lease: &Lease, work: Duration) {
+        self.is_sent.set(true);
+        self.connection.replace(match lease.relay() {
+            Some(relay) => Connection::Relayed(relay.host.clone()),
+            None => {
+                self.traffic.paths.direct_sent(&self.upstream, work);
+                Connection::Direct {
+                    is_new: lease.is_new(),
+                    work,
+                }
+            }
+        });
+    }
+
+    /// Records what the request shows of the path to the upstream.
+    fn record_path(&self, now: Instant, outcome: AnswerOutcome) {
+        let paths = &self.traffic.paths;
+        match &*self.connection.borrow() {
+            Connection::None => {}
+            Connection::Direct { is_new, work } => {
+                let result = DirectResult {
+                    sent_at: self.started_at,
+                    is_first: *is_new,
+                    work: *work,
+                    outcome,
+                };
+                paths.direct_ended(&self.upstream, result);
+            }
+            Connection::Relayed(host) => {
+                let waited = now.saturating_duration_since(self.started_at);
+                let is_silent = outcome == AnswerOutcome::Unknown && waited > RELAY_SILENT_AFTER;
+                if is_silent || outcome == AnswerOutcome::Broken {
+                    paths.relay_failed(host);
+                }
+            }
         }
     }
 
@@ -61,6 +123,7 @@
         if let Some(change) = change {
             log_zone_change(&self.upstream, change);
         }
+        self.record_path(now, answered);
         self.is_recorded.set(true);
     }
 }
@@ -132,6 +195,8 @@
     pub route: &'a RuleName,
     /// Who sent the request.
     pub sender: &'a Sender,
+    /// Whether a host of a region may pass on the request's bytes.
+    pub may_pass: &'a dyn Fn(&str) -> bool,
     /// Identity of the request and its object for crash detection.
     pub work: WorkIdentity,
     /// Crashes attributed to the request when it was admitted.
@@ -151,13 +216,14 @@
         false => Reuse::Recent,
     };
     let upstream = &choice.upstream;
-    let in_flight = InFlight::begin(choice, outgoing.work);
-    let connections = choice.connections.unwrap_or(DEFAULT_CONNECTIONS);
-    let address = upstream.report.address;
-    let connected = traffic
-        .connections
-        .connect(address, connections, reuse, outgoing.deadline);
-    let lease = match connected.await {
+    let in_flight = InFlight::begin(traffic, choice, outgoing.work);
+    let wanted = Wanted {
+        choice,
+        reuse,
+        may_pass: outgoing.may_pass,
+        deadline: outgoing.deadline,
+    };
+    let lease = match connect(traffic, &wanted).await {
         Ok(lease) => lease,
         Err(reason) => {
             count_send("not_sent");
@@ -190,9 +256,12 @@
         ));
     };
     *sent = SendOutcome::Perhaps;
-    in_flight.is_sent.set(true);
+    in_flight.sent_on(&lease, choice.expectation.work.if_fetched);
+    let is_direct = lease.relay().is_none();
     let result = lease.send(request, outgoing.deadline).await;
-    if matches!(result, Err(SendError::Lost { .. } | SendError::Timeout)) {
+    let is_lost = matches!(result, Err(SendError::Lost { .. } | SendError::Timeout));
+    // A loss on this host's own cut links says nothing about the upstream's version.
+    if is_lost && !(is_direct && traffic.paths.is_relayed(upstream)) {
         traffic
             .common
             .rollouts
--- a/crates/gateway/src/traffic/server.rs
+++ b/crates/gateway/src/traffic/server.rs
@@ -85,11 +85,11 @@
     })
 }
 
-/// Counts an open connection of a caller while it exists.
-struct OpenConnection(Arc<Traffic>);
+/// Counts an open connection while it exists.
+pub(super) struct OpenConnection(Arc<Traffic>);
 
 impl OpenConnection {
-    fn new(traffic: &Arc<Traffic>) -> Self {
+    pub fn new(traffic: &Arc<Traffic>) -> Self {
         traffic.open_connections.fetch_add(1, Ordering::Relaxed);
         OpenConnection(Arc::clone(traffic))
     }
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -119,8 +119,7 @@
 pub use unavailable::{Unavailable, UnavailableCause};
 pub use upstream::Upstream;
 pub use upstream_paths::{
-    ConnectPlan, DirectResult, PathChange, Place, RelayFailure, RelayHost, UpstreamPaths, ZonePath,
-    relay_order,
+    ConnectPlan, DirectResult, PathChange, Place, RelayHost, UpstreamPaths, ZonePath, relay_order,
 };
 pub use upstream_state::UpstreamState;
 pub use view::RouteView;
--- a/crates/steering/src/route/upstream_paths/mod.rs
+++ b/crates/steering/src/route/upstream_paths/mod.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 pub use relay_host::{Place, RelayHost, relay_order};
-pub use zone_path::{ConnectPlan, PathChange, RelayFailure, ZonePath};
+pub use zone_path::{ConnectPlan, PathChange, ZonePath};
 
 use super::health::AnswerOutcome;
 use crate::ids::ZoneName;
@@ -24,7 +24,7 @@
     pub fn plan(&mut self, now: Instant, zone: &str) -> ConnectPlan {
         // A host that is cut off from one zone is often cut off from others too.
         let others = self.zones.iter().filter(|(name, _)| *name != zone);
-        let is_other_relayed = others.into_iter().any(|(_, path)| path.is_confirmed());
+        let is_other_relayed = others.into_iter().any(|(_, path)| path.is_relayed());
         self.zone(zone).plan(now, is_other_relayed)
     }
 
@@ -55,6 +55,8 @@
 pub struct DirectResult {
     /// When it was sent.
     pub sent_at: Instant,
+    /// Whether it was the first request on its connection.
+    pub is_first: bool,
     /// Longest expected work on it.
     pub work: Duration,
     /// What came of it.
--- a/crates/steering/src/route/upstream_paths/relay_host.rs
+++ b/crates/steering/src/route/upstream_paths/relay_host.rs
@@ -44,11 +44,11 @@
     own: Place<'_>,
     upstream: Place<'_>,
     has_failed: impl Fn(&RelayHost) -> bool,
-    random: usize,
+    random: u32,
 ) -> Vec<&'a RelayHost> {
     let mut order: Vec<&RelayHost> = hosts.collect();
     let count = order.len().max(1);
-    order.rotate_left(random % count);
+    order.rotate_left(random as usize % count);
     // The sort is stable.
     order.sort_by_cached_key(|host| {
         (
--- a/crates/steering/src/route/upstream_paths/zone_path.rs
+++ b/crates/steering/src/route/upstream_paths/zone_path.rs
@@ -11,24 +11,22 @@
 use crate::route::health::AnswerOutcome;
 use crate::route::reported_upstream::UpstreamId;
 
-/// Upstreams that fail on direct connections, without an answer over one in between, from which a
-/// relay is tried.
+/// Upstreams that fail on direct connections, without an answer in between that says otherwise, from
+/// which other hosts are asked whether they reach them.
 const MIN_FAILING_UPSTREAMS: usize = 2;
-/// Failures of any upstreams from which a relay is tried, for zones with a single upstream.
+/// Failures of any upstreams from which other hosts are asked, for zones with a single upstream.
 const MIN_FAILURES: u32 = 3;
-/// Requests that wait on direct connections without any answer from which a relay is tried.
+/// Time after the last failure for which failures count.
+const FAILURES_KEPT_FOR: Duration = Duration::from_secs(10);
+/// Requests that wait on direct connections without any answer from which other hosts are asked.
 const MIN_SILENT_REQUESTS: u32 = 3;
 /// Time without an answer from which requests count as unanswered.
 const SILENT_AFTER: Duration = Duration::from_millis(500);
 /// Multiple of the longest expected work from which they do, if that is longer.
 const SILENT_WORK_FACTOR: f64 = 1.5;
-/// Relays that are opened at the same time before the first one has been opened.
-const MAX_UNCONFIRMED_RELAYS: u32 = 4;
-/// Failed relays, before the first one is opened, after which the upstreams count as down.
-const MAX_UNCONFIRMED_FAILURES: u32 = 2;
-/// Time for which no relay is tried after relays have failed, or the direct path has returned;
-/// doubles once if that happens again.
-const RELAY_PAUSE: Duration = Duration::from_secs(1);
+/// Time until the next check after a failed one, or after the direct path has returned; doubles
+/// once if that happens again.
+const CHECK_PAUSE: Duration = Duration::from_secs(1);
 /// Time after which an earlier return does not count any more.
 const RETURN_FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
 /// Interval between trials of the direct path.
@@ -44,10 +42,13 @@
 pub struct ConnectPlan {
     /// Whether open direct connections may be used.
     pub uses_open_direct: bool,
-    /// Whether a new connection is relayed. Such a relay is counted until
-    /// [`ZonePath::relay_opened`] or [`ZonePath::relay_failed`].
+    /// Whether a new connection is relayed.
     pub relays: bool,
-    /// Whether the direct path is to be tried, beside the request.
+    /// Whether other hosts are to be asked, beside the request, whether they reach the upstream.
+    /// The result is recorded with [`ZonePath::check_ended`].
+    pub checks_relays: bool,
+    /// Whether the direct path is to be tried, beside the request. The result is recorded with
+    /// [`ZonePath::trial_ended`].
     pub tries_direct: bool,
     /// What has changed with this plan.
     pub change: Option<PathChange>,
@@ -56,36 +57,24 @@
 /// Change of the path to a zone's upstreams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PathChange {
-    /// Direct connections fail, or nothing answers over them: relays are tried.
-    TriesRelays,
-    /// A relay was opened where direct connections fail: this host's own links are cut.
+    /// Direct connections fail, or nothing answers over them: other hosts are asked.
+    ChecksRelays,
+    /// Another host reaches an upstream where direct connections fail: this host's own links are
+    /// cut.
     Relayed,
-    /// Relays fail too: the upstreams are down, or nobody can relay.
+    /// No other host reaches the upstream either, or none could be asked.
     RelaysFail,
     /// The direct path has passed its trials after this time.
     Direct(Duration),
 }
 
-/// Why a relay was not opened.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RelayFailure {
-    /// No host could relay.
-    NoHost,
-    /// Another host does not reach the upstream either.
-    UpstreamDown,
-}
-
 /// State of the path.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 enum State {
     #[default]
     Direct,
-    /// Direct connections fail; no relay has been opened yet.
-    TriesRelays {
-        /// Relays that are being opened; at most [`MAX_UNCONFIRMED_RELAYS`].
-        opening: u32,
-        failures: u32,
-    },
+    /// Direct connections fail, and other hosts are being asked.
+    ChecksRelays,
     Relayed {
         since: Instant,
         next_trial_at: Instant,
@@ -94,14 +83,44 @@
     },
 }
 
+/// Failures of a zone's upstreams without an answer in between.
+#[derive(Debug, Default)]
+struct Failures {
+    upstreams: BTreeSet<UpstreamId>,
+    count: u32,
+    last: Option<Instant>,
+}
+
+impl Failures {
+    fn add(&mut self, now: Instant, upstream: &str) {
+        if !self.is_recent(now) {
+            *self = Failures::default();
+        }
+        self.upstreams.insert(upstream.to_owned());
+        self.count = self.count.saturating_add(1);
+        self.last = Some(now);
+    }
+
+    fn is_recent(&self, now: Instant) -> bool {
+        let age = self.last.map(|at| now.saturating_duration_since(at));
+        age.is_some_and(|age| age < FAILURES_KEPT_FOR)
+    }
+
+    fn are_evidence(&self, now: Instant, min_upstreams: usize) -> bool {
+        let are_enough = self.upstreams.len() >= min_upstreams || self.count >= MIN_FAILURES;
+        are_enough && self.is_recent(now)
+    }
+}
+
 /// The path from this host to a zone's upstreams.
 #[derive(Debug, Default)]
 pub struct ZonePath {
     state: State,
-    /// Upstreams that have failed on direct connections since the last answer over one.
-    failing: BTreeSet<UpstreamId>,
-    /// Failures since then.
-    failures: u32,
+    /// Failures to open a connection, or on a connection's first request, since the last answer to
+    /// a first request. Open connections may live on while new ones fail.
+    new_failures: Failures,
+    /// Failures on open connections since the last answer over any.
+    open_failures: Failures,
     /// Requests sent on direct connections that have got no answer yet.
     unanswered: u32,
     /// Time since which none of them has been answered; `None` if there are none.
@@ -109,13 +128,13 @@
     /// Longest expected work of the unanswered requests; zero if there are none.
     longest_work: Duration,
     last_direct_answer: Option<Instant>,
-    /// Time before which no relay is tried, and how often in a row that was set.
-    relay_pause: Option<(Instant, u32)>,
+    /// Time before which no check is made, and how often in a row that was set.
+    check_pause: Option<(Instant, u32)>,
 }
 
 impl ZonePath {
     /// Returns how to connect. `is_other_relayed` says whether the upstreams of another zone are
-    /// reached through other hosts, so that a single failure is evidence enough.
+    /// reached through other hosts, so that one failure or one silent request is evidence enough.
     pub fn plan(&mut self, now: Instant, is_other_relayed: bool) -> ConnectPlan {
         let change = self.review(now, is_other_relayed);
         let has_recent_answer = self
@@ -124,16 +143,12 @@
         let mut plan = ConnectPlan {
             uses_open_direct: true,
             relays: false,
+            checks_relays: change == Some(PathChange::ChecksRelays),
             tries_direct: false,
             change,
         };
         match &mut self.state {
-            State::Direct => {}
-            State::TriesRelays { opening, .. } => {
-                plan.relays = *opening < MAX_UNCONFIRMED_RELAYS;
-                plan.uses_open_direct = has_recent_answer;
-                *opening += u32::from(plan.relays);
-            }
+            State::Direct | State::ChecksRelays => {}
             State::Relayed { next_trial_at, .. } => {
                 plan.relays = true;
                 plan.uses_open_direct = has_recent_answer;
@@ -146,14 +161,9 @@
         plan
     }
 
-    /// Returns whether a relay has been opened and the direct path has not returned since.
-    pub fn is_confirmed(&self) -> bool {
-        matches!(self.state, State::Relayed { .. })
-    }
-
-    /// Returns whether relays are tried or used.
+    /// Returns whether connections are relayed.
     pub fn is_relayed(&self) -> bool {
-        self.state != State::Direct
+        matches!(self.state, State::Relayed { .. })
     }
 
     /// Records a request that is about to be sent on a direct connection.
@@ -167,9 +177,11 @@
     pub fn direct_ended(&mut self, now: Instant, upstream: &str, result: DirectResult) {
         self.unanswered = self.unanswered.saturating_sub(1);
         match result.outcome {
-            AnswerOutcome::Complete | AnswerOutcome::Refused => self.direct_answered(now),
+            AnswerOutcome::Complete | AnswerOutcome::Refused => {
+                self.direct_answered(now, result.is_first);
+            }
             AnswerOutcome::Unreachable | AnswerOutcome::Broken => {
-                self.direct_failed(upstream);
+                self.failed(now, upstream, result.is_first);
             }
             AnswerOutcome::Unknown => {
                 let waited = now.saturating_duration_since(result.sent_at);
@@ -177,7 +189,7 @@
                     .last_direct_answer
                     .is_some_and(|answered_at| answered_at >= result.sent_at);
                 if waited > silence_limit(result.work) && !answered_since {
-                    self.direct_failed(upstream);
+                    self.failed(now, upstream, result.is_first);
                 }
             }
         }
@@ -188,16 +200,24 @@
     }
 
     /// Records that a direct connection to an upstream could not be opened.
-    pub fn direct_failed(&mut self, upstream: &str) {
-        self.failing.insert(upstream.to_owned());
-        self.failures = self.failures.saturating_add(1);
+    pub fn direct_failed(&mut self, now: Instant, upstream: &str) {
+        self.failed(now, upstream, true);
     }
 
-    /// Records that a relay was opened.
-    pub fn relay_opened(&mut self, now: Instant) -> Option<PathChange> {
-        let State::TriesRelays { .. } = self.state else {
+    /// Returns whether this host can't tell from a failure of its own whether an upstream is down.
+    pub fn is_doubtful(&self, now: Instant) -> bool {
+        self.state != State::Direct || self.fails_directly(now, false)
+    }
+
+    /// Records whether another host reaches an upstream of the zone.
+    pub fn check_ended(&mut self, now: Instant, is_reached: bool) -> Option<PathChange> {
+        if self.state != State::ChecksRelays {
             return None;
-        };
+        }
+        if !is_reached {
+            self.use_direct(now);
+            return Some(PathChange::RelaysFail);
+        }
         self.state = State::Relayed {
             since: now,
             next_trial_at: now + TRIAL_INTERVAL,
@@ -206,21 +226,6 @@
         Some(PathChange::Relayed)
     }
 
-    /// Records that a relay could not be opened. Once one has been opened, failures do not lead
-    /// back to direct connections, which are known to fail.
-    pub fn relay_failed(&mut self, now: Instant, failure: RelayFailure) -> Option<PathChange> {
-        let State::TriesRelays { opening, failures } = &mut self.state else {
-            return None;
-        };
-        *opening = opening.saturating_sub(1);
-        *failures += 1;
-        if failure == RelayFailure::UpstreamDown && *failures < MAX_UNCONFIRMED_FAILURES {
-            return None;
-        }
-        self.use_direct(now);
-        Some(PathChange::RelaysFail)
-    }
-
     /// Records the result of a trial of the direct path.
     pub fn trial_ended(&mut self, now: Instant, passed: bool) -> Option<PathChange> {
         let State::Relayed {
@@ -237,51 +242,59 @@
         }
         let relayed_for = now.saturating_duration_since(*since);
         self.use_direct(now);
-        self.direct_answered(now);
+        self.direct_answered(now, true);
         Some(PathChange::Direct(relayed_for))
     }
 
     fn review(&mut self, now: Instant, is_other_relayed: bool) -> Option<PathChange> {
-        let is_paused = self.relay_pause.is_some_and(|(until, _)| until > now);
+        let is_paused = self.check_pause.is_some_and(|(until, _)| until > now);
         if self.state != State::Direct || is_paused || !self.fails_directly(now, is_other_relayed) {
             return None;
         }
-        self.state = State::TriesRelays {
-            opening: 0,
-            failures: 0,
-        };
-        Some(PathChange::TriesRelays)
+        self.state = State::ChecksRelays;
+        Some(PathChange::ChecksRelays)
     }
 
     fn fails_directly(&self, now: Instant, is_other_relayed: bool) -> bool {
-        let min_failing = if is_other_relayed {
-            1
-        } else {
-            MIN_FAILING_UPSTREAMS
+        let (min_failing, min_silent) = match is_other_relayed {
+            true => (1, 1),
+            false => (MIN_FAILING_UPSTREAMS, MIN_SILENT_REQUESTS),
         };
-        let is_silent = self.unanswered >= MIN_SILENT_REQUESTS
+        let is_silent = self.unanswered >= min_silent
             && self.silent_since.is_some_and(|since| {
                 now.saturating_duration_since(since) > silence_limit(self.longest_work)
             });
-        is_silent || self.failing.len() >= min_failing || self.failures >= MIN_FAILURES
+        let failures = [&self.new_failures, &self.open_failures];
+        let mut failures = failures.into_iter();
+        is_silent || failures.any(|failures| failures.are_evidence(now, min_failing))
     }
 
-    fn direct_answered(&mut self, now: Instant) {
+    fn failed(&mut self, now: Instant, upstream: &str, is_first: bool) {
+        let failures = match is_first {
+            true => &mut self.new_failures,
+            false => &mut self.open_failures,
+        };
+        failures.add(now, upstream);
+    }
+
+    fn direct_answered(&mut self, now: Instant, is_first: bool) {
         self.last_direct_answer = Some(now);
-        self.failing.clear();
-        self.failures = 0;
+        self.open_failures = Failures::default();
+        if is_first {
+            self.new_failures = Failures::default();
+        }
         self.silent_since = (self.unanswered > 0).then_some(now);
     }
 
     fn use_direct(&mut self, now: Instant) {
-        let repeated = self.relay_pause.is_some_and(|(until, _)| {
+        let repeated = self.check_pause.is_some_and(|(until, _)| {
             now.saturating_duration_since(until) < RETURN_FORGOTTEN_AFTER
         });
         let doublings = u32::from(repeated);
-        self.relay_pause = Some((now + RELAY_PAUSE * 2u32.pow(doublings), doublings));
+        self.check_pause = Some((now + CHECK_PAUSE * 2u32.pow(doublings), doublings));
         self.state = State::Direct;
-        self.failing.clear();
-        self.failures = 0;
+        self.new_failures = Failures::default();
+        self.open_failures = Failures::default();
     }
 }
 
--- a/crates/steering/src/route/view.rs
+++ b/crates/steering/src/route/view.rs
@@ -15,6 +15,7 @@
 use super::rollout::{Rollouts, VersionRule, VersionUsage};
 use super::service_pool::ServicePool;
 use super::table::RouteTable;
+use super::upstream_paths::RelayHost;
 use crate::ids::{HostName, RegionName, ServiceName, ZoneName};
 
 /// Immutable snapshot; a newer one replaces it as a whole.
@@ -36,6 +37,8 @@
     pub services: Arc<HashMap<ServiceName, ServicePool>>,
     /// Caller addresses of the live hosts, by region.
     pub hosts: BTreeMap<RegionName, Vec<SocketAddr>>,
+    /// The live hosts, by name, which can relay connections to upstreams.
+    pub relay_hosts: Arc<BTreeMap<HostName, RelayHost>>,
     /// Number of hosts that share the global limits, this one included; `None` until the
     /// hosts are known.
     pub sharing_hosts: Option<usize>,
--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -184,6 +184,8 @@
     address: SocketAddr,
     sender: SendRequest<Body>,
     open: OpenConnection,
+    /// Whether no request has been sent on the connection yet.
+    is_new: bool,
     /// Maximum idle time before the next request.
     max_idle_time: Duration,
 }
@@ -194,6 +196,11 @@
         self.open.relay.as_ref()
     }
 
+    /// Whether no request has been sent on the connection yet.
+    pub fn is_new(&self) -> bool {
+        self.is_new
+    }
+
     /// Sends a request, and waits for the headers of the answer.
     pub async fn send(
         mut self,
@@ -314,7 +321,10 @@
     ) -> Option<Lease> {
         while let Some(mut idle) = self.take_idle(address, reuse, &may_use) {
             if idle.sender.ready().await.is_ok() {
-                return Some(self.new_lease(address, idle.sender, idle.open));
+                return Some(Lease {
+                    is_new: false,
+                    ..self.new_lease(address, idle.sender, idle.open)
+                });
             }
         }
         None
@@ -390,6 +400,7 @@
             address,
             sender,
             open,
+            is_new: true,
             max_idle_time: MAX_IDLE_TIME,
         }
     }
