--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -25,6 +25,7 @@
 #[case::limits(2, Extra::Limits)]
 #[case::an_undisturbed_host(3, Extra::UndisturbedHost)]
 #[case::crashing_requests(4, Extra::Crashes)]
+#[case::hosts_cut_off_from_upstreams(5, Extra::Cuts)]
 #[tokio::test(flavor = "multi_thread")]
 async fn invariants_hold_under_faults(#[case] seed: u64, #[case] extra: Extra) {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
