A path is tried directly once more before connections are relayed

A check now tries the direct path and asks other hosts at the same time; upstreams that answer directly are not relayed.

--- a/crates/gateway/src/traffic/paths/mod.rs
+++ b/crates/gateway/src/traffic/paths/mod.rs
@@ -8,8 +8,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use futures::join;
 use steering::ids::HostName;
-use steering::route::{Choice, ConnectPlan, DirectResult, PathChange, Upstream, UpstreamPaths};
+use steering::route::{
+    CheckResult, Choice, ConnectPlan, DirectResult, PathChange, Upstream, UpstreamPaths,
+};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::spawn_local;
 use upstream::{ConnectError, Lease, Reuse};
@@ -168,7 +171,8 @@
     let plan = traffic.paths.upstreams().plan(clock::now(), zone);
     log_change(zone, plan.change);
     if plan.checks_relays {
-        spawn_local(check_relays(Arc::clone(traffic), Arc::clone(upstream)));
+        let traffic = Arc::clone(traffic);
+        spawn_local(check(traffic, Arc::clone(upstream), max_connections));
     }
     if plan.tries_direct {
         let traffic = Arc::clone(traffic);
@@ -177,13 +181,19 @@
     plan
 }
 
-/// Asks other hosts whether they reach an upstream that this host does not reach.
-async fn check_relays(traffic: Arc<Traffic>, upstream: Arc<Upstream>) {
-    let answer = ask_relays(&traffic, &upstream).await;
-    let is_reached = answer == RelayAnswer::Reached;
+/// Finds out who reaches an upstream that this host seems not to reach.
+async fn check(traffic: Arc<Traffic>, upstream: Arc<Upstream>, max_connections: u32) {
+    let result = match join!(
+        trial::answers_directly(&traffic, &upstream, max_connections),
+        ask_relays(&traffic, &upstream)
+    ) {
+        (true, _) => CheckResult::AnswersDirectly,
+        (false, RelayAnswer::Reached) => CheckResult::ReachedByOthers,
+        (false, _) => CheckResult::NotReached,
+    };
     let zone = &upstream.report.zone;
     let mut paths = traffic.paths.upstreams();
-    let change = paths.zone(zone).check_ended(clock::now(), is_reached);
+    let change = paths.zone(zone).check_ended(clock::now(), result);
     drop(paths);
     log_change(zone, change);
 }
@@ -193,6 +203,7 @@
         None => {}
         Some(PathChange::ChecksRelays) => tracing::info!(event = "direct_path_fails", zone),
         Some(PathChange::Relayed) => tracing::warn!(event = "zone_relayed", zone),
+        Some(PathChange::DirectWorks) => tracing::info!(event = "direct_path_works", zone),
         Some(PathChange::RelaysFail) => tracing::info!(event = "zone_not_relayed", zone),
         Some(PathChange::Direct(relayed_for)) => {
             let relayed_for_ms = relayed_for.as_millis() as u64;
--- a/crates/gateway/src/traffic/paths/trial.rs
+++ b/crates/gateway/src/traffic/paths/trial.rs
@@ -10,14 +10,28 @@
 use super::log_change;
 use crate::traffic::Traffic;
 
-/// Time limit of a trial; longer than a round trip between regions.
-const TRIAL_TIME: Duration = Duration::from_millis(600);
+/// Time limit of a trial; longer than two round trips between regions.
+const TRIAL_TIME: Duration = Duration::from_millis(300);
 /// Identity of an upstream that none has, so that the request is refused at once and never runs.
 const NO_UPSTREAM: &str = "none";
 
-/// Sends a request that is addressed to no upstream over a new direct connection. Any answer shows
-/// that the path is back.
+/// Tries the direct path, and records the result.
 pub(super) async fn run(traffic: Arc<Traffic>, upstream: Arc<Upstream>, max_connections: u32) {
+    let passed = answers_directly(&traffic, &upstream, max_connections).await;
+    let zone = &upstream.report.zone;
+    let mut paths = traffic.paths.upstreams();
+    let change = paths.zone(zone).trial_ended(clock::now(), passed);
+    drop(paths);
+    log_change(zone, change);
+}
+
+/// Sends a request that is addressed to no upstream over a new direct connection. Any answer shows
+/// that the path works.
+pub(super) async fn answers_directly(
+    traffic: &Traffic,
+    upstream: &Upstream,
+    max_connections: u32,
+) -> bool {
     let deadline = clock::now() + TRIAL_TIME;
     let address = upstream.report.address;
     let exchange = async {
@@ -33,10 +47,5 @@
         lease.send(request, deadline).await.ok()
     };
     let answer = tokio::time::timeout(clock::remaining(deadline), exchange).await;
-    let passed = matches!(answer, Ok(Some(_)));
-    let zone = &upstream.report.zone;
-    let mut paths = traffic.paths.upstreams();
-    let change = paths.zone(zone).trial_ended(clock::now(), passed);
-    drop(paths);
-    log_change(zone, change);
+    matches!(answer, Ok(Some(_)))
 }
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -119,7 +119,8 @@
 pub use unavailable::{Unavailable, UnavailableCause};
 pub use upstream::Upstream;
 pub use upstream_paths::{
-    ConnectPlan, DirectResult, PathChange, Place, RelayHost, UpstreamPaths, ZonePath, relay_order,
+    CheckResult, ConnectPlan, DirectResult, PathChange, Place, RelayHost, UpstreamPaths, ZonePath,
+    relay_order,
 };
 pub use upstream_state::UpstreamState;
 pub use view::RouteView;
--- a/crates/steering/src/route/upstream_paths/mod.rs
+++ b/crates/steering/src/route/upstream_paths/mod.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 pub use relay_host::{Place, RelayHost, relay_order};
-pub use zone_path::{ConnectPlan, PathChange, ZonePath};
+pub use zone_path::{CheckResult, ConnectPlan, PathChange, ZonePath};
 
 use super::health::AnswerOutcome;
 use crate::ids::ZoneName;
--- a/crates/steering/src/route/upstream_paths/zone_path.rs
+++ b/crates/steering/src/route/upstream_paths/zone_path.rs
@@ -20,10 +20,9 @@
 const FAILURES_KEPT_FOR: Duration = Duration::from_secs(10);
 /// Requests that wait on direct connections without any answer from which other hosts are asked.
 const MIN_SILENT_REQUESTS: u32 = 3;
-/// Time without an answer from which requests count as unanswered.
-const SILENT_AFTER: Duration = Duration::from_millis(500);
-/// Multiple of the longest expected work from which they do, if that is longer.
-const SILENT_WORK_FACTOR: f64 = 1.5;
+/// Time without an answer from which requests count as unanswered, unless the longest expected work
+/// is longer.
+const SILENT_AFTER: Duration = Duration::from_millis(250);
 /// Time until the next check after a failed one, or after the direct path has returned; doubles
 /// once if that happens again.
 const CHECK_PAUSE: Duration = Duration::from_secs(1);
@@ -44,8 +43,8 @@
     pub uses_open_direct: bool,
     /// Whether a new connection is relayed.
     pub relays: bool,
-    /// Whether other hosts are to be asked, beside the request, whether they reach the upstream.
-    /// The result is recorded with [`ZonePath::check_ended`].
+    /// Whether it is to be checked, beside the request, who reaches the upstream. The result is
+    /// recorded with [`ZonePath::check_ended`].
     pub checks_relays: bool,
     /// Whether the direct path is to be tried, beside the request. The result is recorded with
     /// [`ZonePath::trial_ended`].
@@ -62,12 +61,25 @@
     /// Another host reaches an upstream where direct connections fail: this host's own links are
     /// cut.
     Relayed,
+    /// The direct path has passed a trial meanwhile: the upstreams themselves failed.
+    DirectWorks,
     /// No other host reaches the upstream either, or none could be asked.
     RelaysFail,
     /// The direct path has passed its trials after this time.
     Direct(Duration),
 }
 
+/// What a check of an upstream has shown that seems not to be reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CheckResult {
+    /// It answers on a new direct connection.
+    AnswersDirectly,
+    /// It does not, and another host reaches it.
+    ReachedByOthers,
+    /// Nobody reaches it, as far as could be asked.
+    NotReached,
+}
+
 /// State of the path.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 enum State {
@@ -209,21 +221,29 @@
         self.state != State::Direct || self.fails_directly(now, false)
     }
 
-    /// Records whether another host reaches an upstream of the zone.
-    pub fn check_ended(&mut self, now: Instant, is_reached: bool) -> Option<PathChange> {
+    /// Records what the check of an upstream of the zone has shown.
+    pub fn check_ended(&mut self, now: Instant, result: CheckResult) -> Option<PathChange> {
         if self.state != State::ChecksRelays {
             return None;
         }
-        if !is_reached {
-            self.use_direct(now);
-            return Some(PathChange::RelaysFail);
+        match result {
+            CheckResult::AnswersDirectly => {
+                self.use_direct(now);
+                Some(PathChange::DirectWorks)
+            }
+            CheckResult::NotReached => {
+                self.use_direct(now);
+                Some(PathChange::RelaysFail)
+            }
+            CheckResult::ReachedByOthers => {
+                self.state = State::Relayed {
+                    since: now,
+                    next_trial_at: now + TRIAL_INTERVAL,
+                    trials_passed: 0,
+                };
+                Some(PathChange::Relayed)
+            }
         }
-        self.state = State::Relayed {
-            since: now,
-            next_trial_at: now + TRIAL_INTERVAL,
-            trials_passed: 0,
-        };
-        Some(PathChange::Relayed)
     }
 
     /// Records the result of a trial of the direct path.
@@ -299,5 +319,5 @@
 }
 
 fn silence_limit(work: Duration) -> Duration {
-    SILENT_AFTER.max(work.mul_f64(SILENT_WORK_FACTOR))
+    SILENT_AFTER.max(work)
 }
--- a/crates/steering/tests/route_upstream_paths.rs
+++ b/crates/steering/tests/route_upstream_paths.rs
@@ -5,7 +5,8 @@
 
 use rstest::rstest;
 use steering::route::{
-    AnswerOutcome, DirectResult, PathChange, Place, RelayHost, UpstreamPaths, ZonePath, relay_order,
+    AnswerOutcome, CheckResult, DirectResult, PathChange, Place, RelayHost, UpstreamPaths,
+    ZonePath, relay_order,
 };
 
 const WORK: Duration = Duration::from_millis(200);
@@ -36,7 +37,10 @@
     path.direct_failed(now, "a");
     path.direct_failed(now, "b");
     assert!(path.plan(now, false).checks_relays);
-    assert_eq!(path.check_ended(now, true), Some(PathChange::Relayed));
+    assert_eq!(
+        path.check_ended(now, CheckResult::ReachedByOthers),
+        Some(PathChange::Relayed)
+    );
     path
 }
 
@@ -99,7 +103,9 @@
     paths.zone("west").direct_failed(now, "c");
     assert!(paths.plan(now, "east").checks_relays);
     assert!(!paths.plan(now, "west").checks_relays);
-    paths.zone("east").check_ended(now, true);
+    paths
+        .zone("east")
+        .check_ended(now, CheckResult::ReachedByOthers);
     assert!(paths.plan(now, "west").checks_relays);
     assert!(
         !paths.plan(now, "south").checks_relays,
@@ -145,13 +151,29 @@
     // Requests are sent as before meanwhile, and one check is enough.
     let second = path.plan(now, false);
     assert!(!first.relays && !second.relays && !second.checks_relays);
-    assert_eq!(path.check_ended(now, false), Some(PathChange::RelaysFail));
+    assert_eq!(
+        path.check_ended(now, CheckResult::NotReached),
+        Some(PathChange::RelaysFail)
+    );
     path.direct_failed(now, "a");
     path.direct_failed(now, "b");
     assert!(!path.plan(now + MOMENT, false).checks_relays);
     assert!(path.plan(now + SECOND, false).checks_relays);
 }
 
+#[test]
+fn upstreams_that_answer_directly_are_not_relayed() {
+    let now = Instant::now();
+    let mut path = ZonePath::default();
+    direct(&mut path, now, "a", AnswerOutcome::Broken, MOMENT);
+    direct(&mut path, now, "b", AnswerOutcome::Broken, MOMENT);
+    assert!(path.plan(now, false).checks_relays);
+    let change = path.check_ended(now, CheckResult::AnswersDirectly);
+    assert_eq!(change, Some(PathChange::DirectWorks));
+    let plan = path.plan(now, false);
+    assert!(!plan.relays && !plan.checks_relays);
+}
+
 #[test]
 fn open_direct_connections_are_used_while_they_answer() {
     let now = Instant::now();
@@ -197,7 +219,7 @@
             now += MOMENT;
         }
         assert!(now - back_at <= SECOND * 2 + MOMENT);
-        path.check_ended(now, true);
+        path.check_ended(now, CheckResult::ReachedByOthers);
     }
 }
 
