--- a/crates/gateway/src/traffic/paths/mod.rs
+++ b/crates/gateway/src/traffic/paths/mod.rs
@@ -170,7 +170,7 @@
     let zone = &upstream.report.zone;
     let plan = traffic.paths.upstreams().plan(clock::now(), zone);
     log_change(zone, plan.change);
-    if plan.checks_relays {
+    if plan.needs_check {
         let traffic = Arc::clone(traffic);
         spawn_local(check(traffic, Arc::clone(upstream), max_connections));
     }
@@ -201,10 +201,10 @@
 fn log_change(zone: &str, change: Option<PathChange>) {
     match change {
         None => {}
-        Some(PathChange::ChecksRelays) => tracing::info!(event = "direct_path_fails", zone),
+        Some(PathChange::DirectFails) => tracing::info!(event = "direct_path_fails", zone),
         Some(PathChange::Relayed) => tracing::warn!(event = "zone_relayed", zone),
         Some(PathChange::DirectWorks) => tracing::info!(event = "direct_path_works", zone),
-        Some(PathChange::RelaysFail) => tracing::info!(event = "zone_not_relayed", zone),
+        Some(PathChange::NotReached) => tracing::info!(event = "zone_not_relayed", zone),
         Some(PathChange::Direct(relayed_for)) => {
             let relayed_for_ms = relayed_for.as_millis() as u64;
             tracing::info!(event = "zone_direct", zone, relayed_for_ms);
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,4 +1,4 @@
-//! Messages between hosts over capnp-rpc.
+//! Messages between hosts over capnp-rpc, and connections that one host relays for another.
 //!
 //! A connecting host proves that it has the deployment's shared key before it gets a session.
 //! Every call has a deadline and every message a maximum size. An invalid message is answered
--- a/crates/steering/src/route/upstream_paths/zone_path.rs
+++ b/crates/steering/src/route/upstream_paths/zone_path.rs
@@ -11,14 +11,16 @@
 use crate::route::health::AnswerOutcome;
 use crate::route::reported_upstream::UpstreamId;
 
-/// Upstreams that fail on direct connections, without an answer in between that says otherwise, from
-/// which other hosts are asked whether they reach them.
+/// Number of upstreams that fail on direct connections, with no answer in between, from which it is
+/// checked who reaches them.
 const MIN_FAILING_UPSTREAMS: usize = 2;
-/// Failures of any upstreams from which other hosts are asked, for zones with a single upstream.
+/// Number of failures, of whatever upstreams, from which it is checked; for zones with a single
+/// upstream.
 const MIN_FAILURES: u32 = 3;
 /// Time after the last failure for which failures count.
 const FAILURES_KEPT_FOR: Duration = Duration::from_secs(10);
-/// Requests that wait on direct connections without any answer from which other hosts are asked.
+/// Number of requests that wait on direct connections, with no answer in between, from which it is
+/// checked.
 const MIN_SILENT_REQUESTS: u32 = 3;
 /// Time without an answer from which requests count as unanswered, unless the longest expected work
 /// is longer.
@@ -43,10 +45,9 @@
     pub uses_open_direct: bool,
     /// Whether a new connection is relayed.
     pub relays: bool,
-    /// Whether it is to be checked, beside the request, who reaches the upstream. The result is
-    /// recorded with [`ZonePath::check_ended`].
-    pub checks_relays: bool,
-    /// Whether the direct path is to be tried, beside the request. The result is recorded with
+    /// Whether to check, beside the request, who reaches the upstream. The result is recorded with [`ZonePath::check_ended`].
+    pub needs_check: bool,
+    /// Whether to try the direct path, beside the request. The result is recorded with
     /// [`ZonePath::trial_ended`].
     pub tries_direct: bool,
     /// What has changed with this plan.
@@ -56,15 +57,15 @@
 /// Change of the path to a zone's upstreams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PathChange {
-    /// Direct connections fail, or nothing answers over them: other hosts are asked.
-    ChecksRelays,
+    /// Direct connections fail, or nothing answers over them; who reaches the upstreams is checked.
+    DirectFails,
     /// Another host reaches an upstream where direct connections fail: this host's own links are
     /// cut.
     Relayed,
     /// The direct path has passed a trial meanwhile: the upstreams themselves failed.
     DirectWorks,
     /// No other host reaches the upstream either, or none could be asked.
-    RelaysFail,
+    NotReached,
     /// The direct path has passed its trials after this time.
     Direct(Duration),
 }
@@ -85,8 +86,8 @@
 enum State {
     #[default]
     Direct,
-    /// Direct connections fail, and other hosts are being asked.
-    ChecksRelays,
+    /// Direct connections fail, and who reaches the upstreams is being checked.
+    Checking,
     Relayed {
         since: Instant,
         next_trial_at: Instant,
@@ -155,12 +156,12 @@
         let mut plan = ConnectPlan {
             uses_open_direct: true,
             relays: false,
-            checks_relays: change == Some(PathChange::ChecksRelays),
+            needs_check: change == Some(PathChange::DirectFails),
             tries_direct: false,
             change,
         };
         match &mut self.state {
-            State::Direct | State::ChecksRelays => {}
+            State::Direct | State::Checking => {}
             State::Relayed { next_trial_at, .. } => {
                 plan.relays = true;
                 plan.uses_open_direct = has_recent_answer;
@@ -223,7 +224,7 @@
 
     /// Records what the check of an upstream of the zone has shown.
     pub fn check_ended(&mut self, now: Instant, result: CheckResult) -> Option<PathChange> {
-        if self.state != State::ChecksRelays {
+        if self.state != State::Checking {
             return None;
         }
         match result {
@@ -233,7 +234,7 @@
             }
             CheckResult::NotReached => {
                 self.use_direct(now);
-                Some(PathChange::RelaysFail)
+                Some(PathChange::NotReached)
             }
             CheckResult::ReachedByOthers => {
                 self.state = State::Relayed {
@@ -271,8 +272,8 @@
         if self.state != State::Direct || is_paused || !self.fails_directly(now, is_other_relayed) {
             return None;
         }
-        self.state = State::ChecksRelays;
-        Some(PathChange::ChecksRelays)
+        self.state = State::Checking;
+        Some(PathChange::DirectFails)
     }
 
     fn fails_directly(&self, now: Instant, is_other_relayed: bool) -> bool {
--- a/crates/steering/tests/route_upstream_paths.rs
+++ b/crates/steering/tests/route_upstream_paths.rs
@@ -36,7 +36,7 @@
     let mut path = ZonePath::default();
     path.direct_failed(now, "a");
     path.direct_failed(now, "b");
-    assert!(path.plan(now, false).checks_relays);
+    assert!(path.plan(now, false).needs_check);
     assert_eq!(
         path.check_ended(now, CheckResult::ReachedByOthers),
         Some(PathChange::Relayed)
@@ -62,7 +62,7 @@
     for (upstream, outcome) in seen {
         direct(&mut path, now, upstream, *outcome, MOMENT);
     }
-    assert_eq!(path.plan(now + MOMENT, false).checks_relays, asked);
+    assert_eq!(path.plan(now + MOMENT, false).needs_check, asked);
 }
 
 #[test]
@@ -81,7 +81,7 @@
         path.direct_ended(now, "c", answered);
     }
     assert!(path.is_doubtful(now));
-    assert!(path.plan(now, false).checks_relays);
+    assert!(path.plan(now, false).needs_check);
 }
 
 #[test]
@@ -90,7 +90,7 @@
     let mut path = ZonePath::default();
     path.direct_failed(now, "a");
     path.direct_failed(now + SECOND * 60, "b");
-    assert!(!path.plan(now + SECOND * 60, false).checks_relays);
+    assert!(!path.plan(now + SECOND * 60, false).needs_check);
 }
 
 #[test]
@@ -101,14 +101,14 @@
         paths.zone("east").direct_failed(now, upstream);
     }
     paths.zone("west").direct_failed(now, "c");
-    assert!(paths.plan(now, "east").checks_relays);
-    assert!(!paths.plan(now, "west").checks_relays);
+    assert!(paths.plan(now, "east").needs_check);
+    assert!(!paths.plan(now, "west").needs_check);
     paths
         .zone("east")
         .check_ended(now, CheckResult::ReachedByOthers);
-    assert!(paths.plan(now, "west").checks_relays);
+    assert!(paths.plan(now, "west").needs_check);
     assert!(
-        !paths.plan(now, "south").checks_relays,
+        !paths.plan(now, "south").needs_check,
         "nothing failed there"
     );
     assert_eq!(paths.relayed_zones(), 1);
@@ -128,7 +128,7 @@
     for _ in 0..requests {
         path.direct_sent(now, WORK);
     }
-    assert_eq!(path.plan(now + silent, false).checks_relays, asked);
+    assert_eq!(path.plan(now + silent, false).needs_check, asked);
 }
 
 #[test]
@@ -137,7 +137,7 @@
     let mut path = ZonePath::default();
     direct(&mut path, now, "a", AnswerOutcome::Unknown, SECOND);
     direct(&mut path, now, "b", AnswerOutcome::Unknown, SECOND);
-    assert!(path.plan(now + SECOND, false).checks_relays);
+    assert!(path.plan(now + SECOND, false).needs_check);
 }
 
 #[test]
@@ -147,18 +147,18 @@
     path.direct_failed(now, "a");
     path.direct_failed(now, "b");
     let first = path.plan(now, false);
-    assert_eq!(first.change, Some(PathChange::ChecksRelays));
+    assert_eq!(first.change, Some(PathChange::DirectFails));
     // Requests are sent as before meanwhile, and one check is enough.
     let second = path.plan(now, false);
-    assert!(!first.relays && !second.relays && !second.checks_relays);
+    assert!(!first.relays && !second.relays && !second.needs_check);
     assert_eq!(
         path.check_ended(now, CheckResult::NotReached),
-        Some(PathChange::RelaysFail)
+        Some(PathChange::NotReached)
     );
     path.direct_failed(now, "a");
     path.direct_failed(now, "b");
-    assert!(!path.plan(now + MOMENT, false).checks_relays);
-    assert!(path.plan(now + SECOND, false).checks_relays);
+    assert!(!path.plan(now + MOMENT, false).needs_check);
+    assert!(path.plan(now + SECOND, false).needs_check);
 }
 
 #[test]
@@ -167,11 +167,11 @@
     let mut path = ZonePath::default();
     direct(&mut path, now, "a", AnswerOutcome::Broken, MOMENT);
     direct(&mut path, now, "b", AnswerOutcome::Broken, MOMENT);
-    assert!(path.plan(now, false).checks_relays);
+    assert!(path.plan(now, false).needs_check);
     let change = path.check_ended(now, CheckResult::AnswersDirectly);
     assert_eq!(change, Some(PathChange::DirectWorks));
     let plan = path.plan(now, false);
-    assert!(!plan.relays && !plan.checks_relays);
+    assert!(!plan.relays && !plan.needs_check);
 }
 
 #[test]
@@ -215,7 +215,7 @@
         path.direct_failed(now, "a");
         path.direct_failed(now, "b");
         let back_at = now;
-        while !path.plan(now, false).checks_relays {
+        while !path.plan(now, false).needs_check {
             now += MOMENT;
         }
         assert!(now - back_at <= SECOND * 2 + MOMENT);
