--- a/tests/cut_from_upstreams.rs
+++ b/tests/cut_from_upstreams.rs
@@ -10,7 +10,7 @@
 
 /// Time of the cut after which callers must be served nearly as often as elsewhere.
 const DETECTED_AFTER: Duration = Duration::from_secs(2);
-const CUT_TIME: Duration = Duration::from_secs(4);
+const CUT_TIME: Duration = Duration::from_secs(5);
 /// Share of first tries served at hosts that are cut off, relative to the others.
 const MIN_SHARE_AT_FIRST: f64 = 0.5;
 const MIN_SHARE: f64 = 0.95;
@@ -19,18 +19,21 @@
 static ONE_PLAY: Mutex<()> = Mutex::const_new(());
 
 #[rstest]
-#[case::one_host(1, &[0])]
-#[case::a_zone(2, &[0, 1])]
-#[case::a_region_of_one_zone(3, &[4, 5])]
-#[case::five_of_six_hosts(4, &[0, 1, 2, 3, 4])]
+#[case::one_host(1, &[0], 60)]
+#[case::a_zone(2, &[0, 1], 60)]
+#[case::a_region_of_one_zone(3, &[4, 5], 60)]
+#[case::five_of_six_hosts(4, &[0, 1, 2, 3, 4], 60)]
+#[case::one_host_and_one_object(1, &[0], 1)]
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_of_hosts_that_are_cut_off_from_all_upstreams_are_served(
     #[case] seed: u64,
     #[case] hosts: &[usize],
+    #[case] objects: usize,
     #[values(Cut::Silences, Cut::Resets, Cut::ResetsNew)] cut: Cut,
 ) {
     let _one_play = ONE_PLAY.lock().await;
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("cut-{seed}-{cut:?}"));
+    let folder =
+        Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("cut-{seed}-{objects}-{cut:?}"));
     std::fs::create_dir_all(&folder).unwrap();
     let plan = CutPlan {
         stagedeck: env!("CARGO_BIN_EXE_stagedeck").into(),
@@ -39,6 +42,7 @@
         hosts: hosts.to_vec(),
         cut,
         time: CUT_TIME,
+        objects,
     };
     let report = play_cut(&plan).await.unwrap();
     assert_eq!(report.run_twice, Vec::<String>::new());
