A host that relays to its limit is not taken for upstreams that are down

Callers of five hosts that were cut off by resets were refused although a sixth host reached all upstreams: idle relayed connections held all of its permits for up to 10 s, it closed what came then, and the asking hosts counted that as a failure of the host for all upstreams (its open connections were not used for a second either) and of each upstream (all zones suspected).

- A relaying host answers that it is full, apart from that it does not relay.
Connections are shared out to asking hosts in equal parts; a host with more than its part is asked to release one, and closes it once no request is under way on it.
Checks of who reaches an upstream take no connection.
- An asking host closes its own idle connection at a full host in favour of a new one, else waits for one of its own as long as for room at a full upstream, else refuses at once with the expected wait (relays_full).
- What a relaying host says of a zone does not count for other zones; being full or refusing does not end the use of its open connections.
A host without descriptors or connections of its own does not count that against an upstream.
- The number of relayed connections follows from the files that a host does not use for its own callers.

--- a/crates/gateway/src/traffic/answers.rs
+++ b/crates/gateway/src/traffic/answers.rs
@@ -65,6 +65,10 @@
     /// attempt is allowed.
     #[display("refused_there")]
     RefusedThere,
+    /// This host is cut off from the upstreams, and the hosts that reach them have no room to relay
+    /// the request.
+    #[display("relays_full")]
+    RelaysFull,
     /// The request timed out before it was sent.
     #[display("no_time")]
     NoTime,
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -68,6 +68,7 @@
         work,
         crashes_known: 0,
         token_refusals: 0,
+        relay_refusals: 0,
         traffic,
         head,
         request_log,
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -85,7 +85,14 @@
     /// is leaving or has failed are not.
     fn may_relay(&self, host: &str) -> bool {
         let is_advertised = self.common.view.load().relay_hosts.contains_key(host);
-        is_advertised && !self.paths.has_failed(host)
+        is_advertised && self.paths.may_use_relayed(host)
+    }
+
+    /// Number of connections of callers and to upstreams, without those relayed for other hosts.
+    fn own_connections(&self) -> u32 {
+        let open = self.open_connections.load(Ordering::Relaxed);
+        let of_callers = open.saturating_sub(self.paths.relayed_connections());
+        of_callers + self.connections.total()
     }
 }
 
@@ -100,7 +107,7 @@
     let traffic = Arc::new(Traffic {
         stats: Mutex::new(TrafficStats::new(&common.settings)),
         connections: Connections::default(),
-        paths: Paths::new(common.settings.open_files),
+        paths: Paths::default(),
         unknown_statements: UnknownStatements::default(),
         start_waits: StartWaits::default(),
         open_connections: AtomicU32::default(),
@@ -141,6 +148,8 @@
             .set(traffic.common.suspects.refused().len() as f64);
         let relayed_zones = traffic.paths.upstreams().relayed_zones();
         metrics::gauge!("stagedeck_zones_relayed").set(relayed_zones as f64);
+        metrics::gauge!("stagedeck_relayed_connections").set(traffic.paths.relayed_connections());
+        metrics::gauge!("stagedeck_relays_used").set(traffic.connections.relayed());
         metrics::gauge!("stagedeck_sharers").set(view.sharing_hosts.unwrap_or(0) as f64);
         for (service, pool) in view.services.iter() {
             record_statement_counts(service, pool, now);
--- a/crates/gateway/src/traffic/paths/mod.rs
+++ b/crates/gateway/src/traffic/paths/mod.rs
@@ -2,56 +2,60 @@
 
 mod relay_client;
 mod relay_server;
+mod relay_table;
 mod trial;
 
-use std::collections::HashMap;
+use std::sync::atomic::AtomicU32;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use derive_more::Display;
 use futures::join;
 use steering::ids::HostName;
 use steering::route::{
-    CheckResult, Choice, ConnectPlan, DirectResult, PathChange, Upstream, UpstreamPaths,
+    CheckResult, Choice, ConnectPlan, DirectResult, PathChange, RelayRecords, Upstream,
+    UpstreamPaths,
 };
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::Semaphore;
 use tokio::task::spawn_local;
 use upstream::{ConnectError, Lease, Reuse};
 
 use super::Traffic;
 pub(super) use relay_client::{RelayAnswer, ask_relays};
 pub(super) use relay_server::serve_relay;
+use relay_table::RelayTable;
 
 /// Maximum number of connections to an upstream whose service declares no limit.
 const DEFAULT_CONNECTIONS: u32 = 256;
-/// Time for which a host that did not relay is asked after the others.
-const RELAY_FAILURE_TIME: Duration = Duration::from_secs(1);
+/// Maximum number of requests for relays that are being read or answered.
+const MAX_RELAY_REQUESTS: usize = 64;
 
-/// Fraction of the open files that connections relayed for other hosts may use. Each takes two.
-const RELAYED_FILES_FRACTION: f64 = 0.2;
-
-/// How this host reaches upstreams, and how many connections it relays for others.
+/// How this host reaches upstreams, and the connections that it relays for others.
 pub(super) struct Paths {
     upstreams: Mutex<UpstreamPaths>,
-    /// Hosts that did not relay a connection, and when.
-    failed_relays: Mutex<HashMap<HostName, Instant>>,
-    /// Permits to relay a connection for another host.
-    relay_permits: Arc<Semaphore>,
+    relay_records: Mutex<RelayRecords>,
+    /// Requests that wait for a relayed connection.
+    waiting: AtomicU32,
+    relayed: RelayTable,
+    relay_requests: Semaphore,
 }
 
-impl Paths {
-    /// Creates direct paths. `open_files` bounds the connections relayed for other hosts.
-    pub fn new(open_files: u32) -> Self {
-        let max_relays = f64::from(open_files) * RELAYED_FILES_FRACTION / 2.0;
+impl Default for Paths {
+    fn default() -> Self {
         Paths {
             upstreams: Mutex::default(),
-            failed_relays: Mutex::default(),
-            relay_permits: Arc::new(Semaphore::new(max_relays as usize)),
+            relay_records: Mutex::default(),
+            waiting: AtomicU32::default(),
+            relayed: RelayTable::default(),
+            relay_requests: Semaphore::new(MAX_RELAY_REQUESTS),
         }
     }
+}
 
-    /// Takes a permit to relay a connection; none if as many as allowed are relayed.
-    fn relay_permit(&self) -> Option<OwnedSemaphorePermit> {
-        Arc::clone(&self.relay_permits).try_acquire_owned().ok()
+impl Paths {
+    /// Number of connections relayed for other hosts.
+    pub fn relayed_connections(&self) -> u32 {
+        self.relayed.total()
     }
 
     pub fn upstreams(&self) -> MutexGuard<'_, UpstreamPaths> {
@@ -91,20 +95,18 @@
             .is_doubtful(now)
     }
 
-    /// Records that a host did not relay a connection, or that a request on a connection that it
-    /// relays got no answer.
-    pub fn relay_failed(&self, host: &str) {
-        self.failed_relays().insert(host.to_owned(), clock::now());
+    /// Records that a request on a connection that a host relays got no answer.
+    pub fn relay_silent(&self, host: &HostName) {
+        self.relay_records().silent(clock::now(), host);
     }
 
-    /// Whether the host did not relay a connection lately.
-    pub fn has_failed(&self, host: &str) -> bool {
-        let failed_at = self.failed_relays().get(host).copied();
-        failed_at.is_some_and(|at| clock::elapsed(at) < RELAY_FAILURE_TIME)
+    /// Whether open connections that a host relays are used.
+    pub fn may_use_relayed(&self, host: &str) -> bool {
+        self.relay_records().may_use_open(clock::now(), host)
     }
 
-    fn failed_relays(&self) -> MutexGuard<'_, HashMap<HostName, Instant>> {
-        self.failed_relays
+    fn relay_records(&self) -> MutexGuard<'_, RelayRecords> {
+        self.relay_records
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
@@ -117,32 +119,71 @@
     /// Whether a host of a region may pass on the request's bytes.
     pub may_pass: &'a dyn Fn(&str) -> bool,
     pub deadline: Instant,
+    /// Time until which the request waits for a connection that another host relays, if all are in
+    /// use.
+    pub wait_until: Instant,
+}
+
+/// Why there is no connection to an upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub(super) enum ConnectFailure {
+    /// The upstream could not be reached.
+    #[display("{_0}")]
+    Unreachable(String),
+    /// This host can't open a connection. Says nothing about the upstream.
+    #[display("{_0}")]
+    Local(String),
+    /// The hosts that relay connections to the upstream have no room for another one. Says nothing
+    /// about the upstream.
+    #[display("no host has room to relay a connection")]
+    RelaysFull {
+        /// Time after which the request may be tried again.
+        retry_after: Duration,
+    },
+}
+
+impl From<ConnectError> for ConnectFailure {
+    fn from(error: ConnectError) -> Self {
+        match error {
+            ConnectError::Unreachable(error) => ConnectFailure::Unreachable(error.to_string()),
+            error @ (ConnectError::AllInUse | ConnectError::Local(_)) => {
+                ConnectFailure::Local(error.to_string())
+            }
+        }
+    }
 }
 
 /// Returns a connection to the selected upstream.
 ///
 /// # Errors
 ///
-/// Returns the reason if there is no connection before the deadline.
-pub(super) async fn connect(traffic: &Arc<Traffic>, wanted: &Wanted<'_>) -> Result<Lease, String> {
+/// Returns [`ConnectFailure`] if there is no connection before the deadline.
+pub(super) async fn connect(
+    traffic: &Arc<Traffic>,
+    wanted: &Wanted<'_>,
+) -> Result<Lease, ConnectFailure> {
     let time_left = clock::remaining(wanted.deadline);
-    match tokio::time::timeout(time_left, connect_by_plan(traffic, wanted)).await {
-        Ok(connected) => connected.map_err(|error| error.to_string()),
-        Err(_) => Err("connecting took too long".to_owned()),
-    }
+    let connected = tokio::time::timeout(time_left, connect_by_plan(traffic, wanted)).await;
+    connected.unwrap_or_else(|_| {
+        let reason = "connecting took too long".to_owned();
+        match traffic.paths.is_relayed(&wanted.choice.upstream) {
+            true => Err(ConnectFailure::Local(reason)),
+            false => Err(ConnectFailure::Unreachable(reason)),
+        }
+    })
 }
 
 async fn connect_by_plan(
     traffic: &Arc<Traffic>,
     wanted: &Wanted<'_>,
-) -> Result<Lease, ConnectError> {
+) -> Result<Lease, ConnectFailure> {
     let upstream = &wanted.choice.upstream;
     let address = upstream.report.address;
     let max_connections = wanted.choice.connections.unwrap_or(DEFAULT_CONNECTIONS);
     let plan = plan(traffic, upstream, max_connections);
     let may_use = |relay: Option<&upstream::Relay>| match relay {
         None => plan.uses_open_direct,
-        Some(relay) => (wanted.may_pass)(&relay.region) && traffic.may_relay(&relay.host),
+        Some(relay) => relay_client::may_use(traffic, wanted, relay),
     };
     let connections = &traffic.connections;
     if let Some(lease) = connections.take_open(address, wanted.reuse, may_use).await {
@@ -151,7 +192,7 @@
     if !plan.relays {
         let failure = match connections.open_direct(address, max_connections).await {
             Err(ConnectError::Unreachable(failure)) => failure,
-            connected_or_local => return connected_or_local,
+            connected_or_local => return connected_or_local.map_err(ConnectFailure::from),
         };
         let report = &upstream.report;
         let mut paths = traffic.paths.upstreams();
@@ -159,10 +200,10 @@
         zone_path.direct_failed(clock::now(), &report.id);
         drop(paths);
         if !self::plan(traffic, upstream, max_connections).relays {
-            return Err(ConnectError::Unreachable(failure));
+            return Err(ConnectFailure::Unreachable(failure.to_string()));
         }
     }
-    relay_client::open(traffic, upstream, max_connections, wanted.may_pass).await
+    relay_client::open(traffic, wanted, max_connections).await
 }
 
 /// Returns how to connect to an upstream, and starts the checks that are due.
--- a/crates/gateway/src/traffic/paths/relay_client.rs
+++ b/crates/gateway/src/traffic/paths/relay_client.rs
@@ -1,17 +1,20 @@
 //! Asks other hosts to relay connections.
 
+use std::cell::Cell;
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use peer::relay::{RelayError, RelayRequest, RelayStatus, RelayedStream, request_relay};
-use steering::route::{Place, RelayHost, Upstream, relay_order};
+use steering::route::{Place, RelayHost, Upstream, relay_order, relay_wait};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use upstream::{ConnectError, Lease, Relay};
 
+use super::{ConnectFailure, Wanted};
 use crate::traffic::Traffic;
 
 /// Time limit for a relay: three round trips between regions, and the time in which the other host
@@ -19,6 +22,8 @@
 const RELAY_TIMEOUT: Duration = Duration::from_millis(700);
 /// Hosts asked one after the other for a connection.
 const MAX_HOSTS_ASKED: usize = 3;
+/// Interval at which a request that waits for a relayed connection asks hosts that were full.
+const FULL_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Hosts asked at the same time whether they reach an upstream.
 const MAX_HOSTS_CHECKED: usize = 5;
 
@@ -33,33 +38,145 @@
     Unknown,
 }
 
-/// Opens a connection to an upstream through another host.
+/// Opens a connection to an upstream through another host, or waits for one that is open.
 pub(super) async fn open(
     traffic: &Traffic,
-    upstream: &Upstream,
+    wanted: &Wanted<'_>,
     max_connections: u32,
-    may_pass: &dyn Fn(&str) -> bool,
-) -> Result<Lease, ConnectError> {
+) -> Result<Lease, ConnectFailure> {
+    if let Some(opened) = open_at_once(traffic, wanted, max_connections).await {
+        return opened;
+    }
+    let waiting = Waiting::begin(&traffic.paths.waiting);
+    let full = ConnectFailure::RelaysFull {
+        retry_after: waiting.expected(traffic, wanted),
+    };
+    if clock::now() + waiting.expected(traffic, wanted) > wanted.wait_until {
+        return Err(full);
+    }
+    let address = wanted.choice.upstream.report.address;
+    let connections = &traffic.connections;
+    loop {
+        let time_left = clock::remaining(wanted.wait_until);
+        if time_left.is_zero() {
+            return Err(full);
+        }
+        // A host may have room again without an end of a connection of this one.
+        let freed = timeout(
+            time_left.min(FULL_RETRY_INTERVAL),
+            connections.relayed_freed(),
+        );
+        let _ = freed.await;
+        let may_use =
+            |relay: Option<&Relay>| relay.is_some_and(|relay| may_use(traffic, wanted, relay));
+        if let Some(lease) = connections.take_open(address, wanted.reuse, may_use).await {
+            return Ok(lease);
+        }
+        if let Some(opened) = open_at_once(traffic, wanted, max_connections).await {
+            return opened;
+        }
+    }
+}
+
+/// Whether a request may be sent over an open connection that another host relays.
+pub(super) fn may_use(traffic: &Traffic, wanted: &Wanted<'_>, relay: &Relay) -> bool {
+    (wanted.may_pass)(&relay.region) && traffic.may_relay(&relay.host)
+}
+
+/// A request that waits for a relayed connection.
+struct Waiting<'a>(&'a AtomicU32);
+
+impl<'a> Waiting<'a> {
+    fn begin(count: &'a AtomicU32) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Waiting(count)
+    }
+
+    fn expected(&self, traffic: &Traffic, wanted: &Wanted<'_>) -> Duration {
+        let others = self.0.load(Ordering::Relaxed).saturating_sub(1);
+        let hold_time = wanted.choice.expectation.longest();
+        relay_wait(others, traffic.connections.relayed(), hold_time)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Opens a connection through another host; none if all that may relay it are full.
+async fn open_at_once(
+    traffic: &Traffic,
+    wanted: &Wanted<'_>,
+    max_connections: u32,
+) -> Option<Result<Lease, ConnectFailure>> {
+    let upstream = &*wanted.choice.upstream;
+    let connections = &traffic.connections;
     let mut last_failure = "no host can relay".to_owned();
-    for host in hosts_to_ask(traffic, upstream, may_pass, MAX_HOSTS_ASKED) {
-        let connections = &traffic.connections;
-        let relay = Some(Relay {
-            host: host.name.clone(),
-            region: host.region.clone(),
-        });
-        let connecting = async {
-            let (status, stream) = ask(traffic, upstream, &host).await;
-            stream.ok_or_else(|| io::Error::new(io::ErrorKind::NotConnected, status.to_string()))
-        };
-        let address = upstream.report.address;
-        let opened = connections.open_with(address, max_connections, relay, connecting);
-        match opened.await {
-            Err(ConnectError::Unreachable(failure)) => last_failure = failure.to_string(),
-            opened_or_local => return opened_or_local,
+    let mut is_full = false;
+    for host in hosts_to_ask(traffic, upstream, wanted.may_pass, MAX_HOSTS_ASKED) {
+        let held = connections.relayed_by(&host.name);
+        let may_open = traffic
+            .paths
+            .relay_records()
+            .may_open(clock::now(), &host.name, held);
+        // This host's part of the connections may be idle ones to other upstreams.
+        if !may_open && !connections.close_idle_relayed(&host.name) {
+            is_full = true;
+            continue;
         }
+        match open_through(traffic, upstream, max_connections, &host).await {
+            Ok(lease) => return Some(Ok(lease)),
+            Err(OpenError::Connect(ConnectError::Unreachable(failure))) => {
+                last_failure = failure.to_string();
+            }
+            Err(OpenError::Connect(local)) => return Some(Err(local.into())),
+            Err(OpenError::Full) => is_full = true,
+        }
+    }
+    match is_full {
+        true => None,
+        false => Some(Err(ConnectFailure::Unreachable(last_failure))),
     }
-    let failure = io::Error::new(io::ErrorKind::NotConnected, last_failure);
-    Err(ConnectError::Unreachable(failure))
+}
+
+enum OpenError {
+    Connect(ConnectError),
+    Full,
+}
+
+async fn open_through(
+    traffic: &Traffic,
+    upstream: &Upstream,
+    max_connections: u32,
+    host: &RelayHost,
+) -> Result<Lease, OpenError> {
+    let address = upstream.report.address;
+    let connections = &traffic.connections;
+    let is_released = Arc::new(AtomicBool::new(false));
+    let relay = Relay {
+        host: host.name.clone(),
+        region: host.region.clone(),
+        is_released: Arc::clone(&is_released),
+    };
+    let is_full = Cell::new(false);
+    let connecting = async {
+        let (status, stream) = ask(traffic, upstream, host, false).await;
+        is_full.set(status == RelayStatus::Full);
+        let stream = stream
+            .ok_or_else(|| io::Error::new(io::ErrorKind::NotConnected, status.to_string()))?;
+        let connections = connections.clone();
+        Ok(stream.with_release(Box::new(move || {
+            is_released.store(true, Ordering::Release);
+            connections.close_released(address);
+        })))
+    };
+    let opened = connections.open_with(address, max_connections, Some(relay), connecting);
+    opened.await.map_err(|error| match is_full.get() {
+        true => OpenError::Full,
+        false => OpenError::Connect(error),
+    })
 }
 
 /// Asks several hosts at once whether they reach an upstream.
@@ -68,7 +185,7 @@
     upstream: &Upstream,
 ) -> RelayAnswer {
     let hosts = hosts_to_ask(traffic, upstream, &|_| true, MAX_HOSTS_CHECKED);
-    let asked = hosts.iter().map(|host| ask(traffic, upstream, host));
+    let asked = hosts.iter().map(|host| ask(traffic, upstream, host, true));
     let mut asked: FuturesUnordered<_> = asked.collect();
     let mut answer = RelayAnswer::Unknown;
     while let Some((status, _)) = asked.next().await {
@@ -87,6 +204,7 @@
     traffic: &Traffic,
     upstream: &Upstream,
     host: &RelayHost,
+    is_check: bool,
 ) -> (RelayStatus, Option<RelayedStream<TcpStream>>) {
     let asking = async {
         let key = traffic.common.relay_key.load_full();
@@ -97,6 +215,8 @@
             to: host.name.clone(),
             service: upstream.report.service.clone(),
             upstream: upstream.report.id.clone(),
+            is_check,
+            accepts_release: true,
         };
         request_relay(stream, &key, &request).await
     };
@@ -107,13 +227,21 @@
         (RelayStatus::Unavailable, None)
     });
     metrics::counter!("stagedeck_relays_asked_total", "answer" => status.to_string()).increment(1);
-    // The other answers are about the upstream.
-    if matches!(
-        status,
-        RelayStatus::Unavailable | RelayStatus::UpstreamUnreachable
-    ) {
-        traffic.paths.relay_failed(&host.name);
+    let now = clock::now();
+    let mut records = traffic.paths.relay_records();
+    match status {
+        RelayStatus::Unavailable => records.refused(now, &host.name),
+        RelayStatus::UpstreamUnreachable => {
+            records.zone_unreached(now, &host.name, &upstream.report.zone);
+        }
+        RelayStatus::Full => {
+            let held = traffic.connections.relayed_by(&host.name);
+            records.full(now, &host.name, held);
+        }
+        // These answers are about the upstream.
+        RelayStatus::Open | RelayStatus::UpstreamRefuses | RelayStatus::UpstreamUnknown => {}
     }
+    drop(records);
     (status, stream)
 }
 
@@ -139,7 +267,9 @@
         zone,
         region: settings.regions.get(zone).map_or("", String::as_str),
     };
-    let has_failed = |host: &RelayHost| traffic.paths.has_failed(&host.name);
+    let now = clock::now();
+    let records = traffic.paths.relay_records();
+    let has_failed = |host: &RelayHost| records.has_failed(now, &host.name, zone);
     let order = relay_order(hosts, own, upstream_place, has_failed, rand::random());
     order.into_iter().take(max).cloned().collect()
 }
--- a/crates/gateway/src/traffic/paths/relay_server.rs
+++ b/crates/gateway/src/traffic/paths/relay_server.rs
@@ -1,18 +1,17 @@
 //! Relays connections to upstreams for other hosts.
 
-use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use peer::relay::{RelayError, RelayRequest, RelayStatus, copy_to_frames, receive_request};
-use steering::route::Upstream;
+use steering::route::{RegionPool, Upstream, max_relays};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
+use super::relay_table::{LastBytes, RelayPermit, RelayedConnection};
 use crate::traffic::Traffic;
 use crate::traffic::open_connection::OpenConnection;
 
@@ -27,16 +26,13 @@
 const QUIET_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 const BUFFER_BYTES: usize = 8 << 10;
 
-/// Relays one connection for another host. Closes it at once if as many as allowed are relayed.
+/// Relays one connection for another host. Closes it at once if too many requests for relays are
+/// being answered.
 pub(in crate::traffic) async fn serve_relay(
     traffic: Arc<Traffic>,
     stream: TcpStream,
     peer: SocketAddr,
 ) {
-    let Some(_permit) = traffic.paths.relay_permit() else {
-        tracing::warn!(event = "relays_full", %peer);
-        return;
-    };
     match serve(&traffic, stream).await {
         Ok(()) => {}
         Err(error @ RelayError::Forged) => {
@@ -47,22 +43,55 @@
 }
 
 async fn serve(traffic: &Arc<Traffic>, stream: TcpStream) -> Result<(), RelayError> {
+    let Ok(request_permit) = traffic.paths.relay_requests.try_acquire() else {
+        return Err(RelayError::Io(io::ErrorKind::ResourceBusy.into()));
+    };
     let key = traffic.common.relay_key.load_full();
     let key = key.ok_or(RelayError::NoKey)?;
     let receiving = receive_request(stream, &key, &traffic.common.settings.host);
     let received = timeout(REQUEST_TIME, receiving).await;
     let offer = received.unwrap_or(Err(RelayError::Unreadable))?;
-    let (status, upstream) = open(traffic, &offer.request).await;
+    let (status, connection) = open(traffic, &offer.request).await;
+    drop(request_permit);
     metrics::counter!("stagedeck_relays_served_total", "answer" => status.to_string()).increment(1);
     let host = offer.answer(&key, status).await?;
-    if let Some(upstream) = upstream {
-        pass(traffic, host, upstream).await;
+    if let Some((permit, upstream)) = connection {
+        pass(traffic, &permit.connection, host, upstream).await;
     }
     Ok(())
 }
 
+/// Opens a connection for a request; none for one that only checks whether the upstream is reached.
+async fn open(
+    traffic: &Traffic,
+    request: &RelayRequest,
+) -> (RelayStatus, Option<(RelayPermit, TcpStream)>) {
+    if request.is_check {
+        let (status, _) = connect(traffic, request).await;
+        return (status, None);
+    }
+    let max = || {
+        let own = traffic.own_connections();
+        max_relays(traffic.common.settings.open_files, own)
+    };
+    let relayed = &traffic.paths.relayed;
+    let permit = relayed
+        .admit(&request.from, request.accepts_release, max)
+        .await;
+    let Some(permit) = permit else {
+        tracing::warn!(
+            event = "relays_full",
+            host = request.from,
+            relayed = relayed.total()
+        );
+        return (RelayStatus::Full, None);
+    };
+    let (status, stream) = connect(traffic, request).await;
+    (status, stream.map(|stream| (permit, stream)))
+}
+
 /// Connects to the upstream that a request names, if this host may send requests there itself.
-async fn open(traffic: &Traffic, request: &RelayRequest) -> (RelayStatus, Option<TcpStream>) {
+async fn connect(traffic: &Traffic, request: &RelayRequest) -> (RelayStatus, Option<TcpStream>) {
     let Some(upstream) = find(traffic, request) else {
         return (RelayStatus::UpstreamUnknown, None);
     };
@@ -82,44 +111,26 @@
 fn find(traffic: &Traffic, request: &RelayRequest) -> Option<Arc<Upstream>> {
     let view = traffic.common.view.load();
     let pool = view.services.get(&request.service)?;
-    let of_region = pool.regions.values();
-    let mut upstreams = of_region.flat_map(|region| {
-        let others = region
-            .other_version
-            .iter()
-            .flat_map(|other| &other.upstreams);
-        region.upstreams.iter().chain(others)
-    });
+    let regions = pool.regions.values();
+    let mut upstreams = regions.flat_map(RegionPool::upstreams_of_all_versions);
     let found = upstreams.find(|upstream| upstream.report.id == request.upstream);
     found.map(Arc::clone)
 }
 
-/// Which side sent the last bytes, and when.
-#[derive(Clone, Copy)]
-struct LastBytes {
-    from_upstream: bool,
-    at: Instant,
-}
-
 /// Passes bytes on until either side ends, and closes both connections.
-async fn pass(traffic: &Arc<Traffic>, host: TcpStream, mut upstream: TcpStream) {
+async fn pass(
+    traffic: &Arc<Traffic>,
+    connection: &RelayedConnection,
+    host: TcpStream,
+    mut upstream: TcpStream,
+) {
     let _open = OpenConnection::new(traffic);
     let (mut from_host, mut to_host) = host.into_split();
     let (mut from_upstream, mut to_upstream) = upstream.split();
-    let last = Rc::new(Cell::new(LastBytes {
-        from_upstream: true,
-        at: clock::now(),
-    }));
-    let note = |from_upstream| {
-        last.set(LastBytes {
-            from_upstream,
-            at: clock::now(),
-        });
-    };
     let forward = async {
         let mut buffer = vec![0; BUFFER_BYTES];
         while let Ok(count) = from_host.read(&mut buffer).await {
-            note(false);
+            connection.note(false);
             if count == 0 || to_upstream.write_all(&buffer[..count]).await.is_err() {
                 return;
             }
@@ -128,16 +139,21 @@
     tokio::select! {
         () = forward => {}
         // Without the last frame, the host takes the end of the connection for a failure.
-        _ = copy_to_frames(&mut from_upstream, &mut to_host, || note(true)) => {}
-        () = until_quiet(traffic, &last) => {}
+        _ = copy_to_frames(
+            &mut from_upstream,
+            &mut to_host,
+            connection.until_release(),
+            || connection.note(true),
+        ) => {}
+        () = until_quiet(traffic, connection) => {}
     }
 }
 
 /// Waits until the connection is no longer needed.
-async fn until_quiet(traffic: &Traffic, last: &Cell<LastBytes>) {
+async fn until_quiet(traffic: &Traffic, connection: &RelayedConnection) {
     loop {
         sleep(QUIET_CHECK_INTERVAL).await;
-        let LastBytes { from_upstream, at } = last.get();
+        let LastBytes { from_upstream, at } = connection.last_bytes();
         let quiet_time = clock::elapsed(at);
         let is_done = from_upstream && quiet_time > LEAVING_QUIET_TIME;
         if quiet_time > MAX_QUIET_TIME || (traffic.has_stopped_accepting() && is_done) {
--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -9,8 +9,8 @@
 use steering::ids::ServiceName;
 use steering::route::{
     Admission, CallerAttempt, Choice, RegionPool, Requirements, RetryDecision, Route, SendOutcome,
-    Sender, Unavailable, UnavailableCause, UpstreamId, WorkEvent, WorkIdentity, choose,
-    decide_retry,
+    Sender, Unavailable, UnavailableCause, UpstreamId, WorkEvent, WorkIdentity, acceptable_wait,
+    choose, decide_retry,
 };
 use tokio::task::spawn_local;
 use upstream::{Body, RequestBody};
@@ -22,7 +22,7 @@
 use super::forward::DEFAULT_RETRY_AFTER;
 use super::head::Head;
 use super::request_log::RequestLog;
-use super::send::{OutgoingRequest, send};
+use super::send::{OutgoingRequest, SendFailure, send};
 use super::stats::TrafficStats;
 use crate::limits::NoToken;
 
@@ -38,6 +38,9 @@
 /// this bound, a request would try them again and again until its deadline if many upstreams
 /// declare limits.
 const MAX_TOKEN_REFUSALS: u32 = 4;
+/// Number of upstreams to which no host has room to relay a request after which it is refused. A
+/// second one may be in a zone that this host reaches itself.
+const MAX_RELAY_REFUSALS: u32 = 2;
 
 /// A request in progress.
 pub(super) struct Run<'a> {
@@ -65,6 +68,8 @@
     pub crashes_known: u32,
     /// Number of selected upstreams that had no token of their rate limit.
     pub token_refusals: u32,
+    /// Number of selected upstreams to which no host had room to relay the request.
+    pub relay_refusals: u32,
 }
 
 /// No upstream could be selected.
@@ -115,8 +120,15 @@
                 Err(NoToken(wait)) => return Err(self.rate_limited(wait)),
             };
             choice.note_sent(clock::now(), destination.own_object());
-            if let Some(answer) = self.send(&choice).await {
-                return Ok(answer);
+            let failure = match self.send(&choice).await {
+                Ok(answer) => return Ok(answer),
+                Err(failure) => failure,
+            };
+            if let Some(retry_after) = failure.relays_full {
+                self.relay_refusals += 1;
+                if self.relay_refusals >= MAX_RELAY_REFUSALS {
+                    return Err(self.relays_full(retry_after));
+                }
             }
             if self.after_failure(&destination.service) != RetryDecision::Retry {
                 return Err(self.final_refusal());
@@ -142,8 +154,10 @@
         })
     }
 
-    /// Sends the request once; none if there is no answer to pass on.
-    async fn send(&mut self, choice: &Choice) -> Option<Response<Body>> {
+    /// Sends the request once; fails if there is no answer to pass on.
+    async fn send(&mut self, choice: &Choice) -> Result<Response<Body>, SendFailure> {
+        let wait = acceptable_wait(self.route.goal, self.urgency());
+        let wait_until = self.deadline.min(self.head.arrived + wait);
         let report = &choice.upstream.report;
         self.request_log.selected(choice);
         self.sends.push(SendOutcome::Not);
@@ -154,6 +168,7 @@
             body: &mut self.body,
             repeatable: self.route.repeatable,
             deadline: self.deadline,
+            wait_until,
             route: &self.route.name,
             sender: self.sender,
             may_pass: &|region| may_run_in(self.route, self.sender, region),
@@ -166,7 +181,7 @@
                 let sent_ms = clock::elapsed(started_at).as_millis() as u32;
                 let event = WorkEvent::Answered { sent_ms };
                 self.traffic.common.suspects.record_event(self.work, event);
-                return Some(answer);
+                return Ok(answer);
             }
             Err(failure) => failure,
         };
@@ -196,7 +211,7 @@
         if is_unreachable || (failure.sent != SendOutcome::Not && !may_be_asked_again()) {
             self.excluded.push(report.id.clone());
         }
-        None
+        Err(failure)
     }
 
     fn select_upstream(&self, destination: &Destination) -> Result<Choice, SelectionError> {
@@ -370,6 +385,15 @@
         })
     }
 
+    /// The refusal after no host had room to relay the request.
+    fn relays_full(&self, retry_after: Duration) -> Refusal {
+        let spread = retry_after.mul_f64(rand::random());
+        self.unless_run(Refusal::NotRun {
+            cause: Cause::RelaysFull,
+            retry_after: retry_after + spread,
+        })
+    }
+
     /// Returns `not_run` if the request can't have run, otherwise the refusal that says so.
     fn unless_run(&self, not_run: Refusal) -> Refusal {
         match self.final_refusal() {
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -18,7 +18,7 @@
 
 use super::Traffic;
 use super::head::Head;
-use super::paths::{Wanted, connect};
+use super::paths::{ConnectFailure, Wanted, connect};
 use super::statements::{AnswerHead, apply_statement};
 
 /// Time without an answer after which a request counts against the host that relays it.
@@ -104,7 +104,7 @@
                 let waited = now.saturating_duration_since(self.started_at);
                 let is_silent = outcome == AnswerOutcome::Unknown && waited > RELAY_SILENT_AFTER;
                 if is_silent || outcome == AnswerOutcome::Broken {
-                    paths.relay_failed(host);
+                    paths.relay_silent(host);
                 }
             }
         }
@@ -170,6 +170,8 @@
     pub lacks_token: bool,
     /// Whether the connection was closed or broken before an answer arrived.
     pub was_closed: bool,
+    /// Time after which the request may be tried again, if no host had room to relay it.
+    pub relays_full: Option<Duration>,
 }
 
 impl SendFailure {
@@ -179,6 +181,7 @@
             reason: reason.to_string(),
             lacks_token: false,
             was_closed: false,
+            relays_full: None,
         }
     }
 }
@@ -191,6 +194,8 @@
     pub repeatable: bool,
     /// Time after which an answer is useless.
     pub deadline: Instant,
+    /// Time until which the request waits for room at the hosts that relay.
+    pub wait_until: Instant,
     /// Name of the route.
     pub route: &'a RuleName,
     /// Who sent the request.
@@ -222,13 +227,25 @@
         reuse,
         may_pass: outgoing.may_pass,
         deadline: outgoing.deadline,
+        wait_until: outgoing.wait_until,
     };
     let lease = match connect(traffic, &wanted).await {
         Ok(lease) => lease,
-        Err(reason) => {
+        Err(failure) => {
             count_send("not_sent");
-            in_flight.record(AnswerOutcome::Unreachable);
-            return Err(SendFailure::new(SendOutcome::Not, reason));
+            let mut relays_full = None;
+            match failure {
+                ConnectFailure::Unreachable(_) => in_flight.record(AnswerOutcome::Unreachable),
+                ConnectFailure::Local(_) => in_flight.record(AnswerOutcome::Unknown),
+                ConnectFailure::RelaysFull { retry_after } => {
+                    in_flight.record(AnswerOutcome::Unknown);
+                    relays_full = Some(retry_after);
+                }
+            }
+            return Err(SendFailure {
+                relays_full,
+                ..SendFailure::new(SendOutcome::Not, failure)
+            });
         }
     };
     if let Some(obstacle) = choice.new_obstacle(clock::now()) {
--- a/crates/peer/src/relay/frames.rs
+++ b/crates/peer/src/relay/frames.rs
@@ -1,5 +1,6 @@
 //! Frames of the bytes that an upstream sends: two bytes with the length, then as many bytes. An
-//! empty frame ends the stream; a connection that ends without one has failed.
+//! empty frame ends the stream; a connection that ends without one has failed. A length of 65,535
+//! has no content and asks the requesting host not to use the connection for further requests.
 
 use std::io;
 use std::pin::Pin;
@@ -10,9 +11,13 @@
 const HEADER_BYTES: usize = 2;
 /// Largest content of a frame, in bytes.
 const MAX_FRAME_BYTES: usize = 8 << 10;
+/// Length that stands for a request to release the connection.
+const RELEASE: u16 = u16::MAX;
+
+/// Called when the relaying host asks for the release of a connection.
+pub type OnRelease = Box<dyn FnOnce() + Send>;
 
 /// A relayed connection to an upstream, as the requesting host reads and writes it.
-#[derive(Debug)]
 pub struct RelayedStream<S> {
     stream: S,
     header: [u8; HEADER_BYTES],
@@ -21,6 +26,7 @@
     remaining: usize,
     /// Whether the empty frame has arrived.
     ended: bool,
+    on_release: Option<OnRelease>,
 }
 
 impl<S> RelayedStream<S> {
@@ -31,6 +37,16 @@
             header_filled: 0,
             remaining: 0,
             ended: false,
+            on_release: None,
+        }
+    }
+
+    /// Calls `on_release` when the relaying host asks for the release of the connection. The
+    /// request under way on it may still end.
+    pub fn with_release(self, on_release: OnRelease) -> Self {
+        RelayedStream {
+            on_release: Some(on_release),
+            ..self
         }
     }
 }
@@ -55,8 +71,17 @@
             self.header_filled += count;
         }
         self.header_filled = 0;
-        self.remaining = usize::from(u16::from_be_bytes(self.header));
-        self.ended = self.remaining == 0;
+        match u16::from_be_bytes(self.header) {
+            RELEASE => {
+                if let Some(on_release) = self.on_release.take() {
+                    on_release();
+                }
+            }
+            length => {
+                self.remaining = usize::from(length);
+                self.ended = length == 0;
+            }
+        }
         Poll::Ready(Ok(()))
     }
 }
@@ -68,7 +93,7 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let this = &mut *self;
-        if this.remaining == 0 && !this.ended {
+        while this.remaining == 0 && !this.ended {
             ready!(this.poll_header(context))?;
         }
         let wanted = this.remaining.min(buffer.remaining());
@@ -101,7 +126,7 @@
 }
 
 /// Copies an upstream's bytes as frames until the upstream ends its side. `on_bytes` is called
-/// before each write.
+/// before each write. When `release` is ready, asks the host to release the connection.
 ///
 /// # Errors
 ///
@@ -109,11 +134,21 @@
 pub async fn copy_to_frames(
     upstream: &mut (impl AsyncRead + Unpin),
     host: &mut (impl AsyncWrite + Unpin),
+    release: impl Future<Output = ()>,
     mut on_bytes: impl FnMut(),
 ) -> io::Result<()> {
     let mut frame = vec![0; HEADER_BYTES + MAX_FRAME_BYTES];
+    let mut is_released = false;
+    tokio::pin!(release);
     loop {
-        let count = upstream.read(&mut frame[HEADER_BYTES..]).await?;
+        let count = tokio::select! {
+            count = upstream.read(&mut frame[HEADER_BYTES..]) => count?,
+            () = &mut release, if !is_released => {
+                is_released = true;
+                host.write_all(&RELEASE.to_be_bytes()).await?;
+                continue;
+            }
+        };
         let length = count as u16;
         frame[..HEADER_BYTES].copy_from_slice(&length.to_be_bytes());
         on_bytes();
--- a/crates/peer/src/relay/handshake.rs
+++ b/crates/peer/src/relay/handshake.rs
@@ -31,6 +31,13 @@
     pub service: ServiceName,
     /// The upstream to connect to.
     pub upstream: UpstreamId,
+    /// Whether the request only asks if the upstream can be reached. The connection is closed after
+    /// the answer.
+    #[serde(default)]
+    pub is_check: bool,
+    /// Whether the requesting host understands the request to release the connection.
+    #[serde(default)]
+    pub accepts_release: bool,
 }
 
 /// A request with the nonce that its answer must be signed with.
@@ -56,19 +63,23 @@
     /// The relaying host knows no such upstream that may get requests.
     #[display("the upstream is not known")]
     UpstreamUnknown = 3,
-    /// The host does not relay now: it relays as many connections as it may, is leaving, or is
-    /// itself cut off from the upstream's zone.
+    /// The host does not relay now: it is leaving, or is itself cut off from the upstream's zone.
     #[display("the host does not relay now")]
     Unavailable = 4,
+    /// The host relays as many connections for the requesting one as it can. Says nothing about the
+    /// upstream.
+    #[display("the host relays as many connections as it can")]
+    Full = 5,
 }
 
 impl RelayStatus {
-    const ALL: [RelayStatus; 5] = [
+    const ALL: [RelayStatus; 6] = [
         RelayStatus::Open,
         RelayStatus::UpstreamRefuses,
         RelayStatus::UpstreamUnreachable,
         RelayStatus::UpstreamUnknown,
         RelayStatus::Unavailable,
+        RelayStatus::Full,
     ];
 
     fn from_byte(byte: u8) -> Option<RelayStatus> {
--- a/crates/peer/src/relay/mod.rs
+++ b/crates/peer/src/relay/mod.rs
@@ -8,7 +8,7 @@
 mod frames;
 mod handshake;
 
-pub use frames::{RelayedStream, copy_to_frames};
+pub use frames::{OnRelease, RelayedStream, copy_to_frames};
 pub use handshake::{
     RelayError, RelayOffer, RelayRequest, RelayStatus, receive_request, request_relay,
 };
--- a/crates/peer/tests/relay.rs
+++ b/crates/peer/tests/relay.rs
@@ -1,5 +1,9 @@
 //! Requests for relays, and the frames of relayed bytes.
 
+use std::future::{pending, ready};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
 use peer::relay::{
     RelayError, RelayRequest, RelayStatus, copy_to_frames, receive_request, request_relay,
 };
@@ -16,6 +20,8 @@
         to: "h2".to_owned(),
         service: "surcos".to_owned(),
         upstream: "i-1".to_owned(),
+        is_check: false,
+        accepts_release: true,
     }
 }
 
@@ -25,6 +31,7 @@
 #[case::unreachable(RelayStatus::UpstreamUnreachable)]
 #[case::unknown(RelayStatus::UpstreamUnknown)]
 #[case::unavailable(RelayStatus::Unavailable)]
+#[case::full(RelayStatus::Full)]
 #[tokio::test]
 async fn both_hosts_know_what_came_of_a_request(#[case] status: RelayStatus) {
     let (near, far) = duplex(BUFFER_BYTES);
@@ -89,14 +96,14 @@
         let offer = receive_request(far, KEY, "h2").await.unwrap();
         let mut host = offer.answer(KEY, RelayStatus::Open).await.unwrap();
         match ends {
-            true => copy_to_frames(&mut upstream_far, &mut host, || ())
+            true => copy_to_frames(&mut upstream_far, &mut host, pending(), || ())
                 .await
                 .unwrap(),
             // The relaying host is killed after it has passed on some bytes.
             false => {
                 let passed = Notify::new();
                 tokio::select! {
-                    _ = copy_to_frames(&mut upstream_far, &mut host, || passed.notify_one()) => {}
+                    _ = copy_to_frames(&mut upstream_far, &mut host, pending(), || passed.notify_one()) => {}
                     () = passed.notified() => {}
                 }
             }
@@ -135,3 +142,34 @@
     let kind = read.map_err(|error| error.kind());
     assert_eq!(kind, Err(std::io::ErrorKind::ConnectionReset));
 }
+
+#[tokio::test]
+async fn a_request_to_release_a_connection_changes_none_of_its_bytes() {
+    let (near, far) = duplex(BUFFER_BYTES);
+    let (mut upstream, mut upstream_far) = duplex(BUFFER_BYTES);
+    let relaying = async {
+        let offer = receive_request(far, KEY, "h2").await.unwrap();
+        let mut host = offer.answer(KEY, RelayStatus::Open).await.unwrap();
+        copy_to_frames(&mut upstream_far, &mut host, ready(()), || ())
+            .await
+            .unwrap();
+    };
+    let is_released = Arc::new(AtomicBool::new(false));
+    let flag = Arc::clone(&is_released);
+    let wanted = request();
+    let reading = async {
+        let (_, stream) = request_relay(near, KEY, &wanted).await.unwrap();
+        let on_release = Box::new(move || flag.store(true, Ordering::Relaxed));
+        let mut stream = stream.unwrap().with_release(on_release);
+        let mut read = Vec::new();
+        stream.read_to_end(&mut read).await.unwrap();
+        read
+    };
+    let writing = async {
+        upstream.write_all(b"an answer").await.unwrap();
+        upstream.shutdown().await.unwrap();
+    };
+    let (read, (), ()) = tokio::join!(reading, relaying, writing);
+    assert_eq!(read, b"an answer");
+    assert!(is_released.load(Ordering::Relaxed));
+}
--- a/crates/steering/src/route/choice.rs
+++ b/crates/steering/src/route/choice.rs
@@ -243,9 +243,12 @@
 }
 
 fn is_acceptable(wait: Duration, requirements: &Requirements<'_>) -> bool {
-    wait <= requirements
-        .latency_goal
-        .mul_f64(MAX_WAIT_GOALS * requirements.urgency)
+    wait <= acceptable_wait(requirements.latency_goal, requirements.urgency)
+}
+
+/// Returns the longest wait for room that a request accepts.
+pub fn acceptable_wait(latency_goal: Duration, urgency: f64) -> Duration {
+    latency_goal.mul_f64(MAX_WAIT_GOALS * urgency)
 }
 
 fn no_candidates() -> Unavailable {
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -65,7 +65,7 @@
 pub use caller_timeouts::CallerTimeouts;
 pub use catalog::{Catalog, CatalogChange};
 pub use change_report::ChangeReport;
-pub use choice::{Choice, choose};
+pub use choice::{Choice, acceptable_wait, choose};
 pub use customer::{Allowance, AuthError, Credentials, Customer, CustomerTable, Sender};
 pub use document::{CallerLimits, Route, RouteDocument, ServiceTerms, WeightedService};
 pub use document_change::DocumentChange;
@@ -119,8 +119,8 @@
 pub use unavailable::{Unavailable, UnavailableCause};
 pub use upstream::Upstream;
 pub use upstream_paths::{
-    CheckResult, ConnectPlan, DirectResult, PathChange, Place, RelayHost, UpstreamPaths, ZonePath,
-    relay_order,
+    CheckResult, ConnectPlan, DirectResult, PathChange, Place, RelayAdmission, RelayDecision,
+    RelayHost, RelayRecords, UpstreamPaths, ZonePath, max_relays, relay_order, relay_wait,
 };
 pub use upstream_state::UpstreamState;
 pub use view::RouteView;
--- a/crates/steering/src/route/region_pool.rs
+++ b/crates/steering/src/route/region_pool.rs
@@ -39,6 +39,13 @@
         self.homes = OnceLock::new();
     }
 
+    /// Returns the upstreams, those of the other version during a roll-out included.
+    pub fn upstreams_of_all_versions(&self) -> impl Iterator<Item = &Arc<Upstream>> {
+        let others = self.other_version.iter();
+        let others = others.flat_map(|other| &other.upstreams);
+        self.upstreams.iter().chain(others)
+    }
+
     /// Returns the positions of the upstreams in the order of an object's homes, weighted by
     /// their slots.
     pub fn rank(&self, object: u64) -> impl Iterator<Item = usize> + '_ {
--- a/crates/steering/src/route/upstream_paths/mod.rs
+++ b/crates/steering/src/route/upstream_paths/mod.rs
@@ -1,13 +1,17 @@
 //! How this host's connections to upstreams are made: directly, or through another host that
 //! relays their bytes.
 
+mod relay_admission;
 mod relay_host;
+mod relay_records;
 mod zone_path;
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+pub use relay_admission::{RelayAdmission, RelayDecision, max_relays};
 pub use relay_host::{Place, RelayHost, relay_order};
+pub use relay_records::{RelayRecords, relay_wait};
 pub use zone_path::{CheckResult, ConnectPlan, PathChange, ZonePath};
 
 use super::health::AnswerOutcome;
--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -14,6 +14,7 @@
 use steering::ids::{HostName, RegionName};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
@@ -82,12 +83,15 @@
 }
 
 /// Another host that relays a connection.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone)]
 pub struct Relay {
     /// Name of the host.
     pub host: HostName,
     /// Region of the host.
     pub region: RegionName,
+    /// Whether the host has asked for the release of the connection, which is then closed after
+    /// the request under way.
+    pub is_released: Arc<AtomicBool>,
 }
 
 /// Why no connection was opened.
@@ -156,12 +160,58 @@
     opened_at: Instant,
     /// `None` for a direct connection.
     relay: Option<Relay>,
+    relayed: Arc<RelayedConnections>,
+}
+
+impl OpenConnection {
+    fn is_released(&self) -> bool {
+        let relay = self.relay.as_ref();
+        relay.is_some_and(|relay| relay.is_released.load(Ordering::Acquire))
+    }
+
+    fn is_relayed_by(&self, host: &str) -> bool {
+        self.relay.as_ref().is_some_and(|relay| relay.host == host)
+    }
 }
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
         self.task.abort();
         self.count.fetch_sub(1, Ordering::AcqRel);
+        if let Some(relay) = &self.relay {
+            self.relayed.closed(&relay.host);
+        }
+    }
+}
+
+/// Open connections that other hosts relay.
+#[derive(Default)]
+struct RelayedConnections {
+    /// Connections by relaying host.
+    counts: Mutex<HashMap<HostName, u32>>,
+    /// Notified when a connection is closed or no longer in use.
+    freed: Notify,
+}
+
+impl RelayedConnections {
+    fn counts(&self) -> MutexGuard<'_, HashMap<HostName, u32>> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn opened(&self, host: &HostName) {
+        *self.counts().entry(host.clone()).or_default() += 1;
+    }
+
+    fn closed(&self, host: &str) {
+        let mut counts = self.counts();
+        if let Some(count) = counts.get_mut(host) {
+            *count -= 1;
+            if *count == 0 {
+                counts.remove(host);
+            }
+        }
+        drop(counts);
+        self.freed.notify_one();
     }
 }
 
@@ -176,6 +226,7 @@
 #[derive(Clone, Default)]
 pub struct Connections {
     peers: Arc<Mutex<HashMap<SocketAddr, Peer>>>,
+    relayed: Arc<RelayedConnections>,
 }
 
 /// A connection in use, on which nothing of the next request has been sent yet.
@@ -231,8 +282,13 @@
         }
     }
 
-    /// Returns the connection for the next request.
+    /// Returns the connection for the next request. A released one is closed.
     pub fn give_back(self) {
+        if self.open.is_released() {
+            return;
+        }
+        let connections = self.connections.clone();
+        let is_relayed = self.open.relay.is_some();
         let since = clock::now();
         let mut expires_at = since + self.max_idle_time;
         if self.open.relay.is_some() {
@@ -244,8 +300,12 @@
             since,
             expires_at,
         };
-        let mut peers = self.connections.lock();
+        let mut peers = connections.lock();
         peers.entry(self.address).or_default().idle.push(idle);
+        drop(peers);
+        if is_relayed {
+            connections.relayed.freed.notify_one();
+        }
     }
 }
 
@@ -310,6 +370,59 @@
         open.unwrap_or(0)
     }
 
+    /// Returns the number of connections to all addresses, including idle ones.
+    pub fn total(&self) -> u32 {
+        let peers = self.lock();
+        let open = peers.values().map(|peer| peer.open.load(Ordering::Acquire));
+        open.sum()
+    }
+
+    /// Returns the number of open connections that a host relays.
+    pub fn relayed_by(&self, host: &str) -> u32 {
+        self.relayed.counts().get(host).copied().unwrap_or(0)
+    }
+
+    /// Returns the number of open connections that other hosts relay.
+    pub fn relayed(&self) -> u32 {
+        self.relayed.counts().values().sum()
+    }
+
+    /// Waits until a connection that another host relays is closed or no longer in use.
+    pub async fn relayed_freed(&self) {
+        self.relayed.freed.notified().await;
+    }
+
+    /// Closes the connection relayed by a host that has not been in use for the longest time.
+    /// Returns whether there was one that is not in use.
+    pub fn close_idle_relayed(&self, host: &str) -> bool {
+        let mut peers = self.lock();
+        let idle = peers.iter().flat_map(|(address, peer)| {
+            let relayed = peer.idle.iter().enumerate();
+            let relayed = relayed.filter(|(_, idle)| idle.open.is_relayed_by(host));
+            relayed.map(|(index, idle)| (idle.since, *address, index))
+        });
+        let Some((_, address, index)) = idle.min() else {
+            return false;
+        };
+        let peer = peers.get_mut(&address);
+        let closed = peer.map(|peer| peer.idle.remove(index));
+        drop(peers);
+        closed.is_some()
+    }
+
+    /// Closes the connections to an address that have been released and are not in use.
+    pub fn close_released(&self, address: SocketAddr) {
+        let mut peers = self.lock();
+        let Some(peer) = peers.get_mut(&address) else {
+            return;
+        };
+        let idle = std::mem::take(&mut peer.idle);
+        let (released, kept) = idle.into_iter().partition(|idle| idle.open.is_released());
+        peer.idle = kept;
+        drop(peers);
+        drop::<Vec<IdleConnection>>(released);
+    }
+
     /// Returns an open connection that is not in use; `None` if there is none. `may_use` is asked
     /// with the relay of a connection.
     pub async fn take_open(
@@ -363,11 +476,15 @@
         let reservation = Reservation(Some(count));
         let stream = connecting.await.map_err(ConnectError::of_peer)?;
         let (sender, task) = handshake(stream).await.map_err(ConnectError::of_peer)?;
+        if let Some(relay) = &relay {
+            self.relayed.opened(&relay.host);
+        }
         let open = OpenConnection {
             count: reservation.keep(),
             task,
             opened_at: clock::now(),
             relay,
+            relayed: Arc::clone(&self.relayed),
         };
         Ok(self.new_lease(address, sender, open))
     }
@@ -413,8 +530,9 @@
         let mut peers = self.lock();
         let peer = peers.get_mut(&address)?;
         let now = clock::now();
-        peer.idle
-            .retain(|idle| idle.expires_at > now && !idle.sender.is_closed());
+        peer.idle.retain(|idle| {
+            idle.expires_at > now && !idle.sender.is_closed() && !idle.open.is_released()
+        });
         let last = peer
             .idle
             .iter()
