Failures on a former path to a zone do not outlive it

Cause: when connections to a zone became relayed, or direct again, its upstreams stayed ejected and the zone suspected because of what had failed on the path before, and requests sent on that path went on failing against them.

What failures and silence have shown of a zone's upstreams is forgotten when the path changes; a request that was sent on a former path counts for the path only.

--- a/crates/gateway/src/traffic/paths/mod.rs
+++ b/crates/gateway/src/traffic/paths/mod.rs
@@ -210,7 +210,7 @@
 fn plan(traffic: &Arc<Traffic>, upstream: &Arc<Upstream>, max_connections: u32) -> ConnectPlan {
     let zone = &upstream.report.zone;
     let plan = traffic.paths.upstreams().plan(clock::now(), zone);
-    log_change(zone, plan.change);
+    apply_change(traffic, zone, plan.change);
     if plan.needs_check {
         let traffic = Arc::clone(traffic);
         spawn_local(check(traffic, Arc::clone(upstream), max_connections));
@@ -236,10 +236,22 @@
     let mut paths = traffic.paths.upstreams();
     let change = paths.zone(zone).check_ended(clock::now(), result);
     drop(paths);
-    log_change(zone, change);
+    apply_change(&traffic, zone, change);
 }
 
-fn log_change(zone: &str, change: Option<PathChange>) {
+/// Logs a change of the path to a zone. With another path, what failures on the one before have
+/// shown of the zone's upstreams is forgotten.
+fn apply_change(traffic: &Traffic, zone: &str, change: Option<PathChange>) {
+    if matches!(change, Some(PathChange::Relayed | PathChange::Direct(_))) {
+        let now = clock::now();
+        let view = traffic.common.view.load();
+        for upstream in view.upstreams_of_zone(zone) {
+            upstream.zone().path_changed();
+            if let Some(mut state) = upstream.observed_state() {
+                state.path_changed(now);
+            }
+        }
+    }
     match change {
         None => {}
         Some(PathChange::DirectFails) => tracing::info!(event = "direct_path_fails", zone),
--- a/crates/gateway/src/traffic/paths/trial.rs
+++ b/crates/gateway/src/traffic/paths/trial.rs
@@ -7,7 +7,7 @@
 use steering::route::Upstream;
 use upstream::full;
 
-use super::log_change;
+use super::apply_change;
 use crate::traffic::Traffic;
 
 /// Time limit of a trial; longer than two round trips between regions.
@@ -22,7 +22,7 @@
     let mut paths = traffic.paths.upstreams();
     let change = paths.zone(zone).trial_ended(clock::now(), passed);
     drop(paths);
-    log_change(zone, change);
+    apply_change(&traffic, zone, change);
 }
 
 /// Sends a request that is addressed to no upstream over a new direct connection. Any answer shows
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -110,9 +110,25 @@
         }
     }
 
+    /// Whether the request was sent on a path to the zone that is not used any more, so that its
+    /// failure says nothing about the upstream.
+    fn is_of_former_path(&self) -> bool {
+        let is_relayed = self.traffic.paths.is_relayed(&self.upstream);
+        match &*self.connection.borrow() {
+            Connection::None => false,
+            Connection::Direct { .. } => is_relayed,
+            Connection::Relayed(_) => !is_relayed,
+        }
+    }
+
     fn record(&self, answered: AnswerOutcome) {
         let now = clock::now();
         let id = &self.upstream.report.id;
+        if !answered.proves_alive() && self.is_of_former_path() {
+            self.record_path(now, answered);
+            self.is_recorded.set(true);
+            return;
+        }
         let mut state = self.upstream.state();
         state.answered(now, answered);
         if answered.proves_alive() && state.statements.answered(self.started_at) {
--- a/crates/steering/src/route/health.rs
+++ b/crates/steering/src/route/health.rs
@@ -96,6 +96,11 @@
         }
     }
 
+    /// Forgets the failures on a path to the upstream that is not used any more.
+    pub fn path_changed(&mut self) {
+        self.record_alive();
+    }
+
     /// Returns whether the upstream is ejected after failures.
     pub fn is_ejected(&self, now: Instant) -> bool {
         self.ejected_until.is_some_and(|until| until > now)
--- a/crates/steering/src/route/upstream_state.rs
+++ b/crates/steering/src/route/upstream_state.rs
@@ -81,6 +81,12 @@
         }
     }
 
+    /// Forgets what failures and silence on a path that is not used any more have shown.
+    pub fn path_changed(&mut self, now: Instant) {
+        self.health.path_changed();
+        self.unanswered_since = (self.in_flight > 0).then_some(now);
+    }
+
     /// Counts a request whose answer has ended.
     pub fn request_ended(&mut self, now: Instant) {
         self.own_average
--- a/crates/steering/src/route/view.rs
+++ b/crates/steering/src/route/view.rs
@@ -15,6 +15,7 @@
 use super::rollout::{Rollouts, VersionRule, VersionUsage};
 use super::service_pool::ServicePool;
 use super::table::RouteTable;
+use super::upstream::Upstream;
 use super::upstream_paths::RelayHost;
 use crate::ids::{HostName, RegionName, ServiceName, ZoneName};
 
@@ -55,6 +56,19 @@
         self.version > 0 && self.upstreams_loaded && self.refused_work_loaded
     }
 
+    /// Returns the upstreams of a zone.
+    pub fn upstreams_of_zone<'a>(
+        &'a self,
+        zone: &'a str,
+    ) -> impl Iterator<Item = &'a Arc<Upstream>> {
+        let pools = self
+            .services
+            .values()
+            .flat_map(|pool| pool.regions.values());
+        let upstreams = pools.flat_map(RegionPool::upstreams_of_all_versions);
+        upstreams.filter(move |upstream| upstream.report.zone == zone)
+    }
+
     /// Builds the pools by service and region. Upstreams that drain, are in an evacuated
     /// zone or in a zone without a known region are omitted.
     pub fn pools(
--- a/crates/steering/src/route/zone_health.rs
+++ b/crates/steering/src/route/zone_health.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Forgets the failures on a path to the zone that is not used any more.
+    pub fn path_changed(&mut self) {
+        *self = ZoneHealth::default();
+    }
+
     /// Returns whether the zone's upstreams rank after all others. The suspicion expires
     /// from time to time so that a request tests whether the zone is back.
     pub fn is_suspected_down(&self, now: Instant) -> bool {
--- a/crates/steering/tests/route_upstream_paths.rs
+++ b/crates/steering/tests/route_upstream_paths.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 use steering::route::{
     AnswerOutcome, CheckResult, DirectResult, PathChange, Place, RelayHost, UpstreamPaths,
-    ZonePath, relay_order,
+    UpstreamState, ZoneHealth, ZonePath, relay_order,
 };
 
 const WORK: Duration = Duration::from_millis(200);
@@ -273,3 +273,23 @@
     let firsts: Vec<String> = (0..3).map(first).collect();
     assert_eq!(firsts, ["a", "b", "c"]);
 }
+
+#[test]
+fn failures_on_a_former_path_do_not_outlive_it() {
+    let now = Instant::now();
+    let mut zone = ZoneHealth::default();
+    for upstream in ["i-1", "i-2"] {
+        zone.answered(now, upstream, AnswerOutcome::Unreachable);
+    }
+    assert!(zone.is_suspected_down(now));
+    zone.path_changed();
+    assert!(!zone.is_suspected_down(now));
+
+    let mut upstream = UpstreamState::default();
+    upstream.request_sent(now);
+    upstream.answered(now, AnswerOutcome::Unreachable);
+    let later = now + Duration::from_secs(5);
+    assert!(!upstream.is_usable(later));
+    upstream.path_changed(later);
+    assert!(upstream.is_usable(later));
+}
