Heartbeats carry what a host tells about itself

Hosts of different sizes, and hosts that relay connections, need to know of each other how busy they are and whether they reach upstreams themselves. A heartbeat has a field for it (postcard, empty where a host tells nothing, ignored by hosts that do not know it); it is kept with its age, and that of an earlier process of a host is dropped.

--- a/crates/gateway/src/control/hosts.rs
+++ b/crates/gateway/src/control/hosts.rs
@@ -276,6 +276,7 @@
             heartbeat,
             revision: self.known_state.borrow().version(),
             loads: Vec::new(),
+            condition: Some(**self.common.condition.load()),
         }
     }
 }
@@ -293,9 +294,14 @@
         } = &beat.heartbeat;
         let now = clock::now();
         let mut known_state = self.0.known_state.borrow_mut();
-        let changed = known_state
-            .host_table
-            .record_heartbeat(now, host, *incarnation, *leaving);
+        let mut changed =
+            known_state
+                .host_table
+                .record_heartbeat(now, host, *incarnation, *leaving);
+        if let Some(condition) = beat.condition {
+            let host_table = &mut known_state.host_table;
+            changed |= host_table.record_condition(now, &host.name, condition);
+        }
         let version = known_state.version();
         drop(known_state);
         if changed {
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -8,7 +8,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use derive_more::{Display, Error, From};
-use steering::route::RouteView;
+use steering::route::{HostCondition, RouteView};
 use store::RecordStore;
 use tokio::runtime::Builder;
 use tokio::sync::watch;
@@ -116,6 +116,8 @@
     pub limits: LimitCalls,
     pub suspects: Arc<SharedSuspects>,
     pub rollouts: Arc<RolloutCounters>,
+    /// What this host tells others about itself.
+    pub condition: Arc<ArcSwap<HostCondition>>,
     /// Key shared by all hosts, by which they prove themselves for relays; none until it is known.
     pub relay_key: Arc<ArcSwapOption<Vec<u8>>>,
     pub stage: watch::Receiver<Stage>,
@@ -176,6 +178,7 @@
             limits,
             suspects: Arc::new(suspects),
             rollouts: Arc::default(),
+            condition: Arc::default(),
             relay_key: Arc::default(),
             stage: stage_receiver,
             started_at: clock::now(),
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -68,6 +68,8 @@
   vouches @4 :List(Text);
   lenders @5 :List(Text);
   loads @6 :List(Load);
+  # What the host tells about itself, in the postcard format; empty where it tells nothing.
+  condition @7 :Data;
 }
 
 struct Position {
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -13,6 +13,7 @@
 use steering::load_estimate::{SUMMARY_HOSTS, ServiceLoad, ZoneSummary};
 use steering::membership::{Heartbeat, HostEntry};
 use steering::pool::PoolLoad;
+use steering::route::HostCondition;
 
 use crate::messages::HeartbeatMessage;
 use crate::names::{ServiceNames, service_id};
@@ -178,6 +179,10 @@
         let lenders = to.reborrow().init_lenders(heartbeat.lenders.len() as u32);
         write_texts(lenders, heartbeat.lenders.iter());
     }
+    if let Some(condition) = &message.condition {
+        let condition = postcard::to_stdvec(condition).expect("conditions can be encoded");
+        to.set_condition(&condition);
+    }
     if !message.loads.is_empty() {
         write_loads(to.init_loads(message.loads.len() as u32), &message.loads);
     }
@@ -213,9 +218,20 @@
         },
         revision: from.get_revision(),
         loads: read_loads(from.get_loads()?, names)?,
+        condition: read_condition(from.get_condition()?)?,
     })
 }
 
+fn read_condition(from: &[u8]) -> Result<Option<HostCondition>, Error> {
+    if from.is_empty() {
+        return Ok(None);
+    }
+    let condition = postcard::from_bytes(from);
+    condition
+        .map(Some)
+        .map_err(|error| Error::failed(error.to_string()))
+}
+
 pub fn write_summaries(
     mut to: capnp::struct_list::Builder<'_, wire::summary::Owned>,
     summaries: &[ZoneSummary],
--- a/crates/peer/src/messages.rs
+++ b/crates/peer/src/messages.rs
@@ -9,7 +9,9 @@
 use steering::ids::{Incarnation, Revision};
 use steering::load_estimate::{ServiceLoad, ZoneSummary};
 use steering::membership::{Heartbeat, HostEntry};
-use steering::route::{Changes, Feed, FeedDigest, FeedUpdate, FeedVersion, Record, StoreUptime};
+use steering::route::{
+    Changes, Feed, FeedDigest, FeedUpdate, FeedVersion, HostCondition, Record, StoreUptime,
+};
 
 use crate::codec::write_records;
 use crate::names::ServiceNames;
@@ -39,6 +41,8 @@
     pub revision: Revision,
     /// Load of the sender's own pools, summed by service.
     pub loads: Vec<ServiceLoad>,
+    /// What the sender tells about itself.
+    pub condition: Option<HostCondition>,
 }
 
 impl HeartbeatMessage {
--- a/crates/peer/tests/messages.rs
+++ b/crates/peer/tests/messages.rs
@@ -17,7 +17,7 @@
 use steering::load_estimate::{ServiceLoad, ZoneSummary};
 use steering::membership::{Heartbeat, HostEntry};
 use steering::pool::PoolLoad;
-use steering::route::{Feed, FeedUpdate, Record, StoreUptime};
+use steering::route::{Feed, FeedUpdate, HostCondition, Record, StoreUptime};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
@@ -129,6 +129,11 @@
         },
         revision: 4,
         loads: vec![load("known"), load("unknown")],
+        condition: Some(HostCondition {
+            is_cut_off: true,
+            use_per_mille: 750,
+            relay_use_per_mille: 20,
+        }),
     }
 }
 
--- a/crates/standin/src/measure/capacity/hosts.rs
+++ b/crates/standin/src/measure/capacity/hosts.rs
@@ -112,6 +112,7 @@
         heartbeat: membership.heartbeat(Instant::now(), Default::default()),
         revision: 1,
         loads: vec![load],
+        condition: None,
     };
     beat.wire_bytes() as f64
 }
--- a/crates/steering/src/route/host_table.rs
+++ b/crates/steering/src/route/host_table.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::feed::{Changes, Record};
+use super::host_condition::{HostCondition, MAX_CONDITION_AGE};
 use super::host_list::HostList;
 use crate::ids::{HostName, Incarnation};
 use crate::membership::HostEntry;
@@ -35,6 +36,17 @@
     /// Whether the store's list has, or had, its row.
     listed: bool,
     leaving: bool,
+    /// What the host last told about itself, and when.
+    condition: Option<(HostCondition, Instant)>,
+}
+
+impl KnownHost {
+    /// Returns what the host has told about itself, unless that is too old.
+    pub fn condition(&self, now: Instant) -> Option<HostCondition> {
+        let (condition, told_at) = self.condition?;
+        let is_recent = now.saturating_duration_since(told_at) < MAX_CONDITION_AGE;
+        is_recent.then_some(condition)
+    }
 }
 
 /// All other hosts known to this host.
@@ -87,6 +99,7 @@
                 last_seen: now,
                 listed: true,
                 leaving: false,
+                condition: None,
                 entry: entry.clone(),
             };
             self.hosts.insert(entry.name.clone(), host);
@@ -123,6 +136,9 @@
         let listed = known.is_some_and(|known| known.listed) || self.list.has(&entry.name);
         // Only the list has the capacity.
         let capacity = known.map_or(entry.capacity, |known| known.entry.capacity);
+        // That of an earlier process says nothing about the new one.
+        let same = known.filter(|known| known.incarnation == Some(incarnation));
+        let condition = same.and_then(|known| known.condition);
         let host = KnownHost {
             entry: HostEntry {
                 capacity,
@@ -133,6 +149,7 @@
             last_seen: now,
             listed,
             leaving,
+            condition,
         };
         let replaced = self.hosts.insert(entry.name.clone(), host);
         let is_same =
@@ -141,6 +158,17 @@
         before == leaving
     }
 
+    /// Records what a host tells about itself. Returns whether that changes which hosts callers are
+    /// sent to.
+    pub fn record_condition(&mut self, now: Instant, name: &str, condition: HostCondition) -> bool {
+        let Some(host) = self.hosts.get_mut(name) else {
+            return false;
+        };
+        let before = host.condition(now);
+        host.condition = Some((condition, now));
+        before.is_some_and(|before| before.is_cut_off) != condition.is_cut_off
+    }
+
     /// Records an answer of a known host as a sign of life.
     pub fn answered(&mut self, now: Instant, name: &str) {
         if let Some(host) = self.hosts.get_mut(name) {
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -23,6 +23,7 @@
 mod health;
 mod heartbeat_targets;
 mod home_index;
+mod host_condition;
 mod host_groups;
 mod host_list;
 mod host_message;
@@ -80,6 +81,7 @@
 pub use health::AnswerOutcome;
 pub use heartbeat_targets::{HeartbeatTargets, heartbeat_targets};
 pub use home_index::HomeIndex;
+pub use host_condition::{HostCondition, MAX_CONDITION_AGE};
 pub use host_groups::{MAX_GROUP_SIZE, host_groups};
 pub use host_list::HostList;
 pub use host_message::{HostMessage, HostReply};
--- a/src/host/gossip.rs
+++ b/src/host/gossip.rs
@@ -55,6 +55,7 @@
                 heartbeat: state.membership.heartbeat(now, lenders),
                 revision: state.history.revision(),
                 loads,
+                condition: None,
             })
         };
         for address in targets {
