--- a/crates/peer/src/relay/frames.rs
+++ b/crates/peer/src/relay/frames.rs
@@ -142,12 +142,14 @@
     tokio::pin!(release);
     loop {
         let count = tokio::select! {
-            count = upstream.read(&mut frame[HEADER_BYTES..]) => count?,
+            // A stream without a pause must not delay the release.
+            biased;
             () = &mut release, if !is_released => {
                 is_released = true;
                 host.write_all(&RELEASE.to_be_bytes()).await?;
                 continue;
             }
+            count = upstream.read(&mut frame[HEADER_BYTES..]) => count?,
         };
         let length = count as u16;
         frame[..HEADER_BYTES].copy_from_slice(&length.to_be_bytes());
