A silent path is looked at without further requests, and repeatable work leaves it

Cause: that requests stay without an answer was only looked at when another request needed a connection. Callers that all wait send none: with four callers a host that was cut off by silence noticed after 2 s, and requests on the dead connections waited for their deadlines although the path was known to be cut.

While requests on direct connections are unanswered, the path is looked at each 250 ms. Once it is relayed, repeatable requests on direct connections over which nothing was answered since are tried again, within the retry budget.

--- a/crates/gateway/src/traffic/paths/mod.rs
+++ b/crates/gateway/src/traffic/paths/mod.rs
@@ -16,8 +16,9 @@
     CheckResult, Choice, ConnectPlan, DirectResult, PathChange, RelayRecords, Upstream,
     UpstreamPaths,
 };
-use tokio::sync::Semaphore;
+use tokio::sync::{Notify, Semaphore};
 use tokio::task::spawn_local;
+use tokio::time::sleep;
 use upstream::{ConnectError, Lease, Reuse};
 
 use super::Traffic;
@@ -27,6 +28,8 @@
 
 /// Maximum number of connections to an upstream whose service declares no limit.
 const DEFAULT_CONNECTIONS: u32 = 256;
+/// Interval at which a path with unanswered requests is looked at.
+const WATCH_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum number of requests for relays that are being read or answered.
 const MAX_RELAY_REQUESTS: usize = 64;
 
@@ -38,6 +41,8 @@
     waiting: AtomicU32,
     relayed: RelayTable,
     relay_requests: Semaphore,
+    /// Notified when connections to a zone become relayed.
+    cut: Notify,
 }
 
 impl Default for Paths {
@@ -48,6 +53,7 @@
             waiting: AtomicU32::default(),
             relayed: RelayTable::default(),
             relay_requests: Semaphore::new(MAX_RELAY_REQUESTS),
+            cut: Notify::new(),
         }
     }
 }
@@ -64,12 +70,20 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records a request that is about to be sent on a direct connection.
-    pub fn direct_sent(&self, upstream: &Upstream, work: Duration) {
-        let now = clock::now();
-        self.upstreams()
-            .zone(&upstream.report.zone)
-            .direct_sent(now, work);
+    /// Waits until a request that was sent on a direct connection can get no answer, since the path
+    /// is cut.
+    pub async fn until_lost(&self, upstream: &Upstream, sent_at: Instant) {
+        loop {
+            let cut = self.cut.notified();
+            if self
+                .upstreams()
+                .zone(&upstream.report.zone)
+                .is_lost(sent_at)
+            {
+                return;
+            }
+            cut.await;
+        }
     }
 
     /// Records what came of a request on a direct connection.
@@ -206,6 +220,36 @@
     relay_client::open(traffic, wanted, max_connections).await
 }
 
+/// Records a request that is about to be sent on a direct connection, and watches the path until
+/// it is answered.
+pub(super) fn direct_sent(traffic: &Arc<Traffic>, choice: &Choice, work: Duration) {
+    let upstream = &choice.upstream;
+    let now = clock::now();
+    let mut paths = traffic.paths.upstreams();
+    let begins_watch = paths.zone(&upstream.report.zone).direct_sent(now, work);
+    drop(paths);
+    if begins_watch {
+        let max_connections = choice.connections.unwrap_or(DEFAULT_CONNECTIONS);
+        spawn_local(watch(
+            Arc::clone(traffic),
+            Arc::clone(upstream),
+            max_connections,
+        ));
+    }
+}
+
+/// Starts the checks of a path that are due, also if no further request needs a connection.
+async fn watch(traffic: Arc<Traffic>, upstream: Arc<Upstream>, max_connections: u32) {
+    let zone = &upstream.report.zone;
+    loop {
+        sleep(WATCH_INTERVAL).await;
+        if !traffic.paths.upstreams().zone(zone).is_watched() {
+            return;
+        }
+        plan(&traffic, &upstream, max_connections);
+    }
+}
+
 /// Returns how to connect to an upstream, and starts the checks that are due.
 fn plan(traffic: &Arc<Traffic>, upstream: &Arc<Upstream>, max_connections: u32) -> ConnectPlan {
     let zone = &upstream.report.zone;
@@ -251,6 +295,7 @@
                 state.path_changed(now);
             }
         }
+        traffic.paths.cut.notify_waiters();
     }
     match change {
         None => {}
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -18,7 +18,7 @@
 
 use super::Traffic;
 use super::head::Head;
-use super::paths::{ConnectFailure, Wanted, connect};
+use super::paths::{ConnectFailure, Wanted, connect, direct_sent};
 use super::statements::{AnswerHead, apply_statement};
 
 /// Time without an answer after which a request counts against the host that relays it.
@@ -72,12 +72,13 @@
     }
 
     /// Records the connection that the request is about to be sent on.
-    fn sent_on(&self, lease: &Lease, work: Duration) {
+    fn sent_on(&self, lease: &Lease, choice: &Choice) {
+        let work = choice.expectation.work.if_fetched;
         self.is_sent.set(true);
         self.connection.replace(match lease.relay() {
             Some(relay) => Connection::Relayed(relay.host.clone()),
             None => {
-                self.traffic.paths.direct_sent(&self.upstream, work);
+                direct_sent(&self.traffic, choice, work);
                 Connection::Direct {
                     is_new: lease.is_new(),
                     work,
@@ -289,9 +290,22 @@
         ));
     };
     *sent = SendOutcome::Perhaps;
-    in_flight.sent_on(&lease, choice.expectation.work.if_fetched);
+    in_flight.sent_on(&lease, choice);
     let is_direct = lease.relay().is_none();
-    let result = lease.send(request, outgoing.deadline).await;
+    let sending = lease.send(request, outgoing.deadline);
+    // Only work that may run again can be sent on another path.
+    let result = match is_direct && outgoing.repeatable {
+        true => tokio::select! {
+            result = sending => result,
+            () = traffic.paths.until_lost(upstream, in_flight.started_at) => {
+                count_send("lost");
+                in_flight.record(AnswerOutcome::Broken);
+                let reason = "this host is cut off from the upstream";
+                return Err(SendFailure::new(SendOutcome::Perhaps, reason));
+            }
+        },
+        false => sending.await,
+    };
     let is_lost = matches!(result, Err(SendError::Lost { .. } | SendError::Timeout));
     // A loss on this host's own cut links says nothing about the upstream's version.
     if is_lost && !(is_direct && traffic.paths.is_relayed(upstream)) {
--- a/crates/steering/src/route/upstream_paths/zone_path.rs
+++ b/crates/steering/src/route/upstream_paths/zone_path.rs
@@ -143,6 +143,9 @@
     last_direct_answer: Option<Instant>,
     /// Time before which no check is made, and how often in a row that was set.
     check_pause: Option<(Instant, u32)>,
+    /// Whether [`ZonePath::plan`] is called at intervals, since requests that get no answer may be
+    /// followed by no others.
+    is_watched: bool,
 }
 
 impl ZonePath {
@@ -179,11 +182,26 @@
         matches!(self.state, State::Relayed { .. })
     }
 
-    /// Records a request that is about to be sent on a direct connection.
-    pub fn direct_sent(&mut self, now: Instant, work: Duration) {
+    /// Records a request that is about to be sent on a direct connection. Returns whether to begin
+    /// a watch of the path.
+    pub fn direct_sent(&mut self, now: Instant, work: Duration) -> bool {
         self.unanswered += 1;
         self.longest_work = self.longest_work.max(work);
         self.silent_since.get_or_insert(now);
+        !std::mem::replace(&mut self.is_watched, true)
+    }
+
+    /// Returns whether the watch of the path goes on; it ends once all requests are answered.
+    pub fn is_watched(&mut self) -> bool {
+        self.is_watched = self.unanswered > 0;
+        self.is_watched
+    }
+
+    /// Returns whether a request that was sent on a direct connection will get no answer: the path
+    /// is cut, and nothing has been answered over it since.
+    pub fn is_lost(&self, sent_at: Instant) -> bool {
+        let answered_since = self.last_direct_answer.is_some_and(|at| at >= sent_at);
+        self.is_relayed() && !answered_since
     }
 
     /// Records what came of a request on a direct connection.
--- a/crates/steering/tests/route_upstream_paths.rs
+++ b/crates/steering/tests/route_upstream_paths.rs
@@ -293,3 +293,45 @@
     upstream.path_changed(later);
     assert!(upstream.is_usable(later));
 }
+
+#[test]
+fn a_path_is_watched_while_requests_are_unanswered() {
+    let now = Instant::now();
+    let mut path = ZonePath::default();
+    assert!(path.direct_sent(now, WORK));
+    assert!(!path.direct_sent(now, WORK));
+    assert!(path.is_watched());
+    for _ in 0..2 {
+        let result = DirectResult {
+            sent_at: now,
+            is_first: false,
+            work: WORK,
+            outcome: AnswerOutcome::Complete,
+        };
+        path.direct_ended(now, "i-1", result);
+    }
+    assert!(!path.is_watched());
+    assert!(path.direct_sent(now, WORK));
+}
+
+#[test]
+fn a_request_on_a_cut_path_is_lost_unless_something_was_answered_since() {
+    let now = Instant::now();
+    let mut path = ZonePath::default();
+    for _ in 0..3 {
+        path.direct_sent(now, WORK);
+    }
+    assert!(path.plan(now + SECOND, false).needs_check);
+    assert!(!path.is_lost(now));
+    path.check_ended(now + SECOND, CheckResult::ReachedByOthers);
+    assert!(path.is_lost(now));
+    let answered = DirectResult {
+        sent_at: now,
+        is_first: false,
+        work: WORK,
+        outcome: AnswerOutcome::Complete,
+    };
+    path.direct_ended(now + SECOND, "i-1", answered);
+    assert!(!path.is_lost(now));
+    assert!(path.is_lost(now + SECOND * 2));
+}
