A host that does not relay now is not taken for upstreams that are down

Cause: the same class as of a full host. A relaying host that leaves, or gives no answer, says nothing about an upstream; with no other host to ask the upstream counted as unreachable, and all zones were suspected for 500 ms and more.

Only what a relaying host says of the upstream counts for the upstream. Otherwise the request waits for room as at a full host, or is refused with a time to come back (cause no_relay).

New test: four of six hosts cut off by resets, the two others killed, or drained, one after the other and started again, four callers a host.

--- a/crates/gateway/src/traffic/answers.rs
+++ b/crates/gateway/src/traffic/answers.rs
@@ -65,10 +65,10 @@
     /// attempt is allowed.
     #[display("refused_there")]
     RefusedThere,
-    /// This host is cut off from the upstreams, and the hosts that reach them have no room to relay
-    /// the request.
-    #[display("relays_full")]
-    RelaysFull,
+    /// This host is cut off from the upstreams, and no other host has room to relay the request or
+    /// can be asked.
+    #[display("no_relay")]
+    NoRelay,
     /// The request timed out before it was sent.
     #[display("no_time")]
     NoTime,
--- a/crates/gateway/src/traffic/paths/mod.rs
+++ b/crates/gateway/src/traffic/paths/mod.rs
@@ -147,10 +147,10 @@
     /// This host can't open a connection. Says nothing about the upstream.
     #[display("{_0}")]
     Local(String),
-    /// The hosts that relay connections to the upstream have no room for another one. Says nothing
+    /// The hosts that could relay a connection have no room for it, or do not answer. Says nothing
     /// about the upstream.
     #[display("no host has room to relay a connection")]
-    RelaysFull {
+    NoRelay {
         /// Time after which the request may be tried again.
         retry_after: Duration,
     },
--- a/crates/gateway/src/traffic/paths/relay_client.rs
+++ b/crates/gateway/src/traffic/paths/relay_client.rs
@@ -48,18 +48,20 @@
         return opened;
     }
     let waiting = Waiting::begin(&traffic.paths.waiting);
-    let full = ConnectFailure::RelaysFull {
+    let no_relay = ConnectFailure::NoRelay {
         retry_after: waiting.expected(traffic, wanted),
     };
-    if clock::now() + waiting.expected(traffic, wanted) > wanted.wait_until {
-        return Err(full);
+    let upstream = &wanted.choice.upstream;
+    let can_wait = clock::now() + waiting.expected(traffic, wanted) <= wanted.wait_until;
+    if !can_wait || hosts_to_ask(traffic, upstream, wanted.may_pass, 1).is_empty() {
+        return Err(no_relay);
     }
     let address = wanted.choice.upstream.report.address;
     let connections = &traffic.connections;
     loop {
         let time_left = clock::remaining(wanted.wait_until);
         if time_left.is_zero() {
-            return Err(full);
+            return Err(no_relay);
         }
         // A host may have room again without an end of a connection of this one.
         let freed = timeout(
@@ -105,7 +107,7 @@
     }
 }
 
-/// Opens a connection through another host; none if all that may relay it are full.
+/// Opens a connection through another host; none if no host has room for it, or none answers.
 async fn open_at_once(
     traffic: &Traffic,
     wanted: &Wanted<'_>,
@@ -113,8 +115,7 @@
 ) -> Option<Result<Lease, ConnectFailure>> {
     let upstream = &*wanted.choice.upstream;
     let connections = &traffic.connections;
-    let mut last_failure = "no host can relay".to_owned();
-    let mut is_full = false;
+    let mut failure = None;
     for host in hosts_to_ask(traffic, upstream, wanted.may_pass, MAX_HOSTS_ASKED) {
         let held = connections.relayed_by(&host.name);
         let may_open = traffic
@@ -123,27 +124,27 @@
             .may_open(clock::now(), &host.name, held);
         // This host's part of the connections may be idle ones to other upstreams.
         if !may_open && !connections.close_idle_relayed(&host.name) {
-            is_full = true;
             continue;
         }
         match open_through(traffic, upstream, max_connections, &host).await {
             Ok(lease) => return Some(Ok(lease)),
-            Err(OpenError::Connect(ConnectError::Unreachable(failure))) => {
-                last_failure = failure.to_string();
+            Err(OpenError::Upstream(reason)) => {
+                failure = Some(ConnectFailure::Unreachable(reason));
             }
-            Err(OpenError::Connect(local)) => return Some(Err(local.into())),
-            Err(OpenError::Full) => is_full = true,
+            Err(OpenError::Local(error)) => return Some(Err(error.into())),
+            Err(OpenError::Relay) => {}
         }
     }
-    match is_full {
-        true => None,
-        false => Some(Err(ConnectFailure::Unreachable(last_failure))),
-    }
+    failure.map(Err)
 }
 
 enum OpenError {
-    Connect(ConnectError),
-    Full,
+    /// The host does not reach the upstream.
+    Upstream(String),
+    /// The host has no room, or does not relay now.
+    Relay,
+    /// This host can't open a connection.
+    Local(ConnectError),
 }
 
 async fn open_through(
@@ -160,10 +161,10 @@
         region: host.region.clone(),
         is_released: Arc::clone(&is_released),
     };
-    let is_full = Cell::new(false);
+    let answer = Cell::new(RelayStatus::Unavailable);
     let connecting = async {
         let (status, stream) = ask(traffic, upstream, host, false).await;
-        is_full.set(status == RelayStatus::Full);
+        answer.set(status);
         let stream = stream
             .ok_or_else(|| io::Error::new(io::ErrorKind::NotConnected, status.to_string()))?;
         let connections = connections.clone();
@@ -173,9 +174,12 @@
         })))
     };
     let opened = connections.open_with(address, max_connections, Some(relay), connecting);
-    opened.await.map_err(|error| match is_full.get() {
-        true => OpenError::Full,
-        false => OpenError::Connect(error),
+    opened.await.map_err(|error| match (error, answer.get()) {
+        (ConnectError::Unreachable(_), RelayStatus::Full | RelayStatus::Unavailable) => {
+            OpenError::Relay
+        }
+        (ConnectError::Unreachable(error), _) => OpenError::Upstream(error.to_string()),
+        (error, _) => OpenError::Local(error),
     })
 }
 
--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -124,10 +124,10 @@
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
             };
-            if let Some(retry_after) = failure.relays_full {
+            if let Some(retry_after) = failure.no_relay {
                 self.relay_refusals += 1;
                 if self.relay_refusals >= MAX_RELAY_REFUSALS {
-                    return Err(self.relays_full(retry_after));
+                    return Err(self.no_relay(retry_after));
                 }
             }
             if self.after_failure(&destination.service) != RetryDecision::Retry {
@@ -386,10 +386,10 @@
     }
 
     /// The refusal after no host had room to relay the request.
-    fn relays_full(&self, retry_after: Duration) -> Refusal {
+    fn no_relay(&self, retry_after: Duration) -> Refusal {
         let spread = retry_after.mul_f64(rand::random());
         self.unless_run(Refusal::NotRun {
-            cause: Cause::RelaysFull,
+            cause: Cause::NoRelay,
             retry_after: retry_after + spread,
         })
     }
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -188,7 +188,7 @@
     /// Whether the connection was closed or broken before an answer arrived.
     pub was_closed: bool,
     /// Time after which the request may be tried again, if no host had room to relay it.
-    pub relays_full: Option<Duration>,
+    pub no_relay: Option<Duration>,
 }
 
 impl SendFailure {
@@ -198,7 +198,7 @@
             reason: reason.to_string(),
             lacks_token: false,
             was_closed: false,
-            relays_full: None,
+            no_relay: None,
         }
     }
 }
@@ -250,17 +250,17 @@
         Ok(lease) => lease,
         Err(failure) => {
             count_send("not_sent");
-            let mut relays_full = None;
+            let mut no_relay = None;
             match failure {
                 ConnectFailure::Unreachable(_) => in_flight.record(AnswerOutcome::Unreachable),
                 ConnectFailure::Local(_) => in_flight.record(AnswerOutcome::Unknown),
-                ConnectFailure::RelaysFull { retry_after } => {
+                ConnectFailure::NoRelay { retry_after } => {
                     in_flight.record(AnswerOutcome::Unknown);
-                    relays_full = Some(retry_after);
+                    no_relay = Some(retry_after);
                 }
             }
             return Err(SendFailure {
-                relays_full,
+                no_relay,
                 ..SendFailure::new(SendOutcome::Not, failure)
             });
         }
--- a/tests/cut_from_upstreams.rs
+++ b/tests/cut_from_upstreams.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use platform_standin::{Cut, CutLoad, CutPlan, CutReport, play_cut};
+use platform_standin::{Cut, CutLoad, CutPlan, CutReport, HostRestart, play_cut};
 use rstest::rstest;
 use tokio::sync::Mutex;
 
@@ -41,6 +41,7 @@
         load,
         work: Duration::from_millis(40),
         objects,
+        restarts: Vec::new(),
     }
 }
 
@@ -117,3 +118,34 @@
     );
     assert_eq!(back.served, back.sent, "{back:?}");
 }
+
+#[rstest]
+#[case::killed(9, false)]
+#[case::drained(10, true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_served_while_a_host_that_relays_ends_and_starts_again(
+    #[case] seed: u64,
+    #[case] drains: bool,
+) {
+    let load = CutLoad::Callers {
+        count: 4,
+        pause: Duration::from_millis(25),
+    };
+    let restart = |host, after_s| HostRestart {
+        host,
+        after: Duration::from_secs(after_s),
+        drains,
+    };
+    let plan = CutPlan {
+        work: Duration::from_millis(5),
+        time: Duration::from_secs(12),
+        restarts: vec![restart(4, 3), restart(5, 8)],
+        ..plan(seed, &[0, 1, 2, 3], Cut::Resets, load, 60)
+    };
+    let report = play(&plan).await;
+    let (cut_off, _) = report.tries(DETECTED_AFTER..plan.time);
+    let (back, _) = report.tries(plan.time + RETURNED_AFTER..Duration::MAX);
+    println!("cut off {cut_off:?}, back {back:?}");
+    assert!(cut_off.share() >= MIN_SHARE, "{cut_off:?}");
+    assert_eq!(back.served, back.sent, "{back:?}");
+}
