Hosts send heartbeats to others by capacity

Cause: a host of a large deployment knows some eight others of its region to be alive and names only these to callers.

Change: the targets in each region are drawn by hash weighted by capacity, at most eight to one. The number sent stays; one that receives more has the room. Where all have the same capacity the targets are as before (test).

Tests: route_heartbeats, two new ones.

--- a/crates/steering/src/route/heartbeat_targets.rs
+++ b/crates/steering/src/route/heartbeat_targets.rs
@@ -1,5 +1,6 @@
 //! Selects the hosts to which a host sends heartbeats.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
 use super::host_groups::MAX_GROUP_SIZE;
@@ -26,6 +27,10 @@
     each_other_region: 1,
 };
 
+/// Largest weight of a host, as a multiple of that of the smallest one, which bounds the heartbeats
+/// that it receives.
+const MAX_WEIGHT: f64 = 8.0;
+
 /// Hosts to which a host sends heartbeats.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct HeartbeatTargets<H> {
@@ -85,8 +90,7 @@
             true => counts.own_region,
             false => counts.each_other_region,
         };
-        hosts
-            .sort_by_cached_key(|host| std::cmp::Reverse(rendezvous::score(this_host, &host.name)));
+        sort_by_weighted_hash(this_host, &mut hosts);
         if is_own && hosts.len() > max {
             move_successor_to_front(this_host, &mut hosts);
         }
@@ -99,6 +103,55 @@
     targets
 }
 
+/// Sorts hosts by hash, so that a host of twice the capacity comes first twice as often: all hosts
+/// name it to callers more often, and some would not know any if large hosts are few.
+fn sort_by_weighted_hash(this_host: &str, hosts: &mut [&HostEntry]) {
+    let units = |host: &HostEntry| host.capacity.units();
+    let smallest = hosts.iter().filter_map(|host| units(host)).min();
+    let smallest = smallest.unwrap_or(1);
+    let weight = |host: &HostEntry| {
+        let multiple = f64::from(units(host).unwrap_or(smallest)) / f64::from(smallest);
+        multiple.min(MAX_WEIGHT)
+    };
+    hosts.sort_by_cached_key(|host| {
+        let score = rendezvous::score(this_host, &host.name);
+        WeightedScore::new(score, weight(host))
+    });
+}
+
+/// Order of a host: by ascending time until it would be drawn, if its weight were the rate.
+#[derive(PartialEq)]
+struct WeightedScore {
+    draw_time: f64,
+    /// Decides between scores that the time does not distinguish.
+    score: u64,
+}
+
+impl WeightedScore {
+    fn new(score: u64, weight: f64) -> Self {
+        let fraction = (score as f64 + 1.0) / (u64::MAX as f64 + 1.0);
+        WeightedScore {
+            draw_time: -fraction.ln() / weight,
+            score,
+        }
+    }
+}
+
+impl Eq for WeightedScore {}
+
+impl PartialOrd for WeightedScore {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for WeightedScore {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let by_time = self.draw_time.total_cmp(&other.draw_time);
+        by_time.then(other.score.cmp(&self.score))
+    }
+}
+
 /// Moves the host that follows `this_host` in the order of the names' hashes to the front.
 fn move_successor_to_front(this_host: &str, hosts: &mut [&HostEntry]) {
     let own = rendezvous::hash(this_host.as_bytes());
--- a/crates/steering/tests/route_heartbeats.rs
+++ b/crates/steering/tests/route_heartbeats.rs
@@ -5,6 +5,7 @@
 use rstest::rstest;
 use steering::host_capacity::HostCapacity;
 use steering::membership::HostEntry;
+use steering::rendezvous;
 use steering::route::heartbeat_targets;
 
 const REGIONS: usize = 3;
@@ -93,3 +94,65 @@
     assert_eq!(targets.of_heartbeat(2).count(), even);
     assert_eq!(targets.of_heartbeat(3).count(), odd);
 }
+
+/// One host in ten has five times the capacity of the others.
+#[rstest]
+#[case::hundred(100)]
+#[case::whole_fleet(986)]
+fn hosts_get_heartbeats_by_their_capacity(#[case] count: usize) {
+    let mut hosts = deployment(count);
+    for (number, (host, _)) in hosts.iter_mut().enumerate() {
+        let multiple = if is_large(number) { 5 } else { 1 };
+        host.capacity = HostCapacity {
+            link_mbps: 10 * multiple,
+            cpu_millicores: 100 * multiple,
+        };
+    }
+    let mut received = vec![0.0; count];
+    for index in 0..count {
+        let (_, region) = &hosts[index];
+        let of_region = targets(&hosts, index).into_iter();
+        for target in of_region.filter(|target| hosts[*target].1 == *region) {
+            received[target] += 1.0;
+        }
+    }
+    let average = |wanted: bool| {
+        let of_size = (0..count).filter(|number| is_large(*number) == wanted);
+        let received: Vec<f64> = of_size.map(|number| received[number]).collect();
+        received.iter().sum::<f64>() / received.len() as f64
+    };
+    let ratio = average(true) / average(false);
+    assert!((2.0..5.0).contains(&ratio), "{ratio}");
+}
+
+fn is_large(number: usize) -> bool {
+    number.is_multiple_of(10)
+}
+
+#[test]
+fn hosts_of_the_same_capacity_are_targets_by_their_hash() {
+    let hosts = deployment(100);
+    let of_known_capacity = |host: &(HostEntry, String)| {
+        let mut host = host.clone();
+        host.0.capacity = HostCapacity {
+            link_mbps: 20,
+            cpu_millicores: 300,
+        };
+        host
+    };
+    let known: Vec<(HostEntry, String)> = hosts.iter().map(of_known_capacity).collect();
+    for index in 0..hosts.len() {
+        let found = targets(&hosts, index);
+        assert_eq!(targets(&known, index), found);
+        let (this_host, region) = &hosts[index];
+        let others = (0..hosts.len()).filter(|other| *other != index);
+        let others = others.filter(|other| hosts[*other].1 == *region);
+        let names: Vec<&str> = others.map(|other| hosts[other].0.name.as_str()).collect();
+        let ranked = rendezvous::rank(&this_host.name, names);
+        // One of the four is the successor, whose rank may be any.
+        for name in &ranked[..3] {
+            let number: usize = name[1..].parse().unwrap();
+            assert!(found.contains(&number), "{name} of {}", this_host.name);
+        }
+    }
+}
