Look-ups name hosts by what they can carry and carry

Cause: an answer named all known hosts of a region alike, so that a host of a tenth of a core got as many callers as one of half a core, and hosts that are cut off from all upstreams, or busy, as many as the others.

Change: where hosts weigh differently, an answer names some of them, drawn anew for each answer (systematic sampling by weight, in the order of zones), so that a caller that takes one at random meets each host by its weight: capacity as the list tells it, over sizes of which the answering host knows few or none corrected by the list; less for one above 1,000 per mille, by half of the excess so that callers that follow seconds later do not swing; none for one that is cut off while the others have half of the region's capacity, a part below that, so that they get twice their callers at most. Each zone with a host of weight is named. Hosts of one weight are all named, as before. What hosts tell of themselves takes effect in the view when it changes.

--- a/crates/gateway/src/control/known_state.rs
+++ b/crates/gateway/src/control/known_state.rs
@@ -6,11 +6,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use steering::host_capacity::HostCapacity;
 use steering::ids::{HostName, RegionName, ServiceName, ZoneName};
 use steering::route::{
     Catalog, Changes, CustomerTable, DocumentChange, Evacuations, Feed, FeedDigest, HostTable,
-    ObservedState, Record, RelayHost, Rollouts, RouteDocument, RouteTable, RouteView, ServicePool,
-    StoreAnswers, StoreUptime,
+    LookUpHost, ObservedState, Record, RegionSizes, RelayHost, Rollouts, RouteDocument, RouteTable,
+    RouteView, ServicePool, StoreAnswers, StoreUptime,
 };
 
 use super::change_log::{log_changes, log_order};
@@ -44,8 +45,10 @@
     /// Whether other hosts have been asked which requests they refuse because of crashes.
     pub refused_work_loaded: bool,
     /// Hosts in the last view; compared to detect changes caused by time alone.
-    advertised: BTreeMap<RegionName, Vec<SocketAddr>>,
-    /// The same hosts, as relays, and the version of the host table that they are of.
+    advertised: BTreeMap<RegionName, Vec<LookUpHost>>,
+    /// Capacities of all listed hosts, of the version below.
+    region_sizes: Arc<BTreeMap<RegionName, RegionSizes>>,
+    /// The advertised hosts, as relays, and the version of the host table that they are of.
     relay_hosts: Arc<BTreeMap<HostName, RelayHost>>,
     relay_hosts_version: u64,
     region_hosts: Option<Vec<HostName>>,
@@ -73,6 +76,7 @@
             upstreams_loaded: false,
             refused_work_loaded: false,
             advertised: BTreeMap::new(),
+            region_sizes: Arc::default(),
             relay_hosts: Arc::default(),
             relay_hosts_version: 0,
             region_hosts: None,
@@ -310,11 +314,12 @@
     pub fn view(&mut self, now: Instant) -> RouteView {
         let advertised = self.advertised_hosts(now);
         if advertised != self.advertised {
-            tracing::info!(event = "hosts_named", hosts = ?advertised);
+            self.log_advertised(&advertised);
         }
         let version = self.host_table.version();
         if advertised != self.advertised || version != self.relay_hosts_version {
             self.relay_hosts = self.advertised_relays(now).into();
+            self.region_sizes = self.listed_sizes().into();
             self.relay_hosts_version = version;
         }
         self.advertised = advertised;
@@ -341,6 +346,7 @@
             refused_work_loaded: self.refused_work_loaded,
             services: Arc::clone(pools),
             hosts: self.advertised.clone(),
+            region_sizes: Arc::clone(&self.region_sizes),
             relay_hosts: Arc::clone(&self.relay_hosts),
             sharing_hosts: self.sharing_hosts,
             region_hosts: self.region_hosts.clone(),
@@ -424,15 +430,59 @@
         relays.collect()
     }
 
-    /// Caller addresses of the other hosts that callers may be sent to, by region.
-    fn advertised_hosts(&self, now: Instant) -> BTreeMap<RegionName, Vec<SocketAddr>> {
-        let mut advertised: BTreeMap<RegionName, Vec<SocketAddr>> = BTreeMap::new();
+    /// The other hosts that callers may be sent to, by region.
+    fn advertised_hosts(&self, now: Instant) -> BTreeMap<RegionName, Vec<LookUpHost>> {
+        let mut advertised: BTreeMap<RegionName, Vec<LookUpHost>> = BTreeMap::new();
         for host in self.host_table.advertised(now) {
-            if let Some(region) = self.regions.get(&host.entry.zone) {
-                let addresses = advertised.entry(region.clone()).or_default();
-                addresses.push(host.entry.caller_address);
+            let entry = &host.entry;
+            if let Some(region) = self.regions.get(&entry.zone) {
+                let of_region = advertised.entry(region.clone()).or_default();
+                of_region.push(LookUpHost {
+                    address: entry.caller_address,
+                    zone: entry.zone.clone(),
+                    capacity: entry.capacity,
+                    condition: host.condition(now).unwrap_or_default(),
+                });
             }
         }
         advertised
     }
+
+    /// Capacities of all listed hosts, by region.
+    fn listed_sizes(&self) -> BTreeMap<RegionName, RegionSizes> {
+        let mut capacities: BTreeMap<&RegionName, Vec<HostCapacity>> = BTreeMap::new();
+        for entry in self.host_table.list().rows() {
+            if let Some(region) = self.regions.get(&entry.zone) {
+                capacities.entry(region).or_default().push(entry.capacity);
+            }
+        }
+        let regions = capacities.into_iter();
+        regions
+            .map(|(region, capacities)| (region.clone(), RegionSizes::new(capacities.into_iter())))
+            .collect()
+    }
+
+    /// Logs which hosts look-ups name, and which of them are cut off, if that changes.
+    fn log_advertised(&self, advertised: &BTreeMap<RegionName, Vec<LookUpHost>>) {
+        let addresses = |hosts| addresses(hosts, |_| true);
+        if addresses(advertised) != addresses(&self.advertised) {
+            tracing::info!(event = "hosts_named", hosts = ?addresses(advertised));
+        }
+        let cut_off = |hosts| self::addresses(hosts, |host| host.condition.is_cut_off);
+        if cut_off(advertised) != cut_off(&self.advertised) {
+            tracing::info!(event = "hosts_cut_off", hosts = ?cut_off(advertised));
+        }
+    }
+}
+
+/// Caller addresses of the selected hosts, by region.
+fn addresses(
+    hosts: &BTreeMap<RegionName, Vec<LookUpHost>>,
+    is_selected: impl Fn(&LookUpHost) -> bool,
+) -> BTreeMap<&RegionName, Vec<SocketAddr>> {
+    let regions = hosts.iter().map(|(region, hosts)| {
+        let selected = hosts.iter().filter(|host| is_selected(host));
+        (region, selected.map(|host| host.address).collect())
+    });
+    regions.collect()
 }
--- a/crates/gateway/src/traffic/look_up.rs
+++ b/crates/gateway/src/traffic/look_up.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use steering::route::RouteView;
+use steering::route::{LookUpHost, RegionSizes, RouteView, look_up_hosts};
 
 use crate::settings::{Bounds, GatewaySettings};
 use crate::wire_format::HostLookup;
@@ -19,13 +19,13 @@
     TTL.min(bounds.max_lookup_ttl)
 }
 
-/// Hosts of the caller's region, or of all regions if there are none. `serving` is this host's
-/// address if it accepts requests.
+/// Hosts of the caller's region, or of all regions if there are none. `this_host` is none unless
+/// this host accepts requests.
 pub(super) fn hosts(
     view: &RouteView,
     settings: &GatewaySettings,
     lookup: &HostLookup,
-    serving: Option<SocketAddr>,
+    this_host: Option<LookUpHost>,
 ) -> Vec<SocketAddr> {
     let of_zone = lookup
         .zone
@@ -37,13 +37,23 @@
         .or(of_zone)
         .unwrap_or(&settings.region);
     let mut hosts = view.hosts.get(region).cloned().unwrap_or_default();
-    hosts.extend(serving.filter(|_| *region == settings.region));
+    let mut listed = view.region_sizes.get(region);
+    let is_own_region = *region == settings.region;
+    hosts.extend(this_host.clone().filter(|_| is_own_region));
     if hosts.is_empty() {
-        hosts = view.hosts.values().flatten().copied().collect();
-        hosts.extend(serving);
+        hosts = view.hosts.values().flatten().cloned().collect();
+        hosts.extend(this_host);
+        listed = None;
     }
-    hosts.sort_unstable();
-    hosts.dedup();
-    hosts.truncate(MAX_HOSTS);
-    hosts
+    hosts.sort_unstable_by_key(|host| host.address);
+    hosts.dedup_by_key(|host| host.address);
+    let named = look_up_hosts(
+        &hosts,
+        listed.unwrap_or(&RegionSizes::default()),
+        MAX_HOSTS,
+        &mut rand::rng(),
+    );
+    let mut addresses: Vec<SocketAddr> = named.iter().map(|host| host.address).collect();
+    addresses.sort_unstable();
+    addresses
 }
--- a/crates/gateway/src/traffic/server.rs
+++ b/crates/gateway/src/traffic/server.rs
@@ -12,6 +12,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use steering::route::LookUpHost;
 use tokio::net::TcpStream;
 use tokio::pin;
 use tokio::task::{JoinHandle, spawn_local};
@@ -155,8 +156,13 @@
     let Some(lookup) = traffic.wire_format.parse_host_lookup(method, uri) else {
         return status(StatusCode::NOT_FOUND);
     };
-    let serving = serves.then_some(settings.caller_address);
-    let hosts = look_up::hosts(&view, settings, &lookup, serving);
+    let this_host = serves.then(|| LookUpHost {
+        address: settings.caller_address,
+        zone: settings.zone.clone(),
+        capacity: settings.capacity,
+        condition: **traffic.common.condition.load(),
+    });
+    let hosts = look_up::hosts(&view, settings, &lookup, this_host);
     if hosts.is_empty() {
         return status(StatusCode::SERVICE_UNAVAILABLE);
     }
--- a/crates/steering/src/route/host_table.rs
+++ b/crates/steering/src/route/host_table.rs
@@ -158,15 +158,15 @@
         before == leaving
     }
 
-    /// Records what a host tells about itself. Returns whether that changes which hosts callers are
-    /// sent to.
+    /// Records what a host tells about itself. Returns whether that differs from what it told
+    /// before, which changes the hosts that callers are sent to.
     pub fn record_condition(&mut self, now: Instant, name: &str, condition: HostCondition) -> bool {
         let Some(host) = self.hosts.get_mut(name) else {
             return false;
         };
         let before = host.condition(now);
         host.condition = Some((condition, now));
-        before.is_some_and(|before| before.is_cut_off) != condition.is_cut_off
+        before.unwrap_or_default() != condition
     }
 
     /// Records an answer of a known host as a sign of life.
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -30,6 +30,8 @@
 mod host_table;
 mod key_hash;
 mod limit;
+mod look_up_host;
+mod look_up_hosts;
 mod object_hash;
 mod observed_state;
 mod pace;
@@ -38,6 +40,7 @@
 mod recent_changes;
 mod region_load;
 mod region_pool;
+mod region_sizes;
 mod reported_upstream;
 mod requirements;
 mod retry_decision;
@@ -91,6 +94,8 @@
     HolderSelector, LimitReply, LimitTokenRequest, LimitTokens, LimitTolerance, MAX_HOLDERS,
     ShareChange, holder_share, holders,
 };
+pub use look_up_host::LookUpHost;
+pub use look_up_hosts::look_up_hosts;
 pub use object_hash::{object_hash, unit_hash};
 pub use observed_state::ObservedState;
 pub use pace::{CallerAttempt, ColdSends, RetryShare, cold_share};
@@ -99,6 +104,7 @@
 pub use recent_changes::RecentChanges;
 pub use region_load::RegionLoad;
 pub use region_pool::RegionPool;
+pub use region_sizes::RegionSizes;
 pub use reported_upstream::{ReportedUpstream, UpstreamId};
 pub use requirements::Requirements;
 pub use retry_decision::{RetryDecision, SendOutcome, decide_retry};
--- a/crates/steering/src/route/view.rs
+++ b/crates/steering/src/route/view.rs
@@ -2,7 +2,6 @@
 //! requests.
 
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -10,8 +9,10 @@
 use super::customer::CustomerTable;
 use super::document::RouteDocument;
 use super::evacuations::Evacuations;
+use super::look_up_host::LookUpHost;
 use super::observed_state::ObservedState;
 use super::region_pool::RegionPool;
+use super::region_sizes::RegionSizes;
 use super::rollout::{Rollouts, VersionRule, VersionUsage};
 use super::service_pool::ServicePool;
 use super::table::RouteTable;
@@ -36,8 +37,10 @@
     pub refused_work_loaded: bool,
     /// Upstreams by service.
     pub services: Arc<HashMap<ServiceName, ServicePool>>,
-    /// Caller addresses of the live hosts, by region.
-    pub hosts: BTreeMap<RegionName, Vec<SocketAddr>>,
+    /// The live hosts that callers may be sent to, by region.
+    pub hosts: BTreeMap<RegionName, Vec<LookUpHost>>,
+    /// Capacities of all listed hosts, live or not, by region.
+    pub region_sizes: Arc<BTreeMap<RegionName, RegionSizes>>,
     /// The live hosts, by name, which can relay connections to upstreams.
     pub relay_hosts: Arc<BTreeMap<HostName, RelayHost>>,
     /// Number of hosts that share the global limits, this one included; `None` until the
