Hosts with little room for relays are asked last

Cause: hosts that are cut off together asked the nearest hosts for relays, whether these had room or were cut off themselves, one answer of up to 0.7 s after the other.

Change: what hosts tell of themselves is in the order: after those that failed lately, those whose relays are at 800 per mille or that are cut off come last.

Tests: route_upstream_paths, hosts_without_room_for_relays_are_asked_late; the two existing tests of the order got the new field of RelayHost and nothing else.

--- a/crates/gateway/src/control/known_state.rs
+++ b/crates/gateway/src/control/known_state.rs
@@ -424,6 +424,7 @@
                 zone: entry.zone.clone(),
                 region: self.regions.get(&entry.zone)?.clone(),
                 address: entry.relay_address,
+                condition: host.condition(now).unwrap_or_default(),
             };
             Some((entry.name.clone(), relay))
         });
--- a/crates/steering/src/route/upstream_paths/relay_host.rs
+++ b/crates/steering/src/route/upstream_paths/relay_host.rs
@@ -3,6 +3,11 @@
 use std::net::SocketAddr;
 
 use crate::ids::{HostName, RegionName, ZoneName};
+use crate::route::host_condition::HostCondition;
+
+/// Use of a host's relays, in thousandths, from which hosts with more room are asked first. The
+/// rest is left for hosts that find no other one.
+const NEARLY_FULL_PER_MILLE: u16 = 800;
 
 /// Another host that relays connections to upstreams.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -15,6 +20,15 @@
     pub region: RegionName,
     /// Address to which relays are requested.
     pub address: SocketAddr,
+    /// What the host last told about itself; the default value if that is unknown or too old.
+    pub condition: HostCondition,
+}
+
+impl RelayHost {
+    /// Returns whether the host has little room for relays, or would need one itself.
+    fn is_short_of_relays(&self) -> bool {
+        self.condition.is_cut_off || self.condition.relay_use_per_mille >= NEARLY_FULL_PER_MILLE
+    }
 }
 
 /// A place, by zone and region.
@@ -37,7 +51,7 @@
 }
 
 /// Returns the hosts in the order in which to ask them for a relay: those that have not failed
-/// lately, near ones first. `random` decides between equals, so that hosts that are cut off
+/// lately, of them those with room for relays, near ones first. `random` decides between equals, so that hosts that are cut off
 /// together spread.
 pub fn relay_order<'a>(
     hosts: impl Iterator<Item = &'a RelayHost>,
@@ -53,6 +67,7 @@
     order.sort_by_cached_key(|host| {
         (
             has_failed(host),
+            host.is_short_of_relays(),
             own.distance(host),
             upstream.distance(host),
         )
--- a/crates/steering/tests/route_upstream_paths.rs
+++ b/crates/steering/tests/route_upstream_paths.rs
@@ -5,8 +5,8 @@
 
 use rstest::rstest;
 use steering::route::{
-    AnswerOutcome, CheckResult, DirectResult, PathChange, Place, RelayHost, UpstreamPaths,
-    UpstreamState, ZoneHealth, ZonePath, relay_order,
+    AnswerOutcome, CheckResult, DirectResult, HostCondition, PathChange, Place, RelayHost,
+    UpstreamPaths, UpstreamState, ZoneHealth, ZonePath, relay_order,
 };
 
 const WORK: Duration = Duration::from_millis(200);
@@ -229,6 +229,7 @@
         zone: zone.to_owned(),
         region: region.to_owned(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        condition: HostCondition::default(),
     }
 }
 
@@ -274,6 +275,48 @@
     assert_eq!(firsts, ["a", "b", "c"]);
 }
 
+fn relays_used(relay_use_per_mille: u16) -> HostCondition {
+    HostCondition {
+        relay_use_per_mille,
+        ..HostCondition::default()
+    }
+}
+
+const CUT_OFF: HostCondition = HostCondition {
+    is_cut_off: true,
+    use_per_mille: 0,
+    relay_use_per_mille: 0,
+};
+
+#[rstest]
+#[case::the_near_one_has_room(relays_used(500), &[], &["near", "region"])]
+#[case::the_near_one_is_nearly_full(relays_used(950), &[], &["region", "near"])]
+#[case::the_near_one_is_cut_off(CUT_OFF, &[], &["region", "near"])]
+#[case::the_other_one_has_failed(CUT_OFF, &["region"], &["near", "region"])]
+fn hosts_without_room_for_relays_are_asked_late(
+    #[case] near: HostCondition,
+    #[case] failed: &[&str],
+    #[case] expected: &[&str],
+) {
+    let hosts = [
+        relay_host("region", "b", "r1"),
+        RelayHost {
+            condition: near,
+            ..relay_host("near", "a", "r1")
+        },
+    ];
+    let place = Place {
+        zone: "a",
+        region: "r1",
+    };
+    for random in 0..2 {
+        let has_failed = |host: &RelayHost| failed.contains(&host.name.as_str());
+        let order = relay_order(hosts.iter(), place, place, has_failed, random);
+        let names: Vec<&str> = order.iter().map(|host| host.name.as_str()).collect();
+        assert_eq!(names, expected);
+    }
+}
+
 #[test]
 fn failures_on_a_former_path_do_not_outlive_it() {
     let now = Instant::now();
