Hosts tell how busy they are and whether they are cut off

Cause: the condition on heartbeats was empty.

Change: the traffic thread measures it once a second: processor time of the process against the share in the settings, and the time for which the thread did not run (a process that gets its whole share can't use more of it, so use alone never passes 1,000); averaged over 5 s, told in steps of 100 with hysteresis. Cut off: upstreams of all zones are reached through relays only. Relays against the most that may be. The link's use is not measured: no counter of bytes passed exists, and the processor is the scarcer one of the hosts at hand.

Tests: route_host_use (values): idle to waiting, freezes, small swings told once. A freeze counts as four times the capacity at most and is forgotten within 10 s.

--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -8,6 +8,7 @@
 mod look_up;
 mod open_connection;
 mod operator;
+mod own_condition;
 mod paths;
 mod request_log;
 mod run;
@@ -29,6 +30,7 @@
 
 use crate::host::{Common, RenderMetrics, Sockets, Stage};
 use crate::wire_format::WireFormat;
+use own_condition::OwnCondition;
 use paths::Paths;
 use start_waits::StartWaits;
 use statements::UnknownStatements;
@@ -134,12 +136,14 @@
 
 async fn adapt(traffic: Arc<Traffic>) {
     let mut last = clock::now();
+    let mut own_condition = OwnCondition::new();
     loop {
         sleep(ADAPT_INTERVAL).await;
         let now = clock::now();
         let view = traffic.common.view.load_full();
         let bounds = traffic.common.bounds();
         traffic.stats().adapt(&view, &bounds, now, now - last);
+        own_condition.update(&traffic, &view, now, now - last);
         last = now;
         let open = traffic.open_connections.load(Ordering::Relaxed);
         metrics::gauge!("stagedeck_caller_connections").set(open);
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -28,6 +28,7 @@
 mod host_list;
 mod host_message;
 mod host_table;
+mod host_use;
 mod key_hash;
 mod limit;
 mod look_up_host;
@@ -89,6 +90,7 @@
 pub use host_list::HostList;
 pub use host_message::{HostMessage, HostReply};
 pub use host_table::{HostTable, KnownHost};
+pub use host_use::{HostUse, UseSample};
 pub use key_hash::KeyHash;
 pub use limit::{
     HolderSelector, LimitReply, LimitTokenRequest, LimitTokens, LimitTolerance, MAX_HOLDERS,
--- a/crates/steering/src/route/upstream_paths/mod.rs
+++ b/crates/steering/src/route/upstream_paths/mod.rs
@@ -52,6 +52,13 @@
         let zones = self.zones.values();
         zones.filter(|path| path.is_relayed()).count()
     }
+
+    /// Returns whether the upstreams of all these zones are reached through other hosts only; false
+    /// if there are none.
+    pub fn are_all_relayed<'a>(&self, zones: impl IntoIterator<Item = &'a ZoneName>) -> bool {
+        let mut zones = zones.into_iter().peekable();
+        zones.peek().is_some() && zones.all(|zone| self.is_relayed(zone))
+    }
 }
 
 /// A request on a direct connection that has ended or got its answer's head.
--- a/crates/steering/src/route/view.rs
+++ b/crates/steering/src/route/view.rs
@@ -1,7 +1,7 @@
 //! Immutable snapshot of all that a host knows about routes and upstreams, as used by
 //! requests.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -59,6 +59,14 @@
         self.version > 0 && self.upstreams_loaded && self.refused_work_loaded
     }
 
+    /// Returns the zones with upstreams.
+    pub fn upstream_zones(&self) -> BTreeSet<&ZoneName> {
+        let pools = self.services.values();
+        let pools = pools.flat_map(|pool| pool.regions.values());
+        let upstreams = pools.flat_map(RegionPool::upstreams_of_all_versions);
+        upstreams.map(|upstream| &upstream.report.zone).collect()
+    }
+
     /// Returns the upstreams of a zone.
     pub fn upstreams_of_zone<'a>(
         &'a self,
