Answers name three hosts at least; the line on cut hosts comes only with some

Cause: with two names at least, a caller that meets two failed hosts has no third.

The test that each zone is named now asks for three names as well.

--- a/crates/gateway/src/control/known_state.rs
+++ b/crates/gateway/src/control/known_state.rs
@@ -476,14 +476,16 @@
     }
 }
 
-/// Caller addresses of the selected hosts, by region.
+/// Caller addresses of the selected hosts, by region, without regions that have none.
 fn addresses(
     hosts: &BTreeMap<RegionName, Vec<LookUpHost>>,
     is_selected: impl Fn(&LookUpHost) -> bool,
 ) -> BTreeMap<&RegionName, Vec<SocketAddr>> {
-    let regions = hosts.iter().map(|(region, hosts)| {
-        let selected = hosts.iter().filter(|host| is_selected(host));
-        (region, selected.map(|host| host.address).collect())
-    });
-    regions.collect()
+    let mut addresses: BTreeMap<&RegionName, Vec<SocketAddr>> = BTreeMap::new();
+    for (region, hosts) in hosts {
+        for host in hosts.iter().filter(|host| is_selected(host)) {
+            addresses.entry(region).or_default().push(host.address);
+        }
+    }
+    addresses
 }
--- a/crates/steering/src/route/look_up_hosts.rs
+++ b/crates/steering/src/route/look_up_hosts.rs
@@ -8,7 +8,7 @@
 use super::region_sizes::RegionSizes;
 
 /// Smallest number of hosts to name, if there are as many: a caller needs others when one fails.
-const MIN_NAMED: usize = 2;
+const MIN_NAMED: usize = 3;
 /// Fraction of all hosts' capacity below which those that are not cut off can't serve all callers,
 /// so that hosts that are cut off are named too.
 const MIN_DIRECT_FRACTION: f64 = 0.5;
--- a/crates/steering/tests/route_look_up.rs
+++ b/crates/steering/tests/route_look_up.rs
@@ -235,6 +235,7 @@
         let named = look_up_hosts(&hosts, &sizes(&hosts), MAX_NAMED, &mut rng);
         let zones: BTreeSet<&str> = named.iter().map(|host| host.zone.as_str()).collect();
         assert_eq!(zones.len(), 2, "{named:?}");
+        assert!(named.len() >= 3, "a caller needs others when one fails");
     }
 }
 
