A host that starts names listed hosts in answers to look-ups

Change: until it is ready, a host presumes the listed hosts of its region to be alive that it has not heard yet. Ready, it names those that it hears, as before.

The existing test that only hosts that were heard are advertised stands unchanged.

Conclusion: one way by which look-ups fail is closed.

--- a/crates/gateway/src/control/known_state.rs
+++ b/crates/gateway/src/control/known_state.rs
@@ -10,8 +10,8 @@
 use steering::ids::{HostName, RegionName, ServiceName, ZoneName};
 use steering::route::{
     Catalog, Changes, CustomerTable, DocumentChange, Evacuations, Feed, FeedDigest, HostTable,
-    LookUpHost, ObservedState, Record, RegionSizes, RelayHost, Rollouts, RouteDocument, RouteTable,
-    RouteView, ServicePool, StoreAnswers, StoreUptime,
+    KnownHost, LookUpHost, ObservedState, Record, RegionSizes, RelayHost, Rollouts, RouteDocument,
+    RouteTable, RouteView, ServicePool, StoreAnswers, StoreUptime,
 };
 
 use super::change_log::{log_changes, log_order};
@@ -431,24 +431,34 @@
         relays.collect()
     }
 
-    /// The other hosts that callers may be sent to, by region.
+    /// The other hosts that callers may be sent to, by region. Until this host is ready, it has
+    /// heard few of them, so that those of its region are all presumed to be alive.
     fn advertised_hosts(&self, now: Instant) -> BTreeMap<RegionName, Vec<LookUpHost>> {
         let mut advertised: BTreeMap<RegionName, Vec<LookUpHost>> = BTreeMap::new();
-        for host in self.host_table.advertised(now) {
-            let entry = &host.entry;
-            if let Some(region) = self.regions.get(&entry.zone) {
+        let region_of = |host: &KnownHost| self.regions.get(&host.entry.zone);
+        let mut add = |host: &KnownHost| {
+            if let Some(region) = region_of(host) {
                 let of_region = advertised.entry(region.clone()).or_default();
-                of_region.push(LookUpHost {
-                    address: entry.caller_address,
-                    zone: entry.zone.clone(),
-                    capacity: entry.capacity,
-                    condition: host.condition(now).unwrap_or_default(),
-                });
+                of_region.push(look_up_host(host, now));
             }
+        };
+        if self.is_ready() {
+            self.host_table.advertised(now).for_each(add);
+            return advertised;
         }
+        let is_own_region = |host: &&KnownHost| region_of(host) == Some(&self.region);
+        let presumed = self.host_table.presumed(now).filter(is_own_region);
+        presumed.for_each(&mut add);
+        let far = self.host_table.advertised(now);
+        far.filter(|host| !is_own_region(host)).for_each(add);
         advertised
     }
 
+    /// Whether the next view is ready for requests.
+    fn is_ready(&self) -> bool {
+        self.document.version > 0 && self.catalog.is_read() && self.refused_work_loaded
+    }
+
     /// Capacities of all listed hosts, by region.
     fn listed_sizes(&self) -> BTreeMap<RegionName, RegionSizes> {
         let mut capacities: BTreeMap<&RegionName, Vec<HostCapacity>> = BTreeMap::new();
@@ -489,3 +499,13 @@
     }
     addresses
 }
+
+fn look_up_host(host: &KnownHost, now: Instant) -> LookUpHost {
+    let entry = &host.entry;
+    LookUpHost {
+        address: entry.caller_address,
+        zone: entry.zone.clone(),
+        capacity: entry.capacity,
+        condition: host.condition(now).unwrap_or_default(),
+    }
+}
--- a/crates/steering/src/route/host_table.rs
+++ b/crates/steering/src/route/host_table.rs
@@ -184,6 +184,15 @@
             .filter(move |host| is_advertised(host, now))
     }
 
+    /// Returns the listed hosts that this host has not heard since it started, and those to
+    /// advertise. Most of them are alive.
+    pub fn presumed(&self, now: Instant) -> impl Iterator<Item = &KnownHost> {
+        let is_unheard = |host: &KnownHost| host.listed && host.last_heard.is_none();
+        self.hosts
+            .values()
+            .filter(move |host| is_unheard(host) || is_advertised(host, now))
+    }
+
     /// Returns another host.
     pub fn get(&self, name: &str) -> Option<&KnownHost> {
         self.hosts.get(name)
--- a/crates/steering/tests/route_hosts.rs
+++ b/crates/steering/tests/route_hosts.rs
@@ -64,6 +64,22 @@
     );
 }
 
+#[test]
+fn host_that_starts_presumes_listed_hosts_to_be_alive() {
+    let now = Instant::now();
+    let later = |ms| now + Duration::from_millis(ms);
+    let mut host_table = HostTable::default();
+    let hosts = ["unheard", "heard", "leaving", "silent"].map(host).to_vec();
+    list(&mut host_table, now, hosts);
+    host_table.record_heartbeat(now, &host("silent"), 1, false);
+    host_table.record_heartbeat(later(4_000), &host("heard"), 1, false);
+    host_table.record_heartbeat(later(4_000), &host("leaving"), 1, true);
+    host_table.record_heartbeat(later(4_000), &host("not-listed"), 1, false);
+    let presumed = host_table.presumed(later(4_100));
+    let names: Vec<&str> = presumed.map(|host| host.entry.name.as_str()).collect();
+    assert_eq!(names, ["heard", "not-listed", "unheard"]);
+}
+
 #[test]
 fn own_pause_does_not_count_as_silence_of_others() {
     let now = Instant::now();
