Long work leaves a region before short work

Cause: one share of a service for all its kinds sends work with a goal of 300 ms to another region as often as work with a goal of 1,500 ms, although distance makes only the former late.

Change: a host notes the goals of the requests that a service gets. Where two of them differ by 2 times or more, the work above the widest gap is long, and it leaves first; short work leaves only once no long work stays. The share of all requests that stays, its pace and the largest deviation from it (4 requests) are those of before. Goals that are alike get the same decisions as before, by a test over shares and pairs of goals. Counter stagedeck_region_by_length_total.

--- a/crates/gateway/src/traffic/destination.rs
+++ b/crates/gateway/src/traffic/destination.rs
@@ -3,7 +3,9 @@
 use std::time::Instant;
 
 use steering::ids::{RegionName, ServiceName};
-use steering::route::{HomeIndex, RegionPool, Route, Sender, ServicePool, object_hash, unit_hash};
+use steering::route::{
+    HomeIndex, RegionPool, Route, Sender, ServicePool, WorkLength, object_hash, unit_hash,
+};
 
 use super::Traffic;
 use crate::settings::Bounds;
@@ -35,11 +37,15 @@
         let object = object.map_or_else(rand::random, |object| object_hash(&service, object));
         let bounds = traffic.common.bounds();
         let now = clock::now();
-        traffic.stats().count_request(&service, &bounds, now);
+        let length = {
+            let mut stats = traffic.stats();
+            stats.count_request(&service, &bounds, now);
+            stats.count_work(&service, route)
+        };
         let is_allowed = |region: &str| may_run_in(route, sender, region);
         Destination {
             is_on_trial: is_on_trial(traffic, &service, object, &bounds, now),
-            region: select_region(traffic, &service, object, &is_allowed),
+            region: select_region(traffic, &service, length, object, &is_allowed),
             service,
             object,
             by_object,
@@ -101,6 +107,7 @@
 fn select_region(
     traffic: &Traffic,
     service: &ServiceName,
+    length: Option<WorkLength>,
     object: u64,
     is_allowed: &dyn Fn(&str) -> bool,
 ) -> Option<RegionName> {
@@ -113,7 +120,7 @@
     if can_serve(own)
         && traffic
             .stats()
-            .stays_in_region(service, pool, position, now)
+            .stays_in_region(service, pool, length, position, now)
     {
         return Some(own.clone());
     }
--- a/crates/gateway/src/traffic/stats.rs
+++ b/crates/gateway/src/traffic/stats.rs
@@ -8,7 +8,7 @@
 use steering::ids::{RegionName, RuleName, ServiceName};
 use steering::route::{
     CallerAttempt, CallerTimeouts, Choice, Estimate, RegionPool, RegionShare, RetryShare, Route,
-    RouteView, ServicePool, WeightedRoundRobin, share_by_capacity,
+    RouteView, ServicePool, WeightedRoundRobin, WorkLength, WorkMix, share_by_capacity,
 };
 
 use crate::settings::{Bounds, GatewaySettings};
@@ -27,6 +27,8 @@
     retry_shares: HashMap<ServiceName, RetryShare>,
     service_spreads: HashMap<RuleName, WeightedRoundRobin>,
     region_shares: HashMap<ServiceName, RegionShare>,
+    /// Short and long work among the requests to each service.
+    mixes: HashMap<ServiceName, WorkMix>,
     /// Moving average of the time from a send to the head of its answer, in milliseconds.
     average_latency_ms: HashMap<ServiceName, f64>,
     /// Estimated work time of each route at each service.
@@ -44,6 +46,7 @@
             retry_shares: HashMap::new(),
             service_spreads: HashMap::new(),
             region_shares: HashMap::new(),
+            mixes: HashMap::new(),
             average_latency_ms: HashMap::new(),
             estimates: HashMap::new(),
             caller_timeouts: HashMap::new(),
@@ -60,12 +63,22 @@
         &route.parts[spread.pick(&route.parts)].service
     }
 
+    /// Counts a request of a route for its service's mix of short and long work. Returns the length
+    /// of its work; none while all work of the service is alike.
+    pub fn count_work(&mut self, service: &str, route: &Route) -> Option<WorkLength> {
+        if !self.mixes.contains_key(service) {
+            self.mixes.insert(service.to_owned(), WorkMix::default());
+        }
+        self.mixes.get_mut(service)?.take(route.goal)
+    }
+
     /// Whether a request stays in this host's region. `position` is the object's position, which is
-    /// compared with the region's share.
+    /// compared with the region's share; `length` is the length of the request's work.
     pub fn stays_in_region(
         &mut self,
         service: &str,
         pool: &ServicePool,
+        length: Option<WorkLength>,
         position: f64,
         now: Instant,
     ) -> bool {
@@ -78,8 +91,17 @@
             ));
             self.region_shares.insert(service.to_owned(), share);
         }
-        let share = self.region_shares.get_mut(service);
-        share.is_none_or(|share| share.keeps_local(position))
+        let Some(share) = self.region_shares.get_mut(service) else {
+            return true;
+        };
+        match (length, self.mixes.get(service)) {
+            (Some(length), Some(mix)) => {
+                let stays = share.keeps_local_by_length(position, length, mix.long_share());
+                count_stay(service, length, stays);
+                stays
+            }
+            _ => share.keeps_local(position),
+        }
     }
 
     /// Counts a request to a service for its retry budget.
@@ -193,6 +215,19 @@
             routes.retain(|name, _| names.contains(name));
         }
         self.estimates.retain(|_, routes| !routes.is_empty());
+        self.forget_goals(view);
+    }
+
+    /// Drops the goals that no route of a new document has.
+    fn forget_goals(&mut self, view: &RouteView) {
+        let mut in_use: HashSet<(&str, Duration)> = HashSet::new();
+        for route in view.table.routes() {
+            let services = route.parts.iter().map(|part| part.service.as_str());
+            in_use.extend(services.map(|service| (service, route.goal)));
+        }
+        for (service, mix) in &mut self.mixes {
+            mix.retain(|goal| in_use.contains(&(service.as_str(), goal)));
+        }
     }
 
     /// Updates the service's average response time.
@@ -243,6 +278,17 @@
     }
 }
 
+fn count_stay(service: &str, length: WorkLength, stays: bool) {
+    let length = match length {
+        WorkLength::Short => "short",
+        WorkLength::Long => "long",
+    };
+    let region = if stays { "own" } else { "other" };
+    let service = service.to_owned();
+    metrics::counter!("stagedeck_region_by_length_total", "service" => service, "length" => length, "region" => region)
+        .increment(1);
+}
+
 /// The region's fraction of the service's free capacity.
 fn free_capacity_fraction(
     pool: &ServicePool,
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -55,6 +55,7 @@
 mod upstream_paths;
 mod upstream_state;
 mod view;
+mod work_mix;
 mod zone_health;
 
 pub use allowance::{
@@ -126,4 +127,5 @@
 };
 pub use upstream_state::UpstreamState;
 pub use view::RouteView;
+pub use work_mix::{WorkLength, WorkMix};
 pub use zone_health::{ZoneChange, ZoneHealth};
--- a/crates/steering/src/route/spread.rs
+++ b/crates/steering/src/route/spread.rs
@@ -1,10 +1,14 @@
 //! Distributes requests over the services of a route and over regions.
 
 use super::document::WeightedService;
+use super::work_mix::WorkLength;
 
 /// Number of requests by which a share may deviate before the selection by object is
 /// overridden.
 const MAX_DEVIATION: f64 = 4.0;
+/// Share of [`MAX_DEVIATION`] from which the requests whose length makes them the first ones
+/// to correct a deviation do so.
+const FIRST_DEVIATION_SHARE: f64 = 0.5;
 /// Utilization of the own region above which more requests go to other regions.
 const HIGH_UTILIZATION: f64 = 0.85;
 /// Utilization of the own region below which more requests stay.
@@ -66,12 +70,53 @@
     /// Returns whether a request stays. `object_position` is the number from 0 to 1 derived
     /// from its object's hash, so that the same objects stay.
     pub fn keeps_local(&mut self, object_position: f64) -> bool {
+        self.keep(object_position, self.share, MAX_DEVIATION, MAX_DEVIATION)
+    }
+
+    /// Returns whether a request of a service with short and long work stays. Long work
+    /// leaves first, since distance makes few of its answers late; short work leaves once
+    /// no long work stays. The share of all requests that stays is the same as without the
+    /// distinction. `long_share` is the share of the requests whose work is long.
+    pub fn keeps_local_by_length(
+        &mut self,
+        object_position: f64,
+        length: WorkLength,
+        long_share: f64,
+    ) -> bool {
+        let long_stays = match long_share > 0.0 {
+            true => (1.0 - (1.0 - self.share) / long_share).max(0.0),
+            false => 0.0,
+        };
+        let first = MAX_DEVIATION * FIRST_DEVIATION_SHARE;
+        match length {
+            WorkLength::Long => self.keep(object_position, long_stays, MAX_DEVIATION, first),
+            WorkLength::Short => {
+                let short_share = 1.0 - long_share;
+                let short_stays = match short_share > 0.0 {
+                    true => (self.share - long_share * long_stays) / short_share,
+                    false => 1.0,
+                };
+                self.keep(object_position, short_stays, first, MAX_DEVIATION)
+            }
+        }
+    }
+
+    /// Returns whether a request stays, by the share of its objects that stay, unless the
+    /// requests that have stayed lack more than `max_lack` or exceed their share by more
+    /// than `max_excess`.
+    fn keep(
+        &mut self,
+        object_position: f64,
+        objects_share: f64,
+        max_lack: f64,
+        max_excess: f64,
+    ) -> bool {
         self.owed += self.share;
-        let mut stays = object_position < self.share;
-        if self.owed > MAX_DEVIATION && self.share > 0.0 {
+        let mut stays = object_position < objects_share;
+        if self.owed > max_lack && self.share > 0.0 {
             stays = true;
         }
-        if self.owed < -MAX_DEVIATION && self.share < 1.0 {
+        if self.owed < -max_excess && self.share < 1.0 {
             stays = false;
         }
         if stays {
--- a/crates/steering/src/route/table.rs
+++ b/crates/steering/src/route/table.rs
@@ -28,10 +28,14 @@
         RouteTable { domains }
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.domains.values().flat_map(HashMap::values)
+    }
+
     /// Returns the names of all routes.
     pub fn names(&self) -> impl Iterator<Item = &RuleName> {
-        let routes = self.domains.values().flat_map(HashMap::values);
-        routes.map(|route| &route.name)
+        self.routes().map(|route| &route.name)
     }
 
     /// Returns the route with the longest prefix of `path`; `host` may contain a port.
