Short urgent work has upstreams of its own beside long work

Cause: at upstreams of three slots, a request with a goal of 300 ms waits behind work of 0.64 s with a goal of 1,500 ms, and the wait is predicted by the average of both.

Change: where the goals of a service's requests differ by 2 times or more and the short work is the more urgent one, its upstreams are divided: short work has the homes of its objects in a part of twice its part of all work (by requests and observed work times, in eighths, moved once wrong by more than one), long work in the others; each goes to the other part if its own has no usable upstream. Waits are predicted by the work of the part. A host's own region is divided by the mix that stays there. Nothing is sent or stored. Log line and gauge slots_for_short_work.

--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -170,6 +170,7 @@
             deadline: self.deadline,
             wait_until,
             route: &self.route.name,
+            goal: self.route.goal,
             sender: self.sender,
             may_pass: &|region| may_run_in(self.route, self.sender, region),
             work: self.work,
@@ -232,6 +233,8 @@
                 stats.estimate(service, self.route),
             )
         };
+        let typical_work =
+            average_latency.unwrap_or(self.route.goal.mul_f64(INITIAL_LATENCY_FRACTION));
         let settings = &self.traffic.common.settings;
         let bounds = self.traffic.common.bounds();
         let mut requirements = Requirements {
@@ -240,8 +243,8 @@
             latency_goal: self.route.goal,
             urgency: self.urgency(),
             excluded: &self.excluded,
-            typical_work: average_latency
-                .unwrap_or(self.route.goal.mul_f64(INITIAL_LATENCY_FRACTION)),
+            part: None,
+            typical_work,
             estimate: &estimate,
             elapsed: now.saturating_duration_since(self.head.arrived),
             terms: pool.terms.as_ref(),
@@ -255,6 +258,10 @@
         for (region, pool) in destination.regions_to_ask(pool, self.route, self.sender) {
             let is_own_region = *region == settings.region;
             requirements.region_hosts = view.region_hosts.as_deref().filter(|_| is_own_region);
+            let part = self.traffic.stats().part(service, self.route, region);
+            let part = part.filter(|_| pool.is_divisible());
+            requirements.part = part.map(|(part, _)| part);
+            requirements.typical_work = part.map_or(typical_work, |(_, average)| average);
             let chosen = match pool.other_version.as_deref() {
                 Some(other) => self.choose_version(pool, other, destination, &requirements, now),
                 None => choose(pool, &requirements, now),
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -214,6 +214,8 @@
     pub wait_until: Instant,
     /// Name of the route.
     pub route: &'a RuleName,
+    /// Latency goal of the route.
+    pub goal: Duration,
     /// Who sent the request.
     pub sender: &'a Sender,
     /// Whether a host of a region may pass on the request's bytes.
@@ -434,7 +436,7 @@
         let took = now - in_flight.started_at;
         let ratio = traffic
             .stats()
-            .record_answer(now, outgoing.route, choice, took);
+            .record_answer(now, outgoing.route, outgoing.goal, choice, took);
         quality = ratio.map_or(quality, AnswerQuality::of_time);
     } else if status.is_server_error() {
         quality = AnswerQuality::Failed;
--- a/crates/gateway/src/traffic/stats.rs
+++ b/crates/gateway/src/traffic/stats.rs
@@ -7,8 +7,8 @@
 
 use steering::ids::{RegionName, RuleName, ServiceName};
 use steering::route::{
-    CallerAttempt, CallerTimeouts, Choice, Estimate, RegionPool, RegionShare, RetryShare, Route,
-    RouteView, ServicePool, WeightedRoundRobin, WorkLength, WorkMix, share_by_capacity,
+    CallerAttempt, CallerTimeouts, Choice, Estimate, PoolPart, RegionPool, RegionShare, RetryShare,
+    Route, RouteView, ServicePool, WeightedRoundRobin, WorkLength, WorkMix, share_by_capacity,
 };
 
 use crate::settings::{Bounds, GatewaySettings};
@@ -69,7 +69,18 @@
         if !self.mixes.contains_key(service) {
             self.mixes.insert(service.to_owned(), WorkMix::default());
         }
-        self.mixes.get_mut(service)?.take(route.goal)
+        self.mixes
+            .get_mut(service)?
+            .take(route.goal, route.priority)
+    }
+
+    /// The upstreams of a region that a request of the route is sent to first, with the average
+    /// work time there; none while all upstreams are alike for it.
+    pub fn part(&self, service: &str, route: &Route, region: &str) -> Option<(PoolPart, Duration)> {
+        let mix = self.mixes.get(service)?;
+        let length = mix.length(route.goal)?;
+        let part = mix.part(length, self.region == region)?;
+        Some((part, mix.average_work(length)))
     }
 
     /// Whether a request stays in this host's region. `position` is the object's position, which is
@@ -94,14 +105,18 @@
         let Some(share) = self.region_shares.get_mut(service) else {
             return true;
         };
-        match (length, self.mixes.get(service)) {
-            (Some(length), Some(mix)) => {
-                let stays = share.keeps_local_by_length(position, length, mix.long_share());
-                count_stay(service, length, stays);
-                stays
-            }
-            _ => share.keeps_local(position),
+        let mix = self.mixes.get_mut(service);
+        let (Some(length), Some(mix)) = (length, mix) else {
+            return share.keeps_local(position);
+        };
+        let before = mix.short_share(true);
+        mix.adapt_own_region(share.long_share_of_stays(mix.long_share()));
+        if before != mix.short_share(true) {
+            note_short_share(service, mix.short_share(true));
         }
+        let stays = share.keeps_local_by_length(position, length, mix.long_share());
+        count_stay(service, length, stays);
+        stays
     }
 
     /// Counts a request to a service for its retry budget.
@@ -180,12 +195,13 @@
         routes[&route.name].clone()
     }
 
-    /// Learns from the response time of a request. Returns the ratio to the expected time; none
+    /// Learns from the response time of a request of a route with a latency goal. Returns the ratio to the expected time; none
     /// if the route has been removed.
     pub fn record_answer(
         &mut self,
         now: Instant,
         route: &str,
+        goal: Duration,
         choice: &Choice,
         took: Duration,
     ) -> Option<f64> {
@@ -194,6 +210,9 @@
         let least = took.mul_f64(MIN_WORK_FRACTION);
         let work = took.saturating_sub(expected.wait).max(least);
         self.update_average(service, work);
+        if let Some(mix) = self.mixes.get_mut(service) {
+            mix.answered(goal, work);
+        }
         let routes = self.estimates.get_mut(service);
         // A new document may have removed the route meanwhile.
         let estimate = routes.and_then(|routes| routes.get_mut(route))?;
@@ -278,6 +297,13 @@
     }
 }
 
+/// `share` is the share of the slots in this host's region; none if they are not divided.
+fn note_short_share(service: &str, share: Option<f64>) {
+    tracing::info!(event = "slots_for_short_work", service, share);
+    metrics::gauge!("stagedeck_slots_for_short_work", "service" => service.to_owned())
+        .set(share.unwrap_or(0.0));
+}
+
 fn count_stay(service: &str, length: WorkLength, stays: bool) {
     let length = match length {
         WorkLength::Short => "short",
--- a/crates/standin/src/measure/choice.rs
+++ b/crates/standin/src/measure/choice.rs
@@ -112,6 +112,7 @@
                 latency_goal: GOAL,
                 urgency: 1.0,
                 excluded: &[],
+                part: None,
                 typical_work: GOAL / 2,
                 estimate: &estimate,
                 elapsed: Duration::ZERO,
--- a/crates/steering/src/route/choice.rs
+++ b/crates/steering/src/route/choice.rs
@@ -181,7 +181,8 @@
     max: usize,
 ) -> Candidates {
     let mut candidates = Candidates::default();
-    for (rank, index) in pool.rank(requirements.object).enumerate() {
+    let ranked = pool.rank_for(requirements.object, requirements.part);
+    for (rank, index) in ranked.enumerate() {
         let upstream = &pool.upstreams[index];
         let obstacle = upstream
             .observed_state()
--- a/crates/steering/src/route/estimate.rs
+++ b/crates/steering/src/route/estimate.rs
@@ -5,7 +5,7 @@
 use super::quantile::Quantile;
 
 /// Initial work time for held objects, as a share of the goal.
-const INITIAL_HELD_TIME: f64 = 0.4;
+pub(super) const INITIAL_HELD_TIME: f64 = 0.4;
 /// Initial work time for objects that are not held, as a share of the goal.
 const INITIAL_FETCHED_TIME: f64 = 1.3;
 /// Tracked quantile of the work times for held objects. It is below the median because some
--- a/crates/steering/src/route/region_pool.rs
+++ b/crates/steering/src/route/region_pool.rs
@@ -1,16 +1,21 @@
 //! Upstreams of a service in one region.
 
+use std::collections::HashMap;
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use super::home_index::HomeIndex;
 use super::object_hash::unit_hash;
+use super::pool_part::PoolPart;
 use super::upstream::{Upstream, lock};
 use super::upstream_state::estimate_others;
 
 /// Share of the new version's upstreams that is used on trial, relative to the share of the
 /// requests.
 const TRIAL_UPSTREAMS_FACTOR: f64 = 1.5;
+/// Minimum number of upstreams of a pool that is divided into parts. In a smaller one, the
+/// loss of one upstream would leave too little of a part.
+const MIN_DIVIDED_UPSTREAMS: usize = 8;
 
 /// Upstreams of a service in a region.
 #[derive(Debug, Default)]
@@ -24,6 +29,9 @@
     slots: OnceLock<u32>,
     /// Ranking of the upstreams for objects, built when first needed.
     homes: OnceLock<HomeIndex>,
+    /// For each upstream, the share of the slots that come before it in the order in which
+    /// upstreams are assigned to short work, computed when first needed.
+    places: OnceLock<Vec<f64>>,
 }
 
 impl RegionPool {
@@ -37,6 +45,7 @@
         self.upstreams.truncate(count.max(1));
         self.slots = OnceLock::new();
         self.homes = OnceLock::new();
+        self.places = OnceLock::new();
     }
 
     /// Returns the upstreams, those of the other version during a roll-out included.
@@ -55,6 +64,54 @@
         homes.rank(object)
     }
 
+    /// Returns whether the pool is large enough to be divided into parts.
+    pub fn is_divisible(&self) -> bool {
+        self.upstreams.len() >= MIN_DIVIDED_UPSTREAMS
+    }
+
+    /// Returns the positions of the upstreams in the order of an object's homes: those of
+    /// the part first. Without a part, or in a pool that is too small, the order is that of
+    /// [`rank`](Self::rank).
+    pub fn rank_for(&self, object: u64, part: Option<PoolPart>) -> impl Iterator<Item = usize> {
+        let part = part.filter(|_| self.is_divisible());
+        let places = part.map(|_| self.places());
+        let is_in_part = move |index: &usize| match (part, places) {
+            (Some(part), Some(places)) => part.includes(places[*index]),
+            _ => true,
+        };
+        let others = part.map(|_| self.rank(object));
+        let others = others.into_iter().flatten();
+        let others = others.filter(move |index| !is_in_part(index));
+        self.rank(object).filter(is_in_part).chain(others)
+    }
+
+    /// Returns the upstreams' places in the order in which they are assigned to short work.
+    /// Zones take turns in it, so that the loss of a zone leaves upstreams in each part.
+    fn places(&self) -> &[f64] {
+        self.places.get_or_init(|| {
+            let mut by_hash: Vec<usize> = (0..self.upstreams.len()).collect();
+            by_hash.sort_by_key(|index| self.upstreams[*index].hash);
+            let mut of_zone: HashMap<&str, usize> = HashMap::new();
+            let mut order: Vec<(usize, usize)> = Vec::with_capacity(by_hash.len());
+            for index in by_hash {
+                let turn = of_zone
+                    .entry(&self.upstreams[index].report.zone)
+                    .or_default();
+                order.push((*turn, index));
+                *turn += 1;
+            }
+            // The sort is stable, so hashes decide within a turn.
+            order.sort_by_key(|(turn, _)| *turn);
+            let mut places = vec![0.0; order.len()];
+            let mut slots_before = 0;
+            for (_, index) in order {
+                places[index] = f64::from(slots_before) / f64::from(self.slots().max(1));
+                slots_before += self.upstreams[index].report.slots;
+            }
+            places
+        })
+    }
+
     /// Returns the sum of the upstreams' slots.
     pub fn slots(&self) -> u32 {
         let slots = self.upstreams.iter().map(|upstream| upstream.report.slots);
--- a/crates/steering/src/route/requirements.rs
+++ b/crates/steering/src/route/requirements.rs
@@ -4,6 +4,7 @@
 
 use super::document::ServiceTerms;
 use super::estimate::Estimate;
+use super::pool_part::PoolPart;
 use super::reported_upstream::UpstreamId;
 use crate::ids::HostName;
 
@@ -19,7 +20,9 @@
     pub urgency: f64,
     /// Upstreams that already received the request or could not be reached.
     pub excluded: &'a [UpstreamId],
-    /// Typical work time of the service.
+    /// Upstreams that the request is sent to first; `None` if all of them are alike for it.
+    pub part: Option<PoolPart>,
+    /// Typical work time of the requests that share the upstreams.
     pub typical_work: Duration,
     /// Learned work times of this class of requests.
     pub estimate: &'a Estimate,
--- a/crates/steering/src/route/spread.rs
+++ b/crates/steering/src/route/spread.rs
@@ -83,10 +83,7 @@
         length: WorkLength,
         long_share: f64,
     ) -> bool {
-        let long_stays = match long_share > 0.0 {
-            true => (1.0 - (1.0 - self.share) / long_share).max(0.0),
-            false => 0.0,
-        };
+        let long_stays = self.long_stays(long_share);
         let first = MAX_DEVIATION * FIRST_DEVIATION_SHARE;
         match length {
             WorkLength::Long => self.keep(object_position, long_stays, MAX_DEVIATION, first),
@@ -101,6 +98,23 @@
         }
     }
 
+    /// Returns the share of long work among the requests that stay; `long_share` is its
+    /// share of all requests.
+    pub fn long_share_of_stays(&self, long_share: f64) -> f64 {
+        match self.share > 0.0 {
+            true => long_share * self.long_stays(long_share) / self.share,
+            false => long_share,
+        }
+    }
+
+    /// Returns the share of the long work that stays.
+    fn long_stays(&self, long_share: f64) -> f64 {
+        match long_share > 0.0 {
+            true => (1.0 - (1.0 - self.share) / long_share).max(0.0),
+            false => 0.0,
+        }
+    }
+
     /// Returns whether a request stays, by the share of its objects that stay, unless the
     /// requests that have stayed lack more than `max_lack` or exceed their share by more
     /// than `max_excess`.
--- a/crates/steering/tests/route_work_mix.rs
+++ b/crates/steering/tests/route_work_mix.rs
@@ -13,7 +13,7 @@
 fn mix(goals_ms: &[u64]) -> WorkMix {
     let mut mix = WorkMix::default();
     for goal_ms in goals_ms {
-        mix.take(Duration::from_millis(*goal_ms));
+        mix.take(Duration::from_millis(*goal_ms), 0);
     }
     mix
 }
@@ -40,7 +40,7 @@
     let mut mix = mix(&[300, 1_500]);
     mix.retain(|goal| goal != LONG_GOAL);
     assert_eq!(mix.length(SHORT_GOAL), None);
-    mix.take(Duration::from_millis(1_600));
+    mix.take(Duration::from_millis(1_600), 0);
     assert_eq!(mix.length(SHORT_GOAL), Some(WorkLength::Short));
 }
 
@@ -83,7 +83,7 @@
         // Squared, so that some objects are asked for more often than others.
         let object = (self.draw().powi(2) * OBJECTS as f64) as u64;
         let position = unit_hash(object << 1 | u64::from(is_long));
-        let stays = match self.mix.take(goal) {
+        let stays = match self.mix.take(goal, 0) {
             Some(length) => {
                 let long_share = self.mix.long_share();
                 self.share
--- a/crates/steering/tests/route_world/mod.rs
+++ b/crates/steering/tests/route_world/mod.rs
@@ -71,6 +71,7 @@
         latency_goal: GOAL,
         urgency: 1.0,
         excluded: &[],
+        part: None,
         typical_work: Duration::from_millis(200),
         estimate: Box::leak(Box::new(Estimate::new(GOAL))),
         elapsed: Duration::ZERO,
