--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -37,6 +37,7 @@
 mod observed_state;
 mod pace;
 mod poll_schedule;
+mod pool_part;
 mod quantile;
 mod recent_changes;
 mod region_load;
@@ -48,6 +49,7 @@
 mod rollout;
 mod sent_objects;
 mod service_pool;
+mod short_share;
 mod speed;
 mod spread;
 mod start_wait;
@@ -59,6 +61,7 @@
 mod upstream_paths;
 mod upstream_state;
 mod view;
+mod work_mix;
 mod zone_health;
 
 pub use allowance::{
@@ -102,6 +105,7 @@
 pub use observed_state::ObservedState;
 pub use pace::{CallerAttempt, ColdSends, RetryShare, cold_share};
 pub use poll_schedule::{PollSchedule, UpdateKind};
+pub use pool_part::PoolPart;
 pub use quantile::Quantile;
 pub use recent_changes::RecentChanges;
 pub use region_load::RegionLoad;
@@ -117,6 +121,7 @@
 };
 pub use sent_objects::SentObjects;
 pub use service_pool::{ServicePool, ServiceRollout, StatementCounts};
+pub use short_share::ShortShare;
 pub use speed::Speed;
 pub use spread::{RegionShare, WeightedRoundRobin, share_by_capacity};
 pub use start_wait::start_wait;
@@ -134,4 +139,5 @@
 };
 pub use upstream_state::UpstreamState;
 pub use view::RouteView;
+pub use work_mix::{WorkLength, WorkMix};
 pub use zone_health::{ZoneChange, ZoneHealth};
