Hosts begin a planned move together, without a message

Cause: all requests moved when the coordinator's status arrived, up to 1.5 s apart. Requests of the hosts that heard it first were spent without the roll-out getting nearer to its end.

Change: a host learns the store's time from the answers to its reports on a roll-out (HostReply::StoreTime, no message more) and begins the planned move at its instant. The status that it applies then is not shared, so digests stay equal and no host asks another for it. A host that does not know the store's time waits for the coordinator's status as before; one whose state is old sends to the old version as before. A former host that gets the new answer logs rollout_not_reported at debug level; its report has been taken.

This touches files of the part on ends: rollouts.rs (begin_moves, applied_status, next_move_at), known_state.rs (begin_moves), control/rollouts.rs (timer, report, answer).

--- a/crates/gateway/src/control/hosts.rs
+++ b/crates/gateway/src/control/hosts.rs
@@ -357,9 +357,10 @@
                 order_revision,
                 progress,
             } => {
-                self.0
-                    .record_progress(&from.name, &service, order_revision, progress);
-                HostReply::Taken
+                let recorded =
+                    self.0
+                        .record_progress(&from.name, &service, order_revision, progress);
+                recorded.map_or(HostReply::Taken, HostReply::StoreTime)
             }
             HostMessage::Limit(ask) => HostReply::Limit(self.0.answer_limit(&from.name, &ask)),
         }
--- a/crates/gateway/src/control/known_state.rs
+++ b/crates/gateway/src/control/known_state.rs
@@ -385,6 +385,15 @@
         of_service.peek().is_some() && of_service.all(|report| report.version == version)
     }
 
+    /// Begins the planned moves of roll-outs. Returns whether there are any.
+    pub fn begin_moves(&mut self, store_time: Duration) -> bool {
+        let begins = self.rollouts.begin_moves(store_time);
+        if begins {
+            self.pools = None;
+        }
+        begins
+    }
+
     /// Whether requests of this host run at a version of a service that is being replaced.
     pub fn uses_old_version(&self, service: &str) -> bool {
         let Some(pools) = &self.pools else {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -34,7 +34,7 @@
 use peer::{LocalHost, PeerClient};
 use steering::ids::{HostName, Incarnation};
 use steering::membership::HostEntry;
-use steering::route::{Feed, HolderSelector, LimitTokens, Record, TokenPool};
+use steering::route::{Feed, HolderSelector, LimitTokens, Record, StoreClock, TokenPool};
 use store::RecordStore;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::{Notify, watch};
@@ -86,6 +86,8 @@
     routes_changed: Notify,
     /// Records of this host that its next update of the operators' rows carries.
     pending_routes: RefCell<Vec<Record>>,
+    /// The store's time, learned while a roll-out is undecided.
+    store_clock: RefCell<StoreClock>,
     /// Pools of customers' allowances that this host keeps.
     pool: RefCell<TokenPool>,
     /// Hosts of this host's zone that did not answer a token request, and when they were asked.
@@ -151,6 +153,7 @@
         coordinated: RefCell::default(),
         routes_changed: Notify::new(),
         pending_routes: RefCell::default(),
+        store_clock: RefCell::default(),
         unresponsive_zone_hosts: RefCell::default(),
         limit_tokens: RefCell::default(),
         holder_selector: RefCell::default(),
--- a/crates/gateway/src/control/rollouts.rs
+++ b/crates/gateway/src/control/rollouts.rs
@@ -10,8 +10,8 @@
 
 use steering::ids::{HostName, ServiceName};
 use steering::route::{
-    Coordinator, Feed, HostMessage, HostProgress, OrderError, Record, RolloutOrder, RolloutReason,
-    RolloutStatus, StageChange,
+    Coordinator, Feed, HostMessage, HostProgress, HostReply, OrderError, Record, RolloutOrder,
+    RolloutReason, RolloutStatus, StageChange,
 };
 use store::{RecordError, RowVersion};
 use tokio::task::spawn_local;
@@ -76,7 +76,8 @@
                 self.routes_changed.notified().await;
                 continue;
             }
-            sleep(DECISION_INTERVAL).await;
+            sleep(self.until_next_move().min(DECISION_INTERVAL)).await;
+            self.begin_moves();
             let coordinates = self.polls_routes();
             let now = clock::now();
             let is_report_due = now.saturating_duration_since(last_report) >= REPORT_INTERVAL;
@@ -97,6 +98,31 @@
         }
     }
 
+    /// Time until requests move as planned; the longest time if no move is planned or the
+    /// store's time is unknown.
+    fn until_next_move(&self) -> Duration {
+        let store_time = self.store_clock.borrow().time(clock::now());
+        let known_state = self.known_state.borrow();
+        let moves_at = known_state.rollouts().next_move_at();
+        let left = moves_at
+            .zip(store_time)
+            .map(|(at, now)| at.saturating_sub(now));
+        left.unwrap_or(Duration::MAX)
+    }
+
+    /// Moves requests as planned, without a message.
+    fn begin_moves(&self) {
+        let Some(store_time) = self.store_clock.borrow().time(clock::now()) else {
+            return;
+        };
+        let begins = self.known_state.borrow_mut().begin_moves(store_time);
+        if begins {
+            tracing::info!(event = "rollout_move_begun");
+            metrics::counter!("stagedeck_rollout_moves_total").increment(1);
+            self.publish();
+        }
+    }
+
     fn undecided_rollouts(&self) -> Vec<KnownRollout> {
         let known_state = self.known_state.borrow();
         let active = known_state.rollouts().active();
@@ -195,6 +221,8 @@
             last_status: row.status.clone(),
             store_clock: (row.store_time, clock::now()),
         };
+        let (store_time, read_at) = rollout.store_clock;
+        self.store_clock.borrow_mut().observe(store_time, read_at);
         self.coordinated
             .borrow_mut()
             .insert(service.clone(), rollout);
@@ -328,9 +356,11 @@
             return;
         };
         let counters = &self.common.rollouts;
+        let applied = self.applied_sequence(&status.service);
+        let sequence = applied.unwrap_or(status.sequence);
         let progress = HostProgress {
             incarnation: self.incarnation,
-            sequence: status.sequence,
+            sequence,
             uses_old_version: self.known_state.borrow().uses_old_version(&status.service),
             counts: counters.counts(&status.service, status.order_revision),
         };
@@ -354,25 +384,41 @@
             let sent = control
                 .ask_host(&coordinator, &message, REPORT_TIMEOUT)
                 .await;
-            if let Err(error) = sent {
-                tracing::debug!(event = "rollout_not_reported", to = coordinator.name, %error);
+            match sent {
+                Ok(HostReply::StoreTime(store_time)) => {
+                    let now = clock::now();
+                    control.store_clock.borrow_mut().observe(store_time, now);
+                }
+                Ok(_) => {}
+                Err(error) => {
+                    tracing::debug!(event = "rollout_not_reported", to = coordinator.name, %error);
+                }
             }
         });
     }
 
-    /// Records a report, if this host coordinates the roll-out.
+    /// Number of the status by which this host sends requests.
+    fn applied_sequence(&self, service: &str) -> Option<u64> {
+        let known_state = self.known_state.borrow();
+        let applied = known_state.rollouts().applied_status(service)?;
+        Some(applied.sequence)
+    }
+
+    /// Records a report, if this host coordinates the roll-out. Returns the time by the
+    /// store's clock then.
     pub(super) fn record_progress(
         &self,
         host: &HostName,
         service: &str,
         order_revision: u64,
         progress: HostProgress,
-    ) {
+    ) -> Option<Duration> {
+        let now = clock::now();
         let mut coordinated = self.coordinated.borrow_mut();
         let rollout = coordinated.get_mut(service);
-        if let Some(rollout) = rollout.filter(|known| known.order_revision == order_revision) {
-            rollout.coordinator.report(clock::now(), host, progress);
-        }
+        let rollout = rollout.filter(|known| known.order_revision == order_revision)?;
+        rollout.coordinator.report(now, host, progress);
+        Some(rollout.store_time(now))
     }
 }
 
--- a/crates/steering/src/route/host_message.rs
+++ b/crates/steering/src/route/host_message.rs
@@ -1,5 +1,7 @@
 //! Messages between hosts about state that all hosts share.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use super::allowance::{TokenReply, TokenRequest};
@@ -46,4 +48,6 @@
     Works(Vec<WorkState>),
     /// The update was applied.
     Taken,
+    /// The report on a roll-out was applied. Holds the time by the store's clock.
+    StoreTime(Duration),
 }
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -105,7 +105,7 @@
 pub use rollout::{
     ActiveRollout, AnswerCounts, AnswerQuality, Coordinator, Evidence, ExposureBound, HostProgress,
     OrderError, RolloutOrder, RolloutReason, RolloutStage, RolloutStatus, Rollouts, RouteCounts,
-    SoftwareVersion, StageChange, TrialShare, Verdict, VersionRule, VersionUsage,
+    SoftwareVersion, StageChange, StoreClock, TrialShare, Verdict, VersionRule, VersionUsage,
 };
 pub use sent_objects::SentObjects;
 pub use service_pool::{ServicePool, ServiceRollout, StatementCounts};
--- a/crates/steering/src/route/rollout/rollouts.rs
+++ b/crates/steering/src/route/rollout/rollouts.rs
@@ -1,6 +1,7 @@
 //! Orders and statuses of roll-outs, as known to one host.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use super::order::RolloutOrder;
 use super::status::RolloutStatus;
@@ -13,6 +14,8 @@
 pub struct Rollouts {
     orders: BTreeMap<ServiceName, RolloutOrder>,
     statuses: BTreeMap<ServiceName, RolloutStatus>,
+    /// Planned moves that this host has begun by itself; not shared with other hosts.
+    begun_moves: BTreeMap<ServiceName, RolloutStatus>,
     /// Whether a version gets requests only by an order, except the most common one.
     orders_required: bool,
 }
@@ -66,6 +69,41 @@
         true
     }
 
+    /// Begins the moves whose planned instant has come. Returns whether there are any.
+    pub fn begin_moves(&mut self, store_time: Duration) -> bool {
+        let planned = self.statuses.iter().filter_map(|(service, status)| {
+            let planned = status.planned_move(store_time)?;
+            let has_begun = self
+                .begun_moves
+                .get(service)
+                .is_some_and(|begun| !planned.is_newer_than(begun));
+            (!has_begun).then(|| (service.clone(), planned))
+        });
+        let planned: Vec<_> = planned.collect();
+        let begins = !planned.is_empty();
+        self.begun_moves.extend(planned);
+        begins
+    }
+
+    /// Returns the status by which this host sends requests: the last known one, or the move
+    /// that follows it and has begun.
+    pub fn applied_status(&self, service: &str) -> Option<&RolloutStatus> {
+        let known = self.statuses.get(service)?;
+        let begun = self.begun_moves.get(service);
+        Some(
+            begun
+                .filter(|begun| begun.is_newer_than(known))
+                .unwrap_or(known),
+        )
+    }
+
+    /// Returns the next planned instant at which requests move, by the store's clock.
+    pub fn next_move_at(&self) -> Option<Duration> {
+        let applied = self.statuses.keys();
+        let applied = applied.filter_map(|service| self.applied_status(service));
+        applied.filter_map(|status| status.moves_at).min()
+    }
+
     /// Returns the services with an order.
     pub fn ordered(&self) -> impl Iterator<Item = &ServiceName> {
         self.orders.keys()
@@ -98,7 +136,7 @@
 
     /// Returns the rule for the upstreams of a service; see [`VersionRule::new`].
     pub fn rule(&self, service: &str, upstreams: &BTreeMap<&str, usize>) -> VersionRule {
-        let (order, status) = (self.orders.get(service), self.statuses.get(service));
+        let (order, status) = (self.orders.get(service), self.applied_status(service));
         match VersionRule::new(order, status, upstreams) {
             VersionRule::Any if self.orders_required => VersionRule::most_common(upstreams),
             rule => rule,
--- a/crates/steering/tests/route_rollout.rs
+++ b/crates/steering/tests/route_rollout.rs
@@ -8,8 +8,8 @@
 use rstest::rstest;
 use steering::route::{
     AnswerCounts, AnswerQuality, Coordinator, ExposureBound, HostProgress, OrderError,
-    RolloutOrder, RolloutReason, RolloutStage, RolloutStatus, Rollouts, RouteCounts, TrialShare,
-    VersionRule, VersionUsage,
+    RolloutOrder, RolloutReason, RolloutStage, RolloutStatus, Rollouts, RouteCounts, StageChange,
+    StoreClock, TrialShare, VersionRule, VersionUsage,
 };
 
 const HOSTS: usize = 88;
@@ -420,3 +420,88 @@
         "a decided roll-out stays decided"
     );
 }
+
+fn planned(moves_at_s: u64) -> RolloutStatus {
+    RolloutStatus {
+        moves_at: Some(Duration::from_secs(moves_at_s)),
+        ..status(7, TRIAL)
+    }
+}
+
+/// A move begins at its instant without a message, in the digest of no host, and gives way to a
+/// roll-back, heard before or after it.
+#[rstest]
+#[case::before_its_instant(9, None, (VersionUsage::Regular, VersionUsage::Other))]
+#[case::at_its_instant(10, None, (VersionUsage::Other, VersionUsage::Regular))]
+#[case::vetoed_before(9, Some(10), (VersionUsage::Regular, VersionUsage::Unused))]
+#[case::vetoed_after(10, Some(10), (VersionUsage::Regular, VersionUsage::Unused))]
+fn planned_moves_begin_unless_replaced(
+    #[case] store_time_s: u64,
+    #[case] vetoed_at_s: Option<u64>,
+    #[case] expected: (VersionUsage, VersionUsage),
+) {
+    let mut rollouts = Rollouts::default();
+    rollouts.order(&order());
+    rollouts.update(&planned(10));
+    let shared = rollouts.digest();
+    rollouts.begin_moves(Duration::from_secs(store_time_s));
+    assert_eq!(rollouts.digest(), shared);
+    if let Some(at) = vetoed_at_s {
+        let veto = StageChange {
+            stage: RolloutStage::RolledBack,
+            reason: RolloutReason::BadAnswers,
+            moves_at: None,
+        };
+        let at = Duration::from_secs(at);
+        let veto = planned(10).followed_by(veto, "h1".to_owned(), at);
+        assert!(rollouts.update(&veto));
+        assert!(!rollouts.begin_moves(at), "the plan is void");
+    }
+    let upstreams = BTreeMap::from([("v1", 3), ("v2", 3)]);
+    let rule = rollouts.rule("s1", &upstreams);
+    assert_eq!((rule.usage("v1"), rule.usage("v2")), expected);
+}
+
+#[test]
+fn a_move_that_has_begun_is_confirmed_by_the_stored_status() {
+    let mut rollouts = Rollouts::default();
+    rollouts.order(&order());
+    rollouts.update(&planned(10));
+    assert_eq!(rollouts.next_move_at(), Some(Duration::from_secs(10)));
+    assert!(rollouts.begin_moves(Duration::from_secs(10)));
+    assert!(
+        !rollouts.begin_moves(Duration::from_secs(11)),
+        "it has begun"
+    );
+    assert_eq!(rollouts.next_move_at(), None);
+    let begun = rollouts.applied_status("s1").cloned().unwrap();
+    let stored = planned(10).planned_move(Duration::from_secs(11)).unwrap();
+    assert_eq!(begun, stored);
+    assert!(rollouts.update(&stored));
+    assert_eq!(rollouts.applied_status("s1"), Some(&stored));
+}
+
+/// Times in ms: by the store's clock, and of the arrival by the host's.
+#[rstest]
+#[case::unknown(&[], None)]
+#[case::one(&[(500, 100)], Some(1_400))]
+#[case::slower_message(&[(500, 100), (600, 400)], Some(1_400))]
+#[case::faster_message(&[(500, 100), (700, 200)], Some(1_500))]
+#[case::too_old(&[(500, 100)], None)]
+fn the_fastest_observation_tells_the_store_time(
+    #[case] observed: &[(u64, u64)],
+    #[case] expected_ms: Option<u64>,
+) {
+    let epoch = Instant::now();
+    let mut clock = StoreClock::default();
+    for (store_ms, at_ms) in observed {
+        let at = epoch + Duration::from_millis(*at_ms);
+        clock.observe(Duration::from_millis(*store_ms), at);
+    }
+    let asked_after = match expected_ms {
+        Some(_) => Duration::from_secs(1),
+        None => Duration::from_secs(61),
+    };
+    let time = clock.time(epoch + asked_after);
+    assert_eq!(time, expected_ms.map(Duration::from_millis));
+}
