A version that turns bad after many good answers is found by few bad ones

Cause: the verdict compared totals since the order. After 50,000 good answers a version that turned bad was found after 135 to 223 bad answers; operators count 50.

Change: a cumulative sum test (Page, 1954) over the answers as they are reported, for all routes together and for each, beside the tests on totals. It forgets good answers of the past. Evidence keeps running totals, so a verdict no longer costs a walk over all hosts.

Tests: versions_that_turn_bad_are_found_by_few_bad_answers, 96 cases (0 to 50,000 good answers before, 2% to 50%, all routes or one, three seeds), and good_versions_are_not_found_bad, 140,000 answers, six seeds.

--- a/crates/steering/src/route/rollout/evidence.rs
+++ b/crates/steering/src/route/rollout/evidence.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::change_test::ChangeTest;
+use super::verdict::usual_rate;
 use crate::ids::{HostName, Incarnation, RuleName};
 
 /// Response time, as a multiple of the expected one, from which an answer counts as slow.
@@ -51,6 +53,14 @@
         self.answers += other.answers;
         self.bad += other.bad;
     }
+
+    /// The answers counted since `before`.
+    fn since(self, before: AnswerCounts) -> AnswerCounts {
+        AnswerCounts {
+            answers: self.answers.saturating_sub(before.answers),
+            bad: self.bad.saturating_sub(before.bad),
+        }
+    }
 }
 
 /// Answers on one route since the roll-out began.
@@ -64,13 +74,28 @@
 
 /// Answers that all hosts have counted.
 ///
-/// Hosts report totals since they started. A report replaces the one before, so that a
-/// repeated or lost report changes nothing.
+/// Hosts report totals since they started. A report adds what it has more than the one before,
+/// so that a repeated or lost report changes nothing.
 #[derive(Debug, Default)]
 pub struct Evidence {
     hosts: BTreeMap<HostName, (Incarnation, BTreeMap<RuleName, RouteCounts>)>,
-    /// Totals of hosts that have started again since.
-    ended: BTreeMap<RuleName, RouteCounts>,
+    routes: BTreeMap<RuleName, RouteEvidence>,
+    total: RouteEvidence,
+}
+
+/// Answers on one route, or on all, of all hosts.
+#[derive(Debug, Clone, Copy, Default)]
+struct RouteEvidence {
+    counts: RouteCounts,
+    change: ChangeTest,
+}
+
+impl RouteEvidence {
+    fn add(&mut self, counts: RouteCounts) {
+        self.counts.old.merge(counts.old);
+        self.counts.new.merge(counts.new);
+        self.change.add(counts.new, usual_rate(self.counts.old));
+    }
 }
 
 impl Evidence {
@@ -81,34 +106,41 @@
         incarnation: Incarnation,
         counts: BTreeMap<RuleName, RouteCounts>,
     ) {
-        let before = self.hosts.insert(host.to_owned(), (incarnation, counts));
-        let ended = before.filter(|(known, _)| *known != incarnation);
-        for (route, counts) in ended.into_iter().flat_map(|(_, counts)| counts) {
-            let total = self.ended.entry(route).or_default();
-            total.new.merge(counts.new);
-            total.old.merge(counts.old);
+        let known = self.hosts.entry(host.to_owned()).or_default();
+        if known.0 != incarnation {
+            *known = (incarnation, BTreeMap::new());
+        }
+        let mut all = RouteCounts::default();
+        for (route, counts) in counts {
+            let known = known.1.entry(route.clone()).or_default();
+            let added = RouteCounts {
+                new: counts.new.since(known.new),
+                old: counts.old.since(known.old),
+            };
+            known.new.merge(added.new);
+            known.old.merge(added.old);
+            all.new.merge(added.new);
+            all.old.merge(added.old);
+            self.routes.entry(route).or_default().add(added);
         }
+        self.total.add(all);
     }
 
     /// Returns the totals of all hosts by route.
     pub fn by_route(&self) -> BTreeMap<&str, RouteCounts> {
-        let mut totals: BTreeMap<&str, RouteCounts> = BTreeMap::new();
-        let current = self.hosts.values().flat_map(|(_, counts)| counts);
-        for (route, counts) in current.chain(&self.ended) {
-            let total = totals.entry(route).or_default();
-            total.new.merge(counts.new);
-            total.old.merge(counts.old);
-        }
-        totals
+        let routes = self.routes.iter();
+        let routes = routes.map(|(route, evidence)| (route.as_str(), evidence.counts));
+        routes.collect()
     }
 
     /// Returns the totals of all hosts and routes.
     pub fn total(&self) -> RouteCounts {
-        let mut total = RouteCounts::default();
-        for counts in self.by_route().values() {
-            total.new.merge(counts.new);
-            total.old.merge(counts.old);
-        }
-        total
+        self.total.counts
+    }
+
+    /// Returns whether the version has turned bad, on all routes together or on one.
+    pub(super) fn has_changed(&self) -> bool {
+        let mut routes = self.routes.values();
+        self.total.change.has_changed() || routes.any(|route| route.change.has_changed())
     }
 }
--- a/crates/steering/src/route/rollout/mod.rs
+++ b/crates/steering/src/route/rollout/mod.rs
@@ -4,6 +4,7 @@
 //! count, and records it in the store; the other hosts apply it. Each host bounds by itself
 //! how many requests it sends to a version that is on trial.
 
+mod change_test;
 mod coordinator;
 mod evidence;
 mod move_plan;
--- a/crates/steering/src/route/rollout/verdict.rs
+++ b/crates/steering/src/route/rollout/verdict.rs
@@ -45,7 +45,8 @@
         let total = evidence.total();
         let routes = evidence.by_route();
         let is_bad = |counts: &RouteCounts| test(counts) == Verdict::Bad;
-        if has_excess(&total) || is_bad(&total) || routes.values().any(is_bad) {
+        let has_changed = evidence.has_changed();
+        if has_changed || has_excess(&total) || is_bad(&total) || routes.values().any(is_bad) {
             return Verdict::Bad;
         }
         let min_old = total.old.answers as f64 * MIN_ROUTE_SHARE;
@@ -59,7 +60,8 @@
     }
 }
 
-fn usual_rate(old: AnswerCounts) -> f64 {
+/// Rate of bad answers of the old version, or of a usual one while there are few answers.
+pub(super) fn usual_rate(old: AnswerCounts) -> f64 {
     let bad = old.bad as f64 + PRIOR_ANSWERS * PRIOR_RATE;
     bad / (old.answers as f64 + PRIOR_ANSWERS)
 }
--- a/crates/steering/tests/route_rollout.rs
+++ b/crates/steering/tests/route_rollout.rs
@@ -7,9 +7,9 @@
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
 use steering::route::{
-    AnswerCounts, AnswerQuality, Coordinator, ExposureBound, HostProgress, OrderError,
+    AnswerCounts, AnswerQuality, Coordinator, Evidence, ExposureBound, HostProgress, OrderError,
     RolloutOrder, RolloutReason, RolloutStage, RolloutStatus, Rollouts, RouteCounts, StageChange,
-    StoreClock, TrialShare, VersionRule, VersionUsage,
+    StoreClock, TrialShare, Verdict, VersionRule, VersionUsage,
 };
 
 const HOSTS: usize = 88;
@@ -505,3 +505,61 @@
     let time = clock.time(epoch + asked_after);
     assert_eq!(time, expected_ms.map(Duration::from_millis));
 }
+
+/// Answers of a version that was good for a while, reported ten by ten. Returns the number of
+/// bad answers beyond the usual ones at the verdict; `None` if the version is not found bad.
+fn bad_answers_until_found(
+    good_answers: u64,
+    bad_rate: f64,
+    one_route: bool,
+    seed: u64,
+) -> Option<u64> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut evidence = Evidence::default();
+    let mut counts: BTreeMap<String, RouteCounts> = BTreeMap::new();
+    let mut extra_bad = 0;
+    let quality = |is_bad| match is_bad {
+        true => AnswerQuality::Failed,
+        false => AnswerQuality::Good,
+    };
+    for number in 0..good_answers + 40_000 {
+        let route = rng.random_range(0..ROUTES.len());
+        let counts_of_route = counts.entry(ROUTES[route].to_owned()).or_default();
+        for _ in 0..10 {
+            counts_of_route
+                .old
+                .add(quality(rng.random_bool(USUAL_RATE)));
+        }
+        let is_worse = number >= good_answers && (!one_route || route == 1);
+        let is_extra = is_worse && rng.random_bool(bad_rate);
+        extra_bad += u64::from(is_extra);
+        counts_of_route
+            .new
+            .add(quality(is_extra || rng.random_bool(USUAL_RATE)));
+        if number % 10 != 0 {
+            continue;
+        }
+        evidence.record("h1", 1, counts.clone());
+        if Verdict::of(&evidence) == Verdict::Bad {
+            return Some(extra_bad);
+        }
+    }
+    None
+}
+
+/// The operators count 50 bad answers, however many good ones were before.
+#[rstest]
+fn versions_that_turn_bad_are_found_by_few_bad_answers(
+    #[values(0, 500, 5_000, 50_000)] good_answers: u64,
+    #[values(0.02, 0.05, 0.2, 0.5)] bad_rate: f64,
+    #[values(false, true)] one_route: bool,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let found = bad_answers_until_found(good_answers, bad_rate, one_route, seed);
+    assert!(found.is_some_and(|bad| bad <= COUNTED_BAD), "{found:?}");
+}
+
+#[rstest]
+fn good_versions_are_not_found_bad(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
+    assert_eq!(bad_answers_until_found(100_000, 0.0, false, seed), None);
+}
