--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -101,6 +101,8 @@
     Choice,
     /// What it costs a request to be looked up among work under which upstreams end.
     Suspects,
+    /// Good and bad versions rolled out over hosts as values: verdicts and exposure.
+    Rollouts,
     /// What each role costs, at several sizes, fitted.
     Capacity,
 }
@@ -134,6 +136,7 @@
                 Measurement::Config => measure::config::run()?,
                 Measurement::Partition => measure::partition::run()?,
                 Measurement::Restart => measure::restart::run()?,
+                Measurement::Rollouts => measure::rollouts::run(plots.as_deref())?,
                 Measurement::Capacity => measure::capacity::run()?,
             };
             println!("{figures}");
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -17,6 +17,7 @@
 pub use fault::Fault;
 pub use link::{Link, LinkState};
 pub use load::{Fates, Load, LoadPlan, LoadReport, run_twice};
+pub use model::rollout;
 pub use platform::{PlatformFaults, StandInPlatform};
 pub use trial::{TrialReport, run as run_trial};
 pub use trial_caller::{Reply, TrialCaller};
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -16,6 +16,7 @@
 mod plot;
 pub mod restart;
 pub mod retry;
+pub mod rollouts;
 pub mod shift;
 pub mod stale;
 pub mod suspects;
--- a/crates/standin/src/model/mod.rs
+++ b/crates/standin/src/model/mod.rs
@@ -4,6 +4,7 @@
 mod baseline;
 mod engine;
 mod product;
+pub mod rollout;
 mod upstream;
 mod world;
 
