--- a/crates/steering/src/route/rollout/mod.rs
+++ b/crates/steering/src/route/rollout/mod.rs
@@ -4,11 +4,14 @@
 //! count, and records it in the store; the other hosts apply it. Each host bounds by itself
 //! how many requests it sends to a version that is on trial.
 
+mod change_test;
 mod coordinator;
 mod evidence;
+mod move_plan;
 mod order;
 mod rollouts;
 mod status;
+mod store_clock;
 mod trial_share;
 mod verdict;
 mod versions;
@@ -18,6 +21,7 @@
 pub use order::{OrderError, RolloutOrder, SoftwareVersion};
 pub use rollouts::{ActiveRollout, Rollouts};
 pub use status::{RolloutReason, RolloutStage, RolloutStatus};
+pub use store_clock::StoreClock;
 pub use trial_share::{ExposureBound, TrialShare};
 pub use verdict::Verdict;
 pub use versions::{VersionRule, VersionUsage};
