The version of a service in use is a record, not the version of most upstreams

Cause: without an order the version of most upstreams got all requests, ties by name. New upstreams are started beside old ones, as many of them, so a crash of one old upstream, a name that sorts first or a third new upstream moved all requests to a version that nobody ordered. Likewise an order back to the old version, given in a trial, left only the new version in use.

Change: Incumbent, one record a service where versions need orders. It is kept in the store (table `incumbents`, written under a condition by the host that polls the operators' rows), read together with these rows and passed on with them, and changed by a completed roll-out or when none of its upstreams is left (Succession). During a roll-out only the incumbent and the ordered version get requests; a third version gets none. A next order's first status waits until the record is written. New record kind between hosts: hosts of an earlier build do not decode it, as with roll-out statuses; it is sent only where versions need orders.

Before: the new test through three hosts (two upstreams of v1, three of v2 join, no order) failed on at `runs(new) == 0`. The values tests of route_incumbent use the new types and were not run on the old code.

Tried and wrong first: the test's document without the callers' route, so that it waited for requests that never came (60 s).

--- a/crates/gateway/src/control/change_log.rs
+++ b/crates/gateway/src/control/change_log.rs
@@ -1,6 +1,6 @@
 //! Log lines about changes of the known state.
 
-use steering::route::{CatalogChange, ChangeReport, RolloutOrder};
+use steering::route::{CatalogChange, ChangeReport, Incumbent, RolloutOrder};
 
 use super::origin::{Origin, Source};
 
@@ -22,6 +22,26 @@
     );
 }
 
+/// Logs a record of a version in use.
+pub(super) fn log_incumbent(incumbent: &Incumbent) {
+    let Incumbent {
+        service,
+        version,
+        order_revision,
+        record,
+        reason,
+        ..
+    } = incumbent;
+    tracing::info!(
+        event = "incumbent_known",
+        service,
+        version,
+        %reason,
+        order_revision,
+        record,
+    );
+}
+
 /// Logs what one update has changed.
 pub(super) fn log_changes(changes: &[CatalogChange], origin: Origin) {
     let (source, age_ms) = (
--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -133,7 +133,7 @@
             None if feed == Feed::Hosts && self.lacks_list() => {
                 self.records.read_hosts(&self.this_host.zone).await
             }
-            None => self.records.read(feed).await,
+            None => self.read_whole(feed).await,
         };
         self.with_follower(feed, |follower| {
             follower.record_wait(Wait::Store, started_at)
@@ -191,6 +191,17 @@
         }
     }
 
+    /// Reads a whole feed. Where versions need orders, the operators' rows come with what
+    /// stagedeck has written about versions: no host may serve before it knows that.
+    async fn read_whole(&self, feed: Feed) -> Result<Changes, RecordError> {
+        let mut changes = self.records.read(feed).await?;
+        if feed == Feed::Routes && self.common.settings.versions_need_orders {
+            let rows = self.read_versions().await?;
+            changes.records.extend(rows.records());
+        }
+        Ok(changes)
+    }
+
     /// Records whether the store answered. Any answer, including an error about the history, shows
     /// that the store is available.
     fn record_call(&self, feed: Feed, error: Option<&RecordError>) {
--- a/crates/gateway/src/control/known_state.rs
+++ b/crates/gateway/src/control/known_state.rs
@@ -9,11 +9,11 @@
 use steering::ids::{HostName, RegionName, ServiceName, ZoneName};
 use steering::route::{
     Catalog, Changes, CustomerTable, DocumentChange, Evacuations, Feed, FeedDigest, HostTable,
-    ObservedState, Record, RelayHost, Rollouts, RouteDocument, RouteTable, RouteView, ServicePool,
-    StoreAnswers, StoreUptime,
+    Incumbent, ListCondition, ObservedState, Record, RelayHost, Rollouts, RouteDocument,
+    RouteTable, RouteView, ServicePool, ServiceVersions, StoreAnswers, StoreUptime, Succession,
 };
 
-use super::change_log::{log_changes, log_order};
+use super::change_log::{log_changes, log_incumbent, log_order};
 use super::origin::Origin;
 use super::state_page::take_page;
 use crate::host::Common;
@@ -230,6 +230,10 @@
                 Record::Rollout(status) if self.rollouts.update(&status) => {
                     to_forward.push(Record::Rollout(status));
                 }
+                Record::Incumbent(incumbent) if self.rollouts.set_incumbent(&incumbent) => {
+                    log_incumbent(&incumbent);
+                    to_forward.push(Record::Incumbent(incumbent));
+                }
                 Record::Unusable { key, reason } => {
                     let version = self.document.version;
                     tracing::warn!(event = "document_refused", key, reason, in_force = version);
@@ -320,6 +324,9 @@
         self.advertised = advertised;
         (self.sharing_hosts, self.region_hosts) = self.hosts_sharing_bounds(now);
         self.upstreams_loaded = self.catalog.is_read();
+        if self.pools.is_none() {
+            self.rollouts.assume_incumbents(&self.catalog);
+        }
         let pools = self.pools.get_or_insert_with(|| {
             let pools = RouteView::pools(
                 &self.document,
@@ -370,6 +377,28 @@
         &self.rollouts
     }
 
+    /// The records of versions in use that the poller has to write. `is_current` says that
+    /// the list of upstreams is not stale.
+    pub fn due_incumbents(
+        &self,
+        now: Instant,
+        succession: &mut Succession,
+        is_current: bool,
+    ) -> Vec<Incumbent> {
+        let catalog = &self.catalog;
+        let is_settled = catalog.grace_until(now).is_none() && !catalog.has_missing();
+        let zones = catalog.listed().map(|listed| listed.report.zone.as_str());
+        let list = ListCondition {
+            is_complete: is_current && catalog.is_read() && is_settled,
+            zones: zones.collect(),
+        };
+        let versions = ServiceVersions::by_service(catalog);
+        let due = versions.iter().filter_map(|(service, versions)| {
+            succession.next(now, service, &self.rollouts, versions, &list)
+        });
+        due.collect()
+    }
+
     /// Whether the document has a service.
     pub fn has_service(&self, service: &str) -> bool {
         self.document.services.contains_key(service)
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod group;
 mod host_list;
 mod hosts;
+mod incumbents;
 mod known_state;
 mod learn;
 mod limits;
@@ -182,6 +183,7 @@
         }
         self.maintain_tokens();
         spawn_local(Rc::clone(&self).run_rollouts());
+        spawn_local(Rc::clone(&self).run_incumbents());
         let loading = Rc::clone(&self);
         spawn_local(async move { loading.load_refused_work().await });
         self.run_membership(peers).await;
--- a/crates/gateway/src/control/rollouts.rs
+++ b/crates/gateway/src/control/rollouts.rs
@@ -109,7 +109,7 @@
     }
 
     /// Whether this host polls the operators' rows and the store answers it.
-    fn polls_routes(&self) -> bool {
+    pub(super) fn polls_routes(&self) -> bool {
         let now = clock::now();
         self.with_follower(Feed::Routes, |follower| {
             let schedule = &follower.poll_schedule;
@@ -147,6 +147,12 @@
                 return;
             };
             match (&order, rollout.newest(status)) {
+                // The status would replace the one of the order before, by which alone the
+                // store may know the version in use.
+                (Some(_), None) if !self.has_recorded_incumbent(&service) => {
+                    tracing::debug!(event = "rollout_waits", service);
+                    None
+                }
                 (Some(order), None) => match self.check_order(order) {
                     Ok(()) => Some(self.first_status(order, rollout.store_time(clock::now()))),
                     Err(error) => {
@@ -199,7 +205,7 @@
             .borrow_mut()
             .insert(service.clone(), rollout);
         if let Some(status) = row.status {
-            self.publish_status(status);
+            self.pass_on(Record::Rollout(status));
         }
         true
     }
@@ -280,7 +286,7 @@
                     rollout.row_version = version;
                     rollout.last_status = Some(status.clone());
                 }
-                self.publish_status(status);
+                self.pass_on(Record::Rollout(status));
             }
             Ok(None) => {
                 tracing::info!(event = "rollout_conflict", service);
@@ -323,11 +329,9 @@
             .increment(1);
     }
 
-    /// Applies a status, and sends it to the other hosts with the next update.
-    fn publish_status(&self, status: RolloutStatus) {
-        self.pending_routes
-            .borrow_mut()
-            .push(Record::Rollout(status));
+    /// Applies a record of this host, and sends it to the other hosts with the next update.
+    pub(super) fn pass_on(&self, record: Record) {
+        self.pending_routes.borrow_mut().push(record);
         self.with_follower(Feed::Routes, |follower| follower.gap_attempted.notify_one());
     }
 
--- a/crates/steering/src/route/feed.rs
+++ b/crates/steering/src/route/feed.rs
@@ -9,7 +9,7 @@
 use super::document::RouteDocument;
 use super::document_change::DocumentChange;
 use super::reported_upstream::{ReportedUpstream, UpstreamId};
-use super::rollout::{RolloutOrder, RolloutStatus};
+use super::rollout::{Incumbent, RolloutOrder, RolloutStatus};
 use super::store_answers::StoreUptime;
 use crate::ids::{HostName, ServiceName, ZoneName};
 use crate::membership::HostEntry;
@@ -62,6 +62,9 @@
     /// The status of a roll-out. Hosts send it to each other; the operator's rows never
     /// contain it.
     Rollout(RolloutStatus),
+    /// The version of a service that is in use. Hosts send it to each other; the operator's
+    /// rows never contain it.
+    Incumbent(Incumbent),
     /// An upstream's report.
     Upstream(ReportedUpstream),
     /// An upstream's report was removed.
--- a/crates/steering/src/route/rollout/mod.rs
+++ b/crates/steering/src/route/rollout/mod.rs
@@ -6,18 +6,24 @@
 
 mod coordinator;
 mod evidence;
+mod incumbent;
 mod order;
 mod rollouts;
+mod service_versions;
 mod status;
+mod succession;
 mod trial_share;
 mod verdict;
 mod versions;
 
 pub use coordinator::{Coordinator, HostProgress, StageChange};
 pub use evidence::{AnswerCounts, AnswerQuality, Evidence, RouteCounts};
+pub use incumbent::{Incumbent, IncumbentReason};
 pub use order::{OrderError, RolloutOrder, SoftwareVersion};
 pub use rollouts::{ActiveRollout, Rollouts};
+pub use service_versions::{ServiceVersions, VersionUpstreams};
 pub use status::{RolloutReason, RolloutStage, RolloutStatus};
+pub use succession::{ListCondition, Succession};
 pub use trial_share::{ExposureBound, TrialShare};
 pub use verdict::Verdict;
 pub use versions::{VersionRule, VersionUsage};
--- a/crates/steering/src/route/rollout/rollouts.rs
+++ b/crates/steering/src/route/rollout/rollouts.rs
@@ -2,10 +2,13 @@
 
 use std::collections::BTreeMap;
 
-use super::order::RolloutOrder;
-use super::status::RolloutStatus;
+use super::incumbent::{Incumbent, IncumbentReason};
+use super::order::{RolloutOrder, SoftwareVersion};
+use super::service_versions::ServiceVersions;
+use super::status::{RolloutStage, RolloutStatus};
 use super::versions::VersionRule;
 use crate::ids::ServiceName;
+use crate::route::catalog::Catalog;
 use crate::route::feed::{FeedDigest, Record};
 
 /// Orders and statuses by service.
@@ -13,7 +16,9 @@
 pub struct Rollouts {
     orders: BTreeMap<ServiceName, RolloutOrder>,
     statuses: BTreeMap<ServiceName, RolloutStatus>,
-    /// Whether a version gets requests only by an order, except the most common one.
+    /// Versions in use; empty unless `orders_required`.
+    incumbents: BTreeMap<ServiceName, Incumbent>,
+    /// Whether a version gets requests only by an order, except the one in use.
     orders_required: bool,
 }
 
@@ -28,7 +33,7 @@
 
 impl Rollouts {
     /// Creates a state without orders. If `orders_required`, a service's upstreams of another
-    /// version than most get requests only by an order.
+    /// version than the one in use get requests only by an order.
     pub fn new(orders_required: bool) -> Self {
         Rollouts {
             orders_required,
@@ -63,9 +68,96 @@
             return false;
         }
         self.statuses.insert(status.service.clone(), status.clone());
+        if let Some(incumbent) = Incumbent::of_completed(status) {
+            self.set_incumbent(&incumbent);
+        }
+        true
+    }
+
+    /// Applies a record of a version in use. Returns whether it is newer than the known one.
+    /// Where versions need no orders, it changes nothing.
+    pub fn set_incumbent(&mut self, incumbent: &Incumbent) -> bool {
+        let known = self.incumbents.get(&incumbent.service);
+        let is_known = known.is_some_and(|known| !incumbent.is_newer_than(known));
+        if is_known || !self.orders_required {
+            return false;
+        }
+        let service = incumbent.service.clone();
+        self.incumbents.insert(service, incumbent.clone());
         true
     }
 
+    /// Assumes which version is in use where no record says so, from a complete list. The
+    /// assumption stays until a record replaces it or none of its upstreams is left.
+    pub fn assume_incumbents(&mut self, catalog: &Catalog) {
+        if !self.orders_required || !catalog.is_read() {
+            return;
+        }
+        for (service, versions) in ServiceVersions::by_service(catalog) {
+            let known = self.incumbents.get(service);
+            let is_kept = known.is_some_and(|known| {
+                let is_assumed = known.order_revision == 0 && !known.is_recorded();
+                !is_assumed || versions.0.contains_key(&known.version)
+            });
+            let first = self.first_version(service, &versions);
+            let Some(version) = first.filter(|_| !is_kept) else {
+                continue;
+            };
+            let assumed = Incumbent {
+                service: service.to_owned(),
+                version: version.clone(),
+                order_revision: 0,
+                record: 0,
+                reason: IncumbentReason::First,
+                zones: versions.zones(version),
+            };
+            self.incumbents.insert(service.to_owned(), assumed);
+        }
+    }
+
+    /// Returns the version in use where no record says so: that of the oldest upstream, but
+    /// not one that an order names or that was rolled back, unless there is no other.
+    pub fn first_version<'a>(
+        &self,
+        service: &str,
+        versions: &'a ServiceVersions,
+    ) -> Option<&'a SoftwareVersion> {
+        let ordered = self.orders.get(service).map(|order| &order.to_version);
+        let excluded = ordered.map(String::as_str);
+        let excluded = excluded.or_else(|| self.rolled_back_version(service));
+        let oldest = versions.oldest(excluded);
+        oldest.or_else(|| versions.oldest(None))
+    }
+
+    /// Returns the version in use; `None` if this host can't tell.
+    pub fn incumbent(&self, service: &str) -> Option<&Incumbent> {
+        self.incumbents.get(service)
+    }
+
+    /// Returns the version that the service's last roll-out was to move to, if it was rolled
+    /// back.
+    pub fn rolled_back_version(&self, service: &str) -> Option<&str> {
+        let status = self.statuses.get(service);
+        let status = status.filter(|status| status.stage == RolloutStage::RolledBack);
+        status.map(|status| status.to_version.as_str())
+    }
+
+    /// Returns whether a roll-out of a service is not decided yet.
+    pub fn is_undecided(&self, service: &str) -> bool {
+        let order = self.orders.get(service);
+        let status = self.statuses.get(service);
+        match (order, status) {
+            (Some(order), Some(status)) if order.revision <= status.order_revision => {
+                !status.stage.is_final()
+            }
+            (Some(order), _) => {
+                let incumbent = self.incumbents.get(service);
+                incumbent.is_none_or(|incumbent| incumbent.version != order.to_version)
+            }
+            (None, status) => status.is_some_and(|status| !status.stage.is_final()),
+        }
+    }
+
     /// Returns the services with an order.
     pub fn ordered(&self) -> impl Iterator<Item = &ServiceName> {
         self.orders.keys()
@@ -96,12 +188,16 @@
         active.collect()
     }
 
-    /// Returns the rule for the upstreams of a service; see [`VersionRule::new`].
+    /// Returns the rule for the upstreams of a service; see [`VersionRule::new`] and
+    /// [`VersionRule::of_incumbent`].
     pub fn rule(&self, service: &str, upstreams: &BTreeMap<&str, usize>) -> VersionRule {
         let (order, status) = (self.orders.get(service), self.statuses.get(service));
-        match VersionRule::new(order, status, upstreams) {
-            VersionRule::Any if self.orders_required => VersionRule::most_common(upstreams),
-            rule => rule,
+        if !self.orders_required {
+            return VersionRule::new(order, status, upstreams);
+        }
+        match self.incumbents.get(service) {
+            Some(incumbent) => VersionRule::of_incumbent(incumbent, order, status),
+            None => VersionRule::Nothing,
         }
     }
 
@@ -112,14 +208,21 @@
         self.orders.keys().chain(without_order)
     }
 
-    /// Returns all orders and statuses as records.
+    /// Returns all orders, statuses and recorded versions in use as records.
     pub fn records(&self) -> impl Iterator<Item = Record> {
         let orders = self.orders.values().cloned().map(Record::RolloutOrder);
         let statuses = self.statuses.values().cloned().map(Record::Rollout);
-        orders.chain(statuses)
+        let incumbents = self.recorded_incumbents().cloned();
+        let incumbents = incumbents.map(Record::Incumbent);
+        orders.chain(statuses).chain(incumbents)
+    }
+
+    fn recorded_incumbents(&self) -> impl Iterator<Item = &Incumbent> {
+        let incumbents = self.incumbents.values();
+        incumbents.filter(|incumbent| incumbent.is_recorded())
     }
 
-    /// Returns the digest of all orders and statuses.
+    /// Returns the digest of all orders, statuses and recorded versions in use.
     pub fn digest(&self) -> FeedDigest {
         let orders = self.orders.values();
         let orders = orders.fold(0, |digest, order| {
@@ -127,6 +230,10 @@
             digest ^ crate::rendezvous::hash(text.as_bytes())
         });
         let statuses = self.statuses.values();
-        statuses.fold(orders, |digest, status| digest ^ status.fingerprint())
+        let statuses = statuses.fold(orders, |digest, status| digest ^ status.fingerprint());
+        let incumbents = self.recorded_incumbents();
+        incumbents.fold(statuses, |digest, incumbent| {
+            digest ^ incumbent.fingerprint()
+        })
     }
 }
--- a/crates/steering/src/route/rollout/versions.rs
+++ b/crates/steering/src/route/rollout/versions.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use super::incumbent::Incumbent;
 use super::order::{RolloutOrder, SoftwareVersion};
 use super::status::{RolloutStage, RolloutStatus};
 use crate::route::service_pool::ServiceRollout;
@@ -12,6 +13,8 @@
     /// Versions don't matter: there is no order.
     #[default]
     Any,
+    /// No version gets requests: which one is in use is unknown.
+    Nothing,
     /// The named version gets no requests.
     Without(SoftwareVersion),
     /// A share of the requests goes to the named version, the others to the other versions.
@@ -22,6 +25,8 @@
         order_revision: u64,
         /// Thousandths of the requests.
         share_per_mille: u16,
+        /// The only version that gets the others; `None` if all other versions do.
+        old: Option<SoftwareVersion>,
     },
     /// All requests go to the named version; others are used only if it can't take a request.
     Moving {
@@ -29,6 +34,8 @@
         version: SoftwareVersion,
         /// Revision of the order.
         order_revision: u64,
+        /// The only version that may be used besides; `None` if all other versions may.
+        old: Option<SoftwareVersion>,
     },
     /// Only the named version gets requests.
     Only(SoftwareVersion),
@@ -46,13 +53,39 @@
 }
 
 impl VersionRule {
-    /// Returns the rule by which only the most common version is used; the first by name
-    /// among equally common ones.
-    pub fn most_common(upstreams: &BTreeMap<&str, usize>) -> Self {
-        let most_common = upstreams.iter().rev().max_by_key(|(_, count)| **count);
-        match most_common {
-            Some((version, _)) if upstreams.len() > 1 => VersionRule::Only((*version).to_owned()),
-            _ => VersionRule::Any,
+    /// Returns the rule for a service whose version in use is known. Besides that version
+    /// only one gets requests that an order names and a current status allows.
+    pub fn of_incumbent(
+        incumbent: &Incumbent,
+        order: Option<&RolloutOrder>,
+        status: Option<&RolloutStatus>,
+    ) -> Self {
+        let is_current = |status: &&RolloutStatus| {
+            order.is_some_and(|order| order.revision <= status.order_revision)
+                && status.order_revision > incumbent.order_revision
+        };
+        let incumbent = &incumbent.version;
+        let only = || VersionRule::Only(incumbent.clone());
+        let Some(status) = status.filter(is_current) else {
+            return only();
+        };
+        let (version, old) = (status.to_version.clone(), Some(incumbent.clone()));
+        let order_revision = status.order_revision;
+        match status.stage {
+            RolloutStage::Trial { share_per_mille } if version != *incumbent => {
+                VersionRule::Trial {
+                    version,
+                    order_revision,
+                    share_per_mille,
+                    old,
+                }
+            }
+            RolloutStage::Moving => VersionRule::Moving {
+                version,
+                order_revision,
+                old,
+            },
+            _ => only(),
         }
     }
 
@@ -60,12 +93,14 @@
     pub fn usage(&self, version: &str) -> VersionUsage {
         match self {
             VersionRule::Any => VersionUsage::Regular,
+            VersionRule::Nothing => VersionUsage::Unused,
             VersionRule::Without(unused) if unused == version => VersionUsage::Unused,
             VersionRule::Without(_) => VersionUsage::Regular,
             VersionRule::Trial { version: other, .. } if other == version => VersionUsage::Other,
-            VersionRule::Trial { .. } => VersionUsage::Regular,
+            VersionRule::Trial { old, .. } if may_be_old(old, version) => VersionUsage::Regular,
             VersionRule::Moving { version: new, .. } if new == version => VersionUsage::Regular,
-            VersionRule::Moving { .. } => VersionUsage::Other,
+            VersionRule::Moving { old, .. } if may_be_old(old, version) => VersionUsage::Other,
+            VersionRule::Trial { .. } | VersionRule::Moving { .. } => VersionUsage::Unused,
             VersionRule::Only(only) if only == version => VersionUsage::Regular,
             VersionRule::Only(_) => VersionUsage::Unused,
         }
@@ -78,6 +113,7 @@
                 version,
                 order_revision,
                 share_per_mille,
+                ..
             } => Some(ServiceRollout {
                 order_revision: *order_revision,
                 version: version.clone(),
@@ -86,6 +122,7 @@
             VersionRule::Moving {
                 version,
                 order_revision,
+                ..
             } => Some(ServiceRollout {
                 order_revision: *order_revision,
                 version: version.clone(),
@@ -95,7 +132,7 @@
         }
     }
 
-    /// Returns the rule for a service. `upstreams` are the versions of its upstreams, with
+    /// Returns the rule for a service whose versions need no orders. `upstreams` are the versions of its upstreams, with
     /// the number of upstreams of each.
     ///
     /// An order whose status is unknown gives its version nothing, unless the service has no
@@ -129,10 +166,12 @@
                 version,
                 order_revision: status.order_revision,
                 share_per_mille,
+                old: None,
             },
             RolloutStage::Moving => VersionRule::Moving {
                 version,
                 order_revision: status.order_revision,
+                old: None,
             },
             // If its upstreams are gone, others have replaced them without an order.
             RolloutStage::Completed if !upstreams.contains_key(version.as_str()) => {
@@ -143,3 +182,8 @@
         }
     }
 }
+
+/// Returns whether a version may be the one that is replaced.
+fn may_be_old(old: &Option<SoftwareVersion>, version: &str) -> bool {
+    old.as_ref().is_none_or(|old| old == version)
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -19,8 +19,8 @@
 pub use hosts::{HostList, ListedHost};
 pub use http::{HttpPlatform, wire};
 pub use records::{
-    HOSTS_TABLE, OwnRow, PEER_KEY_ROW, ROLLOUTS_TABLE, RecordError, RecordStore, RolloutRow,
-    RowVersion, StoreFuture,
+    HOSTS_TABLE, INCUMBENTS_TABLE, OwnRow, PEER_KEY_ROW, ROLLOUTS_TABLE, RecordError, RecordStore,
+    RolloutRow, RowVersion, StoreFuture, VersionRows,
 };
 pub use roster::RosterStore;
 pub use table::{
--- a/crates/store/src/records.rs
+++ b/crates/store/src/records.rs
@@ -7,7 +7,7 @@
 
 use derive_more::{Display, Error};
 use steering::ids::ZoneName;
-use steering::route::{Changes, Feed, FeedVersion, RolloutStatus};
+use steering::route::{Changes, Feed, FeedVersion, Incumbent, Record, RolloutStatus};
 
 /// Future of a call to the store; not `Send`, since all calls are made on one thread.
 pub type StoreFuture<'a, T> = Pin<Box<dyn Future<Output = Result<T, RecordError>> + 'a>>;
@@ -35,6 +35,27 @@
     pub store_time: Duration,
 }
 
+/// What stagedeck has written about versions of services.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct VersionRows {
+    /// Statuses of the last roll-outs.
+    pub statuses: Vec<RolloutStatus>,
+    /// Versions in use, with the versions of their rows.
+    pub incumbents: Vec<(Incumbent, RowVersion)>,
+    /// Keys of rows that can't be decoded, and why.
+    pub refused: Vec<(String, String)>,
+}
+
+impl VersionRows {
+    /// Returns the rows as records, as hosts send them to each other.
+    pub fn records(&self) -> impl Iterator<Item = Record> {
+        let statuses = self.statuses.iter().cloned().map(Record::Rollout);
+        let incumbents = self.incumbents.iter();
+        let incumbents = incumbents.map(|(incumbent, _)| Record::Incumbent(incumbent.clone()));
+        statuses.chain(incumbents)
+    }
+}
+
 /// Why a call to the store failed.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 pub enum RecordError {
@@ -65,6 +86,10 @@
 /// [`steering::route::RolloutStatus`] as JSON.
 pub const ROLLOUTS_TABLE: &str = "rollouts";
 
+/// Table with the versions of services that are in use. The key is the name of the service,
+/// the value a [`steering::route::Incumbent`] as JSON.
+pub const INCUMBENTS_TABLE: &str = "incumbents";
+
 /// The store, as used by hosts that serve routes.
 pub trait RecordStore {
     /// Reads all records of a feed.
@@ -88,6 +113,16 @@
         status: &RolloutStatus,
         expected: RowVersion,
     ) -> StoreFuture<'_, Option<RowVersion>>;
+    /// Reads the statuses of all roll-outs and all versions in use. A row that
+    /// can't be decoded does not keep the others from being read.
+    fn read_versions(&self) -> StoreFuture<'_, VersionRows>;
+    /// Writes the version of a service that is in use, if its row still has the version
+    /// `expected`. Returns the new version of the row; none if the row has another version.
+    fn write_incumbent(
+        &self,
+        incumbent: &Incumbent,
+        expected: RowVersion,
+    ) -> StoreFuture<'_, Option<RowVersion>>;
     /// Removes a row; succeeds if there is no such row.
     fn remove(&self, table: &'static str, key: &str) -> StoreFuture<'_, ()>;
 }
