A host that is slow to report a roll-out is not taken for gone

Cause: a host without a report for 5 s counted as moved, whatever it last said and although its heartbeats came; a report held for 5 s although a host that hears nothing goes back to the old version after half of the time to stop; requests at upstreams that drain or get no more requests were not counted. `completed` ends the old upstreams at once, and their requests.

Change: the decision has a file of its own (moved.rs), called by the coordinator. A host is gone when no message of any kind has come for 5 s; a report holds for 2 s; a host says that it uses the old version while requests of it run at any listed upstream of another version.

Before: with the former rule put back into moved.rs, 3 of the 10 cases of route_moved failed (slow to report, the same with requests at the old version, report too old); after: 10 pass. At sizes at which hosts send heartbeats to partners only, a host that is no partner of the coordinator still counts as gone after 5 s without a report.

--- a/crates/gateway/src/control/known_state.rs
+++ b/crates/gateway/src/control/known_state.rs
@@ -9,8 +9,9 @@
 use steering::ids::{HostName, RegionName, ServiceName, ZoneName};
 use steering::route::{
     Catalog, Changes, CustomerTable, DocumentChange, Evacuations, Feed, FeedDigest, HostTable,
-    Incumbent, ListCondition, ObservedState, Record, RelayHost, Rollouts, RouteDocument,
-    RouteTable, RouteView, ServicePool, ServiceVersions, StoreAnswers, StoreUptime, Succession,
+    Incumbent, ListCondition, ObservedState, Record, RelayHost, RolloutStatus, Rollouts,
+    RouteDocument, RouteTable, RouteView, ServicePool, ServiceVersions, StoreAnswers, StoreUptime,
+    Succession,
 };
 
 use super::change_log::{log_changes, log_incumbent, log_order};
@@ -414,22 +415,26 @@
         of_service.peek().is_some() && of_service.all(|report| report.version == version)
     }
 
-    /// Whether requests of this host run at a version of a service that is being replaced.
-    pub fn uses_old_version(&self, service: &str) -> bool {
+    /// Whether requests of this host run, or may be sent, at another version of a service
+    /// than its roll-out is to move to. Upstreams that get no requests any more count while
+    /// they work on earlier ones.
+    pub fn uses_old_version(&self, status: &RolloutStatus) -> bool {
+        let RolloutStatus {
+            service,
+            to_version,
+            ..
+        } = status;
         let Some(pools) = &self.pools else {
             return true;
         };
-        let Some(pool) = pools.get(service) else {
-            return false;
-        };
-        let is_replaced = pool
-            .rollout
-            .as_ref()
-            .is_some_and(|rollout| rollout.trial_per_mille.is_none());
-        let old = pool.regions.values();
-        let old = old.filter_map(|region| region.other_version.as_deref());
-        let mut old = old.flat_map(|region| &region.upstreams);
-        !is_replaced || old.any(|upstream| upstream.is_working())
+        let rollout = pools.get(service).map(|pool| pool.rollout.as_ref());
+        let is_replaced = rollout
+            .is_none_or(|rollout| rollout.is_some_and(|rollout| rollout.trial_per_mille.is_none()));
+        let of_service = self.catalog.listed();
+        let mut old = of_service.filter(|listed| {
+            listed.report.service == *service && listed.report.version != *to_version
+        });
+        !is_replaced || old.any(|listed| self.observed.is_working(listed))
     }
 
     /// Version of the document in force.
--- a/crates/gateway/src/control/rollouts.rs
+++ b/crates/gateway/src/control/rollouts.rs
@@ -138,6 +138,7 @@
             .borrow()
             .get(&service)
             .is_some_and(is_known);
+        self.note_heard(&service);
         if !is_taken_over && !self.take_over(&service, revision).await {
             return;
         }
@@ -172,6 +173,21 @@
         }
     }
 
+    /// Tells the coordinator of a roll-out when hosts were last heard. A host may be slow to
+    /// report because its machine is slow, and still send requests.
+    fn note_heard(&self, service: &ServiceName) {
+        let known_state = self.known_state.borrow();
+        let mut coordinated = self.coordinated.borrow_mut();
+        let Some(rollout) = coordinated.get_mut(service) else {
+            return;
+        };
+        for host in known_state.host_table.known() {
+            if let Some(at) = host.last_heard() {
+                rollout.coordinator.heard(at, &host.entry.name);
+            }
+        }
+    }
+
     /// Whether an order can be carried out.
     fn check_order(&self, order: &RolloutOrder) -> Result<(), OrderError> {
         let known_state = self.known_state.borrow();
@@ -344,7 +360,7 @@
         let progress = HostProgress {
             incarnation: self.incarnation,
             sequence: status.sequence,
-            uses_old_version: self.known_state.borrow().uses_old_version(&status.service),
+            uses_old_version: self.known_state.borrow().uses_old_version(status),
             counts: counters.counts(&status.service, status.order_revision),
         };
         if status.coordinator == self.this_host.name {
--- a/crates/steering/src/route/host_table.rs
+++ b/crates/steering/src/route/host_table.rs
@@ -41,6 +41,12 @@
 }
 
 impl KnownHost {
+    /// Returns when the host's last message came; `None` if none came since this host knows
+    /// of it.
+    pub fn last_heard(&self) -> Option<Instant> {
+        self.last_heard
+    }
+
     /// Returns what the host has told about itself, unless that is too old.
     pub fn condition(&self, now: Instant) -> Option<HostCondition> {
         let (condition, told_at) = self.condition?;
--- a/crates/steering/src/route/observed_state.rs
+++ b/crates/steering/src/route/observed_state.rs
@@ -46,6 +46,13 @@
         observed.upstream = None;
     }
 
+    /// Returns whether requests of this host run at a listed start, also if it gets no more.
+    pub fn is_working(&self, listed: &Listed) -> bool {
+        let observed = self.upstreams.get(&listed.start_hash);
+        let state = observed.and_then(|observed| observed.state.get());
+        state.is_some_and(|state| state.is_working())
+    }
+
     /// Returns the upstream of a listed start, the same as in the last view unless it has
     /// changed.
     pub(super) fn upstream(
--- a/crates/steering/src/route/rollout/coordinator.rs
+++ b/crates/steering/src/route/rollout/coordinator.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::evidence::{Evidence, RouteCounts};
+use super::moved::MovedHosts;
 use super::order::RolloutOrder;
 use super::status::{RolloutReason, RolloutStage, RolloutStatus};
 use super::trial_share::ExposureBound;
@@ -29,8 +30,6 @@
 /// Multiple of the order's time after which a version to which some host has not moved is
 /// rolled back.
 const MOVING_END: f64 = 2.0;
-/// Time after which a host that reports nothing counts as gone.
-const REPORT_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Progress of a host, as it reports it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -61,9 +60,7 @@
 #[derive(Debug, Default)]
 pub struct Coordinator {
     evidence: Evidence,
-    /// Number of the status that each host applies, whether it still uses the old version,
-    /// and the time of its report.
-    progress: BTreeMap<HostName, (u64, bool, Instant)>,
+    moved: MovedHosts,
 }
 
 impl Coordinator {
@@ -80,11 +77,15 @@
             uses_old_version,
             counts,
         } = progress;
-        let entry = (sequence, uses_old_version, now);
-        self.progress.insert(host.to_owned(), entry);
+        self.moved.report(now, host, sequence, uses_old_version);
         self.evidence.record(host, incarnation, counts);
     }
 
+    /// Records that a host sent something else than a report.
+    pub fn heard(&mut self, at: Instant, host: &str) {
+        self.moved.heard(at, host);
+    }
+
     /// Returns the answers that all hosts have counted.
     pub fn evidence(&self) -> &Evidence {
         &self.evidence
@@ -134,7 +135,7 @@
                 back(RolloutReason::UndecidedInTime)
             }
             RolloutStage::Moving => {
-                let has_moved = |host: &HostName| self.has_moved(host, status, now);
+                let has_moved = |host: &HostName| self.moved.has_moved(host, status, now);
                 let is_due = in_stage >= part(WATCHED_PART) && hosts.into_iter().all(has_moved);
                 is_due.then_some(StageChange {
                     stage: RolloutStage::Completed,
@@ -144,17 +145,6 @@
             RolloutStage::Completed | RolloutStage::RolledBack => None,
         }
     }
-
-    /// Returns whether a host sends to the new version only. A host that has reported before
-    /// and is silent is gone, or reaches neither this host nor the store.
-    fn has_moved(&self, host: &str, status: &RolloutStatus, now: Instant) -> bool {
-        self.progress
-            .get(host)
-            .is_some_and(|(sequence, uses_old_version, at)| {
-                let is_silent = now.saturating_duration_since(*at) > REPORT_TIMEOUT;
-                is_silent || (*sequence >= status.sequence && !uses_old_version)
-            })
-    }
 }
 
 fn trial(bound: ExposureBound, times: f64) -> RolloutStage {
--- a/crates/steering/src/route/rollout/mod.rs
+++ b/crates/steering/src/route/rollout/mod.rs
@@ -7,6 +7,7 @@
 mod coordinator;
 mod evidence;
 mod incumbent;
+mod moved;
 mod order;
 mod rollouts;
 mod service_versions;
