A roll-back holds on all hosts before the store accepts it

Cause: a stop was told only after its write. While the store answers reads and refuses writes, hosts keep fresh state, stay in the stage that they know and send to the bad version until the store accepts the write.

Change: RolloutStop, a record of an order that the coordinator tells before it writes the stage, and again by no one else: hosts keep it, pass it on and tell it to hosts that start. Any coordinator that knows it writes the roll-back. A decided status goes before it. Updates without a new version of the feed were dropped by their receivers; the records that only hosts write are now applied from these too (Record::is_of_hosts). New record kind, which an earlier build does not decode.

--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -270,6 +270,10 @@
         let version = self.with_follower(feed, |follower| follower.version);
         let mut kind = PollSchedule::classify(version, update.version);
         let mut applied = Vec::new();
+        let mut records = update.records;
+        if kind == UpdateKind::Known {
+            records.retain(Record::is_of_hosts);
+        }
         let stale_after = self.with_follower(feed, |follower| follower.poll_schedule.stale_after());
         let mut known_state = self.known_state.borrow_mut();
         known_state.store_reported(now, &from.name, update.store_uptime, stale_after);
@@ -278,10 +282,10 @@
         if dropped {
             self.publish();
         }
-        if kind == UpdateKind::New {
+        if kind == UpdateKind::New || !records.is_empty() {
             let changes = Changes {
                 whole: false,
-                records: update.records,
+                records,
                 version: update.version,
             };
             let origin = Origin {
@@ -289,7 +293,8 @@
                 as_of: update.as_of,
             };
             applied = self.apply(feed, changes, origin);
-            match self.known_state.borrow().digest(feed) == update.digest {
+            let has_all = self.known_state.borrow().digest(feed) == update.digest;
+            match kind == UpdateKind::Known || has_all {
                 true => {
                     applied = self.keep_recent(feed, update.version, false, applied);
                 }
--- a/crates/gateway/src/control/known_state.rs
+++ b/crates/gateway/src/control/known_state.rs
@@ -9,9 +9,9 @@
 use steering::ids::{HostName, RegionName, ServiceName, ZoneName};
 use steering::route::{
     Catalog, Changes, CustomerTable, DocumentChange, Evacuations, Feed, FeedDigest, HostTable,
-    Incumbent, ListCondition, ObservedState, Record, RelayHost, RolloutStatus, Rollouts,
-    RouteDocument, RouteTable, RouteView, ServicePool, ServiceVersions, StoreAnswers, StoreUptime,
-    Succession,
+    Incumbent, ListCondition, ObservedState, Record, RelayHost, RolloutStatus, RolloutStop,
+    Rollouts, RouteDocument, RouteTable, RouteView, ServicePool, ServiceVersions, StoreAnswers,
+    StoreUptime, Succession,
 };
 
 use super::change_log::{log_changes, log_incumbent, log_order};
@@ -231,6 +231,13 @@
                 Record::Rollout(status) if self.rollouts.update(&status) => {
                     to_forward.push(Record::Rollout(status));
                 }
+                Record::RolloutStop(stop) if self.rollouts.stop(&stop) => {
+                    let RolloutStop {
+                        service, reason, ..
+                    } = &stop;
+                    tracing::info!(event = "rollout_stopped", service, %reason);
+                    to_forward.push(Record::RolloutStop(stop));
+                }
                 Record::Incumbent(incumbent) if self.rollouts.set_incumbent(&incumbent) => {
                     log_incumbent(&incumbent);
                     to_forward.push(Record::Incumbent(incumbent));
--- a/crates/gateway/src/control/rollouts.rs
+++ b/crates/gateway/src/control/rollouts.rs
@@ -11,7 +11,7 @@
 use steering::ids::{HostName, ServiceName};
 use steering::route::{
     Coordinator, Feed, HostMessage, HostProgress, OrderError, Record, RolloutOrder, RolloutReason,
-    RolloutStatus, StageChange,
+    RolloutStage, RolloutStatus, RolloutStop, StageChange,
 };
 use store::{RecordError, RowVersion};
 use tokio::task::spawn_local;
@@ -62,6 +62,7 @@
     service: ServiceName,
     order: Option<RolloutOrder>,
     status: Option<RolloutStatus>,
+    stop: Option<RolloutStop>,
 }
 
 impl Control {
@@ -104,6 +105,7 @@
             service: service.clone(),
             order: rollout.order.cloned(),
             status: rollout.status.cloned(),
+            stop: rollout.stop.cloned(),
         });
         known.collect()
     }
@@ -126,6 +128,7 @@
             service,
             order,
             status,
+            stop,
         } = rollout;
         let revision = match (&order, &status) {
             (Some(order), _) => order.revision,
@@ -165,10 +168,11 @@
                     }
                 },
                 (_, None) => None,
-                (order, Some(status)) => self.next_status(rollout, order.as_ref(), status),
+                (order, Some(status)) => self.next_status(rollout, order.as_ref(), status, stop),
             }
         };
         if let Some(status) = next {
+            self.tell_stop(&status);
             self.write_status(status).await;
         }
     }
@@ -245,17 +249,30 @@
         }
     }
 
+    /// Tells all hosts of a roll-back before it is written: the store may accept no writes.
+    fn tell_stop(&self, status: &RolloutStatus) {
+        let known_state = self.known_state.borrow();
+        let is_known = known_state.rollouts().is_stopped(&status.service);
+        drop(known_state);
+        if status.stage == RolloutStage::RolledBack && !is_known {
+            let stop = RolloutStop::of(status, status.reason);
+            self.pass_on(Record::RolloutStop(stop));
+        }
+    }
+
     /// The status that follows, if the stage changes or another host has coordinated so far.
     fn next_status(
         &self,
         rollout: &CoordinatedRollout,
         order: Option<&RolloutOrder>,
         status: RolloutStatus,
+        stop: Option<RolloutStop>,
     ) -> Option<RolloutStatus> {
         let now = clock::now();
         let store_time = rollout.store_time(now);
         let known_state = self.known_state.borrow();
         let hosts = known_state.host_table.list().rows();
+        let stop = stop.filter(|stop| stop.holds(&status));
         let change = rollout.coordinator.next_stage(
             order,
             &status,
@@ -269,6 +286,7 @@
             stage: status.stage,
             reason: status.reason,
         };
+        let change = stop.map(|stop| stop.change()).or(change);
         let StageChange { stage, reason } = change.or(is_taken_over.then_some(unchanged))?;
         let changed_at = match stage == status.stage {
             true => status.changed_at,
@@ -347,7 +365,12 @@
 
     /// Applies a record of this host, and sends it to the other hosts with the next update.
     pub(super) fn pass_on(&self, record: Record) {
-        self.pending_routes.borrow_mut().push(record);
+        let mut pending = self.pending_routes.borrow_mut();
+        if pending.contains(&record) {
+            return;
+        }
+        pending.push(record);
+        drop(pending);
         self.with_follower(Feed::Routes, |follower| follower.gap_attempted.notify_one());
     }
 
--- a/crates/steering/src/route/feed.rs
+++ b/crates/steering/src/route/feed.rs
@@ -9,7 +9,7 @@
 use super::document::RouteDocument;
 use super::document_change::DocumentChange;
 use super::reported_upstream::{ReportedUpstream, UpstreamId};
-use super::rollout::{Incumbent, RolloutOrder, RolloutStatus};
+use super::rollout::{Incumbent, RolloutOrder, RolloutStatus, RolloutStop};
 use super::store_answers::StoreUptime;
 use crate::ids::{HostName, ServiceName, ZoneName};
 use crate::membership::HostEntry;
@@ -62,6 +62,9 @@
     /// The status of a roll-out. Hosts send it to each other; the operator's rows never
     /// contain it.
     Rollout(RolloutStatus),
+    /// The decision to roll back, which the store may not have yet. Hosts send it to each
+    /// other; the operator's rows never contain it.
+    RolloutStop(RolloutStop),
     /// The version of a service that is in use. Hosts send it to each other; the operator's
     /// rows never contain it.
     Incumbent(Incumbent),
@@ -84,6 +87,17 @@
     },
 }
 
+impl Record {
+    /// Returns whether the record is none of the operators' or upstreams'. It may come without
+    /// a new version of the feed, and the newest one holds in whatever order they come.
+    pub fn is_of_hosts(&self) -> bool {
+        matches!(
+            self,
+            Record::Rollout(_) | Record::RolloutStop(_) | Record::Incumbent(_)
+        )
+    }
+}
+
 /// Changes of a feed, or a complete snapshot at one moment.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Changes {
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -105,8 +105,9 @@
 pub use rollout::{
     ActiveRollout, AnswerCounts, AnswerQuality, Coordinator, Evidence, ExposureBound, HostProgress,
     Incumbent, IncumbentReason, ListCondition, OrderError, RolloutOrder, RolloutReason,
-    RolloutStage, RolloutStatus, Rollouts, RouteCounts, ServiceVersions, SoftwareVersion,
-    StageChange, Succession, TrialShare, Verdict, VersionRule, VersionUpstreams, VersionUsage,
+    RolloutStage, RolloutStatus, RolloutStop, Rollouts, RouteCounts, ServiceVersions,
+    SoftwareVersion, StageChange, Succession, TrialShare, Verdict, VersionRule, VersionUpstreams,
+    VersionUsage,
 };
 pub use sent_objects::SentObjects;
 pub use service_pool::{ServicePool, ServiceRollout, StatementCounts};
--- a/crates/steering/src/route/rollout/rollouts.rs
+++ b/crates/steering/src/route/rollout/rollouts.rs
@@ -6,6 +6,7 @@
 use super::order::{RolloutOrder, SoftwareVersion};
 use super::service_versions::ServiceVersions;
 use super::status::{RolloutStage, RolloutStatus};
+use super::stop::RolloutStop;
 use super::versions::VersionRule;
 use crate::ids::ServiceName;
 use crate::route::catalog::Catalog;
@@ -16,6 +17,8 @@
 pub struct Rollouts {
     orders: BTreeMap<ServiceName, RolloutOrder>,
     statuses: BTreeMap<ServiceName, RolloutStatus>,
+    /// Stops that the store may not have yet, at most one of each service.
+    stops: BTreeMap<ServiceName, RolloutStop>,
     /// Versions in use; empty unless `orders_required`.
     incumbents: BTreeMap<ServiceName, Incumbent>,
     /// Whether a version gets requests only by an order, except the one in use.
@@ -29,6 +32,8 @@
     pub order: Option<&'a RolloutOrder>,
     /// The last known status of this order; `None` if none is known.
     pub status: Option<&'a RolloutStatus>,
+    /// The decision to stop it, which may not have been written yet.
+    pub stop: Option<&'a RolloutStop>,
 }
 
 impl Rollouts {
@@ -68,12 +73,39 @@
             return false;
         }
         self.statuses.insert(status.service.clone(), status.clone());
+        let stop = self.stops.get(&status.service);
+        if stop.is_some_and(|stop| !is_stop_needed(stop, Some(status))) {
+            self.stops.remove(&status.service);
+        }
         if let Some(incumbent) = Incumbent::of_completed(status) {
             self.set_incumbent(&incumbent);
         }
         true
     }
 
+    /// Applies a stop. Returns whether it is new.
+    pub fn stop(&mut self, stop: &RolloutStop) -> bool {
+        let known = self.stops.get(&stop.service);
+        let is_known = known.is_some_and(|known| known.order_revision >= stop.order_revision);
+        if is_known || !is_stop_needed(stop, self.statuses.get(&stop.service)) {
+            return false;
+        }
+        self.stops.insert(stop.service.clone(), stop.clone());
+        true
+    }
+
+    /// Returns whether a stop of the service's roll-out holds that may not have been written.
+    pub fn is_stopped(&self, service: &str) -> bool {
+        self.statuses.contains_key(service) && self.applied_status(service).is_none()
+    }
+
+    /// The status by which requests go; `None` while a stop holds.
+    fn applied_status(&self, service: &str) -> Option<&RolloutStatus> {
+        let stop = self.stops.get(service);
+        let status = self.statuses.get(service);
+        status.filter(|status| !stop.is_some_and(|stop| stop.holds(status)))
+    }
+
     /// Applies a record of a version in use. Returns whether it is newer than the known one.
     /// Where versions need no orders, it changes nothing.
     pub fn set_incumbent(&mut self, incumbent: &Incumbent) -> bool {
@@ -183,7 +215,14 @@
             };
             let status = self.statuses.get(service).filter(is_of_order);
             let is_decided = status.is_some_and(|status| status.stage.is_final());
-            (!is_decided).then_some((service, ActiveRollout { order, status }))
+            let stop = self.stops.get(service);
+            let stop = stop.filter(|stop| status.is_some_and(|status| stop.holds(status)));
+            let active = ActiveRollout {
+                order,
+                status,
+                stop,
+            };
+            (!is_decided).then_some((service, active))
         });
         active.collect()
     }
@@ -191,7 +230,7 @@
     /// Returns the rule for the upstreams of a service; see [`VersionRule::new`] and
     /// [`VersionRule::of_incumbent`].
     pub fn rule(&self, service: &str, upstreams: &BTreeMap<&str, usize>) -> VersionRule {
-        let (order, status) = (self.orders.get(service), self.statuses.get(service));
+        let (order, status) = (self.orders.get(service), self.applied_status(service));
         if !self.orders_required {
             return VersionRule::new(order, status, upstreams);
         }
@@ -208,13 +247,14 @@
         self.orders.keys().chain(without_order)
     }
 
-    /// Returns all orders, statuses and recorded versions in use as records.
+    /// Returns all orders, statuses, stops and recorded versions in use as records.
     pub fn records(&self) -> impl Iterator<Item = Record> {
         let orders = self.orders.values().cloned().map(Record::RolloutOrder);
         let statuses = self.statuses.values().cloned().map(Record::Rollout);
         let incumbents = self.recorded_incumbents().cloned();
         let incumbents = incumbents.map(Record::Incumbent);
-        orders.chain(statuses).chain(incumbents)
+        let stops = self.stops.values().cloned().map(Record::RolloutStop);
+        orders.chain(statuses).chain(stops).chain(incumbents)
     }
 
     fn recorded_incumbents(&self) -> impl Iterator<Item = &Incumbent> {
@@ -222,7 +262,7 @@
         incumbents.filter(|incumbent| incumbent.is_recorded())
     }
 
-    /// Returns the digest of all orders, statuses and recorded versions in use.
+    /// Returns the digest of all orders, statuses, stops and recorded versions in use.
     pub fn digest(&self) -> FeedDigest {
         let orders = self.orders.values();
         let orders = orders.fold(0, |digest, order| {
@@ -231,9 +271,15 @@
         });
         let statuses = self.statuses.values();
         let statuses = statuses.fold(orders, |digest, status| digest ^ status.fingerprint());
+        let stops = self.stops.values();
+        let stops = stops.fold(statuses, |digest, stop| digest ^ stop.fingerprint());
         let incumbents = self.recorded_incumbents();
-        incumbents.fold(statuses, |digest, incumbent| {
-            digest ^ incumbent.fingerprint()
-        })
+        incumbents.fold(stops, |digest, incumbent| digest ^ incumbent.fingerprint())
     }
 }
+
+/// Returns whether a stop may still have to be written. It may come before the status that
+/// it stops.
+fn is_stop_needed(stop: &RolloutStop, status: Option<&RolloutStatus>) -> bool {
+    status.is_none_or(|status| stop.order_revision > status.order_revision || stop.holds(status))
+}
