--- a/crates/gateway/src/control/feeds.rs
+++ b/crates/gateway/src/control/feeds.rs
@@ -133,7 +133,7 @@
             None if feed == Feed::Hosts && self.lacks_list() => {
                 self.records.read_hosts(&self.this_host.zone).await
             }
-            None => self.records.read(feed).await,
+            None => self.read_whole(feed).await,
         };
         self.with_follower(feed, |follower| {
             follower.record_wait(Wait::Store, started_at)
@@ -191,6 +191,17 @@
         }
     }
 
+    /// Reads a whole feed. Where versions need orders, the operators' rows come with what
+    /// stagedeck has written about versions: no host may serve before it knows that.
+    async fn read_whole(&self, feed: Feed) -> Result<Changes, RecordError> {
+        let mut changes = self.records.read(feed).await?;
+        if feed == Feed::Routes && self.common.settings.versions_need_orders {
+            let rows = self.read_versions().await?;
+            changes.records.extend(rows.records());
+        }
+        Ok(changes)
+    }
+
     /// Records whether the store answered. Any answer, including an error about the history, shows
     /// that the store is available.
     fn record_call(&self, feed: Feed, error: Option<&RecordError>) {
@@ -259,6 +270,10 @@
         let version = self.with_follower(feed, |follower| follower.version);
         let mut kind = PollSchedule::classify(version, update.version);
         let mut applied = Vec::new();
+        let mut records = update.records;
+        if kind == UpdateKind::Known {
+            records.retain(Record::is_of_hosts);
+        }
         let stale_after = self.with_follower(feed, |follower| follower.poll_schedule.stale_after());
         let mut known_state = self.known_state.borrow_mut();
         known_state.store_reported(now, &from.name, update.store_uptime, stale_after);
@@ -267,10 +282,10 @@
         if dropped {
             self.publish();
         }
-        if kind == UpdateKind::New {
+        if kind == UpdateKind::New || !records.is_empty() {
             let changes = Changes {
                 whole: false,
-                records: update.records,
+                records,
                 version: update.version,
             };
             let origin = Origin {
@@ -278,7 +293,8 @@
                 as_of: update.as_of,
             };
             applied = self.apply(feed, changes, origin);
-            match self.known_state.borrow().digest(feed) == update.digest {
+            let has_all = self.known_state.borrow().digest(feed) == update.digest;
+            match kind == UpdateKind::Known || has_all {
                 true => {
                     applied = self.keep_recent(feed, update.version, false, applied);
                 }
--- a/crates/gateway/src/control/known_state.rs
+++ b/crates/gateway/src/control/known_state.rs
@@ -10,11 +10,12 @@
 use steering::ids::{HostName, RegionName, ServiceName, ZoneName};
 use steering::route::{
     Catalog, Changes, CustomerTable, DocumentChange, Evacuations, Feed, FeedDigest, HostTable,
-    KnownHost, LookUpHost, ObservedState, Record, RegionSizes, RelayHost, Rollouts, RouteDocument,
-    RouteTable, RouteView, ServicePool, StoreAnswers, StoreUptime,
+    Incumbent, KnownHost, ListCondition, LookUpHost, ObservedState, Record, RegionSizes, RelayHost,
+    RolloutStatus, RolloutStop, Rollouts, RouteDocument, RouteTable, RouteView, ServicePool,
+    ServiceVersions, StoreAnswers, StoreUptime, Succession,
 };
 
-use super::change_log::{log_changes, log_order};
+use super::change_log::{log_changes, log_incumbent, log_order};
 use super::origin::Origin;
 use super::state_page::take_page;
 use crate::host::Common;
@@ -234,6 +235,17 @@
                 Record::Rollout(status) if self.rollouts.update(&status) => {
                     to_forward.push(Record::Rollout(status));
                 }
+                Record::RolloutStop(stop) if self.rollouts.stop(&stop) => {
+                    let RolloutStop {
+                        service, reason, ..
+                    } = &stop;
+                    tracing::info!(event = "rollout_stopped", service, %reason);
+                    to_forward.push(Record::RolloutStop(stop));
+                }
+                Record::Incumbent(incumbent) if self.rollouts.set_incumbent(&incumbent) => {
+                    log_incumbent(&incumbent);
+                    to_forward.push(Record::Incumbent(incumbent));
+                }
                 Record::Unusable { key, reason } => {
                     let version = self.document.version;
                     tracing::warn!(event = "document_refused", key, reason, in_force = version);
@@ -325,6 +337,9 @@
         self.advertised = advertised;
         (self.sharing_hosts, self.region_hosts) = self.hosts_sharing_bounds(now);
         self.upstreams_loaded = self.catalog.is_read();
+        if self.pools.is_none() {
+            self.rollouts.assume_incumbents(&self.catalog);
+        }
         let pools = self.pools.get_or_insert_with(|| {
             let pools = RouteView::pools(
                 &self.document,
@@ -376,6 +391,28 @@
         &self.rollouts
     }
 
+    /// The records of versions in use that the poller has to write. `is_current` says that
+    /// the list of upstreams is not stale.
+    pub fn due_incumbents(
+        &self,
+        now: Instant,
+        succession: &mut Succession,
+        is_current: bool,
+    ) -> Vec<Incumbent> {
+        let catalog = &self.catalog;
+        let is_settled = catalog.grace_until(now).is_none() && !catalog.has_missing();
+        let zones = catalog.listed().map(|listed| listed.report.zone.as_str());
+        let list = ListCondition {
+            is_complete: is_current && catalog.is_read() && is_settled,
+            zones: zones.collect(),
+        };
+        let versions = ServiceVersions::by_service(catalog);
+        let due = versions.iter().filter_map(|(service, versions)| {
+            succession.next(now, service, &self.rollouts, versions, &list)
+        });
+        due.collect()
+    }
+
     /// Whether the document has a service.
     pub fn has_service(&self, service: &str) -> bool {
         self.document.services.contains_key(service)
@@ -400,22 +437,26 @@
         begins
     }
 
-    /// Whether requests of this host run at a version of a service that is being replaced.
-    pub fn uses_old_version(&self, service: &str) -> bool {
+    /// Whether requests of this host run, or may be sent, at another version of a service
+    /// than its roll-out is to move to. Upstreams that get no requests any more count while
+    /// they work on earlier ones.
+    pub fn uses_old_version(&self, status: &RolloutStatus) -> bool {
+        let RolloutStatus {
+            service,
+            to_version,
+            ..
+        } = status;
         let Some(pools) = &self.pools else {
             return true;
         };
-        let Some(pool) = pools.get(service) else {
-            return false;
-        };
-        let is_replaced = pool
-            .rollout
-            .as_ref()
-            .is_some_and(|rollout| rollout.trial_per_mille.is_none());
-        let old = pool.regions.values();
-        let old = old.filter_map(|region| region.other_version.as_deref());
-        let mut old = old.flat_map(|region| &region.upstreams);
-        !is_replaced || old.any(|upstream| upstream.is_working())
+        let rollout = pools.get(service).map(|pool| pool.rollout.as_ref());
+        let is_replaced = rollout
+            .is_none_or(|rollout| rollout.is_some_and(|rollout| rollout.trial_per_mille.is_none()));
+        let of_service = self.catalog.listed();
+        let mut old = of_service.filter(|listed| {
+            listed.report.service == *service && listed.report.version != *to_version
+        });
+        !is_replaced || old.any(|listed| self.observed.is_working(listed))
     }
 
     /// Version of the document in force.
--- a/crates/gateway/src/control/rollouts.rs
+++ b/crates/gateway/src/control/rollouts.rs
@@ -11,7 +11,7 @@
 use steering::ids::{HostName, ServiceName};
 use steering::route::{
     Coordinator, Feed, HostMessage, HostProgress, HostReply, OrderError, Record, RolloutOrder,
-    RolloutReason, RolloutStatus, StageChange,
+    RolloutReason, RolloutStage, RolloutStatus, RolloutStop, StageChange,
 };
 use store::{RecordError, RowVersion};
 use tokio::task::spawn_local;
@@ -62,6 +62,7 @@
     service: ServiceName,
     order: Option<RolloutOrder>,
     status: Option<RolloutStatus>,
+    stop: Option<RolloutStop>,
 }
 
 impl Control {
@@ -130,12 +131,13 @@
             service: service.clone(),
             order: rollout.order.cloned(),
             status: rollout.status.cloned(),
+            stop: rollout.stop.cloned(),
         });
         known.collect()
     }
 
     /// Whether this host polls the operators' rows and the store answers it.
-    fn polls_routes(&self) -> bool {
+    pub(super) fn polls_routes(&self) -> bool {
         let now = clock::now();
         self.with_follower(Feed::Routes, |follower| {
             let schedule = &follower.poll_schedule;
@@ -152,6 +154,7 @@
             service,
             order,
             status,
+            stop,
         } = rollout;
         let revision = match (&order, &status) {
             (Some(order), _) => order.revision,
@@ -164,6 +167,7 @@
             .borrow()
             .get(&service)
             .is_some_and(is_known);
+        self.note_heard(&service);
         if !is_taken_over && !self.take_over(&service, revision).await {
             return;
         }
@@ -173,6 +177,12 @@
                 return;
             };
             match (&order, rollout.newest(status)) {
+                // The status would replace the one of the order before, by which alone the
+                // store may know the version in use.
+                (Some(_), None) if !self.has_recorded_incumbent(&service) => {
+                    tracing::debug!(event = "rollout_waits", service);
+                    None
+                }
                 (Some(order), None) => match self.check_order(order) {
                     Ok(()) => Some(self.first_status(order, rollout.store_time(clock::now()))),
                     Err(error) => {
@@ -184,14 +194,30 @@
                     }
                 },
                 (_, None) => None,
-                (order, Some(status)) => self.next_status(rollout, order.as_ref(), status),
+                (order, Some(status)) => self.next_status(rollout, order.as_ref(), status, stop),
             }
         };
         if let Some(status) = next {
+            self.tell_stop(&status);
             self.write_status(status).await;
         }
     }
 
+    /// Tells the coordinator of a roll-out when hosts were last heard. A host may be slow to
+    /// report because its machine is slow, and still send requests.
+    fn note_heard(&self, service: &ServiceName) {
+        let known_state = self.known_state.borrow();
+        let mut coordinated = self.coordinated.borrow_mut();
+        let Some(rollout) = coordinated.get_mut(service) else {
+            return;
+        };
+        for host in known_state.host_table.known() {
+            if let Some(at) = host.last_heard() {
+                rollout.coordinator.heard(at, &host.entry.name);
+            }
+        }
+    }
+
     /// Whether an order can be carried out.
     fn check_order(&self, order: &RolloutOrder) -> Result<(), OrderError> {
         let known_state = self.known_state.borrow();
@@ -227,7 +253,7 @@
             .borrow_mut()
             .insert(service.clone(), rollout);
         if let Some(status) = row.status {
-            self.publish_status(status);
+            self.pass_on(Record::Rollout(status));
         }
         true
     }
@@ -252,17 +278,30 @@
         }
     }
 
+    /// Tells all hosts of a roll-back before it is written: the store may accept no writes.
+    fn tell_stop(&self, status: &RolloutStatus) {
+        let known_state = self.known_state.borrow();
+        let is_known = known_state.rollouts().is_stopped(&status.service);
+        drop(known_state);
+        if status.stage == RolloutStage::RolledBack && !is_known {
+            let stop = RolloutStop::of(status, status.reason);
+            self.pass_on(Record::RolloutStop(stop));
+        }
+    }
+
     /// The status that follows, if the stage changes or another host has coordinated so far.
     fn next_status(
         &self,
         rollout: &CoordinatedRollout,
         order: Option<&RolloutOrder>,
         status: RolloutStatus,
+        stop: Option<RolloutStop>,
     ) -> Option<RolloutStatus> {
         let now = clock::now();
         let store_time = rollout.store_time(now);
         let known_state = self.known_state.borrow();
         let hosts = known_state.host_table.list().rows();
+        let stop = stop.filter(|stop| stop.holds(&status));
         let change = rollout.coordinator.next_stage(
             order,
             &status,
@@ -277,6 +316,7 @@
             reason: status.reason,
             moves_at: status.moves_at,
         };
+        let change = stop.map(|stop| stop.change()).or(change);
         let change = change.or(is_taken_over.then_some(unchanged))?;
         Some(status.followed_by(change, self.this_host.name.clone(), store_time))
     }
@@ -299,7 +339,7 @@
                     rollout.row_version = version;
                     rollout.last_status = Some(status.clone());
                 }
-                self.publish_status(status);
+                self.pass_on(Record::Rollout(status));
             }
             Ok(None) => {
                 tracing::info!(event = "rollout_conflict", service);
@@ -342,11 +382,14 @@
             .increment(1);
     }
 
-    /// Applies a status, and sends it to the other hosts with the next update.
-    fn publish_status(&self, status: RolloutStatus) {
-        self.pending_routes
-            .borrow_mut()
-            .push(Record::Rollout(status));
+    /// Applies a record of this host, and sends it to the other hosts with the next update.
+    pub(super) fn pass_on(&self, record: Record) {
+        let mut pending = self.pending_routes.borrow_mut();
+        if pending.contains(&record) {
+            return;
+        }
+        pending.push(record);
+        drop(pending);
         self.with_follower(Feed::Routes, |follower| follower.gap_attempted.notify_one());
     }
 
@@ -361,7 +404,7 @@
         let progress = HostProgress {
             incarnation: self.incarnation,
             sequence,
-            uses_old_version: self.known_state.borrow().uses_old_version(&status.service),
+            uses_old_version: self.known_state.borrow().uses_old_version(status),
             counts: counters.counts(&status.service, status.order_revision),
         };
         if status.coordinator == self.this_host.name {
