Tests: callers that keep connections, led by hosts that know some others

The test of callers that keep connections also with the knowledge that heartbeats give, each caller asking a host at random.

--- a/crates/steering/tests/route_look_up.rs
+++ b/crates/steering/tests/route_look_up.rs
@@ -137,13 +137,9 @@
     assert!(ratio < MAX_LOAD_RATIO, "{ratio}");
 }
 
-/// Hosts of three regions with two zones each answer from what their heartbeats tell them.
-#[rstest]
-#[case::nine_small_hosts_a_zone(9)]
-#[case::fourteen_small_hosts_a_zone(14)]
-fn hosts_that_know_some_others_load_sizes_alike(#[case] small_per_zone: u16) {
-    let mut rng = rng();
-    let hosts = of_two_sizes(small_per_zone);
+/// Hosts that each host of a region knows by heartbeats, itself included. The deployment has three
+/// regions with such hosts each.
+fn known_by_heartbeats(hosts: &[LookUpHost]) -> Vec<Vec<LookUpHost>> {
     let regions = ["north", "south", "west"].map(str::to_owned);
     let entry = |region: &str, host: &LookUpHost| HostEntry {
         name: format!("{region}-{}", host.address.port()),
@@ -170,13 +166,24 @@
             known[index_of(target)].insert(index_of(this));
         }
     }
+    let of = |known: &BTreeSet<usize>| known.iter().map(|n| hosts[*n].clone()).collect();
+    known.iter().map(of).collect()
+}
+
+/// Hosts answer from what their heartbeats tell them.
+#[rstest]
+#[case::nine_small_hosts_a_zone(9)]
+#[case::fourteen_small_hosts_a_zone(14)]
+fn hosts_that_know_some_others_load_sizes_alike(#[case] small_per_zone: u16) {
+    let mut rng = rng();
+    let hosts = of_two_sizes(small_per_zone);
+    let known = known_by_heartbeats(&hosts);
     let mut callers = vec![0.0; hosts.len()];
     for known in &known {
-        let known: Vec<LookUpHost> = known.iter().map(|n| hosts[*n].clone()).collect();
         for (host, part) in
             known
                 .iter()
-                .zip(parts_of(ANSWERS_PER_HOST, &known, &sizes(&hosts), &mut rng))
+                .zip(parts_of(ANSWERS_PER_HOST, known, &sizes(&hosts), &mut rng))
         {
             callers[usize::from(host.address.port())] += part;
         }
@@ -253,17 +260,24 @@
 
 /// Callers that keep their connection for as long as each new answer names its host.
 #[rstest]
-#[case::nine_small_hosts_a_zone(9)]
-#[case::fourteen_small_hosts_a_zone(14)]
-fn callers_that_keep_connections_do_not_gather_at_large_hosts(#[case] small_per_zone: u16) {
+#[case::nine_small_hosts_a_zone(9, |hosts: &[LookUpHost]| vec![hosts.to_vec()])]
+#[case::fourteen_small_hosts_a_zone(14, |hosts: &[LookUpHost]| vec![hosts.to_vec()])]
+#[case::nine_by_heartbeats(9, known_by_heartbeats)]
+#[case::fourteen_by_heartbeats(14, known_by_heartbeats)]
+fn callers_that_keep_connections_do_not_gather_at_large_hosts(
+    #[case] small_per_zone: u16,
+    #[case] known_by_answering_hosts: fn(&[LookUpHost]) -> Vec<Vec<LookUpHost>>,
+) {
     let mut rng = rng();
     let hosts = of_two_sizes(small_per_zone);
     let listed = sizes(&hosts);
+    let known = known_by_answering_hosts(&hosts);
     let mut callers: Vec<SocketAddr> = (0..300).map(|n| hosts[n % hosts.len()].address).collect();
     let mut counts: BTreeMap<SocketAddr, f64> = BTreeMap::new();
     for round in 0..120 {
         for at in &mut callers {
-            let named = look_up_hosts(&hosts, &listed, MAX_NAMED, &mut rng);
+            let known = known.choose(&mut rng).expect("hosts answer");
+            let named = look_up_hosts(known, &listed, MAX_NAMED, &mut rng);
             if !named.iter().any(|host| host.address == *at) {
                 *at = named.choose(&mut rng).expect("hosts are named").address;
             }
