Look-ups are counted, and those that are refused leave a line

Change: a counter by outcome and a line where no host is known.

Tests: starting and requests of platform-standin pass (2 and 22).

--- a/crates/gateway/src/traffic/server.rs
+++ b/crates/gateway/src/traffic/server.rs
@@ -163,7 +163,13 @@
         condition: **traffic.common.condition.load(),
     });
     let hosts = look_up::hosts(&view, settings, &lookup, this_host);
+    let outcome = match hosts.is_empty() {
+        true => "no_host",
+        false => "named",
+    };
+    metrics::counter!("stagedeck_look_ups_total", "outcome" => outcome).increment(1);
     if hosts.is_empty() {
+        tracing::info!(event = "look_up_refused", is_ready = view.is_ready());
         return status(StatusCode::SERVICE_UNAVAILABLE);
     }
     let body = traffic
