What hosts tell takes effect only where others decide by it

Cause: each step of a host's use, also far below its capacity, made each host that hears it build a view, and each host collected the zones of all upstreams once a second to see whether it is cut off.

Change: a use that the resources suffice for counts as 0 where it is received; zones are collected only while one is relayed.

Tests: route_hosts: what matters of a condition, and that that of a silent (3.5 s) or restarted host is forgotten; route_upstream_paths: when all zones are relayed.

--- a/crates/gateway/src/traffic/own_condition.rs
+++ b/crates/gateway/src/traffic/own_condition.rs
@@ -33,10 +33,7 @@
     pub fn update(&mut self, traffic: &Traffic, view: &RouteView, now: Instant, elapsed: Duration) {
         let before = **traffic.common.condition.load();
         let condition = HostCondition {
-            is_cut_off: traffic
-                .paths
-                .upstreams()
-                .are_all_relayed(view.upstream_zones()),
+            is_cut_off: is_cut_off(traffic, view),
             use_per_mille: self.use_per_mille(traffic, now, elapsed),
             relay_use_per_mille: relay_use_per_mille(traffic),
         };
@@ -65,6 +62,13 @@
     }
 }
 
+/// Returns whether this host reaches no upstream itself.
+fn is_cut_off(traffic: &Traffic, view: &RouteView) -> bool {
+    let paths = traffic.paths.upstreams();
+    // The zones of all upstreams are collected only if there is a doubt.
+    paths.relayed_zones() > 0 && paths.are_all_relayed(view.upstream_zones())
+}
+
 /// Returns the connections that this host relays, in thousandths of those that it may relay.
 fn relay_use_per_mille(traffic: &Traffic) -> u16 {
     let relayed = traffic.paths.relayed_connections();
--- a/crates/steering/src/route/host_condition.rs
+++ b/crates/steering/src/route/host_condition.rs
@@ -19,3 +19,18 @@
     /// Connections that the host relays, in thousandths of those that it may relay.
     pub relay_use_per_mille: u16,
 }
+
+/// Use of a host whose resources suffice, in thousandths.
+pub(super) const FULL_USE_PER_MILLE: u16 = 1_000;
+
+impl HostCondition {
+    /// Returns the condition with a use of 0 if the host's resources suffice, so that only changes
+    /// by which other hosts decide differently make it differ.
+    pub(super) fn significant(self) -> Self {
+        let is_busy = self.use_per_mille > FULL_USE_PER_MILLE;
+        HostCondition {
+            use_per_mille: if is_busy { self.use_per_mille } else { 0 },
+            ..self
+        }
+    }
+}
--- a/crates/steering/src/route/host_table.rs
+++ b/crates/steering/src/route/host_table.rs
@@ -41,7 +41,8 @@
 }
 
 impl KnownHost {
-    /// Returns what the host has told about itself, unless that is too old.
+    /// Returns what the host has told about itself, unless that is too old; with a use of 0 if its
+    /// resources suffice.
     pub fn condition(&self, now: Instant) -> Option<HostCondition> {
         let (condition, told_at) = self.condition?;
         let is_recent = now.saturating_duration_since(told_at) < MAX_CONDITION_AGE;
@@ -158,13 +159,14 @@
         before == leaving
     }
 
-    /// Records what a host tells about itself. Returns whether that differs from what it told
-    /// before, which changes the hosts that callers are sent to.
+    /// Records what a host tells about itself. Returns whether that differs, in what matters to
+    /// callers and relays, from what it told before.
     pub fn record_condition(&mut self, now: Instant, name: &str, condition: HostCondition) -> bool {
         let Some(host) = self.hosts.get_mut(name) else {
             return false;
         };
         let before = host.condition(now);
+        let condition = condition.significant();
         host.condition = Some((condition, now));
         before.unwrap_or_default() != condition
     }
--- a/crates/steering/src/route/look_up_host.rs
+++ b/crates/steering/src/route/look_up_host.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::host_condition::HostCondition;
+use super::host_condition::{FULL_USE_PER_MILLE, HostCondition};
 use crate::host_capacity::HostCapacity;
 use crate::ids::ZoneName;
 
@@ -12,8 +12,6 @@
 /// Use that weighs no less than this, so that a host that is very busy still gets callers by which
 /// it notices that it is no longer busy, in thousandths.
 const MAX_USE_PER_MILLE: u16 = 4_000;
-/// Use of a host whose resources suffice, in thousandths.
-const FULL_USE_PER_MILLE: u16 = 1_000;
 
 /// A host that callers may be sent to.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/steering/tests/route_hosts.rs
+++ b/crates/steering/tests/route_hosts.rs
@@ -8,7 +8,7 @@
 use steering::membership::HostEntry;
 use steering::rendezvous;
 use steering::route::{
-    Changes, FeedRank, HostTable, PollSchedule, Record, UpdateKind, host_groups,
+    Changes, FeedRank, HostCondition, HostTable, PollSchedule, Record, UpdateKind, host_groups,
 };
 
 fn rank(feed: &str, host: &str) -> FeedRank {
@@ -80,6 +80,58 @@
     assert_eq!(names, ["heard", "not-listed", "unheard"]);
 }
 
+fn told(is_cut_off: bool, use_per_mille: u16) -> HostCondition {
+    HostCondition {
+        is_cut_off,
+        use_per_mille,
+        relay_use_per_mille: 0,
+    }
+}
+
+/// What a host told a second ago, what it tells now, and whether others decide differently.
+#[rstest]
+#[case::first_and_idle(None, told(false, 300), false)]
+#[case::first_and_busy(None, told(false, 1_300), true)]
+#[case::use_within_capacity_varies(Some(told(false, 300)), told(false, 900), false)]
+#[case::becomes_busy(Some(told(false, 900)), told(false, 1_100), true)]
+#[case::busier(Some(told(false, 1_100)), told(false, 1_200), true)]
+#[case::cut_off(Some(told(false, 0)), told(true, 0), true)]
+#[case::no_longer_cut_off(Some(told(true, 0)), told(false, 0), true)]
+#[case::the_same(Some(told(true, 1_500)), told(true, 1_500), false)]
+fn condition_of_a_host_matters_where_others_decide_by_it(
+    #[case] before: Option<HostCondition>,
+    #[case] told: HostCondition,
+    #[case] matters: bool,
+) {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(1);
+    let mut host_table = HostTable::default();
+    host_table.record_heartbeat(now, &host("a"), 1, false);
+    if let Some(before) = before {
+        host_table.record_condition(now, "a", before);
+    }
+    assert_eq!(host_table.record_condition(later, "a", told), matters);
+}
+
+#[test]
+fn condition_of_a_silent_or_restarted_host_is_forgotten() {
+    let now = Instant::now();
+    let later = |ms| now + Duration::from_millis(ms);
+    let mut host_table = HostTable::default();
+    host_table.record_heartbeat(now, &host("a"), 1, false);
+    host_table.record_condition(now, "a", told(true, 0));
+    let condition = |table: &HostTable, at| table.get("a").unwrap().condition(at);
+    assert_eq!(condition(&host_table, later(3_400)), Some(told(true, 0)));
+    assert_eq!(
+        condition(&host_table, later(3_600)),
+        None,
+        "frozen or killed"
+    );
+    host_table.record_condition(later(4_000), "a", told(true, 0));
+    host_table.record_heartbeat(later(4_100), &host("a"), 2, false);
+    assert_eq!(condition(&host_table, later(4_200)), None, "started again");
+}
+
 #[test]
 fn own_pause_does_not_count_as_silence_of_others() {
     let now = Instant::now();
--- a/crates/steering/tests/route_upstream_paths.rs
+++ b/crates/steering/tests/route_upstream_paths.rs
@@ -275,6 +275,18 @@
     assert_eq!(firsts, ["a", "b", "c"]);
 }
 
+/// A host that reaches some zone's upstreams itself is not cut off.
+#[rstest]
+#[case::no_zone(&[], false)]
+#[case::a_relayed_one(&["a"], true)]
+#[case::one_of_two(&["a", "b"], false)]
+fn host_is_cut_off_if_all_zones_are_relayed(#[case] zones: &[&str], #[case] expected: bool) {
+    let mut paths = UpstreamPaths::default();
+    *paths.zone("a") = relayed(Instant::now());
+    let zones: Vec<String> = zones.iter().map(|zone| (*zone).to_owned()).collect();
+    assert_eq!(paths.are_all_relayed(&zones), expected);
+}
+
 fn relays_used(relay_use_per_mille: u16) -> HostCondition {
     HostCondition {
         relay_use_per_mille,
