The trial of a roll-out gets 0.35 of the bound's share

Cause: with a quarter, half of the good versions at 1,400 requests a second and 88 hosts were undecided at 0.6 of an order of 12 s, so that they got the second share and moved late.

--- a/crates/steering/src/route/rollout/coordinator.rs
+++ b/crates/steering/src/route/rollout/coordinator.rs
@@ -15,7 +15,7 @@
 
 /// Share of the requests on trial, relative to the operator's bound. The rest of the bound is
 /// for the time from the move to the deadline.
-const FIRST_SHARE: f64 = 0.25;
+const FIRST_SHARE: f64 = 0.35;
 /// Share of the requests on trial if the first share does not decide.
 const SECOND_SHARE: f64 = 0.8;
 /// Part of the order's time after which a version that is not decided gets the second share.
