A host that is cut off in a trial serves its callers when the old version ends

Cause: `completed` ends the old upstreams at once. A host that reached neither other hosts nor the store knew only the trial, and its state was too old to try anything: its callers got nothing until the cut ended.

Change: LastResort. Once no upstream of the old version can be reached in any region that the request may go to, a host whose state is older than half of the time to stop sends to the upstreams on trial, until its own answers speak against them. Not after a stop or roll-back that it knows, not while upstreams are full, rest or are at their limits. Hosts in touch are as before. Counted in stagedeck_last_resort_sends_total.

--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -6,11 +6,11 @@
 
 use hyper::Response;
 use hyper::http::request::Parts;
-use steering::ids::ServiceName;
+use steering::ids::{RegionName, ServiceName};
 use steering::route::{
-    Admission, CallerAttempt, Choice, RegionPool, Requirements, RetryDecision, Route, SendOutcome,
-    Sender, Unavailable, UnavailableCause, UpstreamId, WorkEvent, WorkIdentity, acceptable_wait,
-    choose, decide_retry,
+    Admission, CallerAttempt, Choice, LastResort, RegionPool, Requirements, RetryDecision, Route,
+    SendOutcome, Sender, ServicePool, Unavailable, UnavailableCause, UpstreamId, WorkEvent,
+    WorkIdentity, acceptable_wait, choose, decide_retry,
 };
 use tokio::task::spawn_local;
 use upstream::{Body, RequestBody};
@@ -269,9 +269,49 @@
                 break;
             }
         }
+        let last_resort = self.versions_of_last_resort(pool, destination, &unavailable, now);
+        for (region, other) in last_resort {
+            let is_own_region = *region == settings.region;
+            requirements.region_hosts = view.region_hosts.as_deref().filter(|_| is_own_region);
+            if let Ok(choice) = choose(other, &requirements, now) {
+                metrics::counter!("stagedeck_last_resort_sends_total").increment(1);
+                return Ok(choice);
+            }
+        }
         Err(self.selection_error(unavailable))
     }
 
+    /// The upstreams on trial by region, if this host may use them because it is cut off and
+    /// the old version is gone.
+    fn versions_of_last_resort<'p>(
+        &self,
+        pool: &'p ServicePool,
+        destination: &Destination,
+        unavailable: &Unavailable,
+        now: Instant,
+    ) -> Vec<(&'p RegionName, &'p RegionPool)> {
+        let trial = pool.rollout.as_ref();
+        let Some(trial) = trial.filter(|rollout| rollout.trial_per_mille.is_some()) else {
+            return Vec::new();
+        };
+        let common = &self.traffic.common;
+        let service = &destination.service;
+        let last_resort = LastResort {
+            is_in_touch: knows_rollout(self.traffic, &common.bounds(), now),
+            unavailable,
+            counts: &common.rollouts.counts(service, trial.order_revision),
+        };
+        if !last_resort.allows() {
+            return Vec::new();
+        }
+        let regions = destination.regions_to_ask(pool, self.route, self.sender);
+        let others = regions.into_iter().filter_map(|(region, pool)| {
+            let other = pool.other_version.as_deref()?;
+            Some((region, other))
+        });
+        others.collect()
+    }
+
     /// Selects an upstream during a roll-out, in which some upstreams have another version.
     fn choose_version(
         &self,
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -104,7 +104,7 @@
 pub use retry_decision::{RetryDecision, SendOutcome, decide_retry};
 pub use rollout::{
     ActiveRollout, AnswerCounts, AnswerQuality, Coordinator, Evidence, ExposureBound, HostProgress,
-    Incumbent, IncumbentReason, ListCondition, OrderError, RolloutOrder, RolloutReason,
+    Incumbent, IncumbentReason, LastResort, ListCondition, OrderError, RolloutOrder, RolloutReason,
     RolloutStage, RolloutStatus, RolloutStop, Rollouts, RouteCounts, ServiceVersions,
     SoftwareVersion, StageChange, Succession, TrialShare, Verdict, VersionRule, VersionUpstreams,
     VersionUsage,
--- a/crates/steering/src/route/rollout/mod.rs
+++ b/crates/steering/src/route/rollout/mod.rs
@@ -7,6 +7,7 @@
 mod coordinator;
 mod evidence;
 mod incumbent;
+mod last_resort;
 mod moved;
 mod order;
 mod rollouts;
@@ -21,6 +22,7 @@
 pub use coordinator::{Coordinator, HostProgress, StageChange};
 pub use evidence::{AnswerCounts, AnswerQuality, Evidence, RouteCounts};
 pub use incumbent::{Incumbent, IncumbentReason};
+pub use last_resort::LastResort;
 pub use order::{OrderError, RolloutOrder, SoftwareVersion};
 pub use rollouts::{ActiveRollout, Rollouts};
 pub use service_versions::{ServiceVersions, VersionUpstreams};
