An order back to the version in use ends the trial that it replaces

Cause: an order to the version that runs already was tried against itself: a status of its own, rolled back in the end, which drains the version in use; the roll-out that it replaced was never written as ended.

Change: an order to the version in use is refused (SameVersion), also while other versions are listed. The undecided roll-out whose order a refused one has replaced is written as rolled back.

--- a/crates/gateway/src/control/rollouts.rs
+++ b/crates/gateway/src/control/rollouts.rs
@@ -164,7 +164,7 @@
                             let version = &order.to_version;
                             tracing::warn!(event = "rollout_refused", service, version, %error);
                         }
-                        None
+                        self.end_replaced(rollout, &service)
                     }
                 },
                 (_, None) => None,
@@ -198,7 +198,9 @@
         if !known_state.has_service(&order.service) {
             return Err(OrderError::UnknownService);
         }
-        match known_state.has_only_version(&order.service, &order.to_version) {
+        let incumbent = known_state.rollouts().incumbent(&order.service);
+        let is_in_use = incumbent.is_some_and(|known| known.version == order.to_version);
+        match is_in_use || known_state.has_only_version(&order.service, &order.to_version) {
             true => Err(OrderError::SameVersion),
             false => Ok(()),
         }
@@ -249,6 +251,24 @@
         }
     }
 
+    /// Rolls back the undecided roll-out whose order was replaced by one that is refused, such
+    /// as one to the version in use. Operators would read it as active for good.
+    fn end_replaced(
+        &self,
+        rollout: &CoordinatedRollout,
+        service: &ServiceName,
+    ) -> Option<RolloutStatus> {
+        let known_state = self.known_state.borrow();
+        let known = known_state.rollouts().status(service)?;
+        let last = rollout.last_status.as_ref();
+        let status = last
+            .filter(|last| last.is_newer_than(known))
+            .unwrap_or(known);
+        let status = (!status.stage.is_final()).then(|| status.clone())?;
+        drop(known_state);
+        self.next_status(rollout, None, status, None)
+    }
+
     /// Tells all hosts of a roll-back before it is written: the store may accept no writes.
     fn tell_stop(&self, status: &RolloutStatus) {
         let known_state = self.known_state.borrow();
