A region starts with the share of requests that it has room for

Cause: the share of a service's requests that stays in a small region starts with its share of slots, as if all requests had the same work, and grows by steps of some .04 a second. Where long work leaves first, the same slots bear more requests: with a fourth of the slots, all short work and a part of the long work, but .25 of the requests stayed at first.

Change: the share of slots is a share of the work; with short and long work it is turned into requests, at the start and as the bound of the share while other regions are less full. A host has not seen both lengths when it decides its first requests, so the start may change within the first 8; from then on the share moves by the same steps as before. With one length of work nothing changes.

route_work_mix: cases for the room and for the start.

--- a/crates/gateway/src/traffic/stats.rs
+++ b/crates/gateway/src/traffic/stats.rs
@@ -93,15 +93,7 @@
         position: f64,
         now: Instant,
     ) -> bool {
-        if !self.region_shares.contains_key(service) {
-            let share = RegionShare::new(free_capacity_fraction(
-                pool,
-                &self.region,
-                now,
-                self.average_latency(service),
-            ));
-            self.region_shares.insert(service.to_owned(), share);
-        }
+        self.start_region_share(service, pool, now);
         let Some(share) = self.region_shares.get_mut(service) else {
             return true;
         };
@@ -119,6 +111,27 @@
         stays
     }
 
+    /// Starts a service's share with the region's capacity. Until a few requests have been
+    /// decided, the share follows what they tell of the lengths of the work.
+    fn start_region_share(&mut self, service: &str, pool: &ServicePool, now: Instant) {
+        let known = self.region_shares.get(service);
+        if known.is_some_and(|share| !share.is_starting()) {
+            return;
+        }
+        let average = self.average_latency(service);
+        let by_capacity = free_capacity_fraction(pool, &self.region, now, average);
+        let unlike = self.mixes.get(service).filter(|mix| mix.is_unlike());
+        let share = unlike.map_or(by_capacity, |mix| mix.share_of_requests(by_capacity));
+        match self.region_shares.get_mut(service) {
+            Some(known) if unlike.is_some() => known.start_with(share),
+            Some(_) => {}
+            None => drop(
+                self.region_shares
+                    .insert(service.to_owned(), RegionShare::new(share)),
+            ),
+        }
+    }
+
     /// Counts a request to a service for its retry budget.
     pub fn count_request(&mut self, service: &str, bounds: &Bounds, now: Instant) {
         self.retry_share(service, bounds).request(now);
@@ -285,8 +298,10 @@
             let others_use = others.map(|(_, pool)| pool.utilization(now, hosts, average));
             let before = share.share();
             let others_use = others_use.fold(f64::INFINITY, f64::min);
-            let free_capacity_fraction = free_capacity_fraction(pool, &self.region, now, average);
-            share.adapt(step, own_use, others_use, free_capacity_fraction);
+            let by_capacity = free_capacity_fraction(pool, &self.region, now, average);
+            let mix = self.mixes.get(service);
+            let by_capacity = mix.map_or(by_capacity, |mix| mix.share_of_requests(by_capacity));
+            share.adapt(step, own_use, others_use, by_capacity);
             if before != share.share() {
                 let own = share.share();
                 tracing::info!(event = "region_share", service, own, own_use);
--- a/crates/steering/src/route/spread.rs
+++ b/crates/steering/src/route/spread.rs
@@ -9,6 +9,8 @@
 /// Share of [`MAX_DEVIATION`] from which the requests whose length makes them the first ones
 /// to correct a deviation do so.
 const FIRST_DEVIATION_SHARE: f64 = 0.5;
+/// Number of requests after which a share changes by steps only.
+const START_REQUESTS: u64 = 8;
 /// Utilization of the own region above which more requests go to other regions.
 const HIGH_UTILIZATION: f64 = 0.85;
 /// Utilization of the own region below which more requests stay.
@@ -51,6 +53,8 @@
     share: f64,
     /// Requests owed to the own region.
     owed: f64,
+    /// Number of requests so far.
+    requests: u64,
 }
 
 impl RegionShare {
@@ -59,6 +63,20 @@
         RegionShare {
             share: by_capacity,
             owed: 0.0,
+            requests: 0,
+        }
+    }
+
+    /// Returns whether so few requests have been decided that the share may be another one
+    /// at once: this host may not yet have seen of which lengths the work is.
+    pub fn is_starting(&self) -> bool {
+        self.requests < START_REQUESTS
+    }
+
+    /// Sets the share, unless more than a few requests have been decided.
+    pub fn start_with(&mut self, share: f64) {
+        if self.is_starting() {
+            self.share = share;
         }
     }
 
@@ -126,6 +144,7 @@
         max_excess: f64,
     ) -> bool {
         self.owed += self.share;
+        self.requests += 1;
         let mut stays = object_position < objects_share;
         if self.owed > max_lack && self.share > 0.0 {
             stays = true;
@@ -142,7 +161,7 @@
 
     /// Adjusts the share by at most `step`, given the utilization of the own region and of
     /// the least loaded other region; 1 is full. `by_capacity` is the region's current
-    /// share of capacity.
+    /// share of capacity, as a share of the requests.
     ///
     /// While other regions have lower utilization, the share is bounded by the region's
     /// slots. A region with a tenth of all slots that takes back all work of its callers at
--- a/crates/steering/src/route/work_mix.rs
+++ b/crates/steering/src/route/work_mix.rs
@@ -115,6 +115,29 @@
         })
     }
 
+    /// Returns whether the service has short and long work.
+    pub fn is_unlike(&self) -> bool {
+        self.long_from.is_some()
+    }
+
+    /// Returns the share of the requests that a region has room for if it has room for a
+    /// share of their work and long work leaves first. Both are the same while the goals
+    /// are alike.
+    pub fn share_of_requests(&self, share_of_work: f64) -> f64 {
+        if !self.is_unlike() {
+            return share_of_work;
+        }
+        let [short_s, long_s] = self.work_s;
+        let (short, long) = (short_s * (1.0 - self.long_share), long_s * self.long_share);
+        let room = share_of_work * (short + long);
+        if short <= 0.0 || long <= 0.0 {
+            return share_of_work;
+        }
+        let short_stays = (room / short).min(1.0);
+        let long_stays = ((room - short) / long).clamp(0.0, 1.0);
+        (1.0 - self.long_share) * short_stays + self.long_share * long_stays
+    }
+
     /// Returns the average work time of a length.
     pub fn average_work(&self, length: WorkLength) -> Duration {
         Duration::from_secs_f64(self.work_s[length as usize])
--- a/crates/steering/tests/route_work_mix.rs
+++ b/crates/steering/tests/route_work_mix.rs
@@ -167,3 +167,32 @@
         assert_eq!(stays, by_objects.keeps_local(position));
     }
 }
+
+/// Share of the work that a region has room for, and the share of the requests that stays:
+/// five of eleven requests, with a seventh of the work, are short.
+#[rstest]
+#[case::none(0.0, 0.0)]
+#[case::half_of_the_short_work(1.0 / 14.0, 5.0 / 22.0)]
+#[case::all_short_work(1.0 / 7.0, 5.0 / 11.0)]
+#[case::and_half_of_the_long_work(4.0 / 7.0, 8.0 / 11.0)]
+#[case::all(1.0, 1.0)]
+fn room_for_work_is_room_for_more_short_requests(#[case] of_work: f64, #[case] of_requests: f64) {
+    let unlike = mix(&[300, 1_500]);
+    let share = unlike.share_of_requests(of_work);
+    assert!((share - of_requests).abs() < 1e-9, "{share}");
+    assert_eq!(mix(&[400, 500]).share_of_requests(of_work), of_work);
+}
+
+/// Number of requests before the start with another share.
+#[rstest]
+#[case::none(0, 0.6)]
+#[case::few(7, 0.6)]
+#[case::more(8, 0.25)]
+fn share_starts_anew_within_the_first_requests_only(#[case] requests: u32, #[case] share: f64) {
+    let mut region_share = RegionShare::new(0.25);
+    for _ in 0..requests {
+        region_share.keeps_local(0.5);
+    }
+    region_share.start_with(0.6);
+    assert_eq!(region_share.share(), share);
+}
