--- a/crates/steering/tests/route_work_lengths.rs
+++ b/crates/steering/tests/route_work_lengths.rs
@@ -6,9 +6,11 @@
 use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
-use route_world::{pool, service};
+use route_world::{choose, pool, requirements, service};
 use rstest::rstest;
-use steering::route::{PoolPart, ShortShare, WorkLength, WorkMix, unit_hash};
+use steering::route::{
+    AnswerOutcome, PoolPart, Requirements, ShortShare, WorkLength, WorkMix, unit_hash,
+};
 use work_length_world::{Kind, Outcome, World};
 
 const UPSTREAMS: usize = 24;
@@ -212,3 +214,29 @@
     let elsewhere = mix.part(WorkLength::Short, false);
     assert!(elsewhere.is_some_and(|part| part.short_share < 0.5));
 }
+
+/// All upstreams of the part for short work cannot be reached.
+#[test]
+fn short_work_goes_to_the_others_if_its_part_is_lost() {
+    let now = Instant::now();
+    let service = service(16, Duration::ZERO, now);
+    let pool = pool(&service);
+    let part = Some(PoolPart {
+        length: WorkLength::Short,
+        short_share: 0.25,
+    });
+    let requirements = Requirements {
+        part,
+        ..requirements(&service, None)
+    };
+    let home = choose(pool, &requirements, now).unwrap();
+    let ranked: Vec<usize> = pool.rank_for(requirements.object, part).collect();
+    let id = |place: usize| &pool.upstreams[ranked[place]].report.id;
+    assert_eq!(home.upstream.report.id, *id(0));
+    for index in &ranked[..4] {
+        let mut state = pool.upstreams[*index].state();
+        state.answered(now, AnswerOutcome::Unreachable);
+    }
+    let other = choose(pool, &requirements, now).unwrap();
+    assert_eq!(other.upstream.report.id, *id(4));
+}
