--- a/crates/gateway/src/control/incumbents.rs
+++ b/crates/gateway/src/control/incumbents.rs
@@ -51,7 +51,7 @@
         Ok(rows)
     }
 
-    /// Reads what earlier pollers have written, which they may not have told anybody.
+    /// Reads what earlier pollers have written, and may not have sent to other hosts.
     async fn read_incumbents(&self) -> Option<KnownRows> {
         let rows = match self.read_versions().await {
             Ok(rows) => rows,
--- a/crates/gateway/src/control/rollouts.rs
+++ b/crates/gateway/src/control/rollouts.rs
@@ -203,8 +203,8 @@
         }
     }
 
-    /// Tells the coordinator of a roll-out when hosts were last heard. A host may be slow to
-    /// report because its machine is slow, and still send requests.
+    /// Informs the coordinator of a roll-out when the last message of each host arrived. A host may
+    /// be slow to report because its machine is slow, and still send requests.
     fn note_heard(&self, service: &ServiceName) {
         let known_state = self.known_state.borrow();
         let mut coordinated = self.coordinated.borrow_mut();
@@ -298,7 +298,7 @@
         self.next_status(rollout, None, status, None)
     }
 
-    /// Tells all hosts of a roll-back before it is written: the store may accept no writes.
+    /// Sends a roll-back to all hosts before it is written: the store may accept no writes.
     fn tell_stop(&self, status: &RolloutStatus) {
         let known_state = self.known_state.borrow();
         let is_known = known_state.rollouts().is_stopped(&status.service);
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -116,7 +116,7 @@
     pub limits: LimitCalls,
     pub suspects: Arc<SharedSuspects>,
     pub rollouts: Arc<RolloutCounters>,
-    /// What this host tells others about itself.
+    /// What this host reports to others about itself.
     pub condition: Arc<ArcSwap<HostCondition>>,
     /// Key shared by all hosts, by which they prove themselves for relays; none until it is known.
     pub relay_key: Arc<ArcSwapOption<Vec<u8>>>,
--- a/crates/gateway/src/traffic/own_condition.rs
+++ b/crates/gateway/src/traffic/own_condition.rs
@@ -1,4 +1,4 @@
-//! What this host tells others about itself.
+//! What this host reports to others about itself.
 
 use std::io;
 use std::sync::Arc;
@@ -10,7 +10,7 @@
 
 use super::{ADAPT_INTERVAL, Traffic};
 
-/// Step of the use of relays that is told, in thousandths.
+/// Step of the reported use of relays, in thousandths.
 const RELAY_STEP_PER_MILLE: u32 = 100;
 const PER_MILLE: u32 = 1_000;
 
--- a/crates/gateway/src/traffic/stats.rs
+++ b/crates/gateway/src/traffic/stats.rs
@@ -112,7 +112,7 @@
     }
 
     /// Starts a service's share with the region's capacity. Until a few requests have been
-    /// decided, the share follows what they tell of the lengths of the work.
+    /// decided, the share follows what they show of the lengths of the work.
     fn start_region_share(&mut self, service: &str, pool: &ServicePool, now: Instant) {
         let known = self.region_shares.get(service);
         if known.is_some_and(|share| !share.is_starting()) {
--- a/crates/peer/src/messages.rs
+++ b/crates/peer/src/messages.rs
@@ -41,7 +41,7 @@
     pub revision: Revision,
     /// Load of the sender's own pools, summed by service.
     pub loads: Vec<ServiceLoad>,
-    /// What the sender tells about itself.
+    /// What the sender reports about itself.
     pub condition: Option<HostCondition>,
 }
 
--- a/crates/steering/src/route/host_condition.rs
+++ b/crates/steering/src/route/host_condition.rs
@@ -1,4 +1,4 @@
-//! What a host tells others about itself.
+//! What a host reports to others about itself.
 
 use std::time::Duration;
 
@@ -7,7 +7,7 @@
 /// Age from which a host's condition says nothing any more.
 pub const MAX_CONDITION_AGE: Duration = Duration::from_millis(3_500);
 
-/// Condition of a host, as it tells it on its heartbeats.
+/// Condition of a host, as it reports it on its heartbeats.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostCondition {
     /// Whether the host reaches no upstream itself, so that other hosts relay all of its
--- a/crates/steering/src/route/host_table.rs
+++ b/crates/steering/src/route/host_table.rs
@@ -36,7 +36,7 @@
     /// Whether the store's list has, or had, its row.
     listed: bool,
     leaving: bool,
-    /// What the host last told about itself, and when.
+    /// What the host last reported about itself, and when.
     condition: Option<(HostCondition, Instant)>,
 }
 
@@ -47,8 +47,8 @@
         self.last_heard
     }
 
-    /// Returns what the host has told about itself, unless that is too old; with a use of 0 if its
-    /// resources suffice.
+    /// Returns what the host has reported about itself, unless that is too old; with a use of 0 if
+    /// its resources suffice.
     pub fn condition(&self, now: Instant) -> Option<HostCondition> {
         let (condition, told_at) = self.condition?;
         let is_recent = now.saturating_duration_since(told_at) < MAX_CONDITION_AGE;
@@ -165,7 +165,7 @@
         before == leaving
     }
 
-    /// Records what a host tells about itself. Returns whether that differs, in what matters to
+    /// Records what a host reports about itself. Returns whether that differs, in what matters to
     /// callers and relays, from what it told before.
     pub fn record_condition(&mut self, now: Instant, name: &str, condition: HostCondition) -> bool {
         let Some(host) = self.hosts.get_mut(name) else {
--- a/crates/steering/src/route/host_use.rs
+++ b/crates/steering/src/route/host_use.rs
@@ -9,9 +9,9 @@
 const AVERAGE_SPAN: Duration = Duration::from_secs(5);
 /// Largest use of one interval. After a freeze, which lasts longer, a host is soon as it was.
 const MAX_USE: f64 = 4.0;
-/// Step of the use that is told, in thousandths.
+/// Step of the reported use, in thousandths.
 const STEP_PER_MILLE: f64 = 100.0;
-/// Change beyond the middle between two steps from which the next one is told, in steps.
+/// Change beyond the middle between two steps from which the next one is reported, in steps.
 const HYSTERESIS_STEPS: f64 = 0.25;
 
 /// What a host measured over an interval.
@@ -29,7 +29,7 @@
 #[derive(Debug, Default)]
 pub struct HostUse {
     average: Average,
-    /// Last use told, in steps.
+    /// Last reported use, in steps.
     told_steps: u16,
 }
 
--- a/crates/steering/src/route/look_up_host.rs
+++ b/crates/steering/src/route/look_up_host.rs
@@ -22,7 +22,7 @@
     pub zone: ZoneName,
     /// Capacity of its machine.
     pub capacity: HostCapacity,
-    /// What the host last told about itself; the default value if that is unknown or too old.
+    /// What the host last reported about itself; the default value if that is unknown or too old.
     pub condition: HostCondition,
 }
 
--- a/crates/steering/src/route/rollout/moved.rs
+++ b/crates/steering/src/route/rollout/moved.rs
@@ -6,7 +6,7 @@
 use super::status::RolloutStatus;
 use crate::ids::HostName;
 
-/// Age up to which a report holds. A host that hears nothing for longer goes back to the old
+/// Age up to which a report holds. A host that receives nothing for longer goes back to the old
 /// version by itself.
 const REPORT_VALID_FOR: Duration = Duration::from_secs(2);
 /// Time without any message of a host after which it counts as gone.
--- a/crates/steering/src/route/upstream_paths/relay_host.rs
+++ b/crates/steering/src/route/upstream_paths/relay_host.rs
@@ -20,7 +20,7 @@
     pub region: RegionName,
     /// Address to which relays are requested.
     pub address: SocketAddr,
-    /// What the host last told about itself; the default value if that is unknown or too old.
+    /// What the host last reported about itself; the default value if that is unknown or too old.
     pub condition: HostCondition,
 }
 
--- a/crates/steering/src/route/work_mix.rs
+++ b/crates/steering/src/route/work_mix.rs
@@ -1,4 +1,4 @@
-//! Tells the short work of a service from its long work.
+//! Distinguishes the short work of a service from its long work.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -222,7 +222,7 @@
         self.is_short_urgent = short.max() < long.min();
     }
 
-    /// Starts with what the goals tell, without any request.
+    /// Starts with what the goals show, without any request.
     fn start_anew(&mut self) {
         let Some(long_from) = self.long_from else {
             return;
