--- a/crates/gateway/src/control/known_state.rs
+++ b/crates/gateway/src/control/known_state.rs
@@ -482,7 +482,7 @@
     }
 
     /// The other hosts that callers may be sent to, by region. Until this host is ready, it has
-    /// heard few of them, so that those of its region are all presumed to be alive.
+    /// messages of few of them, so that those of its region are all presumed to be alive.
     fn advertised_hosts(&self, now: Instant) -> BTreeMap<RegionName, Vec<LookUpHost>> {
         let mut advertised: BTreeMap<RegionName, Vec<LookUpHost>> = BTreeMap::new();
         let region_of = |host: &KnownHost| self.regions.get(&host.entry.zone);
--- a/crates/steering/src/route/host_table.rs
+++ b/crates/steering/src/route/host_table.rs
@@ -166,7 +166,7 @@
     }
 
     /// Records what a host reports about itself. Returns whether that differs, in what matters to
-    /// callers and relays, from what it told before.
+    /// callers and relays, from what it reported before.
     pub fn record_condition(&mut self, now: Instant, name: &str, condition: HostCondition) -> bool {
         let Some(host) = self.hosts.get_mut(name) else {
             return false;
@@ -192,7 +192,7 @@
             .filter(move |host| is_advertised(host, now))
     }
 
-    /// Returns the listed hosts that this host has not heard since it started, and those to
+    /// Returns the listed hosts without a message since this host started, and those to
     /// advertise. Most of them are alive.
     pub fn presumed(&self, now: Instant) -> impl Iterator<Item = &KnownHost> {
         let is_unheard = |host: &KnownHost| host.listed && host.last_heard.is_none();
