--- a/crates/steering/src/route/caller_timeouts.rs
+++ b/crates/steering/src/route/caller_timeouts.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use super::pace::CallerAttempt;
-
 /// Share of the longest timeout below which a caller counts as returning: it has spent most
 /// of a round trip and of a pause elsewhere.
 const RETURNING_TIMEOUT_SHARE: f64 = 0.97;
@@ -11,6 +9,15 @@
 /// longer timeout than all others is forgotten after some hundred callers.
 const LONGEST_DECAY: f64 = 0.999;
 
+/// Whether a request's caller was refused before, as far as can be known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallerAttempt {
+    /// The caller's first request; if refused, the caller tries again.
+    First,
+    /// A later request of the caller; if refused again, the caller gives up.
+    Later,
+}
+
 /// Timeout that callers of a route state on their first request, learned from the stated
 /// timeouts.
 ///
--- a/crates/steering/src/route/choice.rs
+++ b/crates/steering/src/route/choice.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::cold_sends::cold_share;
 use super::estimate::{Affinity, LastSent};
 use super::expectation::{Expectation, UpstreamSnapshot, predict};
-use super::pace::cold_share;
 use super::region_pool::RegionPool;
 use super::reported_upstream::UpstreamId;
 use super::requirements::Requirements;
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -11,11 +11,13 @@
 mod catalog;
 mod change_report;
 mod choice;
+mod cold_sends;
 mod customer;
 mod document;
 mod document_change;
 mod estimate;
 mod evacuations;
+mod event_window;
 mod expectation;
 mod feed;
 mod feed_rank;
@@ -35,7 +37,6 @@
 mod look_up_hosts;
 mod object_hash;
 mod observed_state;
-mod pace;
 mod poll_schedule;
 mod pool_part;
 mod quantile;
@@ -46,6 +47,7 @@
 mod reported_upstream;
 mod requirements;
 mod retry_decision;
+mod retry_share;
 mod rollout;
 mod sent_objects;
 mod service_pool;
@@ -70,10 +72,11 @@
     ZoneLoan, group_of,
 };
 pub use bootstrap_tree::BootstrapTree;
-pub use caller_timeouts::CallerTimeouts;
+pub use caller_timeouts::{CallerAttempt, CallerTimeouts};
 pub use catalog::{Catalog, CatalogChange};
 pub use change_report::ChangeReport;
 pub use choice::{Choice, acceptable_wait, choose};
+pub use cold_sends::{ColdSends, cold_share};
 pub use customer::{Allowance, AuthError, Credentials, Customer, CustomerTable, Sender};
 pub use document::{CallerLimits, Route, RouteDocument, ServiceTerms, WeightedService};
 pub use document_change::DocumentChange;
@@ -103,7 +106,6 @@
 pub use look_up_hosts::look_up_hosts;
 pub use object_hash::{object_hash, unit_hash};
 pub use observed_state::ObservedState;
-pub use pace::{CallerAttempt, ColdSends, RetryShare, cold_share};
 pub use poll_schedule::{PollSchedule, UpdateKind};
 pub use pool_part::PoolPart;
 pub use quantile::Quantile;
@@ -114,6 +116,7 @@
 pub use reported_upstream::{ReportedUpstream, UpstreamId};
 pub use requirements::Requirements;
 pub use retry_decision::{RetryDecision, SendOutcome, decide_retry};
+pub use retry_share::RetryShare;
 pub use rollout::{
     ActiveRollout, AnswerCounts, AnswerQuality, Coordinator, Evidence, ExposureBound, HostProgress,
     Incumbent, IncumbentReason, LastResort, ListCondition, OrderError, RolloutOrder, RolloutReason,
--- a/crates/steering/src/route/pace.rs
+++ b/crates/steering/src/route/retry_share.rs
@@ -1,39 +1,15 @@
-//! This host's share of limits that all hosts share.
+//! This host's share of the retries that all hosts together may send to a service.
 //!
 //! Each host uses a fixed share that depends on the number of hosts that may exist. The
-//! shares together never exceed the limit, and no message is needed before a request.
+//! shares together never exceed the limit, and no message is needed before a retry.
 
-use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use crate::ids::HostName;
-use crate::rendezvous;
+use super::caller_timeouts::CallerAttempt;
+use super::event_window::EventWindow;
 
-/// Share of a limit that is used: requests sent in one window may arrive in another.
+/// Share of the limit that is used: requests sent in one window may arrive in another.
 const USED_SHARE: f64 = 0.85;
-/// Window over which a cold upstream's requests are counted.
-const COLD_WINDOW: Duration = Duration::from_millis(1_100);
-
-/// Times of events within a sliding window.
-#[derive(Debug, Default)]
-struct EventWindow(VecDeque<Instant>);
-
-impl EventWindow {
-    fn count(&mut self, now: Instant, window: Duration) -> usize {
-        while self
-            .0
-            .front()
-            .is_some_and(|at| now.saturating_duration_since(*at) >= window)
-        {
-            self.0.pop_front();
-        }
-        self.0.len()
-    }
-
-    fn add(&mut self, now: Instant) {
-        self.0.push_back(now);
-    }
-}
 
 /// Returns a host's share of a limit. The share is zero while the hosts are unknown: after
 /// a restart of all hosts each would otherwise use the whole limit.
@@ -41,51 +17,6 @@
     hosts.map_or(0.0, |hosts| limit / hosts.max(1) as f64)
 }
 
-/// Returns the number of requests that `this_host` may send to a cold upstream in a window,
-/// given the `max_per_s` that the upstream may receive per second. `hosts` are the hosts
-/// that may send to it, `this_host` among them; `None` while they are unknown.
-///
-/// If there are more hosts than requests, each request is assigned to one host by the
-/// upstream's rendezvous ranking.
-pub fn cold_share(
-    max_per_s: f64,
-    upstream: &str,
-    this_host: &str,
-    hosts: Option<&[HostName]>,
-) -> usize {
-    let Some(hosts) = hosts else { return 0 };
-    let max_per_window = (max_per_s * USED_SHARE).floor().max(0.0) as usize;
-    let each = max_per_window / hosts.len().max(1);
-    if each > 0 {
-        return each;
-    }
-    let ranked = rendezvous::rank(upstream, hosts.iter().map(String::as_str));
-    usize::from(
-        ranked
-            .iter()
-            .take(max_per_window)
-            .any(|host| *host == this_host),
-    )
-}
-
-/// Recent requests sent by this host to a cold upstream.
-#[derive(Debug, Default)]
-pub struct ColdSends {
-    sent: EventWindow,
-}
-
-impl ColdSends {
-    /// Returns whether another request fits into this host's share of a window.
-    pub fn has_room(&mut self, now: Instant, share: usize) -> bool {
-        self.sent.count(now, COLD_WINDOW) < share
-    }
-
-    /// Counts a request.
-    pub fn take(&mut self, now: Instant) {
-        self.sent.add(now);
-    }
-}
-
 /// This host's share of the retries allowed for a service.
 #[derive(Debug, Default)]
 pub struct RetryShare {
@@ -104,15 +35,6 @@
     returning_failures: EventWindow,
 }
 
-/// Whether a request's caller was refused before, as far as can be known.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CallerAttempt {
-    /// The caller's first request; if refused, the caller tries again.
-    First,
-    /// A later request of the caller; if refused again, the caller gives up.
-    Later,
-}
-
 impl RetryShare {
     /// Creates a share without any requests counted.
     pub fn new(ratio: f64, slack: f64, window: Duration) -> Self {
--- a/crates/steering/src/route/upstream_state.rs
+++ b/crates/steering/src/route/upstream_state.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use super::average::Average;
+use super::cold_sends::ColdSends;
 use super::health::{AnswerOutcome, Health};
-use super::pace::ColdSends;
 use super::sent_objects::SentObjects;
 use super::speed::Speed;
 use super::suspect::AbandonedRequests;
