Sight: what the retry budget of a host answered, in the request's line and in metrics

The logs could not tell whether repeats beyond the budget come from starts that renew a part, from parts that grow as hosts are lost, from arrivals that are not counted, or from requests that are counted twice. A request's line now has the repeats that the host has used in the window, its limit and the hosts that share the slack; two gauges have the same by service. No logic is changed.

--- a/crates/gateway/src/traffic/request_log.rs
+++ b/crates/gateway/src/traffic/request_log.rs
@@ -4,7 +4,7 @@
 
 use hyper::Response;
 use steering::ids::{CustomerName, RegionName, RequestId, RuleName, ServiceName};
-use steering::route::{Choice, SoftwareVersion, UpstreamId, WorkKey};
+use steering::route::{Choice, RetryGrant, SoftwareVersion, UpstreamId, WorkKey};
 use upstream::Body;
 
 use super::answers::{Cause, Refusal};
@@ -39,6 +39,9 @@
             speed = $request_log.speed,
             worth = $request_log.worth,
             sends = $request_log.sends,
+            retries_used = $request_log.retry.map(|grant| grant.used),
+            retries_limit = $request_log.retry.map(|grant| round(grant.limit)),
+            retry_hosts = $request_log.retry.and_then(|grant| grant.hosts),
             passed_over = $request_log.passed_over(),
             work = $request_log.work.map(suspects::format_key)
         )
@@ -92,6 +95,8 @@
     pub worth: f64,
     /// Number of sends.
     pub sends: usize,
+    /// What the retry budget last answered; none if no retry was asked for.
+    pub retry: Option<RetryGrant>,
     /// Upstreams skipped in the last selection because of what they declared about themselves.
     pub passed_over: Vec<UpstreamId>,
     /// Key of the request; none unless similar requests have crashed upstreams.
@@ -127,6 +132,7 @@
             speed: 0.0,
             worth: 0.0,
             sends: 0,
+            retry: None,
             passed_over: Vec::new(),
             work: None,
             least_wait_ms: None,
--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -361,7 +361,7 @@
         (1.0 - URGENCY_STEP * rank).max(MIN_URGENCY)
     }
 
-    fn after_failure(&self, service: &ServiceName) -> RetryDecision {
+    fn after_failure(&mut self, service: &ServiceName) -> RetryDecision {
         let sent_count = self.sends.iter().filter(|sent| **sent != SendOutcome::Not);
         let sent_count = sent_count.count() as u32;
         let may_have_run = self.sends.contains(&SendOutcome::Perhaps);
@@ -374,14 +374,19 @@
         decide_retry(&self.sends, self.route.repeatable, may_send_again)
     }
 
-    fn take_retry(&self, service: &ServiceName) -> bool {
+    fn take_retry(&mut self, service: &ServiceName) -> bool {
         let sharing_hosts = self.traffic.common.view.load().sharing_hosts;
         let now = clock::now();
         let bounds = self.traffic.common.bounds();
         let mut stats = self.traffic.stats();
-        let allowed = stats.take_retry(service, &bounds, sharing_hosts, self.caller_attempt, now);
+        let grant = stats.take_retry(service, &bounds, sharing_hosts, self.caller_attempt, now);
         drop(stats);
+        self.request_log.retry = Some(grant);
+        let allowed = grant.is_allowed;
         metrics::counter!("stagedeck_repeats_total", "allowed" => allowed.to_string()).increment(1);
+        let name = || service.clone();
+        metrics::gauge!("stagedeck_repeats_used", "service" => name()).set(grant.used as f64);
+        metrics::gauge!("stagedeck_repeats_limit", "service" => name()).set(grant.limit);
         allowed
     }
 
--- a/crates/gateway/src/traffic/stats.rs
+++ b/crates/gateway/src/traffic/stats.rs
@@ -7,8 +7,9 @@
 
 use steering::ids::{RegionName, RuleName, ServiceName};
 use steering::route::{
-    CallerAttempt, CallerTimeouts, Choice, Estimate, PoolPart, RegionPool, RegionShare, RetryShare,
-    Route, RouteView, ServicePool, WeightedRoundRobin, WorkLength, WorkMix, share_by_capacity,
+    CallerAttempt, CallerTimeouts, Choice, Estimate, PoolPart, RegionPool, RegionShare, RetryGrant,
+    RetryShare, Route, RouteView, ServicePool, WeightedRoundRobin, WorkLength, WorkMix,
+    share_by_capacity,
 };
 
 use crate::settings::{Bounds, GatewaySettings};
@@ -150,7 +151,7 @@
         timeouts.take(timeout)
     }
 
-    /// Takes a retry from the service's budget. Returns whether it is allowed.
+    /// Takes a retry from the service's budget, if it is allowed.
     pub fn take_retry(
         &mut self,
         service: &str,
@@ -158,7 +159,7 @@
         sharing_hosts: Option<usize>,
         caller_attempt: CallerAttempt,
         now: Instant,
-    ) -> bool {
+    ) -> RetryGrant {
         self.retry_share(service, bounds)
             .take_retry(now, sharing_hosts, caller_attempt)
     }
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -47,6 +47,7 @@
 mod reported_upstream;
 mod requirements;
 mod retry_decision;
+mod retry_grant;
 mod retry_share;
 mod rollout;
 mod sent_objects;
@@ -116,6 +117,7 @@
 pub use reported_upstream::{ReportedUpstream, UpstreamId};
 pub use requirements::Requirements;
 pub use retry_decision::{RetryDecision, SendOutcome, decide_retry};
+pub use retry_grant::RetryGrant;
 pub use retry_share::RetryShare;
 pub use rollout::{
     ActiveRollout, AnswerCounts, AnswerQuality, Coordinator, Evidence, ExposureBound, HostProgress,
--- a/crates/steering/src/route/retry_share.rs
+++ b/crates/steering/src/route/retry_share.rs
@@ -7,6 +7,7 @@
 
 use super::caller_timeouts::CallerAttempt;
 use super::event_window::EventWindow;
+use super::retry_grant::RetryGrant;
 
 /// Share of the limit that is used: requests sent in one window may arrive in another.
 const USED_SHARE: f64 = 0.85;
@@ -57,8 +58,7 @@
         (self.ratio, self.slack, self.window) = (ratio, slack, window);
     }
 
-    /// Takes one retry for a request whose attempt failed, and returns whether the share
-    /// allows it.
+    /// Takes one retry for a request whose attempt failed, if the share allows it.
     ///
     /// When retries are scarce, requests of returning callers have precedence, because
     /// first-time callers try again by themselves. With 55 of 100 requests refused at
@@ -69,25 +69,30 @@
         now: Instant,
         hosts: Option<usize>,
         attempt: CallerAttempt,
-    ) -> bool {
+    ) -> RetryGrant {
         let window = self.window;
         let requests = self.requests.count(now, window) as f64;
-        let max_per_window = (requests * self.ratio + share_of(self.slack, hosts)) * USED_SHARE;
+        let limit = (requests * self.ratio + share_of(self.slack, hosts)) * USED_SHARE;
         if attempt == CallerAttempt::Later {
             self.returning_failures.add(now);
         }
         let returning_failures = self.returning_failures.count(now, window) as f64;
         let first_time = (self.first_time_retries.count(now, window) + 1) as f64;
-        let fits = (self.retries.count(now, window) + 1) as f64 <= max_per_window;
-        if !fits
-            || (attempt == CallerAttempt::First && first_time > max_per_window - returning_failures)
-        {
-            return false;
+        let used = self.retries.count(now, window);
+        let fits = (used + 1) as f64 <= limit;
+        let yields = attempt == CallerAttempt::First && first_time > limit - returning_failures;
+        let is_allowed = fits && !yields;
+        if is_allowed {
+            self.retries.add(now);
+            if attempt == CallerAttempt::First {
+                self.first_time_retries.add(now);
+            }
         }
-        self.retries.add(now);
-        if attempt == CallerAttempt::First {
-            self.first_time_retries.add(now);
+        RetryGrant {
+            is_allowed,
+            used,
+            limit,
+            hosts,
         }
-        true
     }
 }
--- a/crates/steering/tests/route_pace.rs
+++ b/crates/steering/tests/route_pace.rs
@@ -58,7 +58,11 @@
     let now = Instant::now();
     assert_eq!(cold_share(26.0, "upstream-1", "host-1", None), 0);
     let mut retries = RetryShare::new(0.2, 58.0, Duration::from_secs(10));
-    assert!(!retries.take_retry(now, None, CallerAttempt::First));
+    assert!(
+        !retries
+            .take_retry(now, None, CallerAttempt::First)
+            .is_allowed
+    );
 }
 
 #[rstest]
@@ -79,12 +83,18 @@
         share.request(now);
     }
     let granted = (0..1_000)
-        .filter(|_| share.take_retry(now, Some(hosts), CallerAttempt::First))
+        .filter(|_| {
+            share
+                .take_retry(now, Some(hosts), CallerAttempt::First)
+                .is_allowed
+        })
         .count();
     assert_eq!(granted, retries);
     let later = now + Duration::from_secs(11);
     assert_eq!(
-        share.take_retry(later, Some(hosts), CallerAttempt::First),
+        share
+            .take_retry(later, Some(hosts), CallerAttempt::First)
+            .is_allowed,
         slack / hosts as f64 * 0.85 >= 1.0
     );
 }
@@ -111,7 +121,7 @@
             share.request(now);
             let reported = if known { attempt } else { CallerAttempt::First };
             let mut is_served = !rng.random_bool(refused);
-            if !is_served && share.take_retry(now, Some(1), reported) {
+            if !is_served && share.take_retry(now, Some(1), reported).is_allowed {
                 is_served = !rng.random_bool(refused);
             }
             match attempt {
