Cold upstreams: a process has no share of them in its first window

The share of a cold upstream's requests is counted over 1.1 s with a memory that ends with the process; hosts that are killed and back within that time use it twice. As values, hosts that are killed in series and back 0 to 0.4 s later: 30 and 36 requests in a second of 26, 16 of 10.25, 128 of 100 before (4 of 6 cases), none over now.

--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -253,6 +253,7 @@
             },
             this_host: &settings.host,
             region_hosts: None,
+            running_for: now.saturating_duration_since(self.traffic.common.started_at),
         };
         let mut unavailable = unreachable;
         for (region, pool) in destination.regions_to_ask(pool, self.route, self.sender) {
--- a/crates/standin/src/measure/choice.rs
+++ b/crates/standin/src/measure/choice.rs
@@ -120,6 +120,7 @@
                 cold_limit_per_s: &|limit_per_s| limit_per_s,
                 this_host: "h1",
                 region_hosts: None,
+                running_for: Duration::from_secs(60),
             };
             let _ = black_box(choose(pool, &requirements, now));
         });
--- a/crates/steering/src/route/choice.rs
+++ b/crates/steering/src/route/choice.rs
@@ -279,6 +279,7 @@
             &upstream.report.id,
             requirements.this_host,
             requirements.region_hosts,
+            requirements.running_for,
         );
         if !state.cold_sends.has_room(now, share) {
             return None;
--- a/crates/steering/src/route/cold_sends.rs
+++ b/crates/steering/src/route/cold_sends.rs
@@ -18,6 +18,9 @@
 /// given the `max_per_s` that the upstream may receive per second. `hosts` are the hosts
 /// that may send to it, `this_host` among them; `None` while they are unknown.
 ///
+/// A process that has run for less than a window has no share: an earlier process of its host may
+/// have used it just before.
+///
 /// If there are more hosts than requests, each request is assigned to one host by the
 /// upstream's rendezvous ranking.
 pub fn cold_share(
@@ -25,8 +28,11 @@
     upstream: &str,
     this_host: &str,
     hosts: Option<&[HostName]>,
+    running_for: Duration,
 ) -> usize {
-    let Some(hosts) = hosts else { return 0 };
+    let Some(hosts) = hosts.filter(|_| running_for >= COLD_WINDOW) else {
+        return 0;
+    };
     let max_per_window = (max_per_s * USED_SHARE).floor().max(0.0) as usize;
     let each = max_per_window / hosts.len().max(1);
     if each > 0 {
--- a/crates/steering/src/route/requirements.rs
+++ b/crates/steering/src/route/requirements.rs
@@ -38,4 +38,6 @@
     /// Hosts that may send to the pool's cold upstreams, this one included; `None` if this
     /// host may not, or while the hosts are unknown.
     pub region_hosts: Option<&'a [HostName]>,
+    /// Time since this process started.
+    pub running_for: Duration,
 }
--- a/crates/steering/tests/route_pace.rs
+++ b/crates/steering/tests/route_pace.rs
@@ -8,6 +8,9 @@
 use rstest::rstest;
 use steering::route::{CallerAttempt, CallerTimeouts, ColdSends, RetryShare, cold_share};
 
+/// Long after a start.
+const RUNNING: Duration = Duration::from_secs(60);
+
 /// Sends as much as every host's share allows for 10 s, with one attempt per millisecond,
 /// and returns the largest number that arrives within any second. Each request arrives up
 /// to `late_ms` late.
@@ -17,7 +20,7 @@
     let names: Vec<String> = (0..hosts).map(|host| format!("host-{host}")).collect();
     for (host, name) in names.iter().enumerate() {
         let mut sends = ColdSends::default();
-        let share = cold_share(limit_per_s, "upstream-1", name, Some(&names));
+        let share = cold_share(limit_per_s, "upstream-1", name, Some(&names), RUNNING);
         for ms in 0..10_000u64 {
             let now = start + Duration::from_millis(ms);
             if sends.has_room(now, share) {
@@ -51,12 +54,62 @@
     assert!(max > 0, "no request could be sent");
 }
 
+/// Hosts that are killed in series, `lost` at once, and start again after `gap_ms`.
+#[rstest]
+#[case::all_once(9, 26.0, 9, 300, 1)]
+#[case::most_in_series(9, 26.0, 6, 400, 5)]
+#[case::one_after_the_other(12, 26.0, 1, 200, 12)]
+#[case::at_once(9, 26.0, 9, 0, 10)]
+#[case::alone(1, 10.25, 1, 200, 5)]
+#[case::grown(80, 100.0, 48, 300, 3)]
+fn restarts_in_series_do_not_renew_the_share_of_a_cold_upstream(
+    #[case] hosts: usize,
+    #[case] limit_per_s: f64,
+    #[case] lost: usize,
+    #[case] gap_ms: u64,
+    #[case] losses: u64,
+) {
+    let start = Instant::now();
+    let names: Vec<String> = (0..hosts).map(|host| format!("host-{host}")).collect();
+    let mut sends: Vec<ColdSends> = names.iter().map(|_| ColdSends::default()).collect();
+    let mut started_ms = vec![0; hosts];
+    let mut arrivals = Vec::new();
+    for ms in 2_000..8_000u64 {
+        let (round, into_round_ms) = ((ms - 2_000) / 500, (ms - 2_000) % 500);
+        for host in 0..hosts {
+            let is_hit = (host + round as usize * lost) % hosts < lost && round < losses;
+            if is_hit && into_round_ms == 0 {
+                sends[host] = ColdSends::default();
+                started_ms[host] = ms + gap_ms;
+            }
+            let Some(running_ms) = ms.checked_sub(started_ms[host]) else {
+                continue;
+            };
+            let running_for = Duration::from_millis(running_ms);
+            let name = &names[host];
+            let share = cold_share(limit_per_s, "upstream-1", name, Some(&names), running_for);
+            let now = start + Duration::from_millis(ms);
+            if sends[host].has_room(now, share) {
+                sends[host].take(now);
+                arrivals.push(ms);
+            }
+        }
+    }
+    let within = |from: &u64| {
+        let until = arrivals.partition_point(|at| *at < from + 1_000);
+        until - arrivals.partition_point(|at| at < from)
+    };
+    let max = arrivals.iter().map(within).max().unwrap_or(0);
+    assert!(max as f64 <= limit_per_s, "{max} of {limit_per_s}");
+    assert!(max > 0, "no request could be sent");
+}
+
 /// Guards against an excess of the limit after a restart of all hosts: none knew the others
 /// yet, so each used the whole limit.
 #[test]
 fn share_is_zero_while_the_hosts_are_unknown() {
     let now = Instant::now();
-    assert_eq!(cold_share(26.0, "upstream-1", "host-1", None), 0);
+    assert_eq!(cold_share(26.0, "upstream-1", "host-1", None, RUNNING), 0);
     let mut retries = RetryShare::new(0.2, 58.0, Duration::from_secs(10));
     assert!(
         !retries
--- a/crates/steering/tests/route_world/mod.rs
+++ b/crates/steering/tests/route_world/mod.rs
@@ -79,6 +79,7 @@
         cold_limit_per_s: &|limit_per_s| limit_per_s,
         this_host: "h1",
         region_hosts: hosts,
+        running_for: Duration::from_secs(60),
     }
 }
 
--- a/crates/steering/tests/work_length_world/mod.rs
+++ b/crates/steering/tests/work_length_world/mod.rs
@@ -177,6 +177,7 @@
             cold_limit_per_s: &|limit_per_s| limit_per_s,
             this_host: "h1",
             region_hosts: None,
+            running_for: Duration::from_secs(60),
         };
         let chosen = steering::route::choose(pool(&self.service), &requirements, now);
         if counts {
