--- a/crates/steering/tests/route_retry_share.rs
+++ b/crates/steering/tests/route_retry_share.rs
@@ -296,6 +296,18 @@
     }
 }
 
+/// Each host holds a token, and has a request a second or ten.
+#[rstest]
+#[case::few_requests(986)]
+#[case::more_requests(9_860)]
+fn the_hosts_of_a_fleet_keep_the_budget_while_all_are_lost_in_series(#[case] requests_per_s: u64) {
+    let mut play = Play::new(1, 986, WINDOW);
+    play.fails_from_ms = play.events_from_ms();
+    play.run(requests_per_s, &[Event::Loss; 5], 2_000, 1.0);
+    let excess = play.largest_excess();
+    assert!(excess <= 0.0, "{excess} over");
+}
+
 /// Nearly the whole budget can be used after a time without failures, and most of the slack while
 /// they last.
 #[rstest]
