Review case 1: a delay between hosts and targets, as between two zones

Without it the second send came before a slot was free, and a run on a quiet machine showed one request refused and run, and none twice.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,8 +15,10 @@
 TARGETS, SLOTS, QUEUE, WORK_S = 5, 4, 2, 0.025
 # As in the site file: { kind = "garble", how = "extra late", share = 0.6, x = 0.03, for_s = 5.0 }.
 GARBLING_TARGETS, SPOILED_SHARE, GARBLES_FOR_S, GARBLES_EACH_S = 3, 0.03, 5.0, 7.5
+# One way between two zones, as on the sheet of aepcf-red.
+LINK_S = 0.0009
 CLIENTS, OBJECTS, DEADLINE_MS = 160, 24, 3000
-TRAFFIC_S, PAUSE_S = 82, 0.2
+TRAFFIC_S, PAUSE_S = 60, 0.2
 
 DOCUMENT = {
     "version": 7,
@@ -41,7 +43,9 @@
         surplus = None
         while (head := await read_head(reader)) is not None:
             await read_body(reader, head)
+            await asyncio.sleep(LINK_S)
             if surplus is not None:
+                await asyncio.sleep(LINK_S)
                 writer.write(surplus)
                 of = Heads(surplus.split(b"\r\n\r\n")[0])
                 self.recorder.note(
@@ -51,6 +55,7 @@
             answer = await self.answer(head, reader)
             if answer is None:
                 return
+            await asyncio.sleep(LINK_S)
             writer.write(answer)
             await writer.drain()
             if self.garbles and random.random() < SPOILED_SHARE:
