Log what a refusal rests on: connection, marker, signature, repeated id

A host's lines could not tell a refusal of this send from a late copy of an earlier one, nor an answer with the marker from one without it. The line send_missed has the connection's number and what the answer showed, and stagedeck_unmarked_refusals_total counts upstreams' answers with a promising status and no marker. No change of logic.

--- a/crates/gateway/src/traffic/answers.rs
+++ b/crates/gateway/src/traffic/answers.rs
@@ -5,8 +5,26 @@
 use derive_more::Display;
 use hyper::header::{HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
 use hyper::{Response, StatusCode};
+use steering::route::StatusMeaning;
 use upstream::{Body, full};
 
+/// Statuses by which a caller is told that its request has not run and never will.
+const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
+/// Returns what a status tells a caller about the run of its request.
+pub(super) fn status_meaning(status: StatusCode) -> StatusMeaning {
+    match status {
+        status if status.is_success() => StatusMeaning::Success,
+        status if NOT_RUN_STATUSES.contains(&status) => StatusMeaning::Promise,
+        _ => StatusMeaning::Other,
+    }
+}
+
 /// Why a request was not answered by an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Refusal {
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -79,6 +79,7 @@
         deadline,
         caller_attempt,
         sends: Vec::new(),
+        connections: Vec::new(),
         excluded: Vec::new(),
     };
     let time_left = deadline.saturating_duration_since(clock::now());
--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -13,7 +13,7 @@
     WorkIdentity, acceptable_wait, choose, decide_retry,
 };
 use tokio::task::spawn_local;
-use upstream::{Body, RequestBody};
+use upstream::{Body, ConnectionId, RequestBody};
 
 use super::Traffic;
 use super::answers::{Cause, Refusal};
@@ -58,6 +58,8 @@
     pub caller_attempt: CallerAttempt,
     /// Progress of each send.
     pub sends: Vec<SendOutcome>,
+    /// Connections on which the request was sent.
+    pub connections: Vec<ConnectionId>,
     /// Upstreams that are not tried again, because they refused the request or could not be
     /// reached.
     pub excluded: Vec<UpstreamId>,
@@ -166,6 +168,7 @@
             head: self.head,
             parts: &self.parts,
             body: &mut self.body,
+            connections: &mut self.connections,
             repeatable: self.route.repeatable,
             deadline: self.deadline,
             wait_until,
@@ -186,13 +189,20 @@
             }
             Err(failure) => failure,
         };
+        let was_sent = failure.sent != SendOutcome::Not;
+        let connection = self.connections.last().filter(|_| was_sent);
         tracing::warn!(
             event = "send_missed",
             id = self.head.id,
             upstream = report.id,
             address = %report.address,
             sent = ?failure.sent,
-            reason = failure.reason
+            reason = failure.reason,
+            connection,
+            marked = failure.evidence.map(|evidence| evidence.is_marked),
+            signed = failure.evidence.map(|evidence| evidence.is_signed),
+            misdirected = failure.evidence.map(|evidence| evidence.is_misdirected),
+            id_repeated = failure.evidence.map(|evidence| evidence.is_repeated)
         );
         *sent = failure.sent;
         if failure.was_closed {
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -10,16 +10,20 @@
 use hyper::{Request, Response, StatusCode};
 use steering::ids::{HostName, RuleName};
 use steering::route::{
-    AnswerOutcome, AnswerQuality, Choice, DirectResult, SendOutcome, Sender, Upstream,
-    WorkIdentity, ZoneChange,
+    AnswerEvidence, AnswerOutcome, AnswerQuality, Choice, DirectResult, SendOutcome, Sender,
+    StatusMeaning, Upstream, UpstreamId, WorkIdentity, ZoneChange,
 };
 use steering::statement::Obstacle;
-use upstream::{Body, GuardedBody, Lease, RequestBody, Reuse, SendError, TrackedBody, end_to_end};
+use upstream::{
+    Body, ConnectionId, GuardedBody, Lease, RequestBody, Reuse, SendError, TrackedBody, end_to_end,
+};
 
 use super::Traffic;
+use super::answers::status_meaning;
 use super::head::Head;
 use super::paths::{ConnectFailure, Wanted, connect, direct_sent};
 use super::statements::{AnswerHead, apply_statement};
+use crate::wire_format::HeaderNames;
 
 /// Time without an answer after which a request counts against the host that relays it.
 const RELAY_SILENT_AFTER: Duration = Duration::from_millis(1_200);
@@ -189,6 +193,8 @@
     pub was_closed: bool,
     /// Time after which the request may be tried again, if no host had room to relay it.
     pub no_relay: Option<Duration>,
+    /// What the answer shows about the run of the request; none if there was no answer.
+    pub evidence: Option<AnswerEvidence>,
 }
 
 impl SendFailure {
@@ -199,6 +205,14 @@
             lacks_token: false,
             was_closed: false,
             no_relay: None,
+            evidence: None,
+        }
+    }
+
+    fn with_evidence(self, evidence: AnswerEvidence) -> Self {
+        SendFailure {
+            evidence: Some(evidence),
+            ..self
         }
     }
 }
@@ -208,6 +222,8 @@
     pub head: &'a Head,
     pub parts: &'a Parts,
     pub body: &'a mut RequestBody,
+    /// Connections on which the request was sent.
+    pub connections: &'a mut Vec<ConnectionId>,
     pub repeatable: bool,
     /// Time after which an answer is useless.
     pub deadline: Instant,
@@ -292,6 +308,8 @@
         ));
     };
     *sent = SendOutcome::Perhaps;
+    let is_repeated = outgoing.connections.contains(&lease.id());
+    outgoing.connections.push(lease.id());
     in_flight.sent_on(&lease, choice);
     let is_direct = lease.relay().is_none();
     let sending = lease.send(request, outgoing.deadline);
@@ -319,7 +337,7 @@
     match result {
         Ok(answer) => {
             count_send("answered");
-            accept_answer(traffic, choice, answer, outgoing, in_flight)
+            accept_answer(traffic, choice, answer, outgoing, in_flight, is_repeated)
         }
         Err(SendError::NotSent { reason, request }) => {
             count_send("not_sent");
@@ -349,6 +367,34 @@
     metrics::counter!("stagedeck_sends_total", "outcome" => outcome).increment(1);
 }
 
+/// Counts an answer that is passed on although its status is a promise.
+fn count_evidence(evidence: &AnswerEvidence) {
+    if evidence.status == StatusMeaning::Promise {
+        let signed = evidence.is_signed.to_string();
+        metrics::counter!("stagedeck_unmarked_refusals_total", "signed" => signed).increment(1);
+    }
+}
+
+/// What the head of an answer shows about the run of the request that was sent to `expected`.
+fn evidence(
+    names: &HeaderNames,
+    answer: &Response<TrackedBody>,
+    expected: &UpstreamId,
+) -> AnswerEvidence {
+    let headers = answer.headers();
+    let names_another = headers
+        .get(&names.answering_upstream)
+        .is_some_and(|id| id.as_bytes() != expected.as_bytes());
+    let is_misdirected = answer.status() == StatusCode::MISDIRECTED_REQUEST;
+    AnswerEvidence {
+        status: status_meaning(answer.status()),
+        is_marked: headers.contains_key(&names.not_run),
+        is_signed: headers.contains_key(&names.signature),
+        is_misdirected: is_misdirected && names_another,
+        is_repeated: false,
+    }
+}
+
 fn build_request(
     traffic: &Traffic,
     upstream: &Upstream,
@@ -390,9 +436,14 @@
     answer: Response<TrackedBody>,
     outgoing: &OutgoingRequest<'_>,
     in_flight: InFlight,
+    is_repeated: bool,
 ) -> Result<Response<Body>, SendFailure> {
     let names = traffic.wire_format.headers();
     let headers = answer.headers();
+    let evidence = AnswerEvidence {
+        is_repeated,
+        ..evidence(names, &answer, &choice.upstream.report.id)
+    };
     let is_own = headers
         .get(&names.request_id)
         .is_some_and(|id| id.as_bytes() == outgoing.head.id.as_bytes());
@@ -407,10 +458,8 @@
     if status == StatusCode::MISDIRECTED_REQUEST {
         in_flight.record(AnswerOutcome::Refused);
         in_flight.upstream.state().replaced();
-        return Err(SendFailure::new(
-            SendOutcome::Refused,
-            "another upstream process has the address",
-        ));
+        let reason = "another upstream process has the address";
+        return Err(SendFailure::new(SendOutcome::Refused, reason).with_evidence(evidence));
     }
     let statement = traffic.wire_format.parse_statement(status, headers);
     let lacks_proof = status.is_success() && !headers.contains_key(&names.signature);
@@ -434,7 +483,7 @@
     }
     if headers.contains_key(&names.not_run) {
         in_flight.record(AnswerOutcome::Refused);
-        return Err(SendFailure::new(SendOutcome::Refused, status));
+        return Err(SendFailure::new(SendOutcome::Refused, status).with_evidence(evidence));
     }
     if !is_own {
         in_flight.record(AnswerOutcome::Broken);
@@ -443,6 +492,7 @@
             "not an upstream's own answer",
         ));
     }
+    count_evidence(&evidence);
     in_flight.record(AnswerOutcome::Complete);
     let mut quality = AnswerQuality::Good;
     if status.is_success() {
--- a/crates/gateway/src/wire_format.rs
+++ b/crates/gateway/src/wire_format.rs
@@ -27,6 +27,8 @@
     pub signature: HeaderName,
     /// Present if the upstream did not run the request and will not run it.
     pub not_run: HeaderName,
+    /// Identity of the upstream process that answers.
+    pub answering_upstream: HeaderName,
     /// The upstream's load.
     pub load: HeaderName,
 }
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -5,6 +5,7 @@
 //! needed to agree on them.
 
 mod allowance;
+mod answer_evidence;
 mod average;
 mod bootstrap_tree;
 mod caller_timeouts;
@@ -72,6 +73,7 @@
     TokenDemand, TokenGrant, TokenGroup, TokenLeases, TokenPool, TokenReply, TokenRequest,
     ZoneLoan, group_of,
 };
+pub use answer_evidence::{AnswerEvidence, StatusMeaning};
 pub use bootstrap_tree::BootstrapTree;
 pub use caller_timeouts::{CallerAttempt, CallerTimeouts};
 pub use catalog::{Catalog, CatalogChange};
--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -40,6 +40,9 @@
 /// the peak memory of a host counts.
 const READ_BUFFER_BYTES: usize = 8 << 10;
 
+/// Number of a connection, never used again in the same process.
+pub type ConnectionId = u64;
+
 /// Which idle connections a request may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reuse {
@@ -155,6 +158,7 @@
 
 /// Counts an open connection and closes it when dropped.
 pub(crate) struct OpenConnection {
+    id: ConnectionId,
     count: Arc<AtomicU32>,
     task: AbortHandle,
     opened_at: Instant,
@@ -226,6 +230,8 @@
 #[derive(Clone, Default)]
 pub struct Connections {
     peers: Arc<Mutex<HashMap<SocketAddr, Peer>>>,
+    /// Connections opened so far.
+    opened: Arc<AtomicU64>,
     relayed: Arc<RelayedConnections>,
 }
 
@@ -242,6 +248,11 @@
 }
 
 impl Lease {
+    /// Number of the connection.
+    pub fn id(&self) -> ConnectionId {
+        self.open.id
+    }
+
     /// The host that relays the connection; `None` if it is direct.
     pub fn relay(&self) -> Option<&Relay> {
         self.open.relay.as_ref()
@@ -480,6 +491,7 @@
             self.relayed.opened(&relay.host);
         }
         let open = OpenConnection {
+            id: self.opened.fetch_add(1, Ordering::Relaxed),
             count: reservation.keep(),
             task,
             opened_at: clock::now(),
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -11,7 +11,9 @@
 mod tracked;
 
 pub use body::{BodyLimitError, BoundedBody, BufferedBody, GuardedBody, RequestBody, buffer_body};
-pub use connections::{ConnectError, Connections, Lease, Relay, Reuse, SendError, connect};
+pub use connections::{
+    ConnectError, ConnectionId, Connections, Lease, Relay, Reuse, SendError, connect,
+};
 pub use headers::end_to_end;
 pub use probe::{LOAD_PATH, ProbeError, probe};
 pub use rest::requested_rest;
