--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -1,10 +1,12 @@
 //! Callers' requests, host lookups and readiness checks, all on one thread.
 
+mod accept;
 mod answers;
 mod crash_check;
 mod destination;
 mod forward;
 mod head;
+mod in_flight;
 mod look_up;
 mod open_connection;
 mod operator;
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -1,183 +1,24 @@
 //! Sends a request to an upstream once.
 
-use std::cell::{Cell, RefCell};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use http_body_util::BodyExt;
 use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::{Request, Response, StatusCode};
-use steering::ids::{HostName, RuleName};
+use hyper::{Request, Response};
+use steering::ids::RuleName;
 use steering::route::{
-    AnswerEvidence, AnswerOutcome, AnswerQuality, Choice, DirectResult, SendOutcome, Sender,
-    StatusMeaning, Upstream, UpstreamId, WorkIdentity, ZoneChange,
+    AnswerEvidence, AnswerOutcome, AnswerQuality, Choice, SendOutcome, Sender, Upstream,
+    WorkIdentity,
 };
 use steering::statement::Obstacle;
-use upstream::{
-    Body, ConnectionId, GuardedBody, Lease, RequestBody, Reuse, SendError, TrackedBody, end_to_end,
-};
+use upstream::{Body, ConnectionId, RequestBody, Reuse, SendError, end_to_end};
 
 use super::Traffic;
-use super::answers::status_meaning;
+use super::accept::accept_answer;
 use super::head::Head;
-use super::paths::{ConnectFailure, Wanted, connect, direct_sent};
-use super::statements::{AnswerHead, apply_statement};
-use crate::wire_format::HeaderNames;
-
-/// Time without an answer after which a request counts against the host that relays it.
-const RELAY_SILENT_AFTER: Duration = Duration::from_millis(1_200);
-
-/// The connection that a request was sent on.
-#[derive(Debug, Default)]
-enum Connection {
-    /// Nothing was sent.
-    #[default]
-    None,
-    /// This host's own.
-    Direct {
-        /// Whether the request is the first one on it.
-        is_new: bool,
-        /// Longest expected work on the request.
-        work: Duration,
-    },
-    /// Through a host.
-    Relayed(HostName),
-}
-
-/// A request in flight at an upstream. Its drop records the end of the request.
-struct InFlight {
-    upstream: Arc<Upstream>,
-    started_at: Instant,
-    is_recorded: Cell<bool>,
-    work: WorkIdentity,
-    /// Whether any part of the request may have left this host.
-    is_sent: Cell<bool>,
-    connection: RefCell<Connection>,
-    traffic: Arc<Traffic>,
-}
-
-impl InFlight {
-    fn begin(traffic: &Arc<Traffic>, choice: &Choice, work: WorkIdentity) -> Self {
-        let started_at = clock::now();
-        let mut state = choice.upstream.state();
-        state.request_sent(started_at);
-        state.note_expected_work(choice.expectation.work.if_fetched);
-        drop(state);
-        InFlight {
-            upstream: Arc::clone(&choice.upstream),
-            started_at,
-            is_recorded: Cell::new(false),
-            work,
-            is_sent: Cell::new(false),
-            connection: RefCell::default(),
-            traffic: Arc::clone(traffic),
-        }
-    }
-
-    /// Records the connection that the request is about to be sent on.
-    fn sent_on(&self, lease: &Lease, choice: &Choice) {
-        let work = choice.expectation.work.if_fetched;
-        self.is_sent.set(true);
-        self.connection.replace(match lease.relay() {
-            Some(relay) => Connection::Relayed(relay.host.clone()),
-            None => {
-                direct_sent(&self.traffic, choice, work);
-                Connection::Direct {
-                    is_new: lease.is_new(),
-                    work,
-                }
-            }
-        });
-    }
-
-    /// Records what the request shows of the path to the upstream.
-    fn record_path(&self, now: Instant, outcome: AnswerOutcome) {
-        let paths = &self.traffic.paths;
-        match &*self.connection.borrow() {
-            Connection::None => {}
-            Connection::Direct { is_new, work } => {
-                let result = DirectResult {
-                    sent_at: self.started_at,
-                    is_first: *is_new,
-                    work: *work,
-                    outcome,
-                };
-                paths.direct_ended(&self.upstream, result);
-            }
-            Connection::Relayed(host) => {
-                let waited = now.saturating_duration_since(self.started_at);
-                let is_silent = outcome == AnswerOutcome::Unknown && waited > RELAY_SILENT_AFTER;
-                if is_silent || outcome == AnswerOutcome::Broken {
-                    paths.relay_silent(host);
-                }
-            }
-        }
-    }
-
-    /// Whether the request was sent on a path to the zone that is not used any more, so that its
-    /// failure says nothing about the upstream.
-    fn is_of_former_path(&self) -> bool {
-        let is_relayed = self.traffic.paths.is_relayed(&self.upstream);
-        match &*self.connection.borrow() {
-            Connection::None => false,
-            Connection::Direct { .. } => is_relayed,
-            Connection::Relayed(_) => !is_relayed,
-        }
-    }
-
-    fn record(&self, answered: AnswerOutcome) {
-        let now = clock::now();
-        let id = &self.upstream.report.id;
-        if !answered.proves_alive() && self.is_of_former_path() {
-            self.record_path(now, answered);
-            self.is_recorded.set(true);
-            return;
-        }
-        let mut state = self.upstream.state();
-        state.answered(now, answered);
-        if answered.proves_alive() && state.statements.answered(self.started_at) {
-            tracing::info!(event = "upstream_rest_over", upstream = id);
-        }
-        drop(state);
-        let change = self.upstream.zone().answered(now, id, answered);
-        if let Some(change) = change {
-            log_zone_change(&self.upstream, change);
-        }
-        self.record_path(now, answered);
-        self.is_recorded.set(true);
-    }
-}
-
-fn log_zone_change(upstream: &Upstream, change: ZoneChange) {
-    let zone = &upstream.report.zone;
-    match change {
-        ZoneChange::Suspected {
-            failing,
-            expires_in,
-        } => {
-            let expires_in_ms = expires_in.as_millis() as u64;
-            tracing::warn!(event = "zone_suspected", zone, failing, expires_in_ms);
-        }
-        ZoneChange::Answers => tracing::info!(event = "zone_answers", zone),
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        let is_abandoned = !self.is_recorded.get() && self.is_sent.get();
-        if !self.is_recorded.get() {
-            self.record(AnswerOutcome::Unknown);
-        }
-        let now = clock::now();
-        let mut state = self.upstream.state();
-        if is_abandoned {
-            state.abandoned.note(now, self.work, self.started_at);
-        }
-        state.statements.unanswered(self.started_at);
-        state.request_ended(now);
-    }
-}
+use super::in_flight::InFlight;
+use super::paths::{ConnectFailure, Wanted, connect};
 
 /// A send that did not yield an answer to pass on.
 #[derive(Debug)]
@@ -198,7 +39,7 @@
 }
 
 impl SendFailure {
-    fn new(sent: SendOutcome, reason: impl ToString) -> Self {
+    pub fn new(sent: SendOutcome, reason: impl ToString) -> Self {
         SendFailure {
             sent,
             reason: reason.to_string(),
@@ -209,7 +50,7 @@
         }
     }
 
-    fn with_evidence(self, evidence: AnswerEvidence) -> Self {
+    pub fn with_evidence(self, evidence: AnswerEvidence) -> Self {
         SendFailure {
             evidence: Some(evidence),
             ..self
@@ -367,34 +208,6 @@
     metrics::counter!("stagedeck_sends_total", "outcome" => outcome).increment(1);
 }
 
-/// Counts an answer that is passed on although its status is a promise.
-fn count_evidence(evidence: &AnswerEvidence) {
-    if evidence.status == StatusMeaning::Promise {
-        let signed = evidence.is_signed.to_string();
-        metrics::counter!("stagedeck_unmarked_refusals_total", "signed" => signed).increment(1);
-    }
-}
-
-/// What the head of an answer shows about the run of the request that was sent to `expected`.
-fn evidence(
-    names: &HeaderNames,
-    answer: &Response<TrackedBody>,
-    expected: &UpstreamId,
-) -> AnswerEvidence {
-    let headers = answer.headers();
-    let names_another = headers
-        .get(&names.answering_upstream)
-        .is_some_and(|id| id.as_bytes() != expected.as_bytes());
-    let is_misdirected = answer.status() == StatusCode::MISDIRECTED_REQUEST;
-    AnswerEvidence {
-        status: status_meaning(answer.status()),
-        is_marked: headers.contains_key(&names.not_run),
-        is_signed: headers.contains_key(&names.signature),
-        is_misdirected: is_misdirected && names_another,
-        is_repeated: false,
-    }
-}
-
 fn build_request(
     traffic: &Traffic,
     upstream: &Upstream,
@@ -428,89 +241,3 @@
     }
     Some(())
 }
-
-/// Returns an answer to pass on, if it belongs to this request and comes from the upstream itself.
-fn accept_answer(
-    traffic: &Arc<Traffic>,
-    choice: &Choice,
-    answer: Response<TrackedBody>,
-    outgoing: &OutgoingRequest<'_>,
-    in_flight: InFlight,
-    is_repeated: bool,
-) -> Result<Response<Body>, SendFailure> {
-    let names = traffic.wire_format.headers();
-    let headers = answer.headers();
-    let evidence = AnswerEvidence {
-        is_repeated,
-        ..evidence(names, &answer, &choice.upstream.report.id)
-    };
-    let is_own = headers
-        .get(&names.request_id)
-        .is_some_and(|id| id.as_bytes() == outgoing.head.id.as_bytes());
-    if !is_own && !outgoing.head.id.is_empty() {
-        in_flight.record(AnswerOutcome::Broken);
-        return Err(SendFailure::new(
-            SendOutcome::Perhaps,
-            "an answer to another request",
-        ));
-    }
-    let status = answer.status();
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        in_flight.record(AnswerOutcome::Refused);
-        in_flight.upstream.state().replaced();
-        let reason = "another upstream process has the address";
-        return Err(SendFailure::new(SendOutcome::Refused, reason).with_evidence(evidence));
-    }
-    let statement = traffic.wire_format.parse_statement(status, headers);
-    let lacks_proof = status.is_success() && !headers.contains_key(&names.signature);
-    let is_own = !status.is_informational() && !lacks_proof;
-    let answer_head = AnswerHead {
-        sent_at: in_flight.started_at,
-        statement,
-        is_own,
-    };
-    apply_statement(&in_flight.upstream, &answer_head);
-    let unknown = traffic.wire_format.unknown_statements(headers);
-    traffic
-        .unknown_statements
-        .note(&in_flight.upstream.report.id, &unknown);
-    let load = headers.get(&names.load).and_then(|load| load.to_str().ok());
-    // An upstream that asks to rest is idle and accepts nothing, so its load is meaningless.
-    let load = load.filter(|_| statement.rest.is_none());
-    if let Some(load) = load.and_then(|load| traffic.wire_format.parse_load(load)) {
-        let reporter = &in_flight.upstream;
-        reporter.load_reported(clock::now(), load.running, load.waiting);
-    }
-    if headers.contains_key(&names.not_run) {
-        in_flight.record(AnswerOutcome::Refused);
-        return Err(SendFailure::new(SendOutcome::Refused, status).with_evidence(evidence));
-    }
-    if !is_own {
-        in_flight.record(AnswerOutcome::Broken);
-        return Err(SendFailure::new(
-            SendOutcome::Perhaps,
-            "not an upstream's own answer",
-        ));
-    }
-    count_evidence(&evidence);
-    in_flight.record(AnswerOutcome::Complete);
-    let mut quality = AnswerQuality::Good;
-    if status.is_success() {
-        let now = clock::now();
-        let took = now - in_flight.started_at;
-        let ratio = traffic
-            .stats()
-            .record_answer(now, outgoing.route, outgoing.goal, choice, took);
-        quality = ratio.map_or(quality, AnswerQuality::of_time);
-    } else if status.is_server_error() {
-        quality = AnswerQuality::Failed;
-    }
-    traffic
-        .common
-        .rollouts
-        .answered(outgoing.route, &choice.upstream, quality);
-    let (mut parts, body) = answer.into_parts();
-    parts.headers = end_to_end(&parts.headers);
-    let body = GuardedBody::new(body, in_flight).boxed_unsync();
-    Ok(Response::from_parts(parts, body))
-}
