Tell a request as not run only with a proof of it

Callers were told 503, 429 or 408 for work that had run, by upstreams that failed with such a status after the run; an unmarked 421 was taken for a refusal, sent again, and took its upstream out of use.

Cause: a status was taken for evidence. An answer with a promising status and without the marker was passed on as it was; 421 counted as not run whoever sent it; the marker was believed beside a success and beside a signature.

NotRunProof is the only way to a refusal that promises, and only the record of all sends makes one; a send counts as refused by AnswerEvidence::verdict alone: the marker, or a 421 that names another process, without a signature. An upstream's answer can't become an UpstreamAnswer with 408, 421, 429 or 503: work that may run again is retried, else the caller is told 502, unsigned.

--- a/crates/gateway/src/traffic/accept.rs
+++ b/crates/gateway/src/traffic/accept.rs
@@ -5,12 +5,13 @@
 use http_body_util::BodyExt;
 use hyper::{Response, StatusCode};
 use steering::route::{
-    AnswerEvidence, AnswerOutcome, AnswerQuality, Choice, SendOutcome, StatusMeaning, UpstreamId,
+    AnswerEvidence, AnswerOutcome, AnswerQuality, AnswerVerdict, Choice, SendOutcome,
+    StatusMeaning, UpstreamId,
 };
-use upstream::{Body, GuardedBody, TrackedBody, end_to_end};
+use upstream::{GuardedBody, TrackedBody, end_to_end};
 
 use super::Traffic;
-use super::answers::status_meaning;
+use super::answers::{UpstreamAnswer, status_meaning};
 use super::in_flight::InFlight;
 use super::send::{OutgoingRequest, SendFailure};
 use super::statements::{AnswerHead, apply_statement};
@@ -24,7 +25,7 @@
     outgoing: &OutgoingRequest<'_>,
     in_flight: InFlight,
     is_repeated: bool,
-) -> Result<Response<Body>, SendFailure> {
+) -> Result<UpstreamAnswer, SendFailure> {
     let names = traffic.wire_format.headers();
     let headers = answer.headers();
     let evidence = AnswerEvidence {
@@ -42,44 +43,86 @@
         ));
     }
     let status = answer.status();
-    if status == StatusCode::MISDIRECTED_REQUEST {
+    let verdict = match status.is_informational() {
+        true => AnswerVerdict::Unproven,
+        false => evidence.verdict(),
+    };
+    if let (true, AnswerVerdict::Refused(proof)) = (evidence.is_misdirected, verdict) {
         in_flight.record(AnswerOutcome::Refused);
         in_flight.upstream.state().replaced();
         let reason = "another upstream process has the address";
-        return Err(SendFailure::new(SendOutcome::Refused, reason).with_evidence(evidence));
+        return Err(SendFailure::new(SendOutcome::Refused(proof), reason).with_evidence(evidence));
+    }
+    if status != StatusCode::MISDIRECTED_REQUEST {
+        let is_own = evidence.is_signed || verdict != AnswerVerdict::Unproven;
+        read_statements(traffic, &answer, &in_flight, is_own);
     }
-    let statement = traffic.wire_format.parse_statement(status, headers);
-    let lacks_proof = status.is_success() && !headers.contains_key(&names.signature);
-    let is_own = !status.is_informational() && !lacks_proof;
+    match verdict {
+        AnswerVerdict::Deliver => deliver(traffic, choice, answer, outgoing, in_flight),
+        AnswerVerdict::Refused(proof) => {
+            in_flight.record(AnswerOutcome::Refused);
+            Err(SendFailure::new(SendOutcome::Refused(proof), status).with_evidence(evidence))
+        }
+        AnswerVerdict::Unproven => {
+            in_flight.record(match evidence {
+                evidence if evidence.is_signed => AnswerOutcome::Complete,
+                evidence if evidence.status == StatusMeaning::Promise => AnswerOutcome::Refused,
+                _ => AnswerOutcome::Broken,
+            });
+            if evidence.status == StatusMeaning::Promise {
+                let signed = evidence.is_signed.to_string();
+                metrics::counter!("stagedeck_unproven_refusals_total", "signed" => signed)
+                    .increment(1);
+                let quality = AnswerQuality::Failed;
+                let rollouts = &traffic.common.rollouts;
+                rollouts.answered(outgoing.route, &choice.upstream, quality);
+            }
+            let reason = format!("{status} without evidence that it is the upstream's own");
+            Err(SendFailure::new(SendOutcome::Perhaps, reason).with_evidence(evidence))
+        }
+    }
+}
+
+/// Records what the head of an answer states about its upstream.
+fn read_statements(
+    traffic: &Traffic,
+    answer: &Response<TrackedBody>,
+    in_flight: &InFlight,
+    is_own: bool,
+) {
+    let headers = answer.headers();
+    let statement = traffic
+        .wire_format
+        .parse_statement(answer.status(), headers);
     let answer_head = AnswerHead {
         sent_at: in_flight.started_at,
         statement,
         is_own,
     };
-    apply_statement(&in_flight.upstream, &answer_head);
+    let upstream = &in_flight.upstream;
+    apply_statement(upstream, &answer_head);
     let unknown = traffic.wire_format.unknown_statements(headers);
     traffic
         .unknown_statements
-        .note(&in_flight.upstream.report.id, &unknown);
-    let load = headers.get(&names.load).and_then(|load| load.to_str().ok());
+        .note(&upstream.report.id, &unknown);
+    let load = headers.get(&traffic.wire_format.headers().load);
+    let load = load.and_then(|load| load.to_str().ok());
     // An upstream that asks to rest is idle and accepts nothing, so its load is meaningless.
     let load = load.filter(|_| statement.rest.is_none());
     if let Some(load) = load.and_then(|load| traffic.wire_format.parse_load(load)) {
-        let reporter = &in_flight.upstream;
-        reporter.load_reported(clock::now(), load.running, load.waiting);
-    }
-    if headers.contains_key(&names.not_run) {
-        in_flight.record(AnswerOutcome::Refused);
-        return Err(SendFailure::new(SendOutcome::Refused, status).with_evidence(evidence));
-    }
-    if !is_own {
-        in_flight.record(AnswerOutcome::Broken);
-        return Err(SendFailure::new(
-            SendOutcome::Perhaps,
-            "not an upstream's own answer",
-        ));
+        upstream.load_reported(clock::now(), load.running, load.waiting);
     }
-    count_evidence(&evidence);
+}
+
+/// Records an answer that is passed on, and prepares it for the caller.
+fn deliver(
+    traffic: &Traffic,
+    choice: &Choice,
+    answer: Response<TrackedBody>,
+    outgoing: &OutgoingRequest<'_>,
+    in_flight: InFlight,
+) -> Result<UpstreamAnswer, SendFailure> {
+    let status = answer.status();
     in_flight.record(AnswerOutcome::Complete);
     let mut quality = AnswerQuality::Good;
     if status.is_success() {
@@ -92,22 +135,13 @@
     } else if status.is_server_error() {
         quality = AnswerQuality::Failed;
     }
-    traffic
-        .common
-        .rollouts
-        .answered(outgoing.route, &choice.upstream, quality);
+    let rollouts = &traffic.common.rollouts;
+    rollouts.answered(outgoing.route, &choice.upstream, quality);
     let (mut parts, body) = answer.into_parts();
     parts.headers = end_to_end(&parts.headers);
     let body = GuardedBody::new(body, in_flight).boxed_unsync();
-    Ok(Response::from_parts(parts, body))
-}
-
-/// Counts an answer that is passed on although its status is a promise.
-fn count_evidence(evidence: &AnswerEvidence) {
-    if evidence.status == StatusMeaning::Promise {
-        let signed = evidence.is_signed.to_string();
-        metrics::counter!("stagedeck_unmarked_refusals_total", "signed" => signed).increment(1);
-    }
+    let answer = UpstreamAnswer::new(Response::from_parts(parts, body));
+    answer.ok_or_else(|| SendFailure::new(SendOutcome::Perhaps, status))
 }
 
 /// What the head of an answer shows about the run of the request that was sent to `expected`.
@@ -117,15 +151,17 @@
     expected: &UpstreamId,
 ) -> AnswerEvidence {
     let headers = answer.headers();
-    let names_another = headers
-        .get(&names.answering_upstream)
-        .is_some_and(|id| id.as_bytes() != expected.as_bytes());
+    let is_marked = headers.contains_key(&names.not_run);
+    let is_by_another = match headers.get(&names.answering_upstream) {
+        Some(id) => id.as_bytes() != expected.as_bytes(),
+        None => is_marked,
+    };
     let is_misdirected = answer.status() == StatusCode::MISDIRECTED_REQUEST;
     AnswerEvidence {
         status: status_meaning(answer.status()),
-        is_marked: headers.contains_key(&names.not_run),
+        is_marked,
         is_signed: headers.contains_key(&names.signature),
-        is_misdirected: is_misdirected && names_another,
+        is_misdirected: is_misdirected && is_by_another,
         is_repeated: false,
     }
 }
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -6,12 +6,14 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
-use hyper::{Request, Response, StatusCode};
-use steering::route::{AuthError, CallerLimits, Route, Sender, WorkIdentity, WorkParts};
+use hyper::{Request, Response};
+use steering::route::{
+    AuthError, CallerLimits, NotRunProof, Route, Sender, Sends, WorkIdentity, WorkParts,
+};
 use upstream::{Body, BodyLimitError, BoundedBody, RequestBody, buffer_body};
 
 use super::Traffic;
-use super::answers::{Cause, Refusal};
+use super::answers::{Cause, Refusal, UpstreamAnswer};
 use super::head::{Head, credentials};
 use super::request_log::RequestLog;
 use super::run::Run;
@@ -30,7 +32,7 @@
     let mut request_log = RequestLog::new(&head);
     let answered = route_and_run(traffic, &head, &mut request_log, request).await;
     request_log.finish(&head, &answered);
-    answered.unwrap_or_else(Refusal::answer)
+    answered.map_or_else(Refusal::answer, UpstreamAnswer::into_response)
 }
 
 async fn route_and_run(
@@ -38,7 +40,7 @@
     head: &Head,
     request_log: &mut RequestLog,
     request: Request<Incoming>,
-) -> Result<Response<Body>, Refusal> {
+) -> Result<UpstreamAnswer, Refusal> {
     let time_left = head.deadline.saturating_duration_since(head.arrived);
     wait_until_ready(traffic, time_left).await;
     let (parts, body) = request.into_parts();
@@ -78,7 +80,7 @@
         body,
         deadline,
         caller_attempt,
-        sends: Vec::new(),
+        sends: Sends::default(),
         connections: Vec::new(),
         excluded: Vec::new(),
     };
@@ -106,11 +108,11 @@
     let admitted = traffic.common.allowances.admit(customer).await;
     request_log.token_ms = Some(clock::elapsed(started_at).as_millis() as u64);
     admitted.map_err(|error| match error {
-        AllowanceError::Exhausted(retry_after) => Refusal::BeyondAllowance { retry_after },
-        AllowanceError::NoAnswer(retry_after) => Refusal::NotRun {
-            cause: Cause::AllowanceUnheard,
+        AllowanceError::Exhausted(retry_after) => Refusal::BeyondAllowance {
+            proof: NotRunProof::unsent(),
             retry_after,
         },
+        AllowanceError::NoAnswer(retry_after) => unsent(Cause::AllowanceUnheard, retry_after),
     })
 }
 
@@ -135,10 +137,7 @@
 ) -> Result<MatchedRoute, Refusal> {
     let view = traffic.common.view.load();
     if !view.is_ready() {
-        return Err(Refusal::NotRun {
-            cause: Cause::NoDocument,
-            retry_after: DEFAULT_RETRY_AFTER,
-        });
+        return Err(unsent(Cause::NoDocument, DEFAULT_RETRY_AFTER));
     }
     request_log.version = view.version;
     let route = view.table.find(&head.domain, path);
@@ -149,7 +148,7 @@
         .authenticate(route.public, || credentials(headers));
     let sender = sender.map_err(|error| match error {
         AuthError::UnknownKey => unless_outdated(traffic, Refusal::NoAccess),
-        AuthError::Ambiguous => Refusal::BadRequest(StatusCode::BAD_REQUEST),
+        AuthError::Ambiguous => Refusal::BadRequest,
     })?;
     request_log.customer = sender.customer().map(|customer| customer.name.clone());
     Ok(MatchedRoute {
@@ -166,21 +165,26 @@
     let age = traffic.common.document_age.age(clock::now());
     match age.is_some_and(|age| age <= traffic.common.bounds().document_apply_time) {
         true => refusal,
-        false => Refusal::NotRun {
-            cause: Cause::OldDocument,
-            retry_after: DEFAULT_RETRY_AFTER,
-        },
+        false => unsent(Cause::OldDocument, DEFAULT_RETRY_AFTER),
+    }
+}
+
+/// The refusal of a request before its first send.
+fn unsent(cause: Cause, retry_after: Duration) -> Refusal {
+    Refusal::NotRun {
+        proof: NotRunProof::unsent(),
+        cause,
+        retry_after,
     }
 }
 
 async fn read_body(body: Incoming, limits: CallerLimits) -> Result<RequestBody, Refusal> {
     let body = BoundedBody::new(body, limits.body_bytes, limits.head_timeout).boxed_unsync();
     let held = buffer_body(body, MAX_HELD_BODY_BYTES).await;
-    held.map(RequestBody::from).map_err(|error| {
-        Refusal::BadRequest(match error.downcast_ref() {
-            Some(BodyLimitError::TooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
-            Some(BodyLimitError::Stalled) => StatusCode::REQUEST_TIMEOUT,
-            None => StatusCode::BAD_REQUEST,
+    held.map(RequestBody::from)
+        .map_err(|error| match error.downcast_ref() {
+            Some(BodyLimitError::TooLarge) => Refusal::TooLarge,
+            Some(BodyLimitError::Stalled) => Refusal::SlowBody(NotRunProof::unsent()),
+            None => Refusal::BadRequest,
         })
-    })
 }
--- a/crates/gateway/src/traffic/request_log.rs
+++ b/crates/gateway/src/traffic/request_log.rs
@@ -2,12 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use hyper::Response;
 use steering::ids::{CustomerName, RegionName, RequestId, RuleName, ServiceName};
 use steering::route::{Choice, RetryGrant, SoftwareVersion, UpstreamId, WorkKey};
-use upstream::Body;
 
-use super::answers::{Cause, Refusal};
+use super::answers::{Cause, Refusal, UpstreamAnswer};
 use super::head::Head;
 use super::run::SelectionError;
 use crate::suspects;
@@ -163,6 +161,7 @@
         if let Refusal::NotRun {
             cause: Cause::NoRoom,
             retry_after,
+            ..
         } = error.refusal
         {
             self.least_wait_ms = Some(retry_after.as_millis() as u64);
@@ -176,10 +175,16 @@
     }
 
     /// Logs and counts a request that was answered or refused.
-    pub fn finish(&mut self, head: &Head, answered: &Result<Response<Body>, Refusal>) {
+    pub fn finish(&mut self, head: &Head, answered: &Result<UpstreamAnswer, Refusal>) {
         self.is_finished = true;
         let outcome = outcome(answered);
         let took = self.count(outcome);
+        if let Err(refusal) = answered
+            && let Some(proof) = refusal.proof()
+        {
+            let evidence = proof.evidence().to_string();
+            metrics::counter!("stagedeck_not_run_total", "evidence" => evidence).increment(1);
+        }
         metrics::histogram!("stagedeck_request_latency_seconds", "outcome" => outcome)
             .record(took.as_secs_f64());
         match answered {
@@ -187,7 +192,9 @@
                 let status = answer.status().as_u16();
                 log_request!(info, "request", self, status);
             }
-            Err(Refusal::NotRun { cause, retry_after }) => {
+            Err(Refusal::NotRun {
+                cause, retry_after, ..
+            }) => {
                 metrics::counter!("stagedeck_refusals_total", "cause" => cause.to_string())
                     .increment(1);
                 let come_back_ms = retry_after.as_millis() as u64;
@@ -195,7 +202,7 @@
                 log_request!(info, "request_refused", self, %cause, come_back_ms, least_wait_ms);
             }
             Err(Refusal::NoAccess) => log_request!(info, "request_unauthorized", self),
-            Err(Refusal::BeyondAllowance { retry_after }) => {
+            Err(Refusal::BeyondAllowance { retry_after, .. }) => {
                 let come_back_ms = retry_after.as_millis() as u64;
                 log_request!(info, "request_beyond_allowance", self, come_back_ms);
             }
@@ -233,14 +240,14 @@
     (value * 100.0).round() / 100.0
 }
 
-fn outcome(answered: &Result<Response<Body>, Refusal>) -> &'static str {
+fn outcome(answered: &Result<UpstreamAnswer, Refusal>) -> &'static str {
     match answered {
         Ok(answer) if answer.status().is_success() => "answered",
         Ok(_) => "failed_there",
         Err(Refusal::NoRoute) => "no_route",
         Err(Refusal::NoAccess) => "no_access",
         Err(Refusal::BeyondAllowance { .. }) => "beyond_allowance",
-        Err(Refusal::BadRequest(_)) => "bad_request",
+        Err(Refusal::BadRequest | Refusal::TooLarge | Refusal::SlowBody(_)) => "bad_request",
         Err(Refusal::NotRun { .. }) => "not_run",
         Err(Refusal::MayHaveRun) => "may_have_run",
         Err(Refusal::TooLate) => "too_late",
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use hyper::Request;
 use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::{Request, Response};
 use steering::ids::RuleName;
 use steering::route::{
     AnswerEvidence, AnswerOutcome, AnswerQuality, Choice, SendOutcome, Sender, Upstream,
@@ -16,6 +16,7 @@
 
 use super::Traffic;
 use super::accept::accept_answer;
+use super::answers::UpstreamAnswer;
 use super::head::Head;
 use super::in_flight::InFlight;
 use super::paths::{ConnectFailure, Wanted, connect};
@@ -91,7 +92,7 @@
     choice: &Choice,
     outgoing: &mut OutgoingRequest<'_>,
     sent: &mut SendOutcome,
-) -> Result<Response<Body>, SendFailure> {
+) -> Result<UpstreamAnswer, SendFailure> {
     let reuse = match outgoing.repeatable {
         true => Reuse::Any,
         false => Reuse::Recent,
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -36,6 +36,7 @@
 mod limit;
 mod look_up_host;
 mod look_up_hosts;
+mod not_run_proof;
 mod object_hash;
 mod observed_state;
 mod poll_schedule;
@@ -47,10 +48,10 @@
 mod region_sizes;
 mod reported_upstream;
 mod requirements;
-mod retry_decision;
 mod retry_grant;
 mod retry_share;
 mod rollout;
+mod sends;
 mod sent_objects;
 mod service_pool;
 mod short_share;
@@ -73,7 +74,7 @@
     TokenDemand, TokenGrant, TokenGroup, TokenLeases, TokenPool, TokenReply, TokenRequest,
     ZoneLoan, group_of,
 };
-pub use answer_evidence::{AnswerEvidence, StatusMeaning};
+pub use answer_evidence::{AnswerEvidence, AnswerVerdict, StatusMeaning};
 pub use bootstrap_tree::BootstrapTree;
 pub use caller_timeouts::{CallerAttempt, CallerTimeouts};
 pub use catalog::{Catalog, CatalogChange};
@@ -107,6 +108,7 @@
 };
 pub use look_up_host::LookUpHost;
 pub use look_up_hosts::look_up_hosts;
+pub use not_run_proof::{NotRunEvidence, NotRunProof, RefusalProof};
 pub use object_hash::{object_hash, unit_hash};
 pub use observed_state::ObservedState;
 pub use poll_schedule::{PollSchedule, UpdateKind};
@@ -118,7 +120,6 @@
 pub use region_sizes::RegionSizes;
 pub use reported_upstream::{ReportedUpstream, UpstreamId};
 pub use requirements::Requirements;
-pub use retry_decision::{RetryDecision, SendOutcome, decide_retry};
 pub use retry_grant::RetryGrant;
 pub use retry_share::RetryShare;
 pub use rollout::{
@@ -128,6 +129,7 @@
     SoftwareVersion, StageChange, StoreClock, Succession, TrialShare, Verdict, VersionRule,
     VersionUpstreams, VersionUsage,
 };
+pub use sends::{RetryDecision, SendOutcome, Sends};
 pub use sent_objects::SentObjects;
 pub use service_pool::{ServicePool, ServiceRollout, StatementCounts};
 pub use short_share::ShortShare;
