Send a request at most once on a connection

Callers were told 503 for requests that ran, and once-only work ran twice: an upstream sent its refusal a second time, in place of the next answer, and the next request on that connection was the same one.

Cause: a request that was refused went over the connection that had refused it, under the same id, so that a late copy of the refusal looked like the answer to the second send.

A request remembers the connections that it was sent on, and takes none of them again, relayed ones included. A refusal on such a connection, or one of a request without an id on a connection that has carried others, is no proof.

--- a/crates/gateway/src/traffic/accept.rs
+++ b/crates/gateway/src/traffic/accept.rs
@@ -24,12 +24,12 @@
     answer: Response<TrackedBody>,
     outgoing: &OutgoingRequest<'_>,
     in_flight: InFlight,
-    is_repeated: bool,
+    is_ambiguous: bool,
 ) -> Result<UpstreamAnswer, SendFailure> {
     let names = traffic.wire_format.headers();
     let headers = answer.headers();
     let evidence = AnswerEvidence {
-        is_repeated,
+        is_ambiguous,
         ..evidence(names, &answer, &choice.upstream.report.id)
     };
     let is_own = headers
@@ -162,6 +162,6 @@
         is_marked,
         is_signed: headers.contains_key(&names.signature),
         is_misdirected: is_misdirected && is_by_another,
-        is_repeated: false,
+        is_ambiguous: false,
     }
 }
--- a/crates/gateway/src/traffic/paths/mod.rs
+++ b/crates/gateway/src/traffic/paths/mod.rs
@@ -19,7 +19,7 @@
 use tokio::sync::{Notify, Semaphore};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
-use upstream::{ConnectError, Lease, Reuse};
+use upstream::{ConnectError, ConnectionId, Lease, Reuse};
 
 use super::Traffic;
 pub(super) use relay_client::{RelayAnswer, ask_relays};
@@ -130,6 +130,9 @@
 pub(super) struct Wanted<'a> {
     pub choice: &'a Choice,
     pub reuse: Reuse,
+    /// Connections on which the request was sent. None of them is used again: an answer on it
+    /// would not tell which of the sends it belongs to.
+    pub used: &'a [ConnectionId],
     /// Whether a host of a region may pass on the request's bytes.
     pub may_pass: &'a dyn Fn(&str) -> bool,
     pub deadline: Instant,
@@ -195,9 +198,12 @@
     let address = upstream.report.address;
     let max_connections = wanted.choice.connections.unwrap_or(DEFAULT_CONNECTIONS);
     let plan = plan(traffic, upstream, max_connections);
-    let may_use = |relay: Option<&upstream::Relay>| match relay {
-        None => plan.uses_open_direct,
-        Some(relay) => relay_client::may_use(traffic, wanted, relay),
+    let may_use = |id: ConnectionId, relay: Option<&upstream::Relay>| {
+        let may_take = match relay {
+            None => plan.uses_open_direct,
+            Some(relay) => relay_client::may_use(traffic, wanted, relay),
+        };
+        may_take && !wanted.used.contains(&id)
     };
     let connections = &traffic.connections;
     if let Some(lease) = connections.take_open(address, wanted.reuse, may_use).await {
--- a/crates/gateway/src/traffic/paths/relay_client.rs
+++ b/crates/gateway/src/traffic/paths/relay_client.rs
@@ -12,7 +12,7 @@
 use steering::route::{Place, RelayHost, Upstream, relay_order, relay_wait};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use upstream::{ConnectError, Lease, Relay};
+use upstream::{ConnectError, ConnectionId, Lease, Relay};
 
 use super::{ConnectFailure, Wanted};
 use crate::traffic::Traffic;
@@ -69,8 +69,10 @@
             connections.relayed_freed(),
         );
         let _ = freed.await;
-        let may_use =
-            |relay: Option<&Relay>| relay.is_some_and(|relay| may_use(traffic, wanted, relay));
+        let may_use = |id: ConnectionId, relay: Option<&Relay>| {
+            let may_take = relay.is_some_and(|relay| may_use(traffic, wanted, relay));
+            may_take && !wanted.used.contains(&id)
+        };
         if let Some(lease) = connections.take_open(address, wanted.reuse, may_use).await {
             return Ok(lease);
         }
--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -197,7 +197,7 @@
             marked = failure.evidence.map(|evidence| evidence.is_marked),
             signed = failure.evidence.map(|evidence| evidence.is_signed),
             misdirected = failure.evidence.map(|evidence| evidence.is_misdirected),
-            id_repeated = failure.evidence.map(|evidence| evidence.is_repeated)
+            ambiguous = failure.evidence.map(|evidence| evidence.is_ambiguous)
         );
         *sent = failure.sent;
         if failure.was_closed {
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -102,6 +102,7 @@
     let wanted = Wanted {
         choice,
         reuse,
+        used: outgoing.connections.as_slice(),
         may_pass: outgoing.may_pass,
         deadline: outgoing.deadline,
         wait_until: outgoing.wait_until,
@@ -150,7 +151,9 @@
         ));
     };
     *sent = SendOutcome::Perhaps;
-    let is_repeated = outgoing.connections.contains(&lease.id());
+    // Without an identity, an answer can't be told from one to an earlier request.
+    let lacks_id = outgoing.head.id.is_empty();
+    let is_ambiguous = outgoing.connections.contains(&lease.id()) || (lacks_id && !lease.is_new());
     outgoing.connections.push(lease.id());
     in_flight.sent_on(&lease, choice);
     let is_direct = lease.relay().is_none();
@@ -179,7 +182,7 @@
     match result {
         Ok(answer) => {
             count_send("answered");
-            accept_answer(traffic, choice, answer, outgoing, in_flight, is_repeated)
+            accept_answer(traffic, choice, answer, outgoing, in_flight, is_ambiguous)
         }
         Err(SendError::NotSent { reason, request }) => {
             count_send("not_sent");
--- a/crates/steering/src/route/answer_evidence.rs
+++ b/crates/steering/src/route/answer_evidence.rs
@@ -30,9 +30,9 @@
     /// Whether the answer comes from another upstream process than the expected one, which does
     /// not run the request.
     pub is_misdirected: bool,
-    /// Whether the same request was sent on the connection before, so that the answer may be a
-    /// late copy of the one to the earlier send.
-    pub is_repeated: bool,
+    /// Whether the answer may be a late copy of the one to an earlier send: the same request was
+    /// sent on the connection before, or the request has no identity.
+    pub is_ambiguous: bool,
 }
 
 /// What may be done with an answer.
@@ -56,7 +56,7 @@
         match self.status {
             StatusMeaning::Success if self.is_signed => AnswerVerdict::Deliver,
             StatusMeaning::Success => AnswerVerdict::Unproven,
-            _ if states_refusal && !self.is_signed => match self.is_repeated {
+            _ if states_refusal && !self.is_signed => match self.is_ambiguous {
                 true => AnswerVerdict::Unproven,
                 false => AnswerVerdict::Refused(RefusalProof::new()),
             },
--- a/crates/steering/tests/route_sends.rs
+++ b/crates/steering/tests/route_sends.rs
@@ -11,7 +11,7 @@
     is_marked: true,
     is_signed: false,
     is_misdirected: false,
-    is_repeated: false,
+    is_ambiguous: false,
 };
 
 fn refusal() -> RefusalProof {
@@ -55,7 +55,7 @@
             Event::RunsUnheard => return SendOutcome::Perhaps,
             Event::Refuses => MARKED,
             Event::RunsBehindSurplus => AnswerEvidence {
-                is_repeated: true,
+                is_ambiguous: true,
                 ..MARKED
             },
             Event::RunsAndFails => AnswerEvidence {
@@ -102,14 +102,14 @@
     #[values(false, true)] is_marked: bool,
     #[values(false, true)] is_signed: bool,
     #[values(false, true)] is_misdirected: bool,
-    #[values(false, true)] is_repeated: bool,
+    #[values(false, true)] is_ambiguous: bool,
 ) {
     let evidence = AnswerEvidence {
         status,
         is_marked,
         is_signed,
         is_misdirected,
-        is_repeated,
+        is_ambiguous,
     };
     match evidence.verdict() {
         AnswerVerdict::Deliver => assert!(match status {
@@ -118,7 +118,7 @@
             StatusMeaning::Other => is_signed || !(is_marked || is_misdirected),
         }),
         AnswerVerdict::Refused(_) => {
-            assert!((is_marked || is_misdirected) && !is_signed && !is_repeated);
+            assert!((is_marked || is_misdirected) && !is_signed && !is_ambiguous);
             assert_ne!(status, StatusMeaning::Success);
         }
         AnswerVerdict::Unproven => assert_ne!(evidence, MARKED),
--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -435,12 +435,12 @@
     }
 
     /// Returns an open connection that is not in use; `None` if there is none. `may_use` is asked
-    /// with the relay of a connection.
+    /// with the number and the relay of a connection.
     pub async fn take_open(
         &self,
         address: SocketAddr,
         reuse: Reuse,
-        may_use: impl Fn(Option<&Relay>) -> bool,
+        may_use: impl Fn(ConnectionId, Option<&Relay>) -> bool,
     ) -> Option<Lease> {
         while let Some(mut idle) = self.take_idle(address, reuse, &may_use) {
             if idle.sender.ready().await.is_ok() {
@@ -507,7 +507,7 @@
         max_connections: u32,
         reuse: Reuse,
     ) -> Result<Lease, ConnectError> {
-        match self.take_open(address, reuse, |_| true).await {
+        match self.take_open(address, reuse, |_, _| true).await {
             Some(lease) => Ok(lease),
             None => self.open_direct(address, max_connections).await,
         }
@@ -533,7 +533,7 @@
         &self,
         address: SocketAddr,
         reuse: Reuse,
-        may_use: impl Fn(Option<&Relay>) -> bool,
+        may_use: impl Fn(ConnectionId, Option<&Relay>) -> bool,
     ) -> Option<IdleConnection> {
         let oldest = match reuse {
             Reuse::Any => MAX_IDLE_TIME,
@@ -548,7 +548,7 @@
         let last = peer
             .idle
             .iter()
-            .rposition(|idle| may_use(idle.open.relay.as_ref()))?;
+            .rposition(|idle| may_use(idle.open.id, idle.open.relay.as_ref()))?;
         if clock::elapsed(peer.idle[last].since) >= oldest {
             return None;
         }
