Tell a long body that was refused early as not run

Cause: a body that is passed on while it arrives can't be sent again, and that second send, of which nothing had left the host, was recorded as one that may have run.

--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -372,6 +372,7 @@
         let is_unsafe = self.sends.may_have_run() && !self.route.repeatable;
         let suspects = &self.traffic.common.suspects;
         let may_send_again = !is_unsafe
+            && self.body.can_be_sent()
             && sent_count < self.route.attempts
             && suspects.may_be_retried(self.work)
             && (sent_count == 0 || self.take_retry(service));
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -145,9 +145,11 @@
         ));
     }
     let Some(request) = build_request(traffic, upstream, outgoing) else {
+        count_send("not_sent");
+        lease.give_back();
         return Err(SendFailure::new(
-            SendOutcome::Perhaps,
-            "the body can't be sent again",
+            SendOutcome::Not,
+            "the request can't be built",
         ));
     };
     *sent = SendOutcome::Perhaps;
--- a/crates/upstream/src/body.rs
+++ b/crates/upstream/src/body.rs
@@ -206,6 +206,11 @@
         }
     }
 
+    /// Whether [`RequestBody::take`] would return a body.
+    pub fn can_be_sent(&self) -> bool {
+        !matches!(self, RequestBody::Streaming(None))
+    }
+
     /// Returns the complete body; none if the body is not buffered.
     pub fn buffered(&self) -> Option<&[u8]> {
         match self {
