Keep a connection until its answer is known to be the request's own

After an answer to another request without a body, every later request on that connection got the answer to the one before: a 502 each, for once-only work.

Cause: the connection of an answer without a body went back to the idle ones when its head was read, before the id in it was looked at.

The answer's connection is returned by TrackedBody::accept, which the gateway calls after the id, or at the end of the body; an answer that is not accepted closes it. a_connection_with_an_answer_to_another_request_is_not_used_again failed before (502 for 200) and passes.

--- a/crates/gateway/src/traffic/accept.rs
+++ b/crates/gateway/src/traffic/accept.rs
@@ -21,7 +21,7 @@
 pub(super) fn accept_answer(
     traffic: &Arc<Traffic>,
     choice: &Choice,
-    answer: Response<TrackedBody>,
+    mut answer: Response<TrackedBody>,
     outgoing: &OutgoingRequest<'_>,
     in_flight: InFlight,
     is_ambiguous: bool,
@@ -42,6 +42,7 @@
             "an answer to another request",
         ));
     }
+    answer.body_mut().accept();
     let status = answer.status();
     let verdict = match status.is_informational() {
         true => AnswerVerdict::Unproven,
--- a/crates/gateway/src/traffic/paths/trial.rs
+++ b/crates/gateway/src/traffic/paths/trial.rs
@@ -44,7 +44,9 @@
             .header(&names.deadline_ms, TRIAL_TIME.as_millis() as u64)
             .body(full(""));
         let request = request.expect("the headers are valid");
-        lease.send(request, deadline).await.ok()
+        let mut answer = lease.send(request, deadline).await.ok()?;
+        answer.body_mut().accept();
+        Some(())
     };
     let answer = tokio::time::timeout(clock::remaining(deadline), exchange).await;
     matches!(answer, Ok(Some(_)))
--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -263,7 +263,8 @@
         self.is_new
     }
 
-    /// Sends a request, and waits for the headers of the answer.
+    /// Sends a request, and waits for the headers of the answer. The answer is to be accepted with
+    /// [`TrackedBody::accept`] once it is known to belong to the request.
     pub async fn send(
         mut self,
         request: Request<Body>,
@@ -337,7 +338,11 @@
             .connect(address, max_connections, reuse, deadline)
             .await
         {
-            Ok(lease) => lease.send(request, deadline).await,
+            Ok(lease) => {
+                let mut answer = lease.send(request, deadline).await?;
+                answer.body_mut().accept();
+                Ok(answer)
+            }
             Err(reason) => Err(SendError::not_sent(reason, request)),
         }
     }
--- a/crates/upstream/src/tracked.rs
+++ b/crates/upstream/src/tracked.rs
@@ -12,6 +12,10 @@
 
 /// The body of an answer. At the end of the body, the connection is returned for reuse. If the
 /// body is dropped earlier, the connection is closed, which cancels the request at the server.
+///
+/// The connection of an answer without a body is returned by [`TrackedBody::accept`] or when the
+/// body is polled, not before: an answer that belongs to another request must not leave a
+/// connection on which every later answer belongs to the request before.
 pub struct TrackedBody {
     body: Incoming,
     lease: Option<Lease>,
@@ -19,14 +23,17 @@
 
 impl TrackedBody {
     pub(crate) fn new(body: Incoming, lease: Lease) -> Self {
-        let mut tracked = TrackedBody {
+        TrackedBody {
             body,
             lease: Some(lease),
-        };
-        if tracked.body.is_end_stream() {
-            tracked.return_connection();
         }
-        tracked
+    }
+
+    /// Accepts the answer as the one to its request. Returns the connection if there is no body.
+    pub fn accept(&mut self) {
+        if self.body.is_end_stream() {
+            self.return_connection();
+        }
     }
 
     fn return_connection(&mut self) {
