Own interface: no connection is used again after a refusal

The same cause as behind the surplus refusals, looked for elsewhere: answers of the own interface's upstreams carry no identity, so that a late copy of a refusal would be the answer to whatever came next on the connection, and a success with the marker counted as not run.

Connections::send leaves it to its caller to accept an answer.

--- a/crates/caller/src/dispatch.rs
+++ b/crates/caller/src/dispatch.rs
@@ -327,12 +327,13 @@
         )
         .await;
     match answer {
-        Ok(answer) => {
+        Ok(mut answer) => {
             let proof = text(answer.headers(), PROOF_HEADER).unwrap_or("");
             if !is_proven(&shared.config.peer_key, &head.id, proof) {
                 tracing::warn!(event = "relay_stranger", id = head.id, host = to.name);
                 return Err(AttemptError::Silent);
             }
+            answer.body_mut().accept();
             record_load(shared, head, candidate, &answer);
             read_relay_answer(answer)
         }
--- a/crates/caller/src/local.rs
+++ b/crates/caller/src/local.rs
@@ -184,7 +184,9 @@
         ms = clock::elapsed(sent).as_millis() as u64
     );
     match answer {
-        Ok(answer) if answer.headers().contains_key(NOT_RUN_HEADER) => {
+        // The answer is not accepted: answers of upstreams carry no identity, so that a late copy of
+        // a refusal would be taken for the answer to the next request on the connection.
+        Ok(answer) if is_refusal(&answer) => {
             let rest = requested_rest(answer.status(), answer.headers());
             if let Some(rest) = rest {
                 let rest_ms = rest.granted().as_millis() as u64;
@@ -196,7 +198,8 @@
             });
             Err(AttemptError::NotRun(ErrorKind::NoCapacity))
         }
-        Ok(answer) => {
+        Ok(mut answer) => {
+            answer.body_mut().accept();
             permit.first_byte();
             Ok((answer, permit))
         }
@@ -224,6 +227,11 @@
     }
 }
 
+/// Whether an upstream states that it did not run the request. A success contradicts that.
+fn is_refusal(answer: &Response<TrackedBody>) -> bool {
+    !answer.status().is_success() && answer.headers().contains_key(NOT_RUN_HEADER)
+}
+
 fn upstream_request(
     head: &RequestHead,
     address: String,
--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -325,7 +325,8 @@
     /// Sends a request, at most once, and waits for the headers of the answer.
     ///
     /// At most `max_connections` to the address are open at the same time. Dropping the answer's
-    /// body before its end closes the connection.
+    /// body before its end closes the connection. The answer is to be accepted as for
+    /// [`Lease::send`].
     pub async fn send(
         &self,
         address: SocketAddr,
@@ -338,11 +339,7 @@
             .connect(address, max_connections, reuse, deadline)
             .await
         {
-            Ok(lease) => {
-                let mut answer = lease.send(request, deadline).await?;
-                answer.body_mut().accept();
-                Ok(answer)
-            }
+            Ok(lease) => lease.send(request, deadline).await,
             Err(reason) => Err(SendError::not_sent(reason, request)),
         }
     }
