Soak: upstreams that spoil their answers, and callers with long bodies

Upstreams repeat refusals, fail with promising statuses, lag behind by one answer, and refuse long bodies early.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -13,6 +13,7 @@
     UndisturbedHost,
     Crashes,
     Cuts,
+    SpoiledAnswers,
 }
 
 /// Seeds that failed once are kept here, each with its cause.
@@ -26,6 +27,7 @@
 #[case::an_undisturbed_host(3, Extra::UndisturbedHost)]
 #[case::crashing_requests(4, Extra::Crashes)]
 #[case::hosts_cut_off_from_upstreams(5, Extra::Cuts)]
+#[case::spoiled_answers(6, Extra::SpoiledAnswers)]
 #[tokio::test(flavor = "multi_thread")]
 async fn invariants_hold_under_faults(#[case] seed: u64, #[case] extra: Extra) {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
@@ -38,6 +40,7 @@
         limits: extra == Extra::Limits,
         crashes: extra == Extra::Crashes,
         cuts: extra == Extra::Cuts,
+        spoiled_answers: extra == Extra::SpoiledAnswers,
         undisturbed_host: extra == Extra::UndisturbedHost,
     };
     let report = soak(&plan).await.unwrap();
