One timetable of a planned stop, counted from the signal

Cause: a host accepted connections for 3 s after the signal and let each begin a request for 3 s from its own start, so that one could begin 6 s after the signal; the process ends at 5.7 s. Class: a span counted from the wrong event, so that spans add up past the end.

StopTimetable says from the signal on until when connections are accepted, until when a request may begin on any of them, and when the process ends; with the longest time of a route, sums fit into every grace period that has room, and where they don't the host says so (stop_may_cut). A request that is read whole later is refused as not run, so that its caller goes elsewhere.

--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -8,7 +8,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use derive_more::{Display, Error, From};
-use steering::route::{HostCondition, RouteView};
+use steering::route::{HostCondition, RouteView, StopTimetable};
 use store::RecordStore;
 use tokio::runtime::Builder;
 use tokio::sync::watch;
@@ -29,9 +29,6 @@
 /// Renders the process's metrics as text.
 pub type RenderMetrics = fn() -> String;
 
-/// Time before the end of the grace period at which a stopping host ends in any case.
-const STOP_MARGIN: Duration = Duration::from_millis(300);
-
 /// Why a host could not start.
 #[derive(Debug, Display, Error, From)]
 pub enum GatewayError {
@@ -227,7 +224,8 @@
         tracing::info!(event = "leaving", host = self.settings.host);
         // Both threads may have ended already, so that nobody receives the stage.
         let _ = self.stage.send(Stage::Leaving { since });
-        let deadline = since + self.bounds.load().grace_period.saturating_sub(STOP_MARGIN);
+        let timetable = StopTimetable::new(self.bounds.load().grace_period, None);
+        let deadline = since + timetable.end;
         wait(&self.traffic, deadline);
         let _ = self.stage.send(Stage::Ended);
         wait(&self.control, deadline);
--- a/crates/gateway/src/traffic/answers.rs
+++ b/crates/gateway/src/traffic/answers.rs
@@ -117,6 +117,9 @@
     /// can be asked.
     #[display("no_relay")]
     NoRelay,
+    /// This host is stopping, and may end before the request does.
+    #[display("leaving")]
+    Leaving,
     /// The request timed out before it was sent.
     #[display("no_time")]
     NoTime,
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -50,6 +50,9 @@
         limits,
     } = match_route(traffic, head, request_log, &parts.headers, parts.uri.path())?;
     let body = read_body(body, limits).await?;
+    if !traffic.may_begin() {
+        return Err(unsent(Cause::Leaving, Duration::ZERO));
+    }
     take_allowance_token(traffic, &sender, request_log).await?;
     let deadline = match route.timeout {
         Some(timeout) => head.deadline.min(head.arrived + timeout),
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -25,7 +25,7 @@
 use std::time::{Duration, Instant};
 
 use steering::ids::ServiceName;
-use steering::route::{ServicePool, StatementCounts};
+use steering::route::{ServicePool, StatementCounts, StopTimetable};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use upstream::Connections;
@@ -38,9 +38,6 @@
 use statements::UnknownStatements;
 use stats::TrafficStats;
 
-/// Time for which a leaving host accepts new connections, at most half of the grace period. Callers
-/// use its address until the lookup's answer expires.
-const MAX_ACCEPT_TIME: Duration = Duration::from_secs(3);
 /// Interval at which shares are adapted to load.
 const ADAPT_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which a leaving host checks whether its last connection has closed.
@@ -67,9 +64,18 @@
         self.stats.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Time for which a leaving host accepts new connections.
-    fn accept_time(&self) -> Duration {
-        MAX_ACCEPT_TIME.min(self.common.bounds().grace_period / 2)
+    fn stop_timetable(&self) -> StopTimetable {
+        let longest_work = self.common.view.load().table.longest_timeout();
+        StopTimetable::new(self.common.bounds().grace_period, longest_work)
+    }
+
+    /// Whether a request may begin now: not at a leaving host that has no time for it.
+    fn may_begin(&self) -> bool {
+        match *self.common.stage.borrow() {
+            Stage::Serving => true,
+            Stage::Leaving { since } => clock::elapsed(since) < self.stop_timetable().begin_until,
+            Stage::Ended => false,
+        }
     }
 
     fn is_leaving(&self) -> bool {
@@ -80,7 +86,7 @@
     fn has_stopped_accepting(&self) -> bool {
         match *self.common.stage.borrow() {
             Stage::Serving => false,
-            Stage::Leaving { since } => clock::elapsed(since) >= self.accept_time(),
+            Stage::Leaving { since } => clock::elapsed(since) >= self.stop_timetable().accept_until,
             Stage::Ended => true,
         }
     }
@@ -129,7 +135,15 @@
     spawn_local(adapt(Arc::clone(&traffic)));
     // The channel closes when the host has stopped.
     let _ = stage.wait_for(|stage| *stage != Stage::Serving).await;
-    sleep(traffic.accept_time()).await;
+    let timetable = traffic.stop_timetable();
+    if let Some(longest) = traffic.common.view.load().table.longest_timeout()
+        && !timetable.has_time_for(longest)
+    {
+        let longest_ms = longest.as_millis() as u64;
+        let left_ms = (timetable.end - timetable.begin_until).as_millis() as u64;
+        tracing::warn!(event = "stop_may_cut", longest_ms, left_ms);
+    }
+    sleep(timetable.accept_until).await;
     callers.abort();
     while traffic.open_connections.load(Ordering::Relaxed) > 0 {
         sleep(LAST_CONNECTION_POLL).await;
--- a/crates/gateway/src/traffic/server.rs
+++ b/crates/gateway/src/traffic/server.rs
@@ -124,9 +124,14 @@
         .serve_connection(TokioIo::new(stream), service);
     pin!(connection);
     let closing = async {
-        // Once a leaving host takes no new connections, its idle connections are closed.
-        let _ = stage.wait_for(|stage| *stage != Stage::Serving).await;
-        sleep(closing_traffic.accept_time()).await;
+        let leaving = stage.wait_for(|stage| *stage != Stage::Serving).await;
+        let since = match leaving.as_deref() {
+            Ok(Stage::Leaving { since }) => *since,
+            _ => return,
+        };
+        drop(leaving);
+        let begin_until = since + closing_traffic.stop_timetable().begin_until;
+        sleep(clock::remaining(begin_until)).await;
     };
     tokio::select! {
         ended = connection.as_mut() => return log_end(ended),
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -58,6 +58,7 @@
 mod speed;
 mod spread;
 mod start_wait;
+mod stop_timetable;
 mod store_answers;
 mod suspect;
 mod table;
@@ -136,6 +137,7 @@
 pub use speed::Speed;
 pub use spread::{RegionShare, WeightedRoundRobin, share_by_capacity};
 pub use start_wait::start_wait;
+pub use stop_timetable::StopTimetable;
 pub use store_answers::{StoreAnswers, StoreUptime};
 pub use suspect::{
     AbandonedRequests, Admission, CRASHES_TO_REFUSE, RefusedWork, Suspects, WorkDigest, WorkEvent,
--- a/crates/steering/src/route/table.rs
+++ b/crates/steering/src/route/table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::document::{Route, RouteDocument};
 use crate::ids::RuleName;
@@ -38,6 +39,16 @@
         self.routes().map(|route| &route.name)
     }
 
+    /// Returns the longest time that a request may take; none if a route has no time of its own, or
+    /// there are no routes.
+    pub fn longest_timeout(&self) -> Option<Duration> {
+        let mut longest = None;
+        for route in self.routes() {
+            longest = longest.max(Some(route.timeout?));
+        }
+        longest
+    }
+
     /// Returns the route with the longest prefix of `path`; `host` may contain a port.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let domain = host.split(':').next().unwrap_or(host);
