An answer ends at its route's time, whatever phase it is in

Cause: the route's time ended with the head of the answer; a body had no limit, and neither had a caller's body that comes a byte at a time. Class: a limit on one phase taken for a limit on the whole.

A connection holds the deadline of the answer under way (OpenAnswer) and closes at it, so that a cut answer does not look whole, its upstream's connection closes, and a caller that does not read holds nothing any longer. Reading a request's body counts against the same deadline.

--- a/crates/gateway/src/traffic/accept.rs
+++ b/crates/gateway/src/traffic/accept.rs
@@ -141,7 +141,7 @@
     let (mut parts, body) = answer.into_parts();
     parts.headers = end_to_end(&parts.headers);
     let body = GuardedBody::new(body, in_flight).boxed_unsync();
-    let answer = UpstreamAnswer::new(Response::from_parts(parts, body));
+    let answer = UpstreamAnswer::new(Response::from_parts(parts, body), outgoing.deadline);
     answer.ok_or_else(|| SendFailure::new(SendOutcome::Perhaps, status))
 }
 
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -10,11 +10,13 @@
 use steering::route::{
     AuthError, CallerLimits, NotRunProof, Route, Sender, Sends, WorkIdentity, WorkParts,
 };
+use tokio::time::timeout;
 use upstream::{Body, BodyLimitError, BoundedBody, RequestBody, buffer_body};
 
 use super::Traffic;
 use super::answers::{Cause, Refusal, UpstreamAnswer};
 use super::head::{Head, credentials};
+use super::open_answer::OpenAnswer;
 use super::request_log::RequestLog;
 use super::run::Run;
 use super::start_waits::wait_until_ready;
@@ -27,12 +29,19 @@
 pub(super) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Answers a caller's request.
-pub(super) async fn answer(traffic: &Arc<Traffic>, request: Request<Incoming>) -> Response<Body> {
+pub(super) async fn answer(
+    traffic: &Arc<Traffic>,
+    request: Request<Incoming>,
+    open_answer: &OpenAnswer,
+) -> Response<Body> {
     let head = Head::read(&request, traffic.wire_format.headers(), clock::now());
     let mut request_log = RequestLog::new(&head);
     let answered = route_and_run(traffic, &head, &mut request_log, request).await;
     request_log.finish(&head, &answered);
-    answered.map_or_else(Refusal::answer, UpstreamAnswer::into_response)
+    match answered {
+        Ok(answer) => answer.into_response(open_answer),
+        Err(refusal) => refusal.answer(),
+    }
 }
 
 async fn route_and_run(
@@ -49,15 +58,18 @@
         sender,
         limits,
     } = match_route(traffic, head, request_log, &parts.headers, parts.uri.path())?;
-    let body = read_body(body, limits).await?;
-    if !traffic.may_begin() {
-        return Err(unsent(Cause::Leaving, Duration::ZERO));
-    }
-    take_allowance_token(traffic, &sender, request_log).await?;
     let deadline = match route.timeout {
         Some(timeout) => head.deadline.min(head.arrived + timeout),
         None => head.deadline,
     };
+    let reading = timeout(clock::remaining(deadline), read_body(body, limits));
+    let body = reading
+        .await
+        .unwrap_or_else(|_| Err(unsent(Cause::NoTime, DEFAULT_RETRY_AFTER)))?;
+    if !traffic.may_begin() {
+        return Err(unsent(Cause::Leaving, Duration::ZERO));
+    }
+    take_allowance_token(traffic, &sender, request_log).await?;
     let caller_timeout = head.deadline.saturating_duration_since(head.arrived);
     let caller_attempt = traffic.stats().caller_attempt(&route.name, caller_timeout);
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
@@ -88,7 +100,7 @@
         excluded: Vec::new(),
     };
     let time_left = deadline.saturating_duration_since(clock::now());
-    let answered = match tokio::time::timeout(time_left, run.run()).await {
+    let answered = match timeout(time_left, run.run()).await {
         Ok(answered) => answered,
         Err(_) => Err(run.out_of_time()),
     };
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -8,6 +8,7 @@
 mod head;
 mod in_flight;
 mod look_up;
+mod open_answer;
 mod open_connection;
 mod operator;
 mod own_condition;
--- a/crates/gateway/src/traffic/server.rs
+++ b/crates/gateway/src/traffic/server.rs
@@ -20,6 +20,7 @@
 use upstream::{Body, full};
 
 use super::answers::status;
+use super::open_answer::OpenAnswer;
 use super::open_connection::OpenConnection;
 use super::{Traffic, forward, look_up, operator, paths};
 use crate::host::Stage;
@@ -100,11 +101,14 @@
     let closing_traffic = Arc::clone(&traffic);
     let own_ip = traffic.common.settings.caller_address.ip();
     let is_own = peer.ip() == own_ip || peer.ip().is_loopback();
+    let open_answer = OpenAnswer::default();
+    let answers = open_answer.clone();
     let service = service_fn(move |request| {
         let traffic = Arc::clone(&traffic);
+        let answers = answers.clone();
         async move {
             let mut answer = match purpose {
-                Purpose::Callers => forward::answer(&traffic, request).await,
+                Purpose::Callers => forward::answer(&traffic, request, &answers).await,
                 Purpose::Checks => check(&traffic, &request),
                 Purpose::Metrics => operator::answer(&traffic, &request, is_own),
                 Purpose::Relays => status(StatusCode::NOT_FOUND),
@@ -133,11 +137,22 @@
         let begin_until = since + closing_traffic.stop_timetable().begin_until;
         sleep(clock::remaining(begin_until)).await;
     };
-    tokio::select! {
-        ended = connection.as_mut() => return log_end(ended),
-        () = closing => connection.as_mut().graceful_shutdown(),
+    pin!(closing);
+    let mut is_closing = false;
+    loop {
+        tokio::select! {
+            ended = connection.as_mut() => return log_end(ended),
+            () = closing.as_mut(), if !is_closing => {
+                is_closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            () = open_answer.until_late() => {
+                metrics::counter!("stagedeck_answers_cut_total").increment(1);
+                tracing::warn!(event = "answer_cut", %peer);
+                return;
+            }
+        }
     }
-    log_end(connection.await);
 }
 
 fn log_end(ended: Result<(), hyper::Error>) {
