Reset connections to upstreams when they are closed

Cause: a connection with an unanswered request was closed, not reset, so that the kernel went on delivering what it held. Class: a send that is given up and not taken back.

Every connection that is opened to an upstream, or to a host that relays, has no time to linger from the start: one call a connection, and it holds for requests given up, callers that leave, lost paths and the end of the process alike.

--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -580,7 +580,8 @@
     }
 }
 
-/// Connects to an address.
+/// Connects to an address. The connection is reset when it is closed, also by the end of the
+/// process: a request that was given up must not be delivered later, when a cut has healed.
 ///
 /// # Errors
 ///
@@ -589,6 +590,7 @@
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = connected.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()))?;
     stream.set_nodelay(true)?;
+    stream.set_zero_linger()?;
     Ok(stream)
 }
 
