--- a/crates/gateway/src/traffic/accept.rs
+++ b/crates/gateway/src/traffic/accept.rs
@@ -65,25 +65,35 @@
             Err(SendFailure::new(SendOutcome::Refused(proof), status).with_evidence(evidence))
         }
         AnswerVerdict::Unproven => {
-            in_flight.record(match evidence {
-                evidence if evidence.is_signed => AnswerOutcome::Complete,
-                evidence if evidence.status == StatusMeaning::Promise => AnswerOutcome::Refused,
-                _ => AnswerOutcome::Broken,
-            });
-            if evidence.status == StatusMeaning::Promise {
-                let signed = evidence.is_signed.to_string();
-                metrics::counter!("stagedeck_unproven_refusals_total", "signed" => signed)
-                    .increment(1);
-                let quality = AnswerQuality::Failed;
-                let rollouts = &traffic.common.rollouts;
-                rollouts.answered(outgoing.route, &choice.upstream, quality);
-            }
+            record_unproven(traffic, choice, outgoing, &in_flight, evidence);
             let reason = format!("{status} without evidence that it is the upstream's own");
             Err(SendFailure::new(SendOutcome::Perhaps, reason).with_evidence(evidence))
         }
     }
 }
 
+/// Records an answer that may not be passed on although its request may have run.
+fn record_unproven(
+    traffic: &Traffic,
+    choice: &Choice,
+    outgoing: &OutgoingRequest<'_>,
+    in_flight: &InFlight,
+    evidence: AnswerEvidence,
+) {
+    if evidence.status != StatusMeaning::Promise {
+        in_flight.record(AnswerOutcome::Broken);
+        return;
+    }
+    in_flight.record(match evidence.is_signed {
+        true => AnswerOutcome::Complete,
+        false => AnswerOutcome::Refused,
+    });
+    let signed = evidence.is_signed.to_string();
+    metrics::counter!("stagedeck_unproven_refusals_total", "signed" => signed).increment(1);
+    let rollouts = &traffic.common.rollouts;
+    rollouts.answered(outgoing.route, &choice.upstream, AnswerQuality::Failed);
+}
+
 /// Records what the head of an answer states about its upstream.
 fn read_statements(
     traffic: &Traffic,
--- a/crates/upstream/tests/given_up.rs
+++ b/crates/upstream/tests/given_up.rs
@@ -16,7 +16,9 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let connections = Connections::default();
-    let request = Request::post("/").body(full(vec![b'x'; BODY_BYTES])).unwrap();
+    let request = Request::post("/")
+        .body(full(vec![b'x'; BODY_BYTES]))
+        .unwrap();
     let deadline = Instant::now() + Duration::from_millis(200);
     let sent = connections.send(address, 10, Reuse::Any, request, deadline);
     assert!(matches!(sent.await, Err(SendError::Timeout)));
