--- a/crates/gateway/src/traffic/accept.rs
+++ b/crates/gateway/src/traffic/accept.rs
@@ -80,7 +80,7 @@
     in_flight: &InFlight,
     evidence: AnswerEvidence,
 ) {
-    if evidence.status != StatusMeaning::Promise {
+    if evidence.status != StatusMeaning::NotRun {
         in_flight.record(AnswerOutcome::Broken);
         return;
     }
--- a/crates/gateway/src/traffic/answers.rs
+++ b/crates/gateway/src/traffic/answers.rs
@@ -27,7 +27,7 @@
 pub(super) fn status_meaning(status: StatusCode) -> StatusMeaning {
     match status {
         status if status.is_success() => StatusMeaning::Success,
-        status if NOT_RUN_STATUSES.contains(&status) => StatusMeaning::Promise,
+        status if NOT_RUN_STATUSES.contains(&status) => StatusMeaning::NotRun,
         _ => StatusMeaning::Other,
     }
 }
@@ -44,7 +44,7 @@
 impl UpstreamAnswer {
     /// Returns none if the status is a promise.
     pub fn new(response: Response<Body>, deadline: Instant) -> Option<Self> {
-        let is_promise = status_meaning(response.status()) == StatusMeaning::Promise;
+        let is_promise = status_meaning(response.status()) == StatusMeaning::NotRun;
         (!is_promise).then_some(UpstreamAnswer { response, deadline })
     }
 
--- a/crates/steering/src/route/answer_evidence.rs
+++ b/crates/steering/src/route/answer_evidence.rs
@@ -1,20 +1,15 @@
 //! What the head of an answer shows about whether its request has run.
 
-use derive_more::Display;
-
 use super::not_run_proof::RefusalProof;
 
 /// What the status of an answer says about the run of its request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StatusMeaning {
     /// The request ran and succeeded.
-    #[display("success")]
     Success,
-    /// To a caller, the status is a promise that the request has not run and never will.
-    #[display("promise")]
-    Promise,
+    /// A caller concludes from the status that the request has not run and never will.
+    NotRun,
     /// The status says nothing about the run.
-    #[display("other")]
     Other,
 }
 
@@ -60,7 +55,7 @@
                 true => AnswerVerdict::Unproven,
                 false => AnswerVerdict::Refused(RefusalProof::new()),
             },
-            StatusMeaning::Promise => AnswerVerdict::Unproven,
+            StatusMeaning::NotRun => AnswerVerdict::Unproven,
             StatusMeaning::Other => AnswerVerdict::Deliver,
         }
     }
--- a/crates/steering/tests/route_sends.rs
+++ b/crates/steering/tests/route_sends.rs
@@ -7,7 +7,7 @@
 };
 
 const MARKED: AnswerEvidence = AnswerEvidence {
-    status: StatusMeaning::Promise,
+    status: StatusMeaning::NotRun,
     is_marked: true,
     is_signed: false,
     is_misdirected: false,
@@ -97,7 +97,7 @@
 
 #[rstest]
 fn a_verdict_rests_on_evidence_of_this_send(
-    #[values(StatusMeaning::Success, StatusMeaning::Promise, StatusMeaning::Other)]
+    #[values(StatusMeaning::Success, StatusMeaning::NotRun, StatusMeaning::Other)]
     status: StatusMeaning,
     #[values(false, true)] is_marked: bool,
     #[values(false, true)] is_signed: bool,
@@ -114,7 +114,7 @@
     match evidence.verdict() {
         AnswerVerdict::Deliver => assert!(match status {
             StatusMeaning::Success => is_signed,
-            StatusMeaning::Promise => false,
+            StatusMeaning::NotRun => false,
             StatusMeaning::Other => is_signed || !(is_marked || is_misdirected),
         }),
         AnswerVerdict::Refused(_) => {
--- a/crates/steering/tests/route_shares.rs
+++ b/crates/steering/tests/route_shares.rs
@@ -1,4 +1,4 @@
-//! Shares of services and regions, and retry decisions.
+//! Shares of services and regions.
 
 use rstest::rstest;
 use steering::route::{
