--- a/review/5/case.py
+++ b/review/5/case.py
@@ -9,7 +9,6 @@
 sys.dont_write_bytecode = True
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standins"))
 
 from deck import TROUBLE, asyncio, config, request, rule, run
 
