--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -103,9 +103,19 @@
         excluded: Vec::new(),
     };
     let time_left = deadline.saturating_duration_since(clock::now());
-    let answered = match timeout(time_left, run.run()).await {
-        Ok(answered) => answered,
-        Err(_) => Err(run.out_of_time()),
+    let running = async {
+        match timeout(time_left, run.run()).await {
+            Ok(answered) => answered,
+            Err(_) => Err(run.out_of_time()),
+        }
+    };
+    let answered = tokio::select! {
+        biased;
+        answered = running => answered,
+        () = traffic.until_end() => {
+            run.log_cut();
+            std::future::pending().await
+        }
     };
     if let (Err(Refusal::NotRun { .. }), Some(customer)) = (&answered, sender.with_allowance()) {
         traffic.common.allowances.give_back(customer);
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -90,6 +90,26 @@
         }
     }
 
+    /// Waits until this host is stopping and ends.
+    async fn until_end(&self) {
+        let mut stage = self.common.stage.clone();
+        let stopping = stage.wait_for(|stage| *stage != Stage::Serving).await;
+        // The channel closes when the host has stopped.
+        if let Ok(Stage::Leaving { since }) = stopping.as_deref() {
+            let end = *since + self.stop_timetable().end;
+            drop(stopping);
+            sleep(clock::remaining(end)).await;
+        }
+    }
+
+    /// Time since this host was told to stop; none unless it is stopping.
+    fn stopping_for(&self) -> Option<Duration> {
+        match *self.common.stage.borrow() {
+            Stage::Leaving { since } => Some(clock::elapsed(since)),
+            Stage::Serving | Stage::Ended => None,
+        }
+    }
+
     fn is_leaving(&self) -> bool {
         *self.common.stage.borrow() != Stage::Serving
     }
--- a/crates/gateway/src/traffic/request_log.rs
+++ b/crates/gateway/src/traffic/request_log.rs
@@ -174,6 +174,14 @@
         (!self.passed_over.is_empty()).then(|| self.passed_over.join(","))
     }
 
+    /// Logs a request that is under way when the process ends, `stopping_for` after the signal to
+    /// stop.
+    pub fn cut(&self, stopping_for: Option<Duration>) {
+        metrics::counter!("stagedeck_requests_cut_total").increment(1);
+        let stopping_ms = stopping_for.map(|time| time.as_millis() as u64);
+        log_request!(warn, "request_cut", self, stopping_ms);
+    }
+
     /// Logs and counts a request that was answered or refused.
     pub fn finish(&mut self, head: &Head, answered: &Result<UpstreamAnswer, Refusal>) {
         self.is_finished = true;
--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -137,6 +137,11 @@
         }
     }
 
+    /// Logs that the process ends while the request is under way.
+    pub fn log_cut(&self) {
+        self.request_log.cut(self.traffic.stopping_for());
+    }
+
     /// Whether this host is stopping, and may end before the answer arrives.
     fn may_outlast_host(&self, choice: &Choice) -> bool {
         let time_left = self.deadline.saturating_duration_since(clock::now());
