A stopping host begins a request only if the responses seen show that it ends in time

Cause: the stopping host compares the time left with the estimate of the work, a middle that starts at half of the latency goal and moves by a share of itself for each answer.

What does not fit is refused with its proof at once, so that the caller can go elsewhere.

--- a/crates/gateway/src/traffic/accept.rs
+++ b/crates/gateway/src/traffic/accept.rs
@@ -137,6 +137,7 @@
     in_flight.record(AnswerOutcome::Complete);
     let mut quality = AnswerQuality::Good;
     if status.is_success() {
+        in_flight.served();
         let now = clock::now();
         let took = now - in_flight.started_at;
         let ratio = traffic
--- a/crates/gateway/src/traffic/in_flight.rs
+++ b/crates/gateway/src/traffic/in_flight.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use steering::ids::HostName;
+use steering::ids::{HostName, RuleName};
 use steering::route::{AnswerOutcome, Choice, DirectResult, Upstream, WorkIdentity, ZoneChange};
 use upstream::Lease;
 
@@ -35,6 +35,9 @@
 pub(super) struct InFlight {
     pub upstream: Arc<Upstream>,
     pub started_at: Instant,
+    route: RuleName,
+    /// Whether the upstream has answered with success.
+    is_served: Cell<bool>,
     is_recorded: Cell<bool>,
     work: WorkIdentity,
     /// Whether any part of the request may have left this host.
@@ -44,7 +47,12 @@
 }
 
 impl InFlight {
-    pub fn begin(traffic: &Arc<Traffic>, choice: &Choice, work: WorkIdentity) -> Self {
+    pub fn begin(
+        traffic: &Arc<Traffic>,
+        choice: &Choice,
+        route: &RuleName,
+        work: WorkIdentity,
+    ) -> Self {
         let started_at = clock::now();
         let mut state = choice.upstream.state();
         state.request_sent(started_at);
@@ -53,6 +61,8 @@
         InFlight {
             upstream: Arc::clone(&choice.upstream),
             started_at,
+            route: route.clone(),
+            is_served: Cell::new(false),
             is_recorded: Cell::new(false),
             work,
             is_sent: Cell::new(false),
@@ -77,6 +87,11 @@
         });
     }
 
+    /// Records that the upstream has answered with success.
+    pub fn served(&self) {
+        self.is_served.set(true);
+    }
+
     /// Records what the request shows of the path to the upstream.
     fn record_path(&self, now: Instant, outcome: AnswerOutcome) {
         let paths = &self.traffic.paths;
@@ -156,6 +171,12 @@
             self.record(AnswerOutcome::Unknown);
         }
         let now = clock::now();
+        if is_abandoned || self.is_served.get() {
+            let took = now.saturating_duration_since(self.started_at);
+            let service = &self.upstream.report.service;
+            let mut stats = self.traffic.stats();
+            stats.record_response(service, &self.route, now, took);
+        }
         let mut state = self.upstream.state();
         if is_abandoned {
             state.abandoned.note(now, self.work, self.started_at);
--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -142,11 +142,19 @@
         self.request_log.cut(self.traffic.stopping_for());
     }
 
-    /// Whether this host is stopping, and may end before the answer arrives.
+    /// Whether this host is stopping, and may end before the answer arrives. Without a recent
+    /// response of the route, a request may take all the time that it has left.
     fn may_outlast_host(&self, choice: &Choice) -> bool {
-        let time_left = self.deadline.saturating_duration_since(clock::now());
-        let longest = choice.expectation.upper_bound().min(time_left);
-        !self.traffic.has_time_for(longest)
+        if !self.traffic.is_leaving() {
+            return false;
+        }
+        let now = clock::now();
+        let time_left = self.deadline.saturating_duration_since(now);
+        let service = &choice.upstream.report.service;
+        let mut stats = self.traffic.stats();
+        let seen = stats.longest_response(service, &self.route.name, now);
+        let longest = seen.map_or(time_left, |seen| seen.max(choice.expectation.upper_bound()));
+        !self.traffic.has_time_for(longest.min(time_left))
     }
 
     /// Takes a token of the rate limit that the selected upstream declares, if any. Every send
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -98,7 +98,7 @@
         false => Reuse::Recent,
     };
     let upstream = &choice.upstream;
-    let in_flight = InFlight::begin(traffic, choice, outgoing.work);
+    let in_flight = InFlight::begin(traffic, choice, outgoing.route, outgoing.work);
     let wanted = Wanted {
         choice,
         reuse,
--- a/crates/gateway/src/traffic/stats.rs
+++ b/crates/gateway/src/traffic/stats.rs
@@ -7,9 +7,9 @@
 
 use steering::ids::{RegionName, RuleName, ServiceName};
 use steering::route::{
-    CallerAttempt, CallerTimeouts, Choice, Estimate, PoolPart, RegionPool, RegionShare, RetryGrant,
-    RetryShare, Route, RouteView, ServicePool, WeightedRoundRobin, WorkLength, WorkMix,
-    share_by_capacity,
+    CallerAttempt, CallerTimeouts, Choice, Estimate, PoolPart, RegionPool, RegionShare,
+    ResponseTimes, RetryGrant, RetryShare, Route, RouteView, ServicePool, WeightedRoundRobin,
+    WorkLength, WorkMix, share_by_capacity,
 };
 
 use crate::settings::{Bounds, GatewaySettings};
@@ -34,6 +34,8 @@
     average_latency_ms: HashMap<ServiceName, f64>,
     /// Estimated work time of each route at each service.
     estimates: HashMap<ServiceName, HashMap<RuleName, Estimate>>,
+    /// Response times of each route at each service.
+    response_times: HashMap<ServiceName, HashMap<RuleName, ResponseTimes>>,
     /// How long callers of each route wait.
     caller_timeouts: HashMap<RuleName, CallerTimeouts>,
     /// Version of the document that the routes belong to.
@@ -50,6 +52,7 @@
             mixes: HashMap::new(),
             average_latency_ms: HashMap::new(),
             estimates: HashMap::new(),
+            response_times: HashMap::new(),
             caller_timeouts: HashMap::new(),
             version: 0,
         }
@@ -235,6 +238,37 @@
         Some(ratio)
     }
 
+    /// Records how long a response of a route took, its body included, or for how long a request was
+    /// sent without one.
+    pub fn record_response(&mut self, service: &str, route: &str, now: Instant, took: Duration) {
+        if !self.response_times.contains_key(service) {
+            self.response_times
+                .insert(service.to_owned(), HashMap::new());
+        }
+        let routes = self
+            .response_times
+            .get_mut(service)
+            .expect("the entry exists or was just inserted");
+        if !routes.contains_key(route) {
+            routes.insert(route.to_owned(), ResponseTimes::default());
+        }
+        let times = routes.get_mut(route);
+        times
+            .expect("the entry exists or was just inserted")
+            .record(now, took);
+    }
+
+    /// The time that few responses of a route at a service exceed; none if no response is known.
+    pub fn longest_response(
+        &mut self,
+        service: &str,
+        route: &str,
+        now: Instant,
+    ) -> Option<Duration> {
+        let routes = self.response_times.get_mut(service)?;
+        routes.get_mut(route)?.upper_bound(now)
+    }
+
     /// Drops the state of routes that are not in a new document.
     fn forget_routes(&mut self, view: &RouteView) {
         if view.version == self.version {
@@ -248,6 +282,10 @@
             routes.retain(|name, _| names.contains(name));
         }
         self.estimates.retain(|_, routes| !routes.is_empty());
+        for routes in self.response_times.values_mut() {
+            routes.retain(|name, _| names.contains(name));
+        }
+        self.response_times.retain(|_, routes| !routes.is_empty());
         self.forget_goals(view);
     }
 
--- a/crates/steering/src/route/mod.rs
+++ b/crates/steering/src/route/mod.rs
@@ -48,6 +48,7 @@
 mod region_sizes;
 mod reported_upstream;
 mod requirements;
+mod response_times;
 mod retry_grant;
 mod retry_share;
 mod rollout;
@@ -121,6 +122,7 @@
 pub use region_sizes::RegionSizes;
 pub use reported_upstream::{ReportedUpstream, UpstreamId};
 pub use requirements::Requirements;
+pub use response_times::ResponseTimes;
 pub use retry_grant::RetryGrant;
 pub use retry_share::RetryShare;
 pub use rollout::{
