Requests under way when a stopping host ends get a whole answer

Those sent before the signal can't be refused any more, so that the bound of the work alone does not help them.

Cause: the process ended at the end of its timetable whatever was under way.

Fix: at that moment, and not sooner, each request without an answer gets 502 if it may have run, 503 with its proof if not; the process ends once these are written, 150 ms later at the latest. No answer of an upstream is replaced that would have been passed on before.

--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -225,7 +225,7 @@
         // Both threads may have ended already, so that nobody receives the stage.
         let _ = self.stage.send(Stage::Leaving { since });
         let timetable = StopTimetable::new(self.bounds.load().grace_period, None);
-        let deadline = since + timetable.end;
+        let deadline = since + timetable.exit;
         wait(&self.traffic, deadline);
         let _ = self.stage.send(Stage::Ended);
         wait(&self.control, deadline);
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -66,9 +66,13 @@
         None => head.deadline,
     };
     let reading = timeout(clock::remaining(deadline), read_body(body, limits));
-    let body = reading
-        .await
-        .unwrap_or_else(|_| Err(unsent(Cause::NoTime, DEFAULT_RETRY_AFTER)))?;
+    let body = tokio::select! {
+        biased;
+        read = reading => {
+            read.unwrap_or_else(|_| Err(unsent(Cause::NoTime, DEFAULT_RETRY_AFTER)))?
+        }
+        () = traffic.until_end() => return Err(unsent(Cause::Leaving, Duration::ZERO)),
+    };
     if !traffic.may_begin() {
         return Err(unsent(Cause::Leaving, Duration::ZERO));
     }
@@ -112,10 +116,7 @@
     let answered = tokio::select! {
         biased;
         answered = running => answered,
-        () = traffic.until_end() => {
-            run.log_cut();
-            std::future::pending().await
-        }
+        () = traffic.until_end() => Err(run.cut()),
     };
     if let (Err(Refusal::NotRun { .. }), Some(customer)) = (&answered, sender.with_allowance()) {
         traffic.common.allowances.give_back(customer);
--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -137,9 +137,10 @@
         }
     }
 
-    /// Logs that the process ends while the request is under way.
-    pub fn log_cut(&self) {
+    /// The answer to a request that is under way when this host ends.
+    pub fn cut(&self) -> Refusal {
         self.request_log.cut(self.traffic.stopping_for());
+        self.refusal(Cause::Leaving, Duration::ZERO)
     }
 
     /// Whether this host is stopping, and may end before the answer arrives. Without a recent
--- a/crates/steering/src/route/stop_timetable.rs
+++ b/crates/steering/src/route/stop_timetable.rs
@@ -7,8 +7,10 @@
 const MAX_ACCEPT_TIME: Duration = Duration::from_secs(3);
 /// Longest time after that in which a first request may arrive on a connection just accepted.
 const MAX_FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
-/// Time before the end of the grace period at which the process ends in any case.
+/// Time before the end of the grace period at which requests under way are given up.
 const END_MARGIN: Duration = Duration::from_millis(300);
+/// Longest time after that in which their answers are written.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(150);
 
 /// The steps of a planned stop. All times count from the signal to stop, whenever a connection was
 /// opened.
@@ -19,8 +21,10 @@
     /// Until when a request may begin, on any connection. Never before `accept_until`. Connections
     /// without a request are closed then, unread, so that their callers can go elsewhere.
     pub begin_until: Duration,
-    /// When the process ends in any case; before the end of the grace period.
+    /// When requests under way are given up, and their callers are told what is known of them.
     pub end: Duration,
+    /// When the process ends in any case; not before `end`, and before the end of the grace period.
+    pub exit: Duration,
 }
 
 impl StopTimetable {
@@ -36,15 +40,16 @@
                 .clamp(accept_until, accept_until + MAX_FIRST_REQUEST_TIME)
                 .min(end),
             end,
+            exit: (end + LAST_ANSWERS_TIME).min(grace_period),
         }
     }
 
-    /// Whether work that begins `since_signal` after the signal is done before the process ends.
+    /// Whether work that begins `since_signal` after the signal is done before it is given up.
     pub fn ends_in_time(&self, since_signal: Duration, work: Duration) -> bool {
         since_signal + work <= self.end
     }
 
-    /// Whether a request of this length that begins as late as it may ends before the process.
+    /// Whether a request of this length that begins as late as it may ends in time.
     pub fn has_time_for(&self, work: Duration) -> bool {
         self.ends_in_time(self.begin_until, work)
     }
