The framing of a request follows from its body, for every method

Cause: the host removes the framing of the caller's connection and left that of its own to hyper, which sends no body of unknown length with GET, HEAD and CONNECT unless the head states one.

Fix: RequestFraming is made from the body that is sent, and replaces the fields in Lease::send, which all senders go through: head and body can't disagree, whatever the method.

--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -25,7 +25,7 @@
 use tokio::time::timeout;
 
 use crate::headers::keep_alive;
-use crate::{AnswerError, Body, BodyFraming, SendError, Surplus, TrackedBody};
+use crate::{AnswerError, Body, BodyFraming, RequestFraming, SendError, Surplus, TrackedBody};
 
 /// Maximum time to open a connection. A host that has vanished does not answer at all, and other
 /// hosts are tried instead.
@@ -260,8 +260,10 @@
 
     async fn exchange(
         mut self,
-        request: Request<Body>,
+        mut request: Request<Body>,
     ) -> Result<Response<TrackedBody>, SendError> {
+        let framing = RequestFraming::of(request.headers(), request.body());
+        framing.replace_fields(request.headers_mut());
         let method = request.method().clone();
         self.has_request_body = !request.body().is_end_stream();
         match self.sender.try_send_request(request).await {
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -8,6 +8,7 @@
 mod connections;
 mod headers;
 mod probe;
+mod request_framing;
 mod rest;
 mod send_error;
 mod surplus;
@@ -18,6 +19,7 @@
 pub use connections::{ConnectError, ConnectionId, Connections, Lease, Relay, Reuse, connect};
 pub use headers::end_to_end;
 pub use probe::{LOAD_PATH, ProbeError, probe};
+pub use request_framing::RequestFraming;
 pub use rest::requested_rest;
 pub use send_error::SendError;
 pub use surplus::Surplus;
