A request under way is not ended because its host may be cut off

Cause: once a zone counted as cut, until_lost dropped every repeatable request on a direct connection over which nothing was answered since. A finding of this host's own ended work that went on, and where no repeat was allowed nothing took its place.

Fix: such a send stays open (UnansweredSend) while the request is sent once more, if a repeat is allowed; the first answer that can be passed on is taken. Where none is allowed, the request waits for its first send until its time is over.

--- a/crates/gateway/src/traffic/accept.rs
+++ b/crates/gateway/src/traffic/accept.rs
@@ -13,8 +13,9 @@
 use super::Traffic;
 use super::answers::{UpstreamAnswer, status_meaning};
 use super::in_flight::InFlight;
-use super::send::{OutgoingRequest, SendFailure};
+use super::send::SendFailure;
 use super::statements::{AnswerHead, apply_statement};
+use super::unanswered_send::AnswerTerms;
 use crate::wire_format::HeaderNames;
 
 /// Returns an answer to pass on, if it belongs to this request and comes from the upstream itself.
@@ -22,7 +23,7 @@
     traffic: &Arc<Traffic>,
     choice: &Choice,
     mut answer: Response<TrackedBody>,
-    outgoing: &OutgoingRequest<'_>,
+    terms: &AnswerTerms<'_>,
     in_flight: InFlight,
     is_ambiguous: bool,
 ) -> Result<UpstreamAnswer, SendFailure> {
@@ -34,8 +35,8 @@
     };
     let is_own = headers
         .get(&names.request_id)
-        .is_some_and(|id| id.as_bytes() == outgoing.head.id.as_bytes());
-    if !is_own && !outgoing.head.id.is_empty() {
+        .is_some_and(|id| id.as_bytes() == terms.head.id.as_bytes());
+    if !is_own && !terms.head.id.is_empty() {
         in_flight.record(AnswerOutcome::Broken);
         return Err(SendFailure::new(
             SendOutcome::Perhaps,
@@ -59,13 +60,13 @@
         read_statements(traffic, &answer, &in_flight, is_own);
     }
     match verdict {
-        AnswerVerdict::Deliver => deliver(traffic, choice, answer, outgoing, in_flight),
+        AnswerVerdict::Deliver => deliver(traffic, choice, answer, terms, in_flight),
         AnswerVerdict::Refused(proof) => {
             in_flight.record(AnswerOutcome::Refused);
             Err(SendFailure::new(SendOutcome::Refused(proof), status).with_evidence(evidence))
         }
         AnswerVerdict::Unproven => {
-            record_unproven(traffic, choice, outgoing, &in_flight, evidence);
+            record_unproven(traffic, choice, terms, &in_flight, evidence);
             let reason = format!("{status} without evidence that it is the upstream's own");
             Err(SendFailure::new(SendOutcome::Perhaps, reason).with_evidence(evidence))
         }
@@ -76,7 +77,7 @@
 fn record_unproven(
     traffic: &Traffic,
     choice: &Choice,
-    outgoing: &OutgoingRequest<'_>,
+    terms: &AnswerTerms<'_>,
     in_flight: &InFlight,
     evidence: AnswerEvidence,
 ) {
@@ -91,7 +92,7 @@
     let signed = evidence.is_signed.to_string();
     metrics::counter!("stagedeck_unproven_refusals_total", "signed" => signed).increment(1);
     let rollouts = &traffic.common.rollouts;
-    rollouts.answered(outgoing.route, &choice.upstream, AnswerQuality::Failed);
+    rollouts.answered(terms.route, &choice.upstream, AnswerQuality::Failed);
 }
 
 /// Records what the head of an answer states about its upstream.
@@ -130,7 +131,7 @@
     traffic: &Traffic,
     choice: &Choice,
     answer: Response<TrackedBody>,
-    outgoing: &OutgoingRequest<'_>,
+    terms: &AnswerTerms<'_>,
     in_flight: InFlight,
 ) -> Result<UpstreamAnswer, SendFailure> {
     let status = answer.status();
@@ -142,17 +143,17 @@
         let took = now - in_flight.started_at;
         let ratio = traffic
             .stats()
-            .record_answer(now, outgoing.route, outgoing.goal, choice, took);
+            .record_answer(now, terms.route, terms.goal, choice, took);
         quality = ratio.map_or(quality, AnswerQuality::of_time);
     } else if status.is_server_error() {
         quality = AnswerQuality::Failed;
     }
     let rollouts = &traffic.common.rollouts;
-    rollouts.answered(outgoing.route, &choice.upstream, quality);
+    rollouts.answered(terms.route, &choice.upstream, quality);
     let (mut parts, body) = answer.into_parts();
     parts.headers = end_to_end(&parts.headers);
     let body = GuardedBody::new(body, in_flight).boxed_unsync();
-    let answer = UpstreamAnswer::new(Response::from_parts(parts, body), outgoing.deadline);
+    let answer = UpstreamAnswer::new(Response::from_parts(parts, body), terms.deadline);
     answer.ok_or_else(|| SendFailure::new(SendOutcome::Perhaps, status))
 }
 
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -20,6 +20,7 @@
 mod start_waits;
 mod statements;
 mod stats;
+mod unanswered_send;
 
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -23,6 +23,7 @@
 use super::request_log::RequestLog;
 use super::send::{OutgoingRequest, SendFailure, send};
 use super::stats::TrafficStats;
+use super::unanswered_send::{AnswerTerms, UnansweredSends};
 use crate::limits::NoToken;
 
 /// Remaining time below which nothing is sent, since no answer could arrive in time.
@@ -81,6 +82,20 @@
     pub passed_over: Vec<UpstreamId>,
 }
 
+/// Why an attempt yielded no answer.
+enum AttemptFailure {
+    /// The request is not sent again.
+    Final(Refusal),
+    /// The send failed.
+    Send(SendFailure),
+}
+
+impl From<Refusal> for AttemptFailure {
+    fn from(refusal: Refusal) -> Self {
+        AttemptFailure::Final(refusal)
+    }
+}
+
 impl From<Refusal> for SelectionError {
     fn from(refusal: Refusal) -> Self {
         SelectionError {
@@ -90,7 +105,7 @@
     }
 }
 
-impl Run<'_> {
+impl<'a> Run<'a> {
     /// Sends the request, with retries, until it is answered or fails.
     pub async fn run(&mut self) -> Result<UpstreamAnswer, Refusal> {
         let (admission, crashes_known) = self.traffic.common.suspects.admit(self.work);
@@ -106,35 +121,75 @@
         self.request_log.service.clone_from(&destination.service);
         self.request_log.region = destination.region.clone().unwrap_or_default();
         self.request_log.object = destination.own_object();
+        let terms = self.answer_terms();
+        let traffic = self.traffic;
+        let mut unanswered = UnansweredSends::default();
         loop {
-            let choice = self.select_upstream(&destination).map_err(|error| {
+            let attempt = tokio::select! {
+                biased;
+                answer = unanswered.next_answer(traffic, &terms) => return Ok(answer),
+                attempt = self.attempt(&destination) => attempt,
+            };
+            let failure = match attempt {
+                Ok(answer) => return Ok(answer),
+                Err(AttemptFailure::Final(refusal)) => {
+                    let answer = unanswered.answer(traffic, &terms).await;
+                    return answer.ok_or(refusal);
+                }
+                Err(AttemptFailure::Send(failure)) => failure,
+            };
+            if let Some(send) = failure.unanswered {
+                unanswered.push(*send);
+            }
+            if self.after_failure(&destination.service) != RetryDecision::Retry {
+                let answer = unanswered.answer(traffic, &terms).await;
+                return answer.ok_or_else(|| self.final_refusal());
+            }
+        }
+    }
+
+    /// Sends the request once, to an upstream that is selected for it.
+    async fn attempt(
+        &mut self,
+        destination: &Destination,
+    ) -> Result<UpstreamAnswer, AttemptFailure> {
+        let choice = loop {
+            let choice = self.select_upstream(destination).map_err(|error| {
                 self.request_log.not_selected(&error);
                 error.refusal
             })?;
             if self.may_outlast_host(&choice) {
-                return Err(self.refusal(Cause::Leaving, Duration::ZERO));
+                return Err(self.refusal(Cause::Leaving, Duration::ZERO).into());
             }
-            let choice = match self.take_token(choice).await {
-                Ok(choice) => choice,
+            match self.take_token(choice).await {
+                Ok(choice) => break choice,
                 // The upstream is skipped until a token is available again.
-                Err(_) if self.token_refusals < MAX_TOKEN_REFUSALS => continue,
-                Err(NoToken(wait)) => return Err(self.rate_limited(wait)),
-            };
-            choice.note_sent(clock::now(), destination.own_object());
-            let failure = match self.send(&choice).await {
-                Ok(answer) => return Ok(answer),
-                Err(failure) => failure,
-            };
-            if let Some(retry_after) = failure.no_relay {
-                self.relay_refusals += 1;
-                if self.relay_refusals >= MAX_RELAY_REFUSALS {
-                    return Err(self.no_relay(retry_after));
-                }
+                Err(_) if self.token_refusals < MAX_TOKEN_REFUSALS => {}
+                Err(NoToken(wait)) => return Err(self.rate_limited(wait).into()),
             }
-            if self.after_failure(&destination.service) != RetryDecision::Retry {
-                return Err(self.final_refusal());
+        };
+        choice.note_sent(clock::now(), destination.own_object());
+        let failure = match self.send(&choice).await {
+            Ok(answer) => return Ok(answer),
+            Err(failure) => failure,
+        };
+        if let Some(retry_after) = failure.no_relay {
+            self.relay_refusals += 1;
+            if self.relay_refusals >= MAX_RELAY_REFUSALS {
+                return Err(self.no_relay(retry_after).into());
             }
         }
+        Err(AttemptFailure::Send(failure))
+    }
+
+    /// What the answers of upstreams are judged by.
+    fn answer_terms(&self) -> AnswerTerms<'a> {
+        AnswerTerms {
+            head: self.head,
+            route: &self.route.name,
+            goal: self.route.goal,
+            deadline: self.deadline,
+        }
     }
 
     /// The answer to a request that is under way when this host ends.
@@ -182,17 +237,15 @@
         let wait_until = self.deadline.min(self.head.arrived + wait);
         let report = &choice.upstream.report;
         self.request_log.selected(choice);
+        let terms = self.answer_terms();
         let sent = self.sends.begin();
         let mut outgoing = OutgoingRequest {
-            head: self.head,
+            terms,
             parts: &self.parts,
             body: &mut self.body,
             connections: &mut self.connections,
             repeatable: self.route.repeatable,
-            deadline: self.deadline,
             wait_until,
-            route: &self.route.name,
-            goal: self.route.goal,
             sender: self.sender,
             may_pass: &|region| may_run_in(self.route, self.sender, region),
             work: self.work,
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -6,23 +6,19 @@
 use hyper::Request;
 use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
-use steering::ids::RuleName;
 use steering::route::{
-    AnswerEvidence, AnswerOutcome, AnswerQuality, Choice, SendOutcome, Sender, Upstream,
-    WorkIdentity,
+    AnswerEvidence, AnswerOutcome, Choice, SendOutcome, Sender, Upstream, WorkIdentity,
 };
 use steering::statement::Obstacle;
-use upstream::{Body, ConnectionId, RequestBody, Reuse, SendError, end_to_end};
+use upstream::{Body, ConnectionId, RequestBody, Reuse, end_to_end};
 
 use super::Traffic;
-use super::accept::accept_answer;
 use super::answers::UpstreamAnswer;
-use super::head::Head;
 use super::in_flight::InFlight;
 use super::paths::{ConnectFailure, Wanted, connect};
+use super::unanswered_send::{AnswerTerms, UnansweredSend};
 
 /// A send that did not yield an answer to pass on.
-#[derive(Debug)]
 pub(super) struct SendFailure {
     /// How far the request got.
     pub sent: SendOutcome,
@@ -37,6 +33,10 @@
     pub no_relay: Option<Duration>,
     /// What the answer shows about the run of the request; none if there was no answer.
     pub evidence: Option<AnswerEvidence>,
+    /// Body of a request of which nothing was sent.
+    pub unsent_body: Option<Body>,
+    /// The send itself, if its answer may still arrive.
+    pub unanswered: Option<Box<UnansweredSend>>,
 }
 
 impl SendFailure {
@@ -48,6 +48,8 @@
             was_closed: false,
             no_relay: None,
             evidence: None,
+            unsent_body: None,
+            unanswered: None,
         }
     }
 
@@ -61,20 +63,14 @@
 
 /// The request to send.
 pub(super) struct OutgoingRequest<'a> {
-    pub head: &'a Head,
+    pub terms: AnswerTerms<'a>,
     pub parts: &'a Parts,
     pub body: &'a mut RequestBody,
     /// Connections on which the request was sent.
     pub connections: &'a mut Vec<ConnectionId>,
     pub repeatable: bool,
-    /// Time after which an answer is useless.
-    pub deadline: Instant,
     /// Time until which the request waits for room at the hosts that relay.
     pub wait_until: Instant,
-    /// Name of the route.
-    pub route: &'a RuleName,
-    /// Latency goal of the route.
-    pub goal: Duration,
     /// Who sent the request.
     pub sender: &'a Sender,
     /// Whether a host of a region may pass on the request's bytes.
@@ -98,13 +94,13 @@
         false => Reuse::Recent,
     };
     let upstream = &choice.upstream;
-    let in_flight = InFlight::begin(traffic, choice, outgoing.route, outgoing.work);
+    let in_flight = InFlight::begin(traffic, choice, outgoing.terms.route, outgoing.work);
     let wanted = Wanted {
         choice,
         reuse,
         used: outgoing.connections.as_slice(),
         may_pass: outgoing.may_pass,
-        deadline: outgoing.deadline,
+        deadline: outgoing.terms.deadline,
         wait_until: outgoing.wait_until,
     };
     let lease = match connect(traffic, &wanted).await {
@@ -154,71 +150,44 @@
     };
     *sent = SendOutcome::Perhaps;
     // Without an identity, an answer can't be told from one to an earlier request.
-    let lacks_id = outgoing.head.id.is_empty();
+    let lacks_id = outgoing.terms.head.id.is_empty();
     let is_ambiguous = outgoing.connections.contains(&lease.id()) || (lacks_id && !lease.is_new());
     outgoing.connections.push(lease.id());
     in_flight.sent_on(&lease, choice);
     let is_direct = lease.relay().is_none();
-    let sending = lease.send(request, outgoing.deadline);
-    // Only work that may run again can be sent on another path.
-    let result = match is_direct && outgoing.repeatable {
-        true => tokio::select! {
-            result = sending => result,
-            () = traffic.paths.until_lost(upstream, in_flight.started_at) => {
-                count_send("lost");
-                in_flight.record(AnswerOutcome::Broken);
-                let reason = "this host is cut off from the upstream";
-                return Err(SendFailure::new(SendOutcome::Perhaps, reason));
-            }
-        },
-        false => sending.await,
+    let sending = lease.send(request, outgoing.terms.deadline);
+    let mut unanswered = UnansweredSend {
+        answer: Box::pin(sending),
+        choice: choice.clone(),
+        in_flight,
+        is_direct,
+        is_ambiguous,
     };
-    let is_lost = matches!(
-        result,
-        Err(SendError::Lost { .. } | SendError::InvalidAnswer { .. } | SendError::Timeout)
-    );
-    // A loss on this host's own cut links says nothing about the upstream's version.
-    if is_lost && !(is_direct && traffic.paths.is_relayed(upstream)) {
-        traffic
-            .common
-            .rollouts
-            .answered(outgoing.route, upstream, AnswerQuality::Failed);
-    }
-    match result {
-        Ok(answer) => {
-            count_send("answered");
-            accept_answer(traffic, choice, answer, outgoing, in_flight, is_ambiguous)
-        }
-        Err(SendError::NotSent { reason, request }) => {
-            count_send("not_sent");
-            in_flight.record(AnswerOutcome::Unreachable);
-            if let Some(request) = request {
-                outgoing.body.put_back(request.into_body());
-            }
-            Err(SendFailure::new(SendOutcome::Not, reason))
-        }
-        Err(SendError::Lost { reason }) => {
-            count_send("lost");
-            in_flight.record(AnswerOutcome::Broken);
-            Err(SendFailure {
-                was_closed: true,
+    let sent_at = unanswered.in_flight.started_at;
+    // Only work that may run again can be sent on another path. The send goes on beside that.
+    let may_be_lost = is_direct && outgoing.repeatable;
+    let answer = tokio::select! {
+        biased;
+        answer = &mut unanswered.answer => answer,
+        () = traffic.paths.until_lost(upstream, sent_at), if may_be_lost => {
+            count_send("doubtful");
+            let reason = "this host may be cut off from the upstream";
+            return Err(SendFailure {
+                unanswered: Some(Box::new(unanswered)),
                 ..SendFailure::new(SendOutcome::Perhaps, reason)
-            })
-        }
-        Err(SendError::InvalidAnswer { reason }) => {
-            count_send("invalid_answer");
-            in_flight.record(AnswerOutcome::Broken);
-            Err(SendFailure::new(SendOutcome::Perhaps, reason))
+            });
         }
-        Err(SendError::Timeout) => {
-            count_send("late");
-            choice.note_timeout(clock::now(), clock::elapsed(in_flight.started_at));
-            Err(SendFailure::new(SendOutcome::Perhaps, "late"))
+    };
+    let concluded = unanswered.conclude(traffic, &outgoing.terms, answer);
+    concluded.map_err(|mut failure| {
+        if let Some(body) = failure.unsent_body.take() {
+            outgoing.body.put_back(body);
         }
-    }
+        failure
+    })
 }
 
-fn count_send(outcome: &'static str) {
+pub(super) fn count_send(outcome: &'static str) {
     metrics::counter!("stagedeck_sends_total", "outcome" => outcome).increment(1);
 }
 
@@ -235,7 +204,10 @@
     let headers = request.headers_mut();
     *headers = end_to_end(&outgoing.parts.headers);
     set_customer(headers, &names.customer, outgoing.sender)?;
-    let left = outgoing.deadline.saturating_duration_since(clock::now());
+    let left = outgoing
+        .terms
+        .deadline
+        .saturating_duration_since(clock::now());
     headers.insert(&names.deadline_ms, (left.as_millis() as u64).into());
     let id = HeaderValue::from_str(&upstream.report.id).ok()?;
     headers.insert(&names.expected_upstream, id);
