The check of a zone asks this host and the others the same question

Cause: this host had to be answered on a new connection within 300 ms, for the others a connection that opened was enough. A full upstream lets a new connection wait for a slot, so the first failed and the second passed.

Fix: a check asks everyone whether the upstream answers a request that is addressed to no upstream; a relaying host whose connection opens without an answer says so (UpstreamSilent). This host waits 150 ms longer than the host that was answered, 300 ms at least. Where the evidence is silence alone, any direct answer from the zone since the check began outweighs the others' answers.

--- a/crates/gateway/src/traffic/crash_check.rs
+++ b/crates/gateway/src/traffic/crash_check.rs
@@ -56,7 +56,10 @@
             return ask_relays(&self.traffic, &self.upstream).await == RelayAnswer::Refuses;
         }
         connections.is_refused(self.upstream.report.address).await
-            && ask_relays(&self.traffic, &self.upstream).await != RelayAnswer::Reached
+            && !matches!(
+                ask_relays(&self.traffic, &self.upstream).await,
+                RelayAnswer::Answered | RelayAnswer::Silent
+            )
     }
 
     fn record_crash(&self, work: WorkIdentity, sent_at: Instant, closed_at: Instant) {
--- a/crates/gateway/src/traffic/paths/mod.rs
+++ b/crates/gateway/src/traffic/paths/mod.rs
@@ -5,31 +5,37 @@
 mod relay_table;
 mod trial;
 
+use std::pin::pin;
 use std::sync::atomic::AtomicU32;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
-use futures::join;
 use steering::ids::HostName;
 use steering::route::{
     CheckResult, Choice, ConnectPlan, DirectResult, PathChange, RelayRecords, Upstream,
     UpstreamPaths,
 };
+use tokio::select;
 use tokio::sync::{Notify, Semaphore};
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use upstream::{ConnectError, ConnectionId, Lease, Reuse};
 
 use super::Traffic;
+use relay_client::RELAY_TIMEOUT;
 pub(super) use relay_client::{RelayAnswer, ask_relays};
 pub(super) use relay_server::serve_relay;
 use relay_table::RelayTable;
+use trial::{TRIAL_TIME, keep_connection, try_directly};
 
 /// Maximum number of connections to an upstream whose service declares no limit.
 const DEFAULT_CONNECTIONS: u32 = 256;
 /// Interval at which a path with unanswered requests is looked at.
 const WATCH_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for which a check waits for an answer to this host after another host was answered; longer
+/// than a round trip between regions.
+const CHECK_MARGIN: Duration = Duration::from_millis(150);
 /// Maximum number of requests for relays that are being read or answered.
 const MAX_RELAY_REQUESTS: usize = 64;
 
@@ -272,15 +278,35 @@
     plan
 }
 
-/// Finds out who reaches an upstream that this host seems not to reach.
+/// Finds out whom an upstream answers that seems not to answer this host. Both sides ask for an
+/// answer on a new connection. This host waits for it longer than the others: an upstream that is
+/// full answers one after the other.
 async fn check(traffic: Arc<Traffic>, upstream: Arc<Upstream>, max_connections: u32) {
-    let result = match join!(
-        trial::answers_directly(&traffic, &upstream, max_connections),
-        ask_relays(&traffic, &upstream)
-    ) {
-        (true, _) => CheckResult::AnswersDirectly,
-        (false, RelayAnswer::Reached) => CheckResult::ReachedByOthers,
-        (false, _) => CheckResult::NotReached,
+    let started_at = clock::now();
+    let mut asking = pin!(ask_relays(&traffic, &upstream));
+    let time = TRIAL_TIME + RELAY_TIMEOUT;
+    let mut trying = pin!(try_directly(&traffic, &upstream, max_connections, time));
+    let (mut tried, answer) = select! {
+        biased;
+        tried = &mut trying => match tried {
+            Ok(_) => (Some(tried), RelayAnswer::Unknown),
+            Err(_) => (Some(tried), asking.await),
+        },
+        answer = &mut asking => (None, answer),
+    };
+    if tried.is_none() && answer == RelayAnswer::Answered {
+        let end = (started_at + TRIAL_TIME).max(clock::now() + CHECK_MARGIN);
+        tried = timeout(clock::remaining(end), trying).await.ok();
+    }
+    let result = match (tried, answer) {
+        (Some(Ok(answer)), _) => {
+            keep_connection(answer);
+            CheckResult::AnswersDirectly
+        }
+        (_, RelayAnswer::Answered) => CheckResult::AnswersOthers,
+        (_, RelayAnswer::Silent | RelayAnswer::Refuses | RelayAnswer::Unknown) => {
+            CheckResult::NotReached
+        }
     };
     let zone = &upstream.report.zone;
     let mut paths = traffic.paths.upstreams();
--- a/crates/gateway/src/traffic/paths/relay_client.rs
+++ b/crates/gateway/src/traffic/paths/relay_client.rs
@@ -19,7 +19,7 @@
 
 /// Time limit for a relay: three round trips between regions, and the time in which the other host
 /// gives up connecting.
-const RELAY_TIMEOUT: Duration = Duration::from_millis(700);
+pub(super) const RELAY_TIMEOUT: Duration = Duration::from_millis(700);
 /// Hosts asked one after the other for a connection.
 const MAX_HOSTS_ASKED: usize = 3;
 /// Interval at which a request that waits for a relayed connection asks hosts that were full.
@@ -30,8 +30,10 @@
 /// What other hosts say of an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(in crate::traffic) enum RelayAnswer {
-    /// A host reaches it.
-    Reached,
+    /// It answers a host on a new connection.
+    Answered,
+    /// It accepts connections of other hosts, and answers none of them in time.
+    Silent,
     /// Its address refuses connections of other hosts too.
     Refuses,
     /// No host could tell.
@@ -185,7 +187,7 @@
     })
 }
 
-/// Asks several hosts at once whether they reach an upstream.
+/// Asks several hosts at once whether an upstream answers them.
 pub(in crate::traffic) async fn ask_relays(
     traffic: &Arc<Traffic>,
     upstream: &Upstream,
@@ -195,12 +197,12 @@
     let mut asked: FuturesUnordered<_> = asked.collect();
     let mut answer = RelayAnswer::Unknown;
     while let Some((status, _)) = asked.next().await {
-        if status == RelayStatus::Open {
-            return RelayAnswer::Reached;
-        }
-        if status == RelayStatus::UpstreamRefuses {
-            answer = RelayAnswer::Refuses;
-        }
+        answer = match status {
+            RelayStatus::Open => return RelayAnswer::Answered,
+            RelayStatus::UpstreamSilent => RelayAnswer::Silent,
+            RelayStatus::UpstreamRefuses if answer == RelayAnswer::Unknown => RelayAnswer::Refuses,
+            _ => answer,
+        };
     }
     answer
 }
@@ -245,7 +247,10 @@
             records.full(now, &host.name, held);
         }
         // These answers are about the upstream.
-        RelayStatus::Open | RelayStatus::UpstreamRefuses | RelayStatus::UpstreamUnknown => {}
+        RelayStatus::Open
+        | RelayStatus::UpstreamRefuses
+        | RelayStatus::UpstreamUnknown
+        | RelayStatus::UpstreamSilent => {}
     }
     drop(records);
     (status, stream)
--- a/crates/gateway/src/traffic/paths/relay_server.rs
+++ b/crates/gateway/src/traffic/paths/relay_server.rs
@@ -11,7 +11,9 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
+use super::DEFAULT_CONNECTIONS;
 use super::relay_table::{LastBytes, RelayPermit, RelayedConnection};
+use super::trial::{TRIAL_TIME, TrialFailure, try_directly};
 use crate::traffic::Traffic;
 use crate::traffic::open_connection::OpenConnection;
 
@@ -61,14 +63,13 @@
     Ok(())
 }
 
-/// Opens a connection for a request; none for one that only checks whether the upstream is reached.
+/// Opens a connection for a request; none for one that only checks whether the upstream answers.
 async fn open(
     traffic: &Traffic,
     request: &RelayRequest,
 ) -> (RelayStatus, Option<(RelayPermit, TcpStream)>) {
     if request.is_check {
-        let (status, _) = connect(traffic, request).await;
-        return (status, None);
+        return (check(traffic, request).await, None);
     }
     let max = || {
         let own = traffic.own_connections();
@@ -90,14 +91,28 @@
     (status, stream.map(|stream| (permit, stream)))
 }
 
+/// Finds out whether the upstream that a request names answers on a new connection.
+async fn check(traffic: &Traffic, request: &RelayRequest) -> RelayStatus {
+    let upstream = match upstream_to_reach(traffic, request) {
+        Ok(upstream) => upstream,
+        Err(status) => return status,
+    };
+    match try_directly(traffic, &upstream, DEFAULT_CONNECTIONS, TRIAL_TIME).await {
+        // The connection is closed: it would take room from those that are relayed.
+        Ok(_) => RelayStatus::Open,
+        Err(TrialFailure::Silent) => RelayStatus::UpstreamSilent,
+        Err(TrialFailure::Refused) => RelayStatus::UpstreamRefuses,
+        Err(TrialFailure::Failed) => RelayStatus::UpstreamUnreachable,
+        Err(TrialFailure::Local) => RelayStatus::Unavailable,
+    }
+}
+
 /// Connects to the upstream that a request names, if this host may send requests there itself.
 async fn connect(traffic: &Traffic, request: &RelayRequest) -> (RelayStatus, Option<TcpStream>) {
-    let Some(upstream) = find(traffic, request) else {
-        return (RelayStatus::UpstreamUnknown, None);
+    let upstream = match upstream_to_reach(traffic, request) {
+        Ok(upstream) => upstream,
+        Err(status) => return (status, None),
     };
-    if traffic.is_leaving() || traffic.paths.is_doubtful(&upstream) {
-        return (RelayStatus::Unavailable, None);
-    }
     match upstream::connect(upstream.report.address).await {
         Ok(stream) => (RelayStatus::Open, Some(stream)),
         Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
@@ -107,6 +122,22 @@
     }
 }
 
+/// The upstream that a request names.
+///
+/// # Errors
+///
+/// Returns the status if this host does not know the upstream or does not relay to it now.
+fn upstream_to_reach(
+    traffic: &Traffic,
+    request: &RelayRequest,
+) -> Result<Arc<Upstream>, RelayStatus> {
+    let upstream = find(traffic, request).ok_or(RelayStatus::UpstreamUnknown)?;
+    match traffic.is_leaving() || traffic.paths.is_doubtful(&upstream) {
+        true => Err(RelayStatus::Unavailable),
+        false => Ok(upstream),
+    }
+}
+
 /// The upstream in this host's own view, which lacks those that drain or are in an evacuated zone.
 fn find(traffic: &Traffic, request: &RelayRequest) -> Option<Arc<Upstream>> {
     let view = traffic.common.view.load();
--- a/crates/peer/src/relay/handshake.rs
+++ b/crates/peer/src/relay/handshake.rs
@@ -70,16 +70,21 @@
     /// upstream.
     #[display("the host relays as many connections as it can")]
     Full = 5,
+    /// The upstream accepts connections and does not answer on a new one, as if it were full. Only
+    /// in answers to checks.
+    #[display("the upstream does not answer")]
+    UpstreamSilent = 6,
 }
 
 impl RelayStatus {
-    const ALL: [RelayStatus; 6] = [
+    const ALL: [RelayStatus; 7] = [
         RelayStatus::Open,
         RelayStatus::UpstreamRefuses,
         RelayStatus::UpstreamUnreachable,
         RelayStatus::UpstreamUnknown,
         RelayStatus::Unavailable,
         RelayStatus::Full,
+        RelayStatus::UpstreamSilent,
     ];
 
     fn from_byte(byte: u8) -> Option<RelayStatus> {
--- a/crates/steering/src/route/upstream_paths/zone_path.rs
+++ b/crates/steering/src/route/upstream_paths/zone_path.rs
@@ -59,35 +59,45 @@
 pub enum PathChange {
     /// Direct connections fail, or nothing answers over them; who reaches the upstreams is checked.
     DirectFails,
-    /// Another host reaches an upstream where direct connections fail: this host's own links are
+    /// An upstream answers another host where direct connections fail: this host's own links are
     /// cut.
     Relayed,
-    /// The direct path has passed a trial meanwhile: the upstreams themselves failed.
+    /// The direct path works: the upstreams themselves failed, or are slow to answer.
     DirectWorks,
-    /// No other host reaches the upstream either, or none could be asked.
+    /// The upstream answers no other host either, or none could be asked.
     NotReached,
     /// The direct path has passed its trials after this time.
     Direct(Duration),
 }
 
-/// What a check of an upstream has shown that seems not to be reached.
+/// What a check of an upstream has shown that seems not to be reached. This host and the others ask
+/// the same question: whether the upstream answers on a new connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CheckResult {
-    /// It answers on a new direct connection.
+    /// It answers this host.
     AnswersDirectly,
-    /// It does not, and another host reaches it.
-    ReachedByOthers,
-    /// Nobody reaches it, as far as could be asked.
+    /// It does not answer this host, and answers another one in less time.
+    AnswersOthers,
+    /// It answers nobody, as far as could be asked.
     NotReached,
 }
 
+/// Why direct connections seem to fail.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Evidence {
+    /// Connections failed. Answers over other connections do not contradict that.
+    Failures,
+    /// Nothing was answered for a while, as also happens where upstreams have much to do.
+    Silence,
+}
+
 /// State of the path.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 enum State {
     #[default]
     Direct,
     /// Direct connections fail, and who reaches the upstreams is being checked.
-    Checking,
+    Checking { since: Instant, evidence: Evidence },
     Relayed {
         since: Instant,
         next_trial_at: Instant,
@@ -164,7 +174,7 @@
             change,
         };
         match &mut self.state {
-            State::Direct | State::Checking => {}
+            State::Direct | State::Checking { .. } => {}
             State::Relayed { next_trial_at, .. } => {
                 plan.relays = true;
                 plan.uses_open_direct = has_recent_answer;
@@ -237,15 +247,21 @@
 
     /// Returns whether this host can't tell from a failure of its own whether an upstream is down.
     pub fn is_doubtful(&self, now: Instant) -> bool {
-        self.state != State::Direct || self.fails_directly(now, false)
+        self.state != State::Direct || self.evidence(now, false).is_some()
     }
 
     /// Records what the check of an upstream of the zone has shown.
     pub fn check_ended(&mut self, now: Instant, result: CheckResult) -> Option<PathChange> {
-        if self.state != State::Checking {
+        let State::Checking { since, evidence } = self.state else {
             return None;
-        }
+        };
+        let answered_since = self.last_direct_answer.is_some_and(|at| at >= since);
+        let is_contradicted = evidence == Evidence::Silence && answered_since;
         match result {
+            CheckResult::AnswersOthers if is_contradicted => {
+                self.use_direct(now);
+                Some(PathChange::DirectWorks)
+            }
             CheckResult::AnswersDirectly => {
                 self.use_direct(now);
                 Some(PathChange::DirectWorks)
@@ -254,7 +270,7 @@
                 self.use_direct(now);
                 Some(PathChange::NotReached)
             }
-            CheckResult::ReachedByOthers => {
+            CheckResult::AnswersOthers => {
                 self.state = State::Relayed {
                     since: now,
                     next_trial_at: now + TRIAL_INTERVAL,
@@ -287,25 +303,33 @@
 
     fn review(&mut self, now: Instant, is_other_relayed: bool) -> Option<PathChange> {
         let is_paused = self.check_pause.is_some_and(|(until, _)| until > now);
-        if self.state != State::Direct || is_paused || !self.fails_directly(now, is_other_relayed) {
+        if self.state != State::Direct || is_paused {
             return None;
         }
-        self.state = State::Checking;
+        let evidence = self.evidence(now, is_other_relayed)?;
+        self.state = State::Checking {
+            since: now,
+            evidence,
+        };
         Some(PathChange::DirectFails)
     }
 
-    fn fails_directly(&self, now: Instant, is_other_relayed: bool) -> bool {
+    /// Returns the strongest evidence that direct connections fail.
+    fn evidence(&self, now: Instant, is_other_relayed: bool) -> Option<Evidence> {
         let (min_failing, min_silent) = match is_other_relayed {
             true => (1, 1),
             false => (MIN_FAILING_UPSTREAMS, MIN_SILENT_REQUESTS),
         };
+        let failures = [&self.new_failures, &self.open_failures];
+        let mut failures = failures.into_iter();
+        if failures.any(|failures| failures.are_evidence(now, min_failing)) {
+            return Some(Evidence::Failures);
+        }
         let is_silent = self.unanswered >= min_silent
             && self.silent_since.is_some_and(|since| {
                 now.saturating_duration_since(since) > silence_limit(self.longest_work)
             });
-        let failures = [&self.new_failures, &self.open_failures];
-        let mut failures = failures.into_iter();
-        is_silent || failures.any(|failures| failures.are_evidence(now, min_failing))
+        is_silent.then_some(Evidence::Silence)
     }
 
     fn failed(&mut self, now: Instant, upstream: &str, is_first: bool) {
--- a/crates/steering/tests/route_upstream_paths.rs
+++ b/crates/steering/tests/route_upstream_paths.rs
@@ -38,7 +38,7 @@
     path.direct_failed(now, "b");
     assert!(path.plan(now, false).needs_check);
     assert_eq!(
-        path.check_ended(now, CheckResult::ReachedByOthers),
+        path.check_ended(now, CheckResult::AnswersOthers),
         Some(PathChange::Relayed)
     );
     path
@@ -105,7 +105,7 @@
     assert!(!paths.plan(now, "west").needs_check);
     paths
         .zone("east")
-        .check_ended(now, CheckResult::ReachedByOthers);
+        .check_ended(now, CheckResult::AnswersOthers);
     assert!(paths.plan(now, "west").needs_check);
     assert!(
         !paths.plan(now, "south").needs_check,
@@ -219,7 +219,7 @@
             now += MOMENT;
         }
         assert!(now - back_at <= SECOND * 2 + MOMENT);
-        path.check_ended(now, CheckResult::ReachedByOthers);
+        path.check_ended(now, CheckResult::AnswersOthers);
     }
 }
 
@@ -378,7 +378,7 @@
     }
     assert!(path.plan(now + SECOND, false).needs_check);
     assert!(!path.is_lost(now));
-    path.check_ended(now + SECOND, CheckResult::ReachedByOthers);
+    path.check_ended(now + SECOND, CheckResult::AnswersOthers);
     assert!(path.is_lost(now));
     let answered = DirectResult {
         sent_at: now,
@@ -390,3 +390,64 @@
     assert!(!path.is_lost(now));
     assert!(path.is_lost(now + SECOND * 2));
 }
+
+/// A busy zone answered while others were asked, and was taken for a cut one.
+#[rstest]
+#[case::nothing_answered(None, true)]
+#[case::answered_before_the_check(Some(-1), true)]
+#[case::answered_during_the_check(Some(1), false)]
+fn an_answer_during_a_check_contradicts_a_silent_path(
+    #[case] answered_after_s: Option<i32>,
+    #[case] relays: bool,
+) {
+    let start = Instant::now();
+    let mut path = ZonePath::default();
+    let answered = |path: &mut ZonePath, at: Instant| {
+        path.direct_sent(at, WORK);
+        let result = DirectResult {
+            sent_at: at,
+            is_first: false,
+            work: WORK,
+            outcome: AnswerOutcome::Complete,
+        };
+        path.direct_ended(at, "i-1", result);
+    };
+    if answered_after_s == Some(-1) {
+        answered(&mut path, start);
+    }
+    for _ in 0..3 {
+        path.direct_sent(start, WORK);
+    }
+    let checked_at = start + SECOND;
+    assert!(path.plan(checked_at, false).needs_check);
+    if answered_after_s == Some(1) {
+        answered(&mut path, checked_at + MOMENT);
+    }
+    let change = path.check_ended(checked_at + SECOND, CheckResult::AnswersOthers);
+    let expected = match relays {
+        true => PathChange::Relayed,
+        false => PathChange::DirectWorks,
+    };
+    assert_eq!(change, Some(expected));
+    assert_eq!(path.is_lost(start + MOMENT), relays);
+}
+
+/// Open connections may live on while new ones are refused.
+#[test]
+fn an_answer_during_a_check_does_not_outweigh_failures() {
+    let now = Instant::now();
+    let mut path = ZonePath::default();
+    path.direct_failed(now, "a");
+    path.direct_failed(now, "b");
+    assert!(path.plan(now, false).needs_check);
+    path.direct_sent(now, WORK);
+    let result = DirectResult {
+        sent_at: now,
+        is_first: false,
+        work: WORK,
+        outcome: AnswerOutcome::Complete,
+    };
+    path.direct_ended(now + MOMENT, "c", result);
+    let change = path.check_ended(now + SECOND, CheckResult::AnswersOthers);
+    assert_eq!(change, Some(PathChange::Relayed));
+}
