A connection is not used while the body of its last request is still sent

Cause: a connection went back to the idle ones at the end of the answer, whatever was still sent.

Fix: Upload notes the end of the body; take_idle passes over connections whose upload is under way. They are used again afterwards.

--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -11,7 +11,6 @@
 use std::time::{Duration, Instant};
 
 use derive_more::{Display, Error};
-use http_body::Body as _;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, Parts, SendRequest};
 use hyper::{Method, Request, Response, Version};
@@ -25,6 +24,7 @@
 use tokio::time::timeout;
 
 use crate::headers::keep_alive;
+use crate::upload::Upload;
 use crate::{AnswerError, Body, BodyFraming, RequestFraming, SendError, Surplus, TrackedBody};
 
 /// Maximum time to open a connection. A host that has vanished does not answer at all, and other
@@ -124,6 +124,9 @@
 /// An open connection that is not in use.
 struct IdleConnection {
     sender: SendRequest<Body>,
+    /// Upload of the last request, which may outlast its answer. The connection is not used before
+    /// its end.
+    upload: Upload,
     open: OpenConnection,
     since: Instant,
     /// Instant after which the connection must not be used.
@@ -221,8 +224,8 @@
     is_new: bool,
     /// Maximum idle time before the next request.
     max_idle_time: Duration,
-    /// Whether the last request had a body, which may not be sent completely when the answer ends.
-    has_request_body: bool,
+    /// Upload of the last request, which may not have ended when the answer ends.
+    upload: Upload,
 }
 
 impl Lease {
@@ -265,7 +268,7 @@
         let framing = RequestFraming::of(request.headers(), request.body());
         framing.replace_fields(request.headers_mut());
         let method = request.method().clone();
-        self.has_request_body = !request.body().is_end_stream();
+        let request = request.map(|body| self.upload.track(body));
         match self.sender.try_send_request(request).await {
             Ok(answer) => self.receive(&method, answer).await,
             Err(mut error) => match error.take_message() {
@@ -296,7 +299,7 @@
                     Surplus::Other => Err(AnswerError::Surplus),
                 })
             }
-            Poll::Pending if self.has_request_body => Poll::Ready(Ok(())),
+            Poll::Pending if self.upload.has_begun() => Poll::Ready(Ok(())),
             Poll::Pending => Poll::Pending,
         }
     }
@@ -336,6 +339,7 @@
         }
         let idle = IdleConnection {
             sender: self.sender,
+            upload: self.upload,
             open: self.open,
             since,
             expires_at,
@@ -557,7 +561,7 @@
             open,
             is_new: true,
             max_idle_time: MAX_IDLE_TIME,
-            has_request_body: false,
+            upload: Upload::default(),
         }
     }
 
@@ -577,10 +581,10 @@
         peer.idle.retain(|idle| {
             idle.expires_at > now && !idle.sender.is_closed() && !idle.open.is_released()
         });
-        let last = peer
-            .idle
-            .iter()
-            .rposition(|idle| may_use(idle.open.id, idle.open.relay.as_ref()))?;
+        let last = peer.idle.iter().rposition(|idle| {
+            let may_use = may_use(idle.open.id, idle.open.relay.as_ref());
+            may_use && !idle.upload.is_under_way()
+        })?;
         if clock::elapsed(peer.idle[last].since) >= oldest {
             return None;
         }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -13,6 +13,7 @@
 mod send_error;
 mod surplus;
 mod tracked;
+mod upload;
 
 pub use answer::{AnswerError, BodyFraming, ChunkScanner, has_unknown_coding};
 pub use body::{BodyLimitError, BoundedBody, BufferedBody, GuardedBody, RequestBody, buffer_body};
