A request that was given up counts as a response time only if it waited longest

Found by reading the change: callers that leave early were recorded as short responses and lowered the bound by which a stopping host begins requests; as the first record of a route they were taken for evidence that its work is short. route_response_times.rs: left at once, nothing is known (the second failed before, by reasoning: a first record of 10 ms gave a bound of 93 ms).

--- a/crates/gateway/src/traffic/in_flight.rs
+++ b/crates/gateway/src/traffic/in_flight.rs
@@ -175,7 +175,11 @@
             let took = now.saturating_duration_since(self.started_at);
             let service = &self.upstream.report.service;
             let mut stats = self.traffic.stats();
-            stats.record_response(service, &self.route, now, took);
+            let response_times = stats.response_times(service, &self.route);
+            match is_abandoned {
+                true => response_times.record_unanswered(now, took),
+                false => response_times.record(now, took),
+            }
         }
         let mut state = self.upstream.state();
         if is_abandoned {
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -91,7 +91,7 @@
         }
     }
 
-    /// Waits until this host is stopping and ends.
+    /// Waits until this host is stopping and gives up the requests under way.
     async fn until_end(&self) {
         let mut stage = self.common.stage.clone();
         let stopping = stage.wait_for(|stage| *stage != Stage::Serving).await;
--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -208,7 +208,9 @@
         let time_left = self.deadline.saturating_duration_since(now);
         let service = &choice.upstream.report.service;
         let mut stats = self.traffic.stats();
-        let seen = stats.longest_response(service, &self.route.name, now);
+        let seen = stats
+            .response_times(service, &self.route.name)
+            .upper_bound(now);
         let longest = seen.map_or(time_left, |seen| seen.max(choice.expectation.upper_bound()));
         !self.traffic.has_time_for(longest.min(time_left))
     }
--- a/crates/gateway/src/traffic/stats.rs
+++ b/crates/gateway/src/traffic/stats.rs
@@ -238,9 +238,8 @@
         Some(ratio)
     }
 
-    /// Records how long a response of a route took, its body included, or for how long a request was
-    /// sent without one.
-    pub fn record_response(&mut self, service: &str, route: &str, now: Instant, took: Duration) {
+    /// How long responses of a route at a service take, their bodies included.
+    pub fn response_times(&mut self, service: &str, route: &str) -> &mut ResponseTimes {
         if !self.response_times.contains_key(service) {
             self.response_times
                 .insert(service.to_owned(), HashMap::new());
@@ -252,21 +251,9 @@
         if !routes.contains_key(route) {
             routes.insert(route.to_owned(), ResponseTimes::default());
         }
-        let times = routes.get_mut(route);
-        times
+        routes
+            .get_mut(route)
             .expect("the entry exists or was just inserted")
-            .record(now, took);
-    }
-
-    /// The time that few responses of a route at a service exceed; none if no response is known.
-    pub fn longest_response(
-        &mut self,
-        service: &str,
-        route: &str,
-        now: Instant,
-    ) -> Option<Duration> {
-        let routes = self.response_times.get_mut(service)?;
-        routes.get_mut(route)?.upper_bound(now)
     }
 
     /// Drops the state of routes that are not in a new document.
--- a/crates/steering/src/route/response_times.rs
+++ b/crates/steering/src/route/response_times.rs
@@ -45,11 +45,20 @@
 }
 
 impl ResponseTimes {
-    /// Records a response that took this long, or a request without a response after this time.
+    /// Records a response that took this long.
     pub fn record(&mut self, now: Instant, took: Duration) {
         self.advance(now);
-        let took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
-        self.current.saturating_record(took_ms.max(1));
+        self.current.saturating_record(milliseconds(took));
+    }
+
+    /// Records a request that was given up after this time. Since nothing is known of the rest of its
+    /// time, it counts only beside responses, and if it has waited longer than any of them took.
+    pub fn record_unanswered(&mut self, now: Instant, waited: Duration) {
+        self.advance(now);
+        let longest_ms = self.current.max().max(self.previous.max());
+        if longest_ms > 0 && milliseconds(waited) > longest_ms {
+            self.current.saturating_record(milliseconds(waited));
+        }
     }
 
     /// Returns the time that few responses exceed; none if no response was recorded recently. The
@@ -81,3 +90,7 @@
         self.started_at = Some(now);
     }
 }
+
+fn milliseconds(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX).max(1)
+}
--- a/crates/steering/tests/route_response_times.rs
+++ b/crates/steering/tests/route_response_times.rs
@@ -21,7 +21,11 @@
 
 #[test]
 fn nothing_is_known_without_a_response() {
-    assert_eq!(ResponseTimes::default().upper_bound(Instant::now()), None);
+    let now = Instant::now();
+    let mut times = ResponseTimes::default();
+    assert_eq!(times.upper_bound(now), None);
+    times.record_unanswered(now, ms(10));
+    assert_eq!(times.upper_bound(now), None);
 }
 
 /// A stopping host that took the middle of few responses for a bound began work that it cut.
@@ -80,3 +84,20 @@
     let bound = times.upper_bound(later).expect("responses are known");
     assert!(bound >= ms(4_000), "{bound:?}");
 }
+
+/// Callers that leave early say nothing of the time that responses take; those that wait in vain do.
+#[rstest]
+#[case::left_at_once(10, 2_000)]
+#[case::waited_longer_than_any(6_000, 6_000)]
+fn requests_that_are_given_up_count_only_if_they_waited_longest(
+    #[case] waited_ms: u64,
+    #[case] at_least_ms: u64,
+) {
+    let now = Instant::now();
+    let mut times = recorded(now, &[2_000; 10]);
+    for _ in 0..1_000 {
+        times.record_unanswered(now, ms(waited_ms));
+    }
+    let bound = times.upper_bound(now).expect("responses are known");
+    assert!(bound >= ms(at_least_ms), "{bound:?}");
+}
