--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -15,6 +15,7 @@
 mod paths;
 mod request_log;
 mod run;
+mod selection;
 mod send;
 mod server;
 mod start_waits;
--- a/crates/gateway/src/traffic/request_log.rs
+++ b/crates/gateway/src/traffic/request_log.rs
@@ -7,7 +7,7 @@
 
 use super::answers::{Cause, Refusal, UpstreamAnswer};
 use super::head::Head;
-use super::run::SelectionError;
+use super::selection::SelectionError;
 use crate::suspects;
 
 /// Logs an event with the routing record of its request. The event's own fields come first.
@@ -174,8 +174,7 @@
         (!self.passed_over.is_empty()).then(|| self.passed_over.join(","))
     }
 
-    /// Logs a request that is under way when the process ends, `stopping_for` after the signal to
-    /// stop.
+    /// Logs a request that is given up because the process stops, `stopping_for` after the signal.
     pub fn cut(&self, stopping_for: Option<Duration>) {
         metrics::counter!("stagedeck_requests_cut_total").increment(1);
         let stopping_ms = stopping_for.map(|time| time.as_millis() as u64);
--- a/crates/steering/src/route/response_times.rs
+++ b/crates/steering/src/route/response_times.rs
@@ -8,7 +8,7 @@
 const WINDOW: Duration = Duration::from_secs(30);
 /// Quantile of the response times from which the bound is derived.
 const QUANTILE: f64 = 0.99;
-/// Longest response time that is told from longer ones, in milliseconds.
+/// Largest response time that is recorded exactly, in milliseconds. Larger ones count as this one.
 const MAX_RESPONSE_MS: u64 = 600_000;
 /// Decimal digits to which a response time is kept.
 const SIGNIFICANT_DIGITS: u8 = 1;
--- a/crates/steering/src/route/stop_timetable.rs
+++ b/crates/steering/src/route/stop_timetable.rs
@@ -21,9 +21,9 @@
     /// Until when a request may begin, on any connection. Never before `accept_until`. Connections
     /// without a request are closed then, unread, so that their callers can go elsewhere.
     pub begin_until: Duration,
-    /// When requests under way are given up, and their callers are told what is known of them.
+    /// When requests under way are given up and get a final answer.
     pub end: Duration,
-    /// When the process ends in any case; not before `end`, and before the end of the grace period.
+    /// When the process ends in any case: at `end` or later, and within the grace period.
     pub exit: Duration,
 }
 
@@ -49,7 +49,7 @@
         since_signal + work <= self.end
     }
 
-    /// Whether a request of this length that begins as late as it may ends in time.
+    /// Whether a request of this length that begins as late as allowed is done in time.
     pub fn has_time_for(&self, work: Duration) -> bool {
         self.ends_in_time(self.begin_until, work)
     }
--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -224,7 +224,7 @@
     is_new: bool,
     /// Maximum idle time before the next request.
     max_idle_time: Duration,
-    /// Upload of the last request, which may not have ended when the answer ends.
+    /// Upload of the last request, which may outlast the answer.
     upload: Upload,
 }
 
