Crashes and answers of sends that were left unanswered count for crash detection

Found by reading the whole change: since a request under way is no longer ended when its host may be cut off, its first send is concluded apart, and neither a connection that its upstream closed nor an answer reached the crash detection, as they do for other sends.

Fix: both are recorded where such a send is concluded.

--- a/crates/gateway/src/traffic/run.rs
+++ b/crates/gateway/src/traffic/run.rs
@@ -167,6 +167,7 @@
             route: &self.route.name,
             goal: self.route.goal,
             deadline: self.deadline,
+            work: self.work,
         }
     }
 
@@ -228,7 +229,6 @@
             wait_until,
             sender: self.sender,
             may_pass: &|region| may_run_in(self.route, self.sender, region),
-            work: self.work,
             crashes_known: self.crashes_known,
         };
         let started_at = clock::now();
--- a/crates/gateway/src/traffic/send.rs
+++ b/crates/gateway/src/traffic/send.rs
@@ -6,9 +6,7 @@
 use hyper::Request;
 use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
-use steering::route::{
-    AnswerEvidence, AnswerOutcome, Choice, SendOutcome, Sender, Upstream, WorkIdentity,
-};
+use steering::route::{AnswerEvidence, AnswerOutcome, Choice, SendOutcome, Sender, Upstream};
 use steering::statement::Obstacle;
 use upstream::{Body, ConnectionId, RequestBody, Reuse, end_to_end};
 
@@ -75,8 +73,6 @@
     pub sender: &'a Sender,
     /// Whether a host of a region may pass on the request's bytes.
     pub may_pass: &'a dyn Fn(&str) -> bool,
-    /// Identity of the request and its object for crash detection.
-    pub work: WorkIdentity,
     /// Crashes attributed to the request when it was admitted.
     pub crashes_known: u32,
 }
@@ -94,7 +90,7 @@
         false => Reuse::Recent,
     };
     let upstream = &choice.upstream;
-    let in_flight = InFlight::begin(traffic, choice, outgoing.terms.route, outgoing.work);
+    let in_flight = InFlight::begin(traffic, choice, outgoing.terms.route, outgoing.terms.work);
     let wanted = Wanted {
         choice,
         reuse,
@@ -131,7 +127,7 @@
         });
     }
     let suspects = &traffic.common.suspects;
-    let blocked_for = suspects.blocked_for(outgoing.work, outgoing.crashes_known);
+    let blocked_for = suspects.blocked_for(outgoing.terms.work, outgoing.crashes_known);
     if blocked_for.is_some() {
         count_send("not_sent");
         lease.give_back();
--- a/crates/gateway/src/traffic/unanswered_send.rs
+++ b/crates/gateway/src/traffic/unanswered_send.rs
@@ -8,12 +8,14 @@
 use futures::future::select_all;
 use hyper::Response;
 use steering::ids::RuleName;
-use steering::route::{AnswerOutcome, AnswerQuality, Choice, SendOutcome};
+use steering::route::{AnswerOutcome, AnswerQuality, Choice, SendOutcome, WorkEvent, WorkIdentity};
+use tokio::task::spawn_local;
 use upstream::{SendError, TrackedBody};
 
 use super::Traffic;
 use super::accept::accept_answer;
 use super::answers::UpstreamAnswer;
+use super::crash_check::CrashCheck;
 use super::head::Head;
 use super::in_flight::InFlight;
 use super::send::{SendFailure, count_send};
@@ -28,6 +30,8 @@
     pub goal: Duration,
     /// Time after which an answer is useless.
     pub deadline: Instant,
+    /// Identity of the request and its object for crash detection.
+    pub work: WorkIdentity,
 }
 
 /// The answer to a send, or why there is none.
@@ -125,16 +129,30 @@
             let answers = self.0.iter_mut().map(|send| &mut send.answer);
             let (answer, index, _) = select_all(answers).await;
             let send = self.0.swap_remove(index);
+            let check = CrashCheck {
+                traffic: Arc::clone(traffic),
+                upstream: Arc::clone(&send.choice.upstream),
+                id: terms.head.id.clone(),
+                work: terms.work,
+                sent_at: send.in_flight.started_at,
+            };
             let id = &terms.head.id;
-            let upstream = send.choice.upstream.report.id.clone();
+            let upstream = &check.upstream.report.id;
             match send.conclude(traffic, terms, answer) {
                 Ok(answer) => {
+                    let sent_ms = clock::elapsed(check.sent_at).as_millis() as u32;
+                    let event = WorkEvent::Answered { sent_ms };
+                    traffic.common.suspects.record_event(terms.work, event);
                     tracing::info!(event = "doubtful_send_answered", id, upstream);
                     metrics::counter!("stagedeck_doubtful_sends_answered_total").increment(1);
                     return Some(answer);
                 }
-                Err(SendFailure { reason, .. }) => {
+                Err(failure) => {
+                    let reason = failure.reason;
                     tracing::info!(event = "doubtful_send_failed", id, upstream, reason);
+                    if failure.was_closed {
+                        spawn_local(check.run());
+                    }
                 }
             }
         }
